--- /dev/null
+++ b/Libraries/LibBase/Event.cpp
@@ -0,0 +1,72 @@
+#include "LibBase/Event.h"
+
+#include <algorithm>
+#include <array>
+
+namespace latchslip {
+
+namespace {
+
+constexpr std::array kEvents{
+  EventName{ Event::InstanceStarted, "InstanceStarted" },
+  EventName{ Event::InstanceLeaving, "InstanceLeaving" },
+  EventName{ Event::InstanceStopped, "InstanceStopped" },
+  EventName{ Event::PeerConnected, "PeerConnected" },
+  EventName{ Event::PeerDisconnected, "PeerDisconnected" },
+  EventName{ Event::PeerSuspected, "PeerSuspected" },
+  EventName{ Event::PeerCleared, "PeerCleared" },
+  EventName{ Event::PeerRefused, "PeerRefused" },
+  EventName{ Event::ViewInstalled, "ViewInstalled" },
+  EventName{ Event::ViewStale, "ViewStale" },
+  EventName{ Event::ViewRejected, "ViewRejected" },
+  EventName{ Event::StoreUnavailable, "StoreUnavailable" },
+  EventName{ Event::StoreRecovered, "StoreRecovered" },
+  EventName{ Event::StoreUnsure, "StoreUnsure" },
+  EventName{ Event::PlacerTaken, "PlacerTaken" },
+  EventName{ Event::PlacementCommitted, "PlacementCommitted" },
+  EventName{ Event::PlacementConflict, "PlacementConflict" },
+  EventName{ Event::HolderAssigned, "HolderAssigned" },
+  EventName{ Event::SliceMoveStarted, "SliceMoveStarted" },
+  EventName{ Event::SliceMoved, "SliceMoved" },
+  EventName{ Event::ServerLost, "ServerLost" },
+  EventName{ Event::ServerReturned, "ServerReturned" },
+  EventName{ Event::SliceSplit, "SliceSplit" },
+  EventName{ Event::ServerLeaving, "ServerLeaving" },
+  EventName{ Event::ServerLossDeferred, "ServerLossDeferred" },
+  EventName{ Event::GrantAcknowledged, "GrantAcknowledged" },
+  EventName{ Event::GrantRefused, "GrantRefused" },
+  EventName{ Event::GrantExpired, "GrantExpired" },
+  EventName{ Event::GrantReleased, "GrantReleased" },
+  EventName{ Event::GrantResumed, "GrantResumed" },
+  EventName{ Event::RequestRouted, "RequestRouted" },
+  EventName{ Event::RequestForwarded, "RequestForwarded" },
+  EventName{ Event::RequestDispatched, "RequestDispatched" },
+  EventName{ Event::RequestAnswered, "RequestAnswered" },
+  EventName{ Event::RequestRefused, "RequestRefused" },
+  EventName{ Event::RequestUnknown, "RequestUnknown" },
+  EventName{ Event::RequestRetried, "RequestRetried" },
+  EventName{ Event::ClaimDuplicate, "ClaimDuplicate" },
+  EventName{ Event::PlanMade, "PlanMade" },
+  EventName{ Event::PlanConfirmed, "PlanConfirmed" },
+  EventName{ Event::PlanConflict, "PlanConflict" },
+  EventName{ Event::OperatorRefused, "OperatorRefused" },
+};
+
+} // namespace
+
+std::span<const EventName>
+AllEvents()
+{
+  return kEvents;
+}
+
+std::string_view
+NameOf(Event aEvent)
+{
+  const auto* found = std::find_if(kEvents.begin(), kEvents.end(), [&](const EventName& aEntry) {
+    return aEntry.event_ == aEvent;
+  });
+  return found == kEvents.end() ? "Unnamed" : found->name_;
+}
+
+} // namespace latchslip
--- /dev/null
+++ b/Libraries/LibBase/Event.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace latchslip {
+
+// The numbered events of the log. docs/EVENTS.md is their catalogue, and a test
+// compares the two. Numbers are never used again for another meaning.
+enum class Event : int
+{
+  InstanceStarted = 100,
+  InstanceLeaving = 101,
+  InstanceStopped = 102,
+  PeerConnected = 110,
+  PeerDisconnected = 111,
+  PeerSuspected = 112,
+  PeerCleared = 113,
+  PeerRefused = 114,
+  ViewInstalled = 120,
+  ViewStale = 121,
+  ViewRejected = 122,
+  StoreUnavailable = 130,
+  StoreRecovered = 131,
+  StoreUnsure = 132,
+  PlacerTaken = 200,
+  PlacementCommitted = 201,
+  PlacementConflict = 202,
+  HolderAssigned = 203,
+  SliceMoveStarted = 204,
+  SliceMoved = 205,
+  ServerLost = 206,
+  ServerReturned = 207,
+  SliceSplit = 208,
+  ServerLeaving = 209,
+  ServerLossDeferred = 210,
+  GrantAcknowledged = 300,
+  GrantRefused = 301,
+  GrantExpired = 302,
+  GrantReleased = 303,
+  GrantResumed = 304,
+  RequestRouted = 400,
+  RequestForwarded = 401,
+  RequestDispatched = 402,
+  RequestAnswered = 403,
+  RequestRefused = 404,
+  RequestUnknown = 405,
+  RequestRetried = 406,
+  ClaimDuplicate = 410,
+  PlanMade = 500,
+  PlanConfirmed = 501,
+  PlanConflict = 502,
+  OperatorRefused = 503,
+};
+
+struct EventName
+{
+  Event event_;
+  std::string_view name_;
+};
+
+// All events with their names, in the order of their numbers.
+std::span<const EventName>
+AllEvents();
+
+std::string_view
+NameOf(Event aEvent);
+
+// Receives the events of the decision code.
+class EventSink
+{
+public:
+  virtual ~EventSink() = default;
+
+  // Records one event; aDetail is "name=value" words with the reason.
+  virtual void Record(Event aEvent, std::string_view aDetail) = 0;
+};
+
+} // namespace latchslip
--- /dev/null
+++ b/Libraries/LibDaemon/InstanceHost.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "LibDaemon/GlogEventSink.h"
+#include "LibDaemon/Metrics.h"
+#include "LibDaemon/Settings.h"
+#include "LibInstance/InstanceCore.h"
+#include "LibNet/HttpClient.h"
+#include "LibNet/HttpServer.h"
+#include "LibNet/PeerNetwork.h"
+#include "LibNet/PlatformClient.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+
+namespace latchslip {
+
+// Runs one InstanceCore on the network: turns what comes in into its events and
+// carries out its actions. Everything happens on the thread of the io_context.
+class InstanceHost
+  : private Outbox
+  , private PeerHandler
+{
+public:
+  // Opens all listeners; the error names the address that failed.
+  static FieldResult<std::unique_ptr<InstanceHost>> Create(boost::asio::io_context& aContext,
+                                                           const DaemonSettings& aSettings);
+  ~InstanceHost() override;
+
+  // Begins a planned stop; the io_context is stopped when it is over.
+  void BeginLeaving();
+
+private:
+  class CallerSide;
+  class OperatorSide;
+
+  InstanceHost(boost::asio::io_context& aContext, const DaemonSettings& aSettings);
+  FieldResult<void> Open();
+
+  static Instant Now();
+  void ScheduleTick();
+  void PollList();
+  void CheckLeaving();
+  std::string RenderMetrics() const;
+
+  bool SendToPeer(const InstanceId& aTo, const PeerMessage& aMessage) override;
+  void CallStore(CallTag aTag, const StoreCall& aCall) override;
+  void SendGrant(CallTag aTag, const std::string& aAddress, const GrantOrder& aOrder) override;
+  void SendWork(const WorkOrder& aOrder) override;
+  void CancelWork(WorkId aId) override;
+  void AnswerCaller(CallerId aCaller, const WorkAnswer& aAnswer) override;
+  void AnswerOperator(OperatorId aOperator, const OperatorAnswer& aAnswer) override;
+
+  void OnPeerUp(const InstanceId& aPeer, const std::string& aHall) override;
+  void OnPeerDown(const InstanceId& aPeer) override;
+  void OnPeerMessage(const InstanceId& aFrom, const PeerMessage& aMessage) override;
+  void OnPeerRefused(const std::string& aAddress, const std::string& aReason) override;
+
+  boost::asio::io_context& context_;
+  DaemonSettings settings_;
+  GlogEventSink events_;
+  Metrics metrics_;
+  boost::asio::steady_timer tickTimer_;
+  std::unique_ptr<HttpClient> serverClient_;
+  std::unique_ptr<HttpClient> platformHttp_;
+  PlatformClient platform_;
+  InstanceCore core_;
+  std::unique_ptr<PeerNetwork> peers_;
+  std::unique_ptr<CallerSide> callers_;
+  std::unique_ptr<OperatorSide> operators_;
+  std::unique_ptr<HttpServer> callerServer_;
+  std::unique_ptr<HttpServer> operatorServer_;
+  std::map<WorkId, std::string> addressOfWork_;
+  Instant listPolledAt_{ 0 };
+  bool isListOut_ = false;
+  Instant leavingSince_{ 0 };
+  bool isClosing_ = false;
+};
+
+} // namespace latchslip
--- /dev/null
+++ b/Libraries/LibDispatch/ClaimBook.cpp
@@ -0,0 +1,291 @@
+#include "LibDispatch/ClaimBook.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace latchslip {
+
+namespace {
+
+constexpr std::string_view kReleased = "released";
+constexpr std::string_view kStarted = "started ";
+
+const Row*
+FindRow(const std::vector<Row>& aRows, const std::string& aKey)
+{
+  const auto found =
+    std::find_if(aRows.begin(), aRows.end(), [&](const Row& aRow) { return aRow.key_ == aKey; });
+  return found == aRows.end() ? nullptr : &*found;
+}
+
+} // namespace
+
+std::string
+ClaimBook::RowKey(std::string_view aService, std::string_view aGroup, std::string_view aRequestId)
+{
+  std::string key = "claim/";
+  key.append(aService).append("/").append(aGroup).append("/").append(aRequestId);
+  return key;
+}
+
+ClaimBook::ClaimBook(std::string aWriter, ClaimTiming aTiming)
+  : writer_(std::move(aWriter))
+  , timing_(aTiming)
+  , allowance_(aTiming.burst_)
+{
+}
+
+bool
+ClaimBook::Submit(Instant aNow, ClaimId aId, std::string aRowKey)
+{
+  if (IsOutage(aNow)) {
+    return false;
+  }
+  Claim claim;
+  claim.id_ = aId;
+  claim.rowKey_ = std::move(aRowKey);
+  claim.value_ = std::string(kStarted) + writer_ + " " + std::to_string(++sequence_);
+  pending_.push_back(std::move(claim));
+  return true;
+}
+
+void
+ClaimBook::Release(ClaimId aId)
+{
+  const auto won = won_.find(aId);
+  if (won != won_.end()) {
+    updates_.push_back({ won->second.rowKey_, std::string(kReleased), won->second.version_ });
+    won_.erase(won);
+    return;
+  }
+  const auto waiting = std::find_if(
+    pending_.begin(), pending_.end(), [&](const Claim& aClaim) { return aClaim.id_ == aId; });
+  if (waiting != pending_.end() && waiting->expected_ == 0 && !mustReadBack_) {
+    pending_.erase(waiting);
+    return;
+  }
+  abandoned_[aId] = true;
+}
+
+void
+ClaimBook::Close(ClaimId aId, std::string_view aOutcome)
+{
+  const auto won = won_.find(aId);
+  if (won == won_.end()) {
+    return;
+  }
+  updates_.push_back({ won->second.rowKey_, std::string(aOutcome), won->second.version_ });
+  won_.erase(won);
+}
+
+void
+ClaimBook::Refill(Instant aNow)
+{
+  const auto elapsed = std::chrono::duration<double>(aNow - refilledAt_).count();
+  allowance_ = std::min(timing_.burst_, allowance_ + elapsed * timing_.rate_);
+  refilledAt_ = aNow;
+}
+
+std::optional<ClaimCall>
+ClaimBook::NextCall(Instant aNow)
+{
+  if (isCallOut_ || IsOutage(aNow)) {
+    return std::nullopt;
+  }
+  if (mustReadBack_) {
+    ClaimCall call;
+    call.isRead_ = true;
+    for (const auto& claim : inFlight_) {
+      call.keys_.push_back(claim.rowKey_);
+    }
+    for (const auto& update : updatesInFlight_) {
+      call.keys_.push_back(update.rowKey_);
+    }
+    isCallOut_ = true;
+    isReadOut_ = true;
+    return call;
+  }
+  if (pending_.empty() && updates_.empty()) {
+    return std::nullopt;
+  }
+  Refill(aNow);
+  if (allowance_ < 1) {
+    return std::nullopt;
+  }
+  allowance_ -= 1;
+  ClaimCall call;
+  std::vector<std::string> used;
+  const auto add = [&](const std::string& aKey, RowVersion aExpected, const std::string& aValue) {
+    call.transaction_.conditions_.push_back({ aKey, aExpected });
+    call.transaction_.writes_.push_back({ aKey, aValue });
+    used.push_back(aKey);
+  };
+  const auto isUsed = [&](const std::string& aKey) {
+    return std::find(used.begin(), used.end(), aKey) != used.end();
+  };
+  // A row stands once in a transaction; what comes second waits for the next.
+  while (!updates_.empty() && updatesInFlight_.size() < timing_.batch_ &&
+         !isUsed(updates_.front().rowKey_)) {
+    add(updates_.front().rowKey_, updates_.front().expected_, updates_.front().value_);
+    updatesInFlight_.push_back(std::move(updates_.front()));
+    updates_.pop_front();
+  }
+  while (!pending_.empty() && inFlight_.size() < timing_.batch_ &&
+         !isUsed(pending_.front().rowKey_)) {
+    add(pending_.front().rowKey_, pending_.front().expected_, pending_.front().value_);
+    inFlight_.push_back(std::move(pending_.front()));
+    pending_.pop_front();
+  }
+  isCallOut_ = true;
+  return call;
+}
+
+std::optional<ClaimDecision>
+ClaimBook::Settle(Claim& aClaim, const Row* aRow)
+{
+  const bool isAbsent = aRow == nullptr || aRow->version_ == 0;
+  if (!isAbsent && aRow->value_ == aClaim.value_) {
+    const bool isAbandoned = abandoned_.erase(aClaim.id_) != 0;
+    won_[aClaim.id_] = { aClaim.rowKey_, aClaim.value_, aRow->version_ };
+    if (isAbandoned) {
+      Release(aClaim.id_);
+      return std::nullopt;
+    }
+    return ClaimDecision{ aClaim.id_, ClaimVerdict::Claimed, "" };
+  }
+  if (isAbsent || aRow->value_ == kReleased) {
+    if (abandoned_.erase(aClaim.id_) != 0) {
+      return std::nullopt;
+    }
+    // Free: try again on what stands now.
+    aClaim.expected_ = isAbsent ? 0 : aRow->version_;
+    pending_.push_back(std::move(aClaim));
+    return std::nullopt;
+  }
+  if (abandoned_.erase(aClaim.id_) != 0) {
+    return std::nullopt;
+  }
+  return ClaimDecision{ aClaim.id_, ClaimVerdict::Duplicate, aRow->value_ };
+}
+
+std::vector<ClaimDecision>
+ClaimBook::OnTransactionDone(const StoreReply& aReply)
+{
+  std::vector<ClaimDecision> decisions;
+  for (auto& claim : inFlight_) {
+    const auto* row = FindRow(aReply.rows_, claim.rowKey_);
+    Row written{ claim.rowKey_,
+                 row == nullptr ? claim.expected_ + 1 : row->version_,
+                 claim.value_ };
+    if (auto decision = Settle(claim, &written)) {
+      decisions.push_back(*decision);
+    }
+  }
+  inFlight_.clear();
+  updatesInFlight_.clear();
+  return decisions;
+}
+
+std::vector<ClaimDecision>
+ClaimBook::OnConflict(const StoreReply& aReply)
+{
+  std::vector<ClaimDecision> decisions;
+  auto claims = std::move(inFlight_);
+  inFlight_.clear();
+  for (auto& claim : claims) {
+    const auto* row = FindRow(aReply.rows_, claim.rowKey_);
+    if (row == nullptr) {
+      // Its own condition held; another row of the batch failed.
+      if (abandoned_.erase(claim.id_) == 0) {
+        pending_.push_back(std::move(claim));
+      }
+      continue;
+    }
+    if (auto decision = Settle(claim, row)) {
+      decisions.push_back(*decision);
+    }
+  }
+  // An update whose row has changed is void: somebody else has the last word.
+  for (auto& update : updatesInFlight_) {
+    if (FindRow(aReply.rows_, update.rowKey_) == nullptr) {
+      updates_.push_back(std::move(update));
+    }
+  }
+  updatesInFlight_.clear();
+  return decisions;
+}
+
+std::vector<ClaimDecision>
+ClaimBook::OnReadBack(const StoreReply& aReply)
+{
+  std::vector<ClaimDecision> decisions;
+  auto claims = std::move(inFlight_);
+  inFlight_.clear();
+  for (auto& claim : claims) {
+    if (auto decision = Settle(claim, FindRow(aReply.rows_, claim.rowKey_))) {
+      decisions.push_back(*decision);
+    }
+  }
+  for (auto& update : updatesInFlight_) {
+    const auto* row = FindRow(aReply.rows_, update.rowKey_);
+    if (row != nullptr && row->version_ == update.expected_) {
+      updates_.push_back(std::move(update));
+    }
+  }
+  updatesInFlight_.clear();
+  mustReadBack_ = false;
+  return decisions;
+}
+
+std::vector<ClaimDecision>
+ClaimBook::FailAll(Instant aNow)
+{
+  outageUntil_ = aNow + timing_.outagePause_;
+  std::vector<ClaimDecision> decisions;
+  const auto fail = [&](const Claim& aClaim) {
+    if (abandoned_.erase(aClaim.id_) == 0) {
+      decisions.push_back({ aClaim.id_, ClaimVerdict::StoreUnavailable, "" });
+    }
+  };
+  for (const auto& claim : inFlight_) {
+    fail(claim);
+  }
+  for (const auto& claim : pending_) {
+    fail(claim);
+  }
+  inFlight_.clear();
+  pending_.clear();
+  for (auto& update : updatesInFlight_) {
+    updates_.push_back(std::move(update));
+  }
+  updatesInFlight_.clear();
+  return decisions;
+}
+
+std::vector<ClaimDecision>
+ClaimBook::OnReply(Instant aNow, const StoreReply& aReply)
+{
+  isCallOut_ = false;
+  const bool wasRead = std::exchange(isReadOut_, false);
+  switch (aReply.status_) {
+    case StoreStatus::Done:
+      return wasRead ? OnReadBack(aReply) : OnTransactionDone(aReply);
+    case StoreStatus::Conflict:
+      return OnConflict(aReply);
+    case StoreStatus::Unsure:
+      // NOTE: The claims stay undecided; dispatching or refusing for good on a
+      // guess could run a booking twice or forbid its retry.
+      mustReadBack_ = true;
+      outageUntil_ = wasRead ? aNow + timing_.outagePause_ : outageUntil_;
+      return {};
+    case StoreStatus::Unavailable:
+      break;
+  }
+  if (mustReadBack_) {
+    outageUntil_ = aNow + timing_.outagePause_;
+    return {};
+  }
+  return FailAll(aNow);
+}
+
+} // namespace latchslip
--- /dev/null
+++ b/Libraries/LibDispatch/GrantKeeper.cpp
@@ -0,0 +1,202 @@
+#include "LibDispatch/GrantKeeper.h"
+
+#include <algorithm>
+
+namespace latchslip {
+
+bool
+CoversHash(const std::vector<HashRange>& aRanges, KeyHash aHash)
+{
+  const auto after = std::upper_bound(
+    aRanges.begin(), aRanges.end(), aHash, [](KeyHash aLeft, const HashRange& aRight) {
+      return aLeft < aRight.first;
+    });
+  return after != aRanges.begin() && aHash <= std::prev(after)->second;
+}
+
+GrantKeeper::GrantKeeper(std::string aService,
+                         std::string aServer,
+                         bool aChecksOrders,
+                         GrantTiming aTiming)
+  : service_(std::move(aService))
+  , server_(std::move(aServer))
+  , checksOrders_(aChecksOrders)
+  , timing_(aTiming)
+{
+}
+
+void
+GrantKeeper::SetWish(Fence aFence,
+                     RowVersion aPlacementVersion,
+                     std::vector<HashRange> aRanges,
+                     bool aFormerHoldersSettled)
+{
+  if (aFence != fence_) {
+    fence_ = aFence;
+    generation_ = 0;
+    granted_.clear();
+    grantedValidUntil_ = 0;
+    state_ = GrantState::Waiting;
+    refused_ = false;
+    isConfirmed_ = false;
+    hasSentGrants_ = false;
+    contactingSince_ = Instant{ 0 };
+    bootId_ = 0;
+    echoClock_ = 0;
+  }
+  // A server that checks orders is fenced off by the higher fence itself; for
+  // the others only certainty about the former holders will do.
+  if (state_ == GrantState::Waiting && (checksOrders_ || aFormerHoldersSettled)) {
+    state_ = GrantState::Contacting;
+  }
+  wishVersion_ = aPlacementVersion;
+  if (aRanges != wish_ || generation_ == 0) {
+    wish_ = std::move(aRanges);
+    ++generation_;
+    isChanged_ = true;
+  } else if (grantedGeneration_ == generation_ && state_ == GrantState::Granted) {
+    releasedVersion_ = wishVersion_;
+  }
+}
+
+bool
+GrantKeeper::IsOrderDue(Instant aNow) const
+{
+  if (state_ == GrantState::Waiting) {
+    return false;
+  }
+  return isChanged_ || aNow - lastSentAt_ >= timing_.renewInterval_;
+}
+
+GrantOrder
+GrantKeeper::ComposeOrder(Instant aNow)
+{
+  GrantOrder order;
+  order.service_ = service_;
+  order.server_ = server_;
+  order.fence_ = fence_;
+  order.generation_ = generation_;
+  order.bootId_ = bootId_;
+  // An echo older than a term would compose an order that has expired already.
+  const bool hasEcho = bootId_ != 0 && aNow - echoSentAt_ < timing_.term_;
+  if (hasEcho && state_ != GrantState::Withheld) {
+    order.validUntil_ = echoClock_ + timing_.term_.count();
+    order.ranges_ = wish_;
+    hasSentGrants_ = true;
+    expiryBound_ = std::max(expiryBound_, echoReceivedAt_ + timing_.term_ + timing_.margin_);
+  }
+  return order;
+}
+
+void
+GrantKeeper::Withhold()
+{
+  // NOTE: From here on no grant of this fence is valid, and none is made even if
+  // the server returns, because the placer may be moving its slices.
+  state_ = GrantState::Withheld;
+  hasSentGrants_ = false;
+  granted_.clear();
+  grantedValidUntil_ = 0;
+  ++generation_;
+  isChanged_ = true;
+}
+
+std::vector<GrantOrder>
+GrantKeeper::Tick(Instant aNow)
+{
+  const bool isActive = state_ == GrantState::Granted || state_ == GrantState::Contacting;
+  if (isActive && hasSentGrants_ && aNow >= expiryBound_) {
+    Withhold();
+  }
+  if (state_ == GrantState::Contacting && !hasSentGrants_) {
+    contactingSince_ = contactingSince_ == Instant{ 0 } ? aNow : contactingSince_;
+    if (aNow - contactingSince_ > timing_.term_ + timing_.margin_) {
+      Withhold();
+    }
+  }
+  if (!IsOrderDue(aNow)) {
+    return {};
+  }
+  isChanged_ = false;
+  lastSentAt_ = aNow;
+  return { ComposeOrder(aNow) };
+}
+
+void
+GrantKeeper::OnReply(Instant aNow,
+                     Instant aSentAt,
+                     const GrantOrder& aOrder,
+                     const GrantReply& aReply)
+{
+  if (aOrder.fence_ != fence_) {
+    return;
+  }
+  lastAnswerAt_ = aNow;
+  if (aReply.bootId_ != bootId_) {
+    // The server runs anew: what it was granted is gone with its memory, and so
+    // is every older reading of its clock.
+    bootId_ = aReply.bootId_;
+    echoClock_ = 0;
+    granted_.clear();
+    grantedValidUntil_ = 0;
+    isChanged_ = true;
+  }
+  if (aReply.clock_ > echoClock_) {
+    const bool isFirst = echoClock_ == 0;
+    echoClock_ = aReply.clock_;
+    echoSentAt_ = aSentAt;
+    echoReceivedAt_ = aNow;
+    isChanged_ = isChanged_ || isFirst;
+  }
+  if (!aReply.accepted_) {
+    refused_ = refused_ || aReply.fence_ > fence_;
+    return;
+  }
+  isConfirmed_ = true;
+  foreignRunning_ = aReply.foreignRunning_;
+  if (aOrder.generation_ != generation_) {
+    return;
+  }
+  if (aReply.releasedRunning_ == 0) {
+    releasedVersion_ = wishVersion_;
+    grantedGeneration_ = generation_;
+  }
+  const bool isGrant = aOrder.validUntil_ != 0 && aOrder.bootId_ == bootId_;
+  if (isGrant && state_ != GrantState::Withheld) {
+    state_ = GrantState::Granted;
+    granted_ = wish_;
+    grantedValidUntil_ = std::max(grantedValidUntil_, aOrder.validUntil_);
+    // The server's clock was read after the order was sent, so the grant ends
+    // no earlier than this on the clock of this process.
+    usableUntil_ = std::max(usableUntil_, aSentAt + Duration(aOrder.validUntil_ - aReply.clock_));
+  }
+}
+
+void
+GrantKeeper::Resume()
+{
+  if (state_ == GrantState::Withheld) {
+    state_ = GrantState::Contacting;
+    contactingSince_ = Instant{ 0 };
+    ++generation_;
+    isChanged_ = true;
+  }
+}
+
+bool
+GrantKeeper::MayDispatch(Instant aNow, KeyHash aHash) const
+{
+  if (state_ != GrantState::Granted || aNow >= usableUntil_) {
+    return false;
+  }
+  // Granted by the server and still wished: a range on its way out gets no work.
+  return CoversHash(granted_, aHash) && CoversHash(wish_, aHash);
+}
+
+bool
+GrantKeeper::IsReachable(Instant aNow) const
+{
+  return lastAnswerAt_ != Instant{ 0 } && aNow - lastAnswerAt_ <= timing_.term_;
+}
+
+} // namespace latchslip
--- /dev/null
+++ b/Libraries/LibInstance/DispatchDesk.cpp
@@ -0,0 +1,635 @@
+#include "LibInstance/DispatchDesk.h"
+
+#include <algorithm>
+#include <atomic>
+
+namespace latchslip {
+
+namespace {
+
+// When a key between owners is worth asking for again.
+constexpr Duration kOwnerChangeRetry = milliseconds(50);
+constexpr Duration kOutageRetry = milliseconds(500);
+constexpr Duration kGrantAnswerLife = seconds(2);
+
+} // namespace
+
+std::uint64_t
+NextTag()
+{
+  static std::atomic<std::uint64_t> sLast{ 0 };
+  return ++sLast;
+}
+
+DispatchDesk::DispatchDesk(InstanceContext aContext, AnswerFunction aAnswer, ReportFunction aReport)
+  : context_(aContext)
+  , answer_(std::move(aAnswer))
+  , report_(std::move(aReport))
+  , claims_(aContext.membership_.Self(), aContext.timing_.claim_)
+{
+}
+
+std::string
+DispatchDesk::HeldKey(std::string_view aService, std::string_view aServer)
+{
+  return std::string(aService) + "/" + std::string(aServer);
+}
+
+HeldServer*
+DispatchDesk::FindHeldFor(const WorkRequest& aRequest, KeyHash aHash, Reason& aReason)
+{
+  const auto* placed = context_.view_.FindPlacement(aRequest.service_);
+  aReason = Reason::NotHolder;
+  if (placed == nullptr) {
+    return nullptr;
+  }
+  const auto& placement = placed->placement_;
+  const auto& slice = placement.slices_[placement.SliceIndexOf(aHash)];
+  const auto& server = placement.servers_[slice.owner_];
+  const auto found = held_.find(HeldKey(aRequest.service_, server.name_));
+  if (found == held_.end() || found->second->isStopping_) {
+    return nullptr;
+  }
+  if (slice.IsMoving()) {
+    aReason = Reason::OwnerChanging;
+    return nullptr;
+  }
+  return found->second.get();
+}
+
+Reason
+DispatchDesk::CheckAdmission(Instant aNow,
+                             HeldServer& aHeld,
+                             const HeldWork& aWork,
+                             Duration& aRetryAfter)
+{
+  if (!aHeld.keeper_.MayDispatch(aNow, aWork.hash_)) {
+    aRetryAfter = kOwnerChangeRetry;
+    return Reason::OwnerChanging;
+  }
+  const auto admission = aHeld.queue_.Check(aNow, aWork.request_.group_, aWork.request_.deadline_);
+  aRetryAfter = admission.retryAfter_;
+  switch (admission.verdict_) {
+    case AdmissionVerdict::QueueFull:
+      return Reason::QueueFull;
+    case AdmissionVerdict::DeadlineTooNear:
+      return Reason::DeadlineTooNear;
+    case AdmissionVerdict::UnknownGroup:
+      return Reason::NoSuchGroup;
+    case AdmissionVerdict::Admitted:
+      break;
+  }
+  return Reason::None;
+}
+
+void
+DispatchDesk::Submit(Instant aNow, const WorkRequest& aRequest, const ReplyTo& aReplyTo)
+{
+  const auto hash = HashKey(aRequest.key_);
+  auto reason = Reason::None;
+  auto* held = FindHeldFor(aRequest, hash, reason);
+  if (held == nullptr) {
+    answer_(aNow, aReplyTo, MakeNotRun(reason, kOwnerChangeRetry));
+    return;
+  }
+  HeldWork work;
+  work.id_ = NextTag();
+  work.request_ = aRequest;
+  work.hash_ = hash;
+  work.replyTo_ = aReplyTo;
+  Duration retryAfter{ 0 };
+  reason = CheckAdmission(aNow, *held, work, retryAfter);
+  if (reason != Reason::None) {
+    answer_(aNow, aReplyTo, MakeNotRun(reason, retryAfter));
+    return;
+  }
+  held->retries_.OnRequest();
+  const bool needsClaim = !aRequest.isRepeatable_ && !aRequest.requestId_.empty();
+  const auto id = work.id_;
+  if (needsClaim) {
+    const auto rowKey = ClaimBook::RowKey(aRequest.service_, aRequest.group_, aRequest.requestId_);
+    if (!claims_.Submit(aNow, id, rowKey)) {
+      answer_(aNow, aReplyTo, MakeNotRun(Reason::StoreUnavailable, kOutageRetry));
+      return;
+    }
+    work.hasClaim_ = true;
+  }
+  heldOfWork_[id] = HeldKey(held->service_, held->server_);
+  workOfReply_[aReplyTo] = id;
+  held->works_.emplace(id, std::move(work));
+  if (needsClaim) {
+    PumpClaims(aNow);
+  } else {
+    Enqueue(aNow, *held, id);
+  }
+}
+
+void
+DispatchDesk::Enqueue(Instant aNow, HeldServer& aHeld, WorkId aId)
+{
+  auto& work = aHeld.works_.at(aId);
+  Duration retryAfter{ 0 };
+  const auto reason = CheckAdmission(aNow, aHeld, work, retryAfter);
+  if (reason != Reason::None) {
+    Answer(aNow, work, MakeNotRun(reason, retryAfter));
+    Drop(aHeld, aId);
+    return;
+  }
+  work.phase_ = HeldWork::Phase::Waiting;
+  aHeld.queue_.Admit(aNow, aId, work.request_.group_, work.request_.deadline_);
+  Pump(aNow, aHeld);
+}
+
+void
+DispatchDesk::Answer(Instant aNow, HeldWork& aWork, const WorkAnswer& aLast)
+{
+  if (aWork.isAnswered_) {
+    return;
+  }
+  aWork.isAnswered_ = true;
+  const bool isUncertain = aWork.mayHaveRun_ && aLast.outcome_ == RequestOutcome::NotRun;
+  const auto answer = isUncertain ? MakeUnknown(aLast.reason_) : aLast;
+  if (aWork.hasClaim_) {
+    switch (answer.outcome_) {
+      case RequestOutcome::NotRun:
+        claims_.Release(aWork.id_);
+        break;
+      case RequestOutcome::Answered:
+        claims_.Close(aWork.id_, "answered " + std::to_string(answer.status_));
+        break;
+      case RequestOutcome::Unknown:
+        claims_.Close(aWork.id_, "unknown");
+        break;
+    }
+  }
+  workOfReply_.erase(aWork.replyTo_);
+  answer_(aNow, aWork.replyTo_, answer);
+}
+
+void
+DispatchDesk::Drop(HeldServer& aHeld, WorkId aId)
+{
+  heldOfWork_.erase(aId);
+  aHeld.works_.erase(aId);
+}
+
+void
+DispatchDesk::Dispatch(Instant aNow, HeldServer& aHeld, HeldWork& aWork)
+{
+  aWork.phase_ = HeldWork::Phase::Running;
+  aWork.startedAt_ = aNow;
+  WorkOrder order;
+  order.id_ = aWork.id_;
+  order.server_ = aHeld.server_;
+  order.address_ = aHeld.address_;
+  order.fence_ = aHeld.keeper_.CurrentFence();
+  order.hash_ = aWork.hash_;
+  order.request_ = aWork.request_;
+  order.validUntil_ = aHeld.keeper_.ValidUntilOnServer();
+  context_.events_.Record(Event::RequestDispatched,
+                          "work=" + std::to_string(aWork.id_) + " server=" + aHeld.server_ +
+                            " group=" + aWork.request_.group_ +
+                            " fence=" + std::to_string(order.fence_) +
+                            " waiting=" + std::to_string(aHeld.queue_.Waiting()));
+  context_.outbox_.SendWork(order);
+}
+
+void
+DispatchDesk::Pump(Instant aNow, HeldServer& aHeld)
+{
+  for (const auto id : aHeld.queue_.TakeExpired(aNow)) {
+    auto& work = aHeld.works_.at(id);
+    Answer(aNow,
+           work,
+           MakeNotRun(Reason::DeadlinePassed, aHeld.queue_.EstimateWait(work.request_.group_)));
+    Drop(aHeld, id);
+  }
+  while (const auto id = aHeld.queue_.StartNext()) {
+    auto& work = aHeld.works_.at(*id);
+    if (!aHeld.keeper_.MayDispatch(aNow, work.hash_)) {
+      aHeld.queue_.Finish(*id, Duration{ 0 });
+      Answer(aNow, work, MakeNotRun(Reason::OwnerChanging, kOwnerChangeRetry));
+      Drop(aHeld, *id);
+      continue;
+    }
+    Dispatch(aNow, aHeld, work);
+  }
+}
+
+void
+DispatchDesk::Abandon(Instant aNow, HeldWork& aWork)
+{
+  // NOTE: Its slot stays taken until the server has said, in the answer to an
+  // order sent after this moment, what still runs there.
+  aWork.phase_ = HeldWork::Phase::Abandoned;
+  aWork.abandonedAt_ = aNow;
+}
+
+void
+DispatchDesk::Cancel(Instant aNow, const ReplyTo& aReplyTo)
+{
+  const auto found = workOfReply_.find(aReplyTo);
+  if (found == workOfReply_.end()) {
+    return;
+  }
+  const auto id = found->second;
+  auto& held = *held_.at(heldOfWork_.at(id));
+  auto& work = held.works_.at(id);
+  if (work.phase_ == HeldWork::Phase::Running) {
+    context_.outbox_.CancelWork(id);
+    Answer(aNow, work, MakeUnknown(Reason::Cancelled));
+    return;
+  }
+  held.queue_.Remove(id);
+  Answer(aNow, work, MakeNotRun(Reason::Cancelled, Duration{ 0 }));
+  Drop(held, id);
+}
+
+bool
+DispatchDesk::TryAgain(Instant aNow, HeldServer& aHeld, HeldWork& aWork)
+{
+  const bool mayRepeat = aWork.request_.isRepeatable_ && !aWork.isAnswered_ &&
+                         aHeld.keeper_.MayDispatch(aNow, aWork.hash_) && aHeld.retries_.TrySpend();
+  if (!mayRepeat) {
+    return false;
+  }
+  HeldWork again = aWork;
+  again.id_ = NextTag();
+  again.phase_ = HeldWork::Phase::Waiting;
+  again.mayHaveRun_ = true;
+  heldOfWork_[again.id_] = HeldKey(aHeld.service_, aHeld.server_);
+  workOfReply_[again.replyTo_] = again.id_;
+  context_.events_.Record(Event::RequestRetried,
+                          "work=" + std::to_string(again.id_) +
+                            " former=" + std::to_string(aWork.id_) + " reason=connection-broken");
+  const auto id = again.id_;
+  aWork.isAnswered_ = true;
+  aHeld.works_.emplace(id, std::move(again));
+  Enqueue(aNow, aHeld, id);
+  return true;
+}
+
+void
+DispatchDesk::Measure(HeldServer& aHeld, const HeldWork& aWork, Duration aBusy)
+{
+  const auto* placed = context_.view_.FindPlacement(aHeld.service_);
+  if (placed != nullptr) {
+    const auto& placement = placed->placement_;
+    const auto& slice = placement.slices_[placement.SliceIndexOf(aWork.hash_)];
+    aHeld.meter_.Add(aWork.hash_, slice.start_, aBusy);
+  }
+}
+
+void
+DispatchDesk::OnWorkReply(Instant aNow, WorkId aId, const WorkReply& aReply)
+{
+  const auto owner = heldOfWork_.find(aId);
+  if (owner == heldOfWork_.end()) {
+    return;
+  }
+  auto& held = *held_.at(owner->second);
+  auto& work = held.works_.at(aId);
+  if (work.phase_ == HeldWork::Phase::Abandoned) {
+    return;
+  }
+  WorkAnswer answer;
+  switch (aReply.end_) {
+    case WorkEnd::Answered:
+      answer.outcome_ = RequestOutcome::Answered;
+      answer.status_ = aReply.status_;
+      answer.body_ = aReply.body_;
+      answer.contentType_ = aReply.contentType_;
+      Measure(held, work, aNow - work.startedAt_);
+      break;
+    case WorkEnd::Refused:
+      answer = MakeNotRun(Reason::ServerRefused, kOwnerChangeRetry);
+      break;
+    case WorkEnd::Shed:
+      answer = MakeNotRun(Reason::ServerShed, std::max(aReply.retryAfter_, kOwnerChangeRetry));
+      break;
+    case WorkEnd::Expired:
+      answer = MakeNotRun(Reason::DeadlinePassed, held.queue_.EstimateWait(work.request_.group_));
+      break;
+    case WorkEnd::Cancelled:
+      answer = MakeNotRun(Reason::Cancelled, Duration{ 0 });
+      break;
+    case WorkEnd::NotSent:
+      answer = MakeNotRun(Reason::ServerUnreachable, kOwnerChangeRetry);
+      break;
+    case WorkEnd::Broken:
+      Abandon(aNow, work);
+      if (!TryAgain(aNow, held, work)) {
+        Answer(aNow, work, MakeUnknown(Reason::ConnectionBroken));
+      }
+      return;
+  }
+  const bool ran = aReply.end_ == WorkEnd::Answered;
+  held.queue_.Finish(aId, ran ? aNow - work.startedAt_ : Duration{ 0 });
+  Answer(aNow, work, std::move(answer));
+  Drop(held, aId);
+  Pump(aNow, held);
+}
+
+void
+DispatchDesk::OnGrantReply(Instant aNow, CallTag aTag, const GrantReply& aReply)
+{
+  const auto found = orders_.find(aTag);
+  if (found == orders_.end()) {
+    return;
+  }
+  const auto order = std::move(found->second);
+  orders_.erase(found);
+  const auto entry = held_.find(order.key_);
+  if (entry == held_.end()) {
+    return;
+  }
+  auto& held = *entry->second;
+  const auto before = held.keeper_.State();
+  held.keeper_.OnReply(aNow, order.sentAt_, order.order_, aReply);
+  if (!aReply.accepted_) {
+    context_.events_.Record(Event::GrantRefused,
+                            "server=" + held.server_ +
+                              " fence=" + std::to_string(order.order_.fence_) +
+                              " seen=" + std::to_string(aReply.fence_));
+  }
+  if (before != held.keeper_.State()) {
+    context_.events_.Record(
+      Event::GrantAcknowledged,
+      "server=" + held.server_ + " fence=" + std::to_string(held.keeper_.CurrentFence()) +
+        " state=" + std::string(kGrantStateNames.NameOf(held.keeper_.State())));
+  }
+  held.queue_.SetForeign(held.keeper_.ForeignRunning());
+  std::vector<WorkId> settled;
+  for (const auto& [id, work] : held.works_) {
+    if (work.phase_ == HeldWork::Phase::Abandoned && order.sentAt_ > work.abandonedAt_) {
+      settled.push_back(id);
+    }
+  }
+  for (const auto id : settled) {
+    held.queue_.Finish(id, Duration{ 0 });
+    Drop(held, id);
+  }
+  Report(aNow, held);
+  Pump(aNow, held);
+}
+
+void
+DispatchDesk::PumpClaims(Instant aNow)
+{
+  if (claimTag_ != 0) {
+    return;
+  }
+  const auto call = claims_.NextCall(aNow);
+  if (!call) {
+    return;
+  }
+  StoreCall store;
+  store.isRead_ = call->isRead_;
+  store.transaction_ = call->transaction_;
+  for (const auto& key : call->keys_) {
+    store.stamps_.push_back({ key, 0 });
+  }
+  claimTag_ = NextTag();
+  context_.outbox_.CallStore(claimTag_, store);
+}
+
+bool
+DispatchDesk::OnStoreReply(Instant aNow, CallTag aTag, const StoreReply& aReply)
+{
+  if (aTag != claimTag_ || aTag == 0) {
+    return false;
+  }
+  claimTag_ = 0;
+  for (const auto& decision : claims_.OnReply(aNow, aReply)) {
+    const auto owner = heldOfWork_.find(decision.id_);
+    if (owner == heldOfWork_.end()) {
+      claims_.Release(decision.id_);
+      continue;
+    }
+    auto& held = *held_.at(owner->second);
+    auto& work = held.works_.at(decision.id_);
+    switch (decision.verdict_) {
+      case ClaimVerdict::Claimed:
+        Enqueue(aNow, held, decision.id_);
+        break;
+      case ClaimVerdict::Duplicate: {
+        context_.events_.Record(Event::ClaimDuplicate,
+                                "request=" + work.request_.requestId_ +
+                                  " earlier=" + decision.earlier_);
+        work.hasClaim_ = false;
+        auto answer = MakeUnknown(Reason::Duplicate);
+        answer.detail_ = decision.earlier_;
+        Answer(aNow, work, answer);
+        Drop(held, decision.id_);
+        break;
+      }
+      case ClaimVerdict::StoreUnavailable:
+        work.hasClaim_ = false;
+        Answer(aNow, work, MakeNotRun(Reason::StoreUnavailable, kOutageRetry));
+        Drop(held, decision.id_);
+        break;
+    }
+  }
+  PumpClaims(aNow);
+  return true;
+}
+
+void
+DispatchDesk::OnResume(const ResumeOrder& aOrder)
+{
+  const auto found = held_.find(HeldKey(aOrder.service_, aOrder.server_));
+  if (found == held_.end()) {
+    return;
+  }
+  auto& held = *found->second;
+  // Only the answer to the newest report counts: an older one may come from a
+  // placer that has been replaced since.
+  const bool isCurrent = held.keeper_.CurrentFence() == aOrder.fence_ &&
+                         held.reportSequence_ == aOrder.sequence_ && !held.isStopping_;
+  if (isCurrent) {
+    held.keeper_.Resume();
+    context_.events_.Record(Event::GrantResumed, "server=" + held.server_);
+  }
+}
+
+bool
+DispatchDesk::IsHolderInView(const HeldServer& aHeld) const
+{
+  const auto* placed = context_.view_.FindPlacement(aHeld.service_);
+  if (placed == nullptr) {
+    return false;
+  }
+  const auto index = placed->placement_.FindServer(aHeld.server_);
+  return index && placed->placement_.servers_[*index].holder_ == context_.membership_.Self();
+}
+
+void
+DispatchDesk::TurnAwayWaiting(Instant aNow, HeldServer& aHeld)
+{
+  std::vector<WorkId> waiting;
+  for (const auto& [id, work] : aHeld.works_) {
+    if (work.phase_ == HeldWork::Phase::Waiting || work.phase_ == HeldWork::Phase::Claiming) {
+      waiting.push_back(id);
+    }
+  }
+  for (const auto id : waiting) {
+    aHeld.queue_.Remove(id);
+    Answer(aNow, aHeld.works_.at(id), MakeNotRun(Reason::NotHolder, kOwnerChangeRetry));
+    Drop(aHeld, id);
+  }
+}
+
+void
+DispatchDesk::FollowView(Instant aNow)
+{
+  const auto& configuration = context_.view_.Configuration();
+  for (const auto& service : configuration.services_) {
+    const auto* placed = context_.view_.FindPlacement(service.name_);
+    if (placed == nullptr) {
+      continue;
+    }
+    for (ServerIndex index = 0; index < placed->placement_.servers_.size(); ++index) {
+      const auto& server = placed->placement_.servers_[index];
+      const auto* declared = service.FindServer(server.name_);
+      if (server.holder_ != context_.membership_.Self()) {
+        continue;
+      }
+      const auto key = HeldKey(service.name_, server.name_);
+      auto& held = held_[key];
+      if (held == nullptr) {
+        // A server that is no longer declared is only let go of by its holder.
+        const auto shown =
+          declared != nullptr ? *declared : ServerDeclaration{ server.name_, "", "", true };
+        held = std::make_unique<HeldServer>(service, shown, context_.timing_.grant_);
+      }
+      held->isStopping_ = false;
+      held->Configure(configuration);
+      held->FollowPlacement(*placed, index);
+    }
+  }
+  for (auto& [key, held] : held_) {
+    if (!IsHolderInView(*held) && !held->isStopping_) {
+      held->isStopping_ = true;
+      TurnAwayWaiting(aNow, *held);
+    }
+  }
+  LetGo(aNow);
+}
+
+void
+DispatchDesk::LetGo(Instant aNow)
+{
+  for (auto entry = held_.begin(); entry != held_.end();) {
+    auto& held = *entry->second;
+    const bool isOver = held.isStopping_ &&
+                        std::all_of(held.works_.begin(), held.works_.end(), [](const auto& aWork) {
+                          return aWork.second.phase_ == HeldWork::Phase::Abandoned;
+                        });
+    if (!isOver) {
+      ++entry;
+      continue;
+    }
+    for (const auto& [id, work] : held.works_) {
+      heldOfWork_.erase(id);
+    }
+    entry = held_.erase(entry);
+    stoppedReportedAt_ = Instant{ 0 };
+  }
+  ReportStopped(aNow);
+}
+
+void
+DispatchDesk::ReportStopped(Instant aNow)
+{
+  if (aNow - stoppedReportedAt_ < context_.timing_.reportRepeat_ &&
+      stoppedReportedAt_ != Instant{ 0 }) {
+    return;
+  }
+  const auto& self = context_.membership_.Self();
+  for (const auto& service : context_.view_.Configuration().services_) {
+    const auto* placed = context_.view_.FindPlacement(service.name_);
+    if (placed == nullptr) {
+      continue;
+    }
+    for (const auto& server : placed->placement_.servers_) {
+      const bool isAwaited = std::find(server.unsettled_.begin(), server.unsettled_.end(), self) !=
+                             server.unsettled_.end();
+      if (!isAwaited || held_.contains(HeldKey(service.name_, server.name_))) {
+        continue;
+      }
+      ServerReport report;
+      report.service_ = service.name_;
+      report.server_ = server.name_;
+      report.holder_ = self;
+      report.hasStopped_ = true;
+      report_(aNow, report);
+      stoppedReportedAt_ = aNow;
+    }
+  }
+}
+
+void
+DispatchDesk::Report(Instant aNow, HeldServer& aHeld)
+{
+  const auto* placed = context_.view_.FindPlacement(aHeld.service_);
+  if (placed == nullptr || aHeld.isStopping_) {
+    return;
+  }
+  const auto index = placed->placement_.FindServer(aHeld.server_);
+  if (!index) {
+    return;
+  }
+  const auto& last = aHeld.lastReport_;
+  const bool isLoadDue = aNow - aHeld.loadReportedAt_ >= context_.timing_.reportInterval_;
+  const bool isWithheld = aHeld.keeper_.State() == GrantState::Withheld;
+  const bool isRepeatDue = isWithheld && aNow - aHeld.reportedAt_ >= context_.timing_.reportRepeat_;
+  const bool isReleaseNews = aHeld.keeper_.ReleasedVersion() == placed->version_ &&
+                             last.releasedVersion_ != placed->version_ &&
+                             !aHeld.HasWorkOutside(placed->placement_, *index);
+  const bool isNews = isReleaseNews || last.isWithheld_ != isWithheld ||
+                      last.isReachable_ != aHeld.keeper_.IsReachable(aNow) ||
+                      last.isUnconfirmed_ == aHeld.keeper_.IsConfirmed() ||
+                      last.fence_ != aHeld.keeper_.CurrentFence();
+  if (!isLoadDue && !isRepeatDue && !isNews) {
+    return;
+  }
+  auto report = aHeld.ComposeReport(aNow, context_.membership_.Self(), placed->placement_, *index);
+  if (isLoadDue) {
+    aHeld.meter_.Fill(aNow - aHeld.loadReportedAt_, report);
+    aHeld.loadReportedAt_ = aNow;
+  }
+  aHeld.reportedAt_ = aNow;
+  aHeld.lastReport_ = report;
+  report_(aNow, report);
+}
+
+void
+DispatchDesk::Tick(Instant aNow)
+{
+  for (auto& [key, held] : held_) {
+    const auto before = held->keeper_.State();
+    // A holder that is being replaced renews until its work has ended, so that
+    // the work may finish under the grant it began with.
+    for (const auto& order : held->keeper_.Tick(aNow)) {
+      if (held->address_.empty()) {
+        continue;
+      }
+      const auto tag = NextTag();
+      orders_[tag] = { key, aNow, order };
+      context_.outbox_.SendGrant(tag, held->address_, order);
+    }
+    if (before != GrantState::Withheld && held->keeper_.State() == GrantState::Withheld) {
+      context_.events_.Record(Event::GrantExpired,
+                              "server=" + held->server_ +
+                                " fence=" + std::to_string(held->keeper_.CurrentFence()));
+    }
+    Pump(aNow, *held);
+    Report(aNow, *held);
+  }
+  std::erase_if(
+    orders_, [&](const auto& aOrder) { return aNow - aOrder.second.sentAt_ > kGrantAnswerLife; });
+  LetGo(aNow);
+  PumpClaims(aNow);
+}
+
+} // namespace latchslip
--- /dev/null
+++ b/Libraries/LibInstance/HeldServer.cpp
@@ -0,0 +1,106 @@
+#include "LibInstance/HeldServer.h"
+
+#include <algorithm>
+
+namespace latchslip {
+
+namespace {
+
+std::vector<HashRange>
+RangesOf(const Placement& aPlacement, ServerIndex aIndex)
+{
+  std::vector<HashRange> ranges;
+  for (std::size_t index = 0; index < aPlacement.slices_.size(); ++index) {
+    const auto& slice = aPlacement.slices_[index];
+    if (slice.owner_ != aIndex || slice.IsMoving()) {
+      continue;
+    }
+    const auto last = aPlacement.LastHashOf(index);
+    const bool adjoins = !ranges.empty() && ranges.back().second + 1 == slice.start_;
+    if (adjoins) {
+      ranges.back().second = last;
+    } else {
+      ranges.emplace_back(slice.start_, last);
+    }
+  }
+  return ranges;
+}
+
+} // namespace
+
+HeldServer::HeldServer(const ServiceDeclaration& aService,
+                       const ServerDeclaration& aServer,
+                       const GrantTiming& aTiming)
+  : service_(aService.name_)
+  , server_(aServer.name_)
+  , address_(aServer.address_)
+  , checksOrders_(aService.checksOrders_)
+  , keeper_(aService.name_, aServer.name_, aService.checksOrders_, aTiming)
+  , queue_(aService.slots_)
+{
+}
+
+void
+HeldServer::Configure(const Declaration& aConfiguration)
+{
+  const auto* service = aConfiguration.FindService(service_);
+  if (service == nullptr) {
+    return;
+  }
+  std::vector<SharingIntent> intents;
+  std::copy_if(aConfiguration.intents_.begin(),
+               aConfiguration.intents_.end(),
+               std::back_inserter(intents),
+               [&](const auto& aIntent) { return aIntent.service_ == service_; });
+  queue_.Configure(service->slots_, intents);
+  const auto* declared = service->FindServer(server_);
+  if (declared != nullptr) {
+    address_ = declared->address_;
+  }
+}
+
+void
+HeldServer::FollowPlacement(const PlacedService& aPlaced, ServerIndex aIndex)
+{
+  const auto& server = aPlaced.placement_.servers_[aIndex];
+  keeper_.SetWish(server.fence_,
+                  aPlaced.version_,
+                  RangesOf(aPlaced.placement_, aIndex),
+                  server.unsettled_.empty());
+}
+
+bool
+HeldServer::HasWorkOutside(const Placement& aPlacement, ServerIndex aIndex) const
+{
+  return std::any_of(works_.begin(), works_.end(), [&](const auto& aEntry) {
+    const auto& work = aEntry.second;
+    const auto& slice = aPlacement.slices_[aPlacement.SliceIndexOf(work.hash_)];
+    const bool isInside = slice.owner_ == aIndex && !slice.IsMoving();
+    const bool isAtServer =
+      work.phase_ == HeldWork::Phase::Running || work.phase_ == HeldWork::Phase::Abandoned;
+    return !isInside && isAtServer;
+  });
+}
+
+ServerReport
+HeldServer::ComposeReport(Instant aNow,
+                          const InstanceId& aSelf,
+                          const Placement& aPlacement,
+                          ServerIndex aIndex)
+{
+  ServerReport report;
+  report.service_ = service_;
+  report.server_ = server_;
+  report.holder_ = aSelf;
+  report.fence_ = keeper_.CurrentFence();
+  report.sequence_ = ++reportSequence_;
+  report.isReachable_ = keeper_.IsReachable(aNow);
+  report.isWithheld_ = keeper_.State() == GrantState::Withheld;
+  report.isUnconfirmed_ = !keeper_.IsConfirmed();
+  if (!HasWorkOutside(aPlacement, aIndex)) {
+    report.releasedVersion_ = keeper_.ReleasedVersion();
+  }
+  return report;
+}
+
+} // namespace latchslip
--- /dev/null
+++ b/Libraries/LibInstance/OperatorDesk.cpp
@@ -0,0 +1,259 @@
+#include "LibInstance/OperatorDesk.h"
+
+#include "LibInstance/DispatchDesk.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+
+namespace latchslip {
+
+namespace {
+
+constexpr Duration kReadBackPause = milliseconds(100);
+
+} // namespace
+
+OperatorDesk::OperatorDesk(InstanceContext aContext, InstallFunction aInstall)
+  : context_(aContext)
+  , install_(std::move(aInstall))
+{
+}
+
+void
+OperatorDesk::AnswerError(OperatorId aOperator,
+                          unsigned aStatus,
+                          std::string_view aField,
+                          std::string_view aProblem)
+{
+  const boost::json::object body{ { "error", { { "field", aField }, { "problem", aProblem } } } };
+  context_.outbox_.AnswerOperator(aOperator, { aStatus, boost::json::serialize(body) });
+}
+
+void
+OperatorDesk::OnPlan(Instant aNow, OperatorId aOperator, const std::string& aDeclaration)
+{
+  static_cast<void>(aNow);
+  const auto wanted = ParseDeclaration(aDeclaration);
+  if (!wanted) {
+    AnswerError(aOperator, 400, wanted.error().field_, wanted.error().problem_);
+    return;
+  }
+  const auto plan =
+    MakePlan(context_.view_.Revision(), context_.view_.Configuration(), wanted.value());
+  context_.events_.Record(Event::PlanMade,
+                          "plan=" + plan.Id() + " base=" + std::to_string(plan.baseRevision_) +
+                            " changes=" + std::to_string(plan.changes_.size()));
+  context_.outbox_.AnswerOperator(aOperator, { 200, SerializePlan(plan) });
+}
+
+void
+OperatorDesk::OnConfirm(Instant aNow, OperatorId aOperator, const std::string& aPlan)
+{
+  auto plan = ParsePlan(aPlan);
+  if (!plan) {
+    AnswerError(aOperator, 400, plan.error().field_, plan.error().problem_);
+    return;
+  }
+  Confirmation confirmation;
+  confirmation.operator_ = aOperator;
+  confirmation.plan_ = std::move(plan).value();
+  confirmation.token_ = MakeWriteToken(context_.membership_.Self(), NextTag());
+  confirmation.startedAt_ = aNow;
+  auto& kept = confirmations_[aOperator] = std::move(confirmation);
+  Send(kept);
+}
+
+void
+OperatorDesk::Send(Confirmation& aConfirmation)
+{
+  StoreCall call;
+  const std::string key(kConfigurationKey);
+  call.transaction_.conditions_.push_back({ key, aConfirmation.plan_.baseRevision_ });
+  call.transaction_.writes_.push_back(
+    { key, SerializeConfigurationRow(aConfirmation.token_, aConfirmation.plan_.declaration_) });
+  aConfirmation.tag_ = NextTag();
+  aConfirmation.isReadBack_ = false;
+  context_.outbox_.CallStore(aConfirmation.tag_, call);
+}
+
+void
+OperatorDesk::ReadBack(Confirmation& aConfirmation)
+{
+  StoreCall call;
+  call.isRead_ = true;
+  call.stamps_.push_back({ std::string(kConfigurationKey), 0 });
+  aConfirmation.tag_ = NextTag();
+  aConfirmation.isReadBack_ = true;
+  context_.outbox_.CallStore(aConfirmation.tag_, call);
+}
+
+void
+OperatorDesk::OnCommitted(Instant aNow, Confirmation& aConfirmation, const Row& aRow)
+{
+  aConfirmation.isCommitted_ = true;
+  aConfirmation.isUnsure_ = false;
+  aConfirmation.inForce_.insert(context_.membership_.Self());
+  context_.events_.Record(Event::PlanConfirmed,
+                          "plan=" + aConfirmation.plan_.Id() +
+                            " revision=" + std::to_string(aRow.version_));
+  install_(aNow, aRow);
+}
+
+void
+OperatorDesk::AnswerConflict(const Confirmation& aConfirmation)
+{
+  context_.events_.Record(Event::PlanConflict,
+                          "plan=" + aConfirmation.plan_.Id() +
+                            " base=" + std::to_string(aConfirmation.plan_.baseRevision_) +
+                            " standing=" + std::to_string(context_.view_.Revision()));
+  const auto fresh = MakePlan(
+    context_.view_.Revision(), context_.view_.Configuration(), aConfirmation.plan_.declaration_);
+  const boost::json::object body{
+    { "error",
+      { { "field", "base_revision" },
+        { "problem", "another plan was confirmed since; nothing of this plan is in force" } } },
+    { "standing_revision", context_.view_.Revision() },
+    { "fresh_plan", boost::json::parse(SerializePlan(fresh)) }
+  };
+  context_.outbox_.AnswerOperator(aConfirmation.operator_, { 409, boost::json::serialize(body) });
+}
+
+bool
+OperatorDesk::OnStanding(Instant aNow, Confirmation& aConfirmation, const StoreReply& aReply)
+{
+  const auto found = std::find_if(aReply.rows_.begin(), aReply.rows_.end(), [](const Row& aRow) {
+    return aRow.key_ == kConfigurationKey;
+  });
+  const auto version = found == aReply.rows_.end() ? 0 : found->version_;
+  if (version == aConfirmation.plan_.baseRevision_) {
+    // Not in force yet: the same write again is safe under its condition.
+    Send(aConfirmation);
+    return false;
+  }
+  if (version != 0 && TokenOfConfigurationRow(found->value_) == aConfirmation.token_) {
+    OnCommitted(aNow, aConfirmation, *found);
+    return false;
+  }
+  if (version != 0) {
+    install_(aNow, *found);
+  }
+  // NOTE: When the standing revision is higher still, this plan may have been in
+  // force in between; the conflict's fresh plan shows what differs now.
+  AnswerConflict(aConfirmation);
+  return true;
+}
+
+bool
+OperatorDesk::OnReply(Instant aNow, Confirmation& aConfirmation, const StoreReply& aReply)
+{
+  aConfirmation.tag_ = 0;
+  switch (aReply.status_) {
+    case StoreStatus::Done:
+      if (aConfirmation.isReadBack_) {
+        return OnStanding(aNow, aConfirmation, aReply);
+      }
+      OnCommitted(
+        aNow,
+        aConfirmation,
+        { std::string(kConfigurationKey),
+          RevisionOf(aConfirmation),
+          SerializeConfigurationRow(aConfirmation.token_, aConfirmation.plan_.declaration_) });
+      return TryFinish(aNow, aConfirmation);
+    case StoreStatus::Conflict:
+      return OnStanding(aNow, aConfirmation, aReply);
+    case StoreStatus::Unsure:
+      context_.events_.Record(Event::StoreUnsure, "plan=" + aConfirmation.plan_.Id());
+      aConfirmation.isUnsure_ = true;
+      aConfirmation.nextTryAt_ = aNow + kReadBackPause;
+      return false;
+    case StoreStatus::Unavailable:
+      break;
+  }
+  if (aConfirmation.isUnsure_) {
+    aConfirmation.nextTryAt_ = aNow + kReadBackPause;
+    return false;
+  }
+  AnswerError(aConfirmation.operator_,
+              503,
+              "store",
+              "the table service cannot be reached; the plan is not in force");
+  return true;
+}
+
+bool
+OperatorDesk::OnStoreReply(Instant aNow, CallTag aTag, const StoreReply& aReply)
+{
+  const auto found =
+    std::find_if(confirmations_.begin(), confirmations_.end(), [&](const auto& aEntry) {
+      return aTag != 0 && aEntry.second.tag_ == aTag;
+    });
+  if (found == confirmations_.end()) {
+    return false;
+  }
+  if (OnReply(aNow, found->second, aReply)) {
+    confirmations_.erase(found);
+  }
+  return true;
+}
+
+void
+OperatorDesk::OnInForce(Instant aNow, const InstanceId& aPeer, RowVersion aRevision)
+{
+  static_cast<void>(aNow);
+  for (auto& [id, confirmation] : confirmations_) {
+    if (confirmation.isCommitted_ && aRevision >= RevisionOf(confirmation)) {
+      confirmation.inForce_.insert(aPeer);
+    }
+  }
+}
+
+bool
+OperatorDesk::TryFinish(Instant aNow, const Confirmation& aConfirmation)
+{
+  const bool isOver = aNow - aConfirmation.startedAt_ >= context_.timing_.confirmWait_;
+  if (aConfirmation.isUnsure_ && isOver) {
+    AnswerError(aConfirmation.operator_,
+                504,
+                "store",
+                "the answer of the table service was lost; the plan may be in force, see status");
+    return true;
+  }
+  if (!aConfirmation.isCommitted_) {
+    return false;
+  }
+  boost::json::array inForce;
+  boost::json::array pending;
+  for (const auto& instance : context_.membership_.Live(aNow)) {
+    const bool has = aConfirmation.inForce_.contains(instance.id_);
+    (has ? inForce : pending).emplace_back(instance.id_);
+  }
+  for (const auto& listed : context_.membership_.Peers()) {
+    const auto id = context_.membership_.IdOfName(listed.name_);
+    if (!id || !context_.membership_.IsLive(aNow, *id)) {
+      pending.emplace_back(listed.name_);
+    }
+  }
+  if (!pending.empty() && !isOver) {
+    return false;
+  }
+  const auto waited = aNow - aConfirmation.startedAt_;
+  const boost::json::object body{ { "revision", RevisionOf(aConfirmation) },
+                                  { "in_force", std::move(inForce) },
+                                  { "pending", std::move(pending) },
+                                  { "milliseconds", waited.count() / 1000 } };
+  context_.outbox_.AnswerOperator(aConfirmation.operator_, { 200, boost::json::serialize(body) });
+  return true;
+}
+
+void
+OperatorDesk::Tick(Instant aNow)
+{
+  std::erase_if(confirmations_, [&](const auto& aEntry) { return TryFinish(aNow, aEntry.second); });
+  for (auto& [id, confirmation] : confirmations_) {
+    if (confirmation.isUnsure_ && confirmation.tag_ == 0 && aNow >= confirmation.nextTryAt_) {
+      ReadBack(confirmation);
+    }
+  }
+}
+
+} // namespace latchslip
--- /dev/null
+++ b/Libraries/LibInstance/PlacerDesk.cpp
@@ -0,0 +1,288 @@
+#include "LibInstance/PlacerDesk.h"
+
+#include "LibInstance/DispatchDesk.h"
+
+#include <algorithm>
+
+namespace latchslip {
+
+namespace {
+
+constexpr Duration kOutagePause = milliseconds(200);
+constexpr Duration kReadBackPause = milliseconds(50);
+
+} // namespace
+
+PlacerDesk::PlacerDesk(InstanceContext aContext, InstallFunction aInstall, ResumeFunction aResume)
+  : context_(aContext)
+  , install_(std::move(aInstall))
+  , resume_(std::move(aResume))
+{
+}
+
+PlacerDesk::Role&
+PlacerDesk::RoleOf(const std::string& aService)
+{
+  const auto found = roles_.find(aService);
+  if (found != roles_.end()) {
+    return found->second;
+  }
+  return roles_.try_emplace(aService, Placer(aService, context_.timing_.placer_)).first->second;
+}
+
+std::size_t
+PlacerDesk::RolesHeld() const
+{
+  return static_cast<std::size_t>(std::count_if(
+    roles_.begin(), roles_.end(), [](const auto& aEntry) { return aEntry.second.isPlacer_; }));
+}
+
+bool
+PlacerDesk::IsCandidate(Instant aNow, const std::string& aService) const
+{
+  // Highest hash of instance and service first, so that the services spread
+  // over the instances and all instances agree without talking.
+  const auto& self = context_.membership_.Self();
+  const auto own = HashPair(self, aService);
+  const auto live = context_.membership_.Live(aNow);
+  return !context_.membership_.IsLeaving() &&
+         std::none_of(live.begin(), live.end(), [&](const LiveInstance& aInstance) {
+           return !aInstance.leaving_ && HashPair(aInstance.id_, aService) > own;
+         });
+}
+
+void
+PlacerDesk::OnReport(Instant aNow, const ServerReport& aReport)
+{
+  auto& role = RoleOf(aReport.service_);
+  if (role.isPlacer_) {
+    role.placer_.OnReport(aNow, aReport);
+  }
+}
+
+void
+PlacerDesk::Tick(Instant aNow)
+{
+  if (!hasReadStore_ || !context_.membership_.IsSettled(aNow)) {
+    return;
+  }
+  for (const auto& service : context_.view_.Configuration().services_) {
+    auto& role = RoleOf(service.name_);
+    if (role.tag_ != 0 || aNow < role.notBefore_) {
+      continue;
+    }
+    if (role.isUnsure_) {
+      ReadBack(service.name_, role);
+    } else {
+      Decide(aNow, service, role);
+    }
+  }
+}
+
+void
+PlacerDesk::Decide(Instant aNow, const ServiceDeclaration& aService, Role& aRole)
+{
+  static const Placement kNothing;
+  const auto* placed = context_.view_.FindPlacement(aService.name_);
+  const auto& current = placed == nullptr ? kNothing : placed->placement_;
+  const auto version = placed == nullptr ? 0 : placed->version_;
+  const auto& self = context_.membership_.Self();
+  const bool isPlacer = current.placer_ == self;
+  if (isPlacer != aRole.isPlacer_) {
+    aRole.isPlacer_ = isPlacer;
+    aRole.placer_.Forget();
+  }
+  const bool isVacant = !context_.membership_.IsLive(aNow, current.placer_) ||
+                        context_.membership_.IsLeavingInstance(current.placer_);
+  const bool takesOver = !isPlacer && isVacant && IsCandidate(aNow, aService.name_);
+  if (!isPlacer && !takesOver) {
+    return;
+  }
+  auto proposal = aRole.placer_.Propose(aNow,
+                                        aService,
+                                        context_.view_.Configuration().profile_,
+                                        current,
+                                        version,
+                                        context_.membership_);
+  for (const auto& note : aRole.placer_.TakeNotes()) {
+    context_.events_.Record(note.event_, "service=" + aService.name_ + " " + note.detail_);
+  }
+  if (takesOver) {
+    if (!proposal && current.slices_.empty()) {
+      return;
+    }
+    if (!proposal) {
+      proposal = PlacementProposal{ current, version, {}, {} };
+    }
+    proposal->placement_.placer_ = self;
+    ++proposal->placement_.epoch_;
+    proposal->decisions_.push_back(
+      { Event::PlacerTaken, "placer=" + self + " former=" + current.placer_ });
+  }
+  if (proposal) {
+    Commit(aNow, aService.name_, aRole, std::move(*proposal));
+    return;
+  }
+  for (const auto& order : aRole.placer_.TakeResumable(current)) {
+    const auto index = current.FindServer(order.server_);
+    resume_(current.servers_[*index].holder_, order);
+  }
+}
+
+void
+PlacerDesk::Commit(Instant aNow,
+                   const std::string& aService,
+                   Role& aRole,
+                   PlacementProposal aProposal)
+{
+  aProposal.placement_.token_ = MakeWriteToken(context_.membership_.Self(), NextTag());
+  for (const auto& decision : aProposal.decisions_) {
+    context_.events_.Record(decision.event_, "service=" + aService + " " + decision.detail_);
+  }
+  aRole.proposal_ = std::move(aProposal);
+  Send(aService, aRole);
+  static_cast<void>(aNow);
+}
+
+void
+PlacerDesk::Send(const std::string& aService, Role& aRole)
+{
+  StoreCall call;
+  const auto key = PlacementKey(aService);
+  call.transaction_.conditions_.push_back({ key, aRole.proposal_->baseVersion_ });
+  call.transaction_.writes_.push_back({ key, SerializePlacement(aRole.proposal_->placement_) });
+  aRole.tag_ = NextTag();
+  aRole.isReadBack_ = false;
+  context_.outbox_.CallStore(aRole.tag_, call);
+}
+
+void
+PlacerDesk::ReadBack(const std::string& aService, Role& aRole)
+{
+  StoreCall call;
+  call.isRead_ = true;
+  call.stamps_.push_back({ PlacementKey(aService), 0 });
+  aRole.tag_ = NextTag();
+  aRole.isReadBack_ = true;
+  context_.outbox_.CallStore(aRole.tag_, call);
+}
+
+const Row*
+PlacerDesk::FindRow(const StoreReply& aReply, const std::string& aKey)
+{
+  const auto found = std::find_if(
+    aReply.rows_.begin(), aReply.rows_.end(), [&](const Row& aRow) { return aRow.key_ == aKey; });
+  return found == aReply.rows_.end() ? nullptr : &*found;
+}
+
+void
+PlacerDesk::OnCommitted(Instant aNow, Role& aRole, const Row& aRow)
+{
+  const auto& placement = aRole.proposal_->placement_;
+  context_.events_.Record(Event::PlacementCommitted,
+                          "service=" + placement.service_ +
+                            " version=" + std::to_string(aRow.version_) +
+                            " decisions=" + std::to_string(aRole.proposal_->decisions_.size()));
+  aRole.proposal_.reset();
+  aRole.isUnsure_ = false;
+  install_(aNow, aRow);
+}
+
+void
+PlacerDesk::OnRefused(Instant aNow, Role& aRole)
+{
+  aRole.placer_.OnNotCommitted(*aRole.proposal_);
+  aRole.proposal_.reset();
+  aRole.isUnsure_ = false;
+  aRole.notBefore_ = aNow + kOutagePause;
+}
+
+void
+PlacerDesk::OnConflict(Instant aNow,
+                       const std::string& aService,
+                       Role& aRole,
+                       const StoreReply& aReply)
+{
+  const auto* row = FindRow(aReply, PlacementKey(aService));
+  const auto standing = row == nullptr ? FieldResult<Placement>(FieldError{ "row", "is absent" })
+                                       : ParsePlacement(row->value_);
+  if (standing && standing.value().token_ == aRole.proposal_->placement_.token_) {
+    // An earlier try under this token took effect and its answer was lost.
+    OnCommitted(aNow, aRole, *row);
+    return;
+  }
+  context_.events_.Record(Event::PlacementConflict, "service=" + aService);
+  aRole.placer_.OnNotCommitted(*aRole.proposal_);
+  aRole.proposal_.reset();
+  aRole.isUnsure_ = false;
+  if (standing) {
+    install_(aNow, *row);
+  }
+}
+
+void
+PlacerDesk::OnReadBack(Instant aNow,
+                       const std::string& aService,
+                       Role& aRole,
+                       const StoreReply& aReply)
+{
+  if (aReply.status_ != StoreStatus::Done) {
+    aRole.notBefore_ = aNow + kOutagePause;
+    return;
+  }
+  const auto* row = FindRow(aReply, PlacementKey(aService));
+  const auto version = row == nullptr ? 0 : row->version_;
+  if (version == aRole.proposal_->baseVersion_) {
+    // NOTE: It has not taken effect, but it may still be under way. Sending the
+    // same again is safe: at most one of the two can meet the condition.
+    Send(aService, aRole);
+    return;
+  }
+  OnConflict(aNow, aService, aRole, aReply);
+}
+
+bool
+PlacerDesk::OnStoreReply(Instant aNow, CallTag aTag, const StoreReply& aReply)
+{
+  const auto found = std::find_if(roles_.begin(), roles_.end(), [&](const auto& aEntry) {
+    return aTag != 0 && aEntry.second.tag_ == aTag;
+  });
+  if (found == roles_.end()) {
+    return false;
+  }
+  const auto& service = found->first;
+  auto& role = found->second;
+  role.tag_ = 0;
+  if (role.isReadBack_) {
+    OnReadBack(aNow, service, role, aReply);
+    return true;
+  }
+  switch (aReply.status_) {
+    case StoreStatus::Done: {
+      Row row{ PlacementKey(service),
+               role.proposal_->baseVersion_ + 1,
+               SerializePlacement(role.proposal_->placement_) };
+      OnCommitted(aNow, role, row);
+      break;
+    }
+    case StoreStatus::Conflict:
+      OnConflict(aNow, service, role, aReply);
+      break;
+    case StoreStatus::Unsure:
+      context_.events_.Record(Event::StoreUnsure, "service=" + service);
+      role.isUnsure_ = true;
+      role.notBefore_ = aNow + kReadBackPause;
+      break;
+    case StoreStatus::Unavailable:
+      if (role.isUnsure_) {
+        // An earlier try may still take effect, so its fate stays open.
+        role.notBefore_ = aNow + kOutagePause;
+      } else {
+        OnRefused(aNow, role);
+      }
+      break;
+  }
+  return true;
+}
+
+} // namespace latchslip
--- /dev/null
+++ b/Libraries/LibMembership/Membership.cpp
@@ -0,0 +1,286 @@
+#include "LibMembership/Membership.h"
+
+#include "LibBase/KeyHash.h"
+
+#include <algorithm>
+
+namespace latchslip {
+
+namespace {
+
+// How many peers watch each instance: heartbeats cost the same at every size.
+constexpr std::size_t kWatchers = 3;
+// How many of them must agree before a peer is held lost.
+constexpr std::size_t kAgreeing = 2;
+
+} // namespace
+
+InstanceId
+MakeInstanceId(std::string_view aName, std::string_view aIncarnation)
+{
+  return std::string(aName) + "#" + std::string(aIncarnation);
+}
+
+std::string_view
+NameOfInstance(std::string_view aId)
+{
+  return aId.substr(0, aId.find('#'));
+}
+
+Membership::Membership(InstanceId aSelf, std::string aHall, MembershipTiming aTiming)
+  : self_(std::move(aSelf))
+  , hall_(std::move(aHall))
+  , timing_(aTiming)
+{
+}
+
+void
+Membership::OnList(Instant aNow, std::vector<ListedInstance> aList)
+{
+  // The ring of watchers follows the hash of the names, so that neighbours in
+  // the list, which often share a rack, do not watch each other.
+  std::sort(aList.begin(), aList.end(), [](const auto& aLeft, const auto& aRight) {
+    return std::pair(HashKey(aLeft.name_), aLeft.name_) <
+           std::pair(HashKey(aRight.name_), aRight.name_);
+  });
+  list_ = std::move(aList);
+  firstListAt_ = hasList_ ? firstListAt_ : aNow;
+  hasList_ = true;
+  for (const auto& listed : list_) {
+    absentSince_.erase(listed.name_);
+  }
+  for (const auto& [name, peer] : peers_) {
+    if (!IsListed(name)) {
+      absentSince_.emplace(name, aNow);
+    }
+  }
+}
+
+void
+Membership::OnHeard(Instant aNow, const InstanceId& aId, std::string_view aHall, bool aLeaving)
+{
+  const std::string name(NameOfInstance(aId));
+  auto& peer = peers_[name];
+  if (peer.id_ != aId) {
+    peer = Peer{};
+    peer.id_ = aId;
+    peer.silentSince_ = aNow;
+  }
+  if (!aHall.empty()) {
+    peer.hall_ = aHall;
+  }
+  peer.leaving_ = aLeaving;
+  peer.heardAt_ = aNow;
+  if (!IsListed(name)) {
+    absentSince_.emplace(name, aNow);
+  }
+}
+
+void
+Membership::OnHeartbeat(Instant aNow, const InstanceId& aId, bool aLeaving)
+{
+  OnHeard(aNow, aId, "", aLeaving);
+  auto& peer = peers_[std::string(NameOfInstance(aId))];
+  peer.silentSince_ = aNow;
+}
+
+void
+Membership::OnSuspicion(Instant aNow,
+                        const InstanceId& aFrom,
+                        const InstanceId& aTarget,
+                        bool aSuspected)
+{
+  const auto found = peers_.find(NameOfInstance(aTarget));
+  if (found == peers_.end() || found->second.id_ != aTarget) {
+    return;
+  }
+  if (aSuspected) {
+    found->second.suspicions_[aFrom] = aNow;
+  } else {
+    found->second.suspicions_.erase(aFrom);
+  }
+}
+
+std::vector<SuspicionChange>
+Membership::Tick(Instant aNow)
+{
+  const bool wasPaused = lastTick_ != Instant{ 0 } && aNow - lastTick_ > timing_.pauseLimit_;
+  lastTick_ = aNow;
+  std::vector<SuspicionChange> changes;
+  for (auto& [name, peer] : peers_) {
+    if (!WatchesName(name)) {
+      peer.isSuspectedByMe_ = false;
+      peer.suspicions_.erase(self_);
+      peer.silentSince_ = aNow;
+      continue;
+    }
+    if (wasPaused) {
+      // The silence is this process's own, so it says nothing about the peer.
+      peer.silentSince_ = aNow;
+    }
+    const bool isSilent = aNow - peer.silentSince_ > timing_.silenceLimit_;
+    const bool tellsAgain = isSilent && aNow - peer.toldAt_ >= timing_.suspicionRepeat_;
+    if (isSilent != peer.isSuspectedByMe_ || tellsAgain) {
+      peer.isSuspectedByMe_ = isSilent;
+      peer.toldAt_ = aNow;
+      OnSuspicion(aNow, self_, peer.id_, isSilent);
+      changes.push_back({ peer.id_, isSilent });
+    }
+  }
+  return changes;
+}
+
+bool
+Membership::IsListed(std::string_view aName) const
+{
+  return std::any_of(
+    list_.begin(), list_.end(), [&](const auto& aListed) { return aListed.name_ == aName; });
+}
+
+std::vector<std::string>
+Membership::SuccessorsOf(std::string_view aName) const
+{
+  const auto found = std::find_if(
+    list_.begin(), list_.end(), [&](const auto& aListed) { return aListed.name_ == aName; });
+  std::vector<std::string> names;
+  if (found == list_.end()) {
+    return names;
+  }
+  const auto position = static_cast<std::size_t>(found - list_.begin());
+  for (std::size_t step = 1; step < list_.size() && names.size() < kWatchers; ++step) {
+    names.push_back(list_[(position + step) % list_.size()].name_);
+  }
+  return names;
+}
+
+bool
+Membership::WatchesName(std::string_view aName) const
+{
+  const auto watchers = SuccessorsOf(aName);
+  return std::find(watchers.begin(), watchers.end(), NameOfInstance(self_)) != watchers.end();
+}
+
+std::vector<std::string>
+Membership::WatcherNames() const
+{
+  return SuccessorsOf(NameOfInstance(self_));
+}
+
+std::vector<ListedInstance>
+Membership::Peers() const
+{
+  std::vector<ListedInstance> peers;
+  std::copy_if(list_.begin(), list_.end(), std::back_inserter(peers), [&](const auto& aListed) {
+    return aListed.name_ != NameOfInstance(self_);
+  });
+  return peers;
+}
+
+bool
+Membership::IsHeldLost(Instant aNow, const std::string& aName, const Peer& aPeer) const
+{
+  const auto watchers = SuccessorsOf(aName);
+  const auto needed = std::min(kAgreeing, watchers.size());
+  const auto agreeing =
+    std::count_if(aPeer.suspicions_.begin(), aPeer.suspicions_.end(), [&](const auto& aSuspicion) {
+      return aNow - aSuspicion.second <= timing_.suspicionLife_;
+    });
+  return agreeing > 0 && static_cast<std::size_t>(agreeing) >= needed;
+}
+
+bool
+Membership::IsLive(Instant aNow, std::string_view aId) const
+{
+  if (aId == self_) {
+    return true;
+  }
+  const auto name = NameOfInstance(aId);
+  const auto found = peers_.find(name);
+  if (found == peers_.end()) {
+    // An instance that has just started must not take the roles of peers that
+    // it has had no time to hear from.
+    return IsListed(name) && name != NameOfInstance(self_) &&
+           aNow - firstListAt_ < timing_.unheardLimit_;
+  }
+  return found->second.id_ == aId && IsListed(found->first) &&
+         !IsHeldLost(aNow, found->first, found->second);
+}
+
+bool
+Membership::IsSettled(Instant aNow) const
+{
+  const bool isOver = hasList_ && aNow - firstListAt_ >= timing_.settleLimit_;
+  const auto peers = Peers();
+  return isOver || (hasList_ && std::all_of(peers.begin(), peers.end(), [&](const auto& aListed) {
+                      return peers_.contains(aListed.name_);
+                    }));
+}
+
+bool
+Membership::IsLeavingInstance(std::string_view aId) const
+{
+  if (aId == self_) {
+    return leaving_;
+  }
+  const auto name = NameOfInstance(aId);
+  const auto found = peers_.find(name);
+  const bool saysSo = found != peers_.end() && found->second.leaving_;
+  return saysSo || std::any_of(list_.begin(), list_.end(), [&](const auto& aListed) {
+           return aListed.name_ == name && aListed.leaving_;
+         });
+}
+
+bool
+Membership::IsGone(Instant aNow, std::string_view aId) const
+{
+  const auto name = NameOfInstance(aId);
+  if (name == NameOfInstance(self_)) {
+    return aId != self_;
+  }
+  const auto found = peers_.find(name);
+  if (found != peers_.end() && found->second.id_ != aId) {
+    return true;
+  }
+  if (!hasList_ || IsListed(name)) {
+    return false;
+  }
+  const auto absent = absentSince_.find(name);
+  return absent == absentSince_.end() || aNow - absent->second >= timing_.goneAfter_;
+}
+
+std::vector<LiveInstance>
+Membership::Live(Instant aNow) const
+{
+  std::vector<LiveInstance> live{ { self_, hall_, leaving_ } };
+  for (const auto& [name, peer] : peers_) {
+    if (IsLive(aNow, peer.id_)) {
+      live.push_back({ peer.id_, peer.hall_, IsLeavingInstance(peer.id_) });
+    }
+  }
+  std::sort(live.begin(), live.end(), [](const auto& aLeft, const auto& aRight) {
+    return aLeft.id_ < aRight.id_;
+  });
+  return live;
+}
+
+bool
+Membership::HeardFromMajority(Instant aNow, Duration aBound) const
+{
+  const auto heard = std::count_if(peers_.begin(), peers_.end(), [&](const auto& aEntry) {
+    return IsListed(aEntry.first) && aNow - aEntry.second.heardAt_ <= aBound;
+  });
+  const auto total = Peers().size() + 1;
+  return (static_cast<std::size_t>(heard) + 1) * 2 > total;
+}
+
+std::optional<InstanceId>
+Membership::IdOfName(std::string_view aName) const
+{
+  const auto found = peers_.find(aName);
+  if (found == peers_.end()) {
+    return std::nullopt;
+  }
+  return found->second.id_;
+}
+
+} // namespace latchslip
--- /dev/null
+++ b/Libraries/LibPlacement/Placer.cpp
@@ -0,0 +1,622 @@
+#include "LibPlacement/Placer.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace latchslip {
+
+namespace {
+
+// Enough slices that one server's loss can be spread over all the others, few
+// enough that the record of a service stays some kilobytes.
+constexpr std::size_t kSlicesPerServer = 16;
+
+// One instance may hold this many servers more than another of the service.
+constexpr std::size_t kHolderSlack = 1;
+
+} // namespace
+
+// A proposal in the making.
+struct Placer::Draft
+{
+  Instant now_;
+  const ServiceDeclaration& service_;
+  PlacementProfile profile_;
+  const Placement& current_;
+  RowVersion version_;
+  const Membership& membership_;
+  Placement next_;
+  std::vector<PlacementDecision> decisions_{};
+  std::vector<std::string> lostServers_{};
+  std::size_t moved_ = 0;
+
+  void Note(Event aEvent, std::string aDetail)
+  {
+    decisions_.push_back({ aEvent, std::move(aDetail) });
+  }
+
+  std::vector<ServerIndex> ActiveServers() const
+  {
+    std::vector<ServerIndex> active;
+    for (ServerIndex index = 0; index < next_.servers_.size(); ++index) {
+      if (next_.servers_[index].state_ == PlacedState::Active) {
+        active.push_back(index);
+      }
+    }
+    return active;
+  }
+};
+
+Placer::Placer(std::string aService, PlacerTiming aTiming)
+  : service_(std::move(aService))
+  , timing_(aTiming)
+{
+}
+
+void
+Placer::Forget()
+{
+  reports_.clear();
+  stopped_.clear();
+  goneSince_.clear();
+  reachableSince_.clear();
+  condemned_.clear();
+}
+
+void
+Placer::OnReport(Instant aNow, const ServerReport& aReport)
+{
+  if (aReport.hasStopped_) {
+    stopped_[aReport.server_].insert(aReport.holder_);
+    return;
+  }
+  auto& known = reports_[aReport.server_];
+  const bool isOlder = aReport.fence_ < known.fence_ ||
+                       (aReport.fence_ == known.fence_ && aReport.holder_ == known.holder_ &&
+                        aReport.sequence_ <= known.sequence_);
+  if (isOlder) {
+    return;
+  }
+  if (aReport.isReachable_) {
+    reachableSince_.emplace(aReport.server_, aNow);
+  } else {
+    reachableSince_.erase(aReport.server_);
+  }
+  known = aReport;
+  if (aReport.hasLoad_) {
+    auto& load = loads_[aReport.server_];
+    load.load_ = aReport.load_;
+    load.hottestKey_ = aReport.hottestKey_;
+    load.hottestLoad_ = aReport.hottestLoad_;
+    load.slices_.clear();
+    for (const auto& slice : aReport.slices_) {
+      load.slices_[slice.start_] = slice.load_;
+    }
+  }
+}
+
+const ServerReport*
+Placer::ReportOf(const PlacedServer& aServer) const
+{
+  const auto found = reports_.find(aServer.name_);
+  const bool isCurrent = found != reports_.end() && found->second.fence_ == aServer.fence_ &&
+                         found->second.holder_ == aServer.holder_;
+  return isCurrent ? &found->second : nullptr;
+}
+
+void
+Placer::ReconcileServers(Draft& aDraft)
+{
+  auto& servers = aDraft.next_.servers_;
+  for (const auto& declared : aDraft.service_.servers_) {
+    const auto index = aDraft.next_.FindServer(declared.name_);
+    if (!index) {
+      PlacedServer added;
+      added.name_ = declared.name_;
+      added.hall_ = declared.hall_;
+      added.state_ = declared.draining_ ? PlacedState::Draining : PlacedState::Active;
+      servers.push_back(std::move(added));
+      continue;
+    }
+    auto& server = servers[*index];
+    server.hall_ = declared.hall_;
+    if (declared.draining_ && server.state_ == PlacedState::Active) {
+      server.state_ = PlacedState::Draining;
+      aDraft.Note(Event::ServerLeaving, "server=" + server.name_ + " reason=declared-draining");
+    }
+    if (!declared.draining_ && server.state_ == PlacedState::Draining) {
+      server.state_ = PlacedState::Active;
+    }
+  }
+  for (auto& server : servers) {
+    const bool isDeclared = aDraft.service_.FindServer(server.name_) != nullptr;
+    if (!isDeclared && server.state_ == PlacedState::Active) {
+      server.state_ = PlacedState::Draining;
+      aDraft.Note(Event::ServerLeaving, "server=" + server.name_ + " reason=no-longer-declared");
+    }
+  }
+}
+
+void
+Placer::AssignHolders(Draft& aDraft)
+{
+  std::vector<LiveInstance> candidates;
+  for (const auto& instance : aDraft.membership_.Live(aDraft.now_)) {
+    if (!instance.leaving_) {
+      candidates.push_back(instance);
+    }
+  }
+  if (candidates.empty()) {
+    return;
+  }
+  std::map<std::string, std::size_t> held;
+  for (const auto& server : aDraft.next_.servers_) {
+    ++held[server.holder_];
+  }
+  for (auto& server : aDraft.next_.servers_) {
+    const bool hasHolder = !server.holder_.empty() &&
+                           aDraft.membership_.IsLive(aDraft.now_, server.holder_) &&
+                           !aDraft.membership_.IsLeavingInstance(server.holder_);
+    if (hasHolder) {
+      continue;
+    }
+    // A holder in another data hall outlives the loss of the server's hall, and
+    // then knows when the server's last grant ran out. The hash breaks ties so
+    // that the services do not all choose the same instance.
+    const auto chosen = std::min_element(
+      candidates.begin(), candidates.end(), [&](const auto& aLeft, const auto& aRight) {
+        const auto rank = [&](const LiveInstance& aInstance) {
+          return std::tuple(aInstance.hall_ == server.hall_,
+                            held[aInstance.id_],
+                            HashPair(aInstance.id_, service_ + server.name_));
+        };
+        return rank(aLeft) < rank(aRight);
+      });
+    GiveTo(aDraft, server, chosen->id_);
+    ++held[chosen->id_];
+  }
+}
+
+void
+Placer::GiveTo(Draft& aDraft, PlacedServer& aServer, const InstanceId& aHolder)
+{
+  auto& unsettled = aServer.unsettled_;
+  const bool isNoted =
+    std::find(unsettled.begin(), unsettled.end(), aServer.holder_) != unsettled.end();
+  if (!aServer.holder_.empty() && !isNoted) {
+    unsettled.push_back(aServer.holder_);
+  }
+  const auto former = std::exchange(aServer.holder_, aHolder);
+  aServer.fence_ = ++aDraft.next_.lastFence_;
+  goneSince_.erase(aServer.name_);
+  // A holder that comes back must not count as stopped by an old report.
+  stopped_[aServer.name_].erase(aHolder);
+  std::erase(unsettled, aHolder);
+  aDraft.Note(Event::HolderAssigned,
+              "server=" + aServer.name_ + " holder=" + aHolder + " former=" + former +
+                " fence=" + std::to_string(aServer.fence_));
+}
+
+void
+Placer::SettleFormerHolders(Draft& aDraft)
+{
+  for (auto& server : aDraft.next_.servers_) {
+    if (server.unsettled_.empty()) {
+      goneSince_.emplace(server.name_, aDraft.now_);
+      continue;
+    }
+    const auto& stopped = stopped_[server.name_];
+    std::erase_if(server.unsettled_,
+                  [&](const std::string& aHolder) { return stopped.contains(aHolder); });
+    const bool areGone = std::all_of(
+      server.unsettled_.begin(), server.unsettled_.end(), [&](const std::string& aHolder) {
+        return aDraft.membership_.IsGone(aDraft.now_, aHolder);
+      });
+    if (!areGone) {
+      goneSince_.erase(server.name_);
+      continue;
+    }
+    const auto since = goneSince_.emplace(server.name_, aDraft.now_).first->second;
+    const auto* report = ReportOf(server);
+    // Grants under a lower fence are void once a server that checks has
+    // answered the higher one; otherwise they must have run out.
+    const bool isFencedOff = aDraft.service_.checksOrders_ && report != nullptr &&
+                             report->isReachable_ && !report->isUnconfirmed_;
+    if (isFencedOff || aDraft.now_ - since >= timing_.grantTail_) {
+      server.unsettled_.clear();
+    }
+  }
+}
+
+void
+Placer::FinishMoves(Draft& aDraft)
+{
+  for (auto& slice : aDraft.next_.slices_) {
+    if (!slice.IsMoving()) {
+      continue;
+    }
+    const auto& target = aDraft.next_.servers_[slice.next_];
+    const auto* report = ReportOf(aDraft.next_.servers_[slice.owner_]);
+    const bool isReleased = report != nullptr && report->releasedVersion_ == aDraft.version_;
+    if (isReleased) {
+      aDraft.Note(Event::SliceMoved,
+                  "slice=" + std::to_string(slice.start_) + " to=" + target.name_ +
+                    " reason=released");
+      slice.owner_ = slice.next_;
+      slice.next_ = kNoServer;
+      ++aDraft.moved_;
+    } else if (target.state_ != PlacedState::Active) {
+      // The target cannot take it any more: the owner keeps it for now.
+      slice.next_ = kNoServer;
+    }
+  }
+}
+
+ServerIndex
+Placer::LeastLoaded(const Draft& aDraft)
+{
+  ServerIndex chosen = kNoServer;
+  std::size_t least = 0;
+  for (const auto index : aDraft.ActiveServers()) {
+    const auto count = aDraft.next_.CountSlicesOf(index);
+    if (chosen == kNoServer || count < least) {
+      chosen = index;
+      least = count;
+    }
+  }
+  return chosen;
+}
+
+bool
+Placer::IsLossAllowed(Instant aNow, std::size_t aActive)
+{
+  std::erase_if(losses_, [&](Instant aLoss) { return aNow - aLoss > timing_.lossSpan_; });
+  const auto total = static_cast<double>(aActive + losses_.size());
+  return static_cast<double>(losses_.size() + 1) <= std::max(1.0, total * timing_.lossShare_);
+}
+
+bool
+Placer::IsCertainlySilent(const Draft& aDraft,
+                          const PlacedServer& aServer,
+                          const ServerReport& aReport) const
+{
+  if (!aReport.isWithheld_) {
+    return false;
+  }
+  if (!aReport.isUnconfirmed_) {
+    return true;
+  }
+  // A holder that never reached the server cannot vouch for its predecessors.
+  const auto gone = goneSince_.find(aServer.name_);
+  const bool isTailOver =
+    gone != goneSince_.end() && aDraft.now_ - gone->second >= timing_.grantTail_;
+  return aServer.unsettled_.empty() && isTailOver;
+}
+
+std::size_t
+Placer::GiveAway(Draft& aDraft, ServerIndex aLost)
+{
+  std::size_t count = 0;
+  for (auto& slice : aDraft.next_.slices_) {
+    if (slice.next_ == aLost) {
+      slice.next_ = kNoServer;
+    }
+    if (slice.owner_ != aLost) {
+      continue;
+    }
+    const bool hasTarget =
+      slice.IsMoving() && aDraft.next_.servers_[slice.next_].state_ == PlacedState::Active;
+    slice.owner_ = hasTarget ? slice.next_ : LeastLoaded(aDraft);
+    slice.next_ = kNoServer;
+    ++count;
+  }
+  return count;
+}
+
+void
+Placer::MoveLost(Draft& aDraft)
+{
+  for (ServerIndex index = 0; index < aDraft.next_.servers_.size(); ++index) {
+    auto& server = aDraft.next_.servers_[index];
+    const auto* report = ReportOf(server);
+    if (server.state_ == PlacedState::Lost || report == nullptr ||
+        !IsCertainlySilent(aDraft, server, *report)) {
+      continue;
+    }
+    if (report->isReachable_ && !condemned_.contains(server.name_)) {
+      // It is back already: resuming costs no churn.
+      continue;
+    }
+    const auto active = aDraft.ActiveServers().size();
+    const bool hasHeir = active > (server.state_ == PlacedState::Active ? 1U : 0U);
+    if (!hasHeir || !IsLossAllowed(aDraft.now_, active)) {
+      if (deferred_.insert(server.name_).second) {
+        notes_.push_back({ Event::ServerLossDeferred,
+                           "server=" + server.name_ +
+                             (hasHeir ? " reason=too-many-at-once" : " reason=no-other-server") });
+      }
+      continue;
+    }
+    losses_.push_back(aDraft.now_);
+    deferred_.erase(server.name_);
+    server.state_ = PlacedState::Lost;
+    aDraft.lostServers_.push_back(server.name_);
+    const auto count = GiveAway(aDraft, index);
+    aDraft.moved_ += count;
+    aDraft.Note(Event::ServerLost,
+                "server=" + server.name_ + " slices=" + std::to_string(count) +
+                  " reason=grant-ran-out");
+  }
+}
+
+void
+Placer::ReturnLost(Draft& aDraft)
+{
+  for (auto& server : aDraft.next_.servers_) {
+    if (server.state_ != PlacedState::Lost) {
+      continue;
+    }
+    const auto* report = ReportOf(server);
+    const auto since = reachableSince_.find(server.name_);
+    const bool isBack = report != nullptr && report->isReachable_ && !report->isWithheld_ &&
+                        since != reachableSince_.end() &&
+                        aDraft.now_ - since->second >= timing_.returnDelay_;
+    if (isBack) {
+      const auto* declared = aDraft.service_.FindServer(server.name_);
+      const bool drains = declared == nullptr || declared->draining_;
+      server.state_ = drains ? PlacedState::Draining : PlacedState::Active;
+      condemned_.erase(server.name_);
+      aDraft.Note(Event::ServerReturned, "server=" + server.name_ + " reason=stayed-reachable");
+    }
+  }
+}
+
+void
+Placer::PlaceFirst(Draft& aDraft)
+{
+  if (!aDraft.next_.slices_.empty()) {
+    return;
+  }
+  const auto active = aDraft.ActiveServers();
+  if (active.empty()) {
+    return;
+  }
+  const std::size_t total = active.size() * kSlicesPerServer;
+  const KeyHash width = std::numeric_limits<KeyHash>::max() / total;
+  for (std::size_t index = 0; index < total; ++index) {
+    aDraft.next_.slices_.push_back({ width * index, active[index % active.size()], kNoServer });
+  }
+}
+
+void
+Placer::EmptyDraining(Draft& aDraft)
+{
+  for (auto& slice : aDraft.next_.slices_) {
+    const auto& owner = aDraft.next_.servers_[slice.owner_];
+    if (owner.state_ != PlacedState::Draining || slice.IsMoving()) {
+      continue;
+    }
+    const auto target = LeastLoaded(aDraft);
+    if (target == kNoServer) {
+      return;
+    }
+    slice.next_ = target;
+    aDraft.Note(Event::SliceMoveStarted,
+                "slice=" + std::to_string(slice.start_) + " from=" + owner.name_ +
+                  " to=" + aDraft.next_.servers_[target].name_ + " reason=draining");
+  }
+}
+
+void
+Placer::RemoveUndeclared(Draft& aDraft)
+{
+  for (ServerIndex index = 0; index < aDraft.next_.servers_.size();) {
+    const auto& server = aDraft.next_.servers_[index];
+    if (aDraft.service_.FindServer(server.name_) != nullptr ||
+        aDraft.next_.CountSlicesOf(index) != 0) {
+      ++index;
+      continue;
+    }
+    aDraft.next_.servers_.erase(aDraft.next_.servers_.begin() + index);
+    for (auto& slice : aDraft.next_.slices_) {
+      slice.owner_ -= slice.owner_ > index ? 1 : 0;
+      slice.next_ -= slice.IsMoving() && slice.next_ > index ? 1 : 0;
+    }
+  }
+}
+
+bool
+Placer::FillEmptyServer(Draft& aDraft)
+{
+  const auto active = aDraft.ActiveServers();
+  const auto isEmpty = [&](ServerIndex aServer) {
+    return aDraft.next_.CountSlicesOf(aServer) == 0;
+  };
+  const auto empty = std::find_if(active.begin(), active.end(), isEmpty);
+  if (empty == active.end()) {
+    return false;
+  }
+  std::vector<std::size_t> counts(aDraft.next_.servers_.size(), 0);
+  for (const auto& slice : aDraft.next_.slices_) {
+    ++counts[slice.owner_];
+  }
+  const std::size_t fair = aDraft.next_.slices_.size() / active.size();
+  for (std::size_t given = 0; given < fair; ++given) {
+    const auto richest =
+      static_cast<ServerIndex>(std::max_element(counts.begin(), counts.end()) - counts.begin());
+    if (counts[richest] <= given + 1) {
+      break;
+    }
+    const auto taken = std::find_if(
+      aDraft.next_.slices_.begin(), aDraft.next_.slices_.end(), [&](const Slice& aSlice) {
+        return aSlice.owner_ == richest && !aSlice.IsMoving();
+      });
+    taken->next_ = *empty;
+    --counts[richest];
+    aDraft.Note(Event::SliceMoveStarted,
+                "slice=" + std::to_string(taken->start_) +
+                  " from=" + aDraft.next_.servers_[richest].name_ +
+                  " to=" + aDraft.next_.servers_[*empty].name_ + " reason=empty-server");
+  }
+  return true;
+}
+
+void
+Placer::EvenOutLoad(Draft& aDraft)
+{
+  auto& placement = aDraft.next_;
+  for (const auto& move : ChooseMoves(placement, loads_, RebalancePolicy::Of(aDraft.profile_))) {
+    auto index = placement.SliceIndexOf(move.start_);
+    if (move.isSingleKey_) {
+      if (move.start_ != std::numeric_limits<KeyHash>::max()) {
+        placement.SplitAt(move.start_ + 1);
+      }
+      index = placement.SplitAt(move.start_);
+      aDraft.Note(Event::SliceSplit, "hash=" + std::to_string(move.start_) + " reason=hot-key");
+    } else if (move.isHalf_) {
+      const auto width = placement.LastHashOf(index) - move.start_;
+      index = placement.SplitAt(move.start_ + width / 2 + 1);
+      aDraft.Note(Event::SliceSplit, "slice=" + std::to_string(move.start_) + " reason=too-heavy");
+    }
+    placement.slices_[index].next_ = move.to_;
+    aDraft.Note(Event::SliceMoveStarted,
+                "slice=" + std::to_string(placement.slices_[index].start_) +
+                  " from=" + placement.servers_[move.from_].name_ +
+                  " to=" + placement.servers_[move.to_].name_ +
+                  " reason=load load=" + std::to_string(move.load_));
+  }
+}
+
+void
+Placer::EvenOutHolders(Draft& aDraft)
+{
+  std::map<InstanceId, std::size_t> held;
+  std::map<InstanceId, std::string> halls;
+  for (const auto& instance : aDraft.membership_.Live(aDraft.now_)) {
+    if (!instance.leaving_) {
+      held[instance.id_] = 0;
+      halls[instance.id_] = instance.hall_;
+    }
+  }
+  if (held.empty()) {
+    return;
+  }
+  for (const auto& server : aDraft.next_.servers_) {
+    const auto found = held.find(server.holder_);
+    if (found != held.end()) {
+      ++found->second;
+    }
+  }
+  const auto byCount = [](const auto& aLeft, const auto& aRight) {
+    return aLeft.second < aRight.second;
+  };
+  const auto least = std::min_element(held.begin(), held.end(), byCount);
+  const auto most = std::max_element(held.begin(), held.end(), byCount);
+  if (most->second <= least->second + kHolderSlack) {
+    return;
+  }
+  // One a round, and never into the server's own hall.
+  for (auto& server : aDraft.next_.servers_) {
+    const bool isApart = halls[least->first] != server.hall_;
+    if (server.holder_ == most->first && isApart && server.unsettled_.empty()) {
+      GiveTo(aDraft, server, least->first);
+      return;
+    }
+  }
+}
+
+void
+Placer::Rebalance(Draft& aDraft)
+{
+  if (aDraft.now_ - rebalancedAt_ < timing_.rebalanceInterval_) {
+    return;
+  }
+  rebalancedAt_ = aDraft.now_;
+  EvenOutHolders(aDraft);
+  const bool isSettled = std::none_of(aDraft.next_.slices_.begin(),
+                                      aDraft.next_.slices_.end(),
+                                      [](const Slice& aSlice) { return aSlice.IsMoving(); });
+  if (!isSettled || FillEmptyServer(aDraft)) {
+    return;
+  }
+  EvenOutLoad(aDraft);
+  const auto even = aDraft.ActiveServers().size() * kSlicesPerServer;
+  if (aDraft.decisions_.empty() && aDraft.next_.slices_.size() > even * 2) {
+    aDraft.next_.JoinNeighbours(even);
+  }
+}
+
+std::optional<PlacementProposal>
+Placer::Propose(Instant aNow,
+                const ServiceDeclaration& aService,
+                PlacementProfile aProfile,
+                const Placement& aCurrent,
+                RowVersion aVersion,
+                const Membership& aMembership)
+{
+  Draft draft{ aNow, aService, aProfile, aCurrent, aVersion, aMembership, aCurrent };
+  draft.next_.service_ = service_;
+  ReconcileServers(draft);
+  FinishMoves(draft);
+  AssignHolders(draft);
+  SettleFormerHolders(draft);
+  MoveLost(draft);
+  ReturnLost(draft);
+  PlaceFirst(draft);
+  EmptyDraining(draft);
+  Rebalance(draft);
+  RemoveUndeclared(draft);
+  if (draft.next_ == aCurrent || draft.next_.slices_.empty()) {
+    return std::nullopt;
+  }
+  slicesMoved_ += draft.moved_;
+  condemned_.insert(draft.lostServers_.begin(), draft.lostServers_.end());
+  PlacementProposal proposal;
+  proposal.placement_ = std::move(draft.next_);
+  proposal.baseVersion_ = aVersion;
+  proposal.decisions_ = std::move(draft.decisions_);
+  proposal.lostServers_ = std::move(draft.lostServers_);
+  return proposal;
+}
+
+void
+Placer::OnNotCommitted(const PlacementProposal& aProposal)
+{
+  for (const auto& server : aProposal.lostServers_) {
+    condemned_.erase(server);
+    if (!losses_.empty()) {
+      losses_.pop_back();
+    }
+  }
+}
+
+std::vector<PlacementDecision>
+Placer::TakeNotes()
+{
+  return std::exchange(notes_, {});
+}
+
+std::vector<ResumeOrder>
+Placer::TakeResumable(const Placement& aCurrent)
+{
+  std::vector<ResumeOrder> orders;
+  for (const auto& server : aCurrent.servers_) {
+    const auto* report = ReportOf(server);
+    if (report == nullptr || !report->isWithheld_ || !report->isReachable_) {
+      continue;
+    }
+    // NOTE: A condemned server is only resumed once the placement that calls it
+    // lost stands, and then it owns nothing; before that the commit may be unsure.
+    const bool mayResume = server.state_ == PlacedState::Lost || !condemned_.contains(server.name_);
+    if (!mayResume) {
+      continue;
+    }
+    orders.push_back({ report->service_, report->server_, report->fence_, report->sequence_ });
+    // Kept, so that an older report that arrives late is not taken for news.
+    reports_[server.name_].isWithheld_ = false;
+  }
+  return orders;
+}
+
+} // namespace latchslip
--- /dev/null
+++ b/Libraries/LibPlacement/Placer.h
@@ -0,0 +1,129 @@
+#pragma once
+
+#include "LibBase/Event.h"
+#include "LibBase/Time.h"
+#include "LibConfig/Declaration.h"
+#include "LibMembership/Membership.h"
+#include "LibPlacement/Placement.h"
+#include "LibPlacement/Rebalancer.h"
+#include "LibPlacement/ServerReport.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace latchslip {
+
+// Decides who owns and who holds what in one service. It proposes placements;
+// whoever runs it commits them to the table service under the condition that
+// the row still has the version that the proposal was made from. Pure
+// decisions: nothing is done until the commit is known.
+
+struct PlacerTiming
+{
+  // How long after a former holder is gone its last grant may still be valid.
+  Duration grantTail_ = milliseconds(540);
+  // A server that came back must stay reachable this long to own keys again.
+  Duration returnDelay_ = seconds(2);
+  Duration rebalanceInterval_ = seconds(1);
+  // Of the active servers, this share may be declared lost within lossSpan_.
+  double lossShare_ = 0.5;
+  Duration lossSpan_ = seconds(5);
+};
+
+// One line of the log for one decision of a proposal.
+struct PlacementDecision
+{
+  Event event_;
+  std::string detail_;
+};
+
+struct PlacementProposal
+{
+  Placement placement_;
+  RowVersion baseVersion_ = 0;
+  std::vector<PlacementDecision> decisions_;
+  // Holders whose withheld grants this proposal acts on.
+  std::vector<std::string> lostServers_;
+};
+
+class Placer
+{
+public:
+  Placer(std::string aService, PlacerTiming aTiming);
+
+  // Remembers a holder's report. Only the holder of the current fence counts,
+  // but for a former holder that says it has stopped.
+  void OnReport(Instant aNow, const ServerReport& aReport);
+
+  // What should stand instead of aCurrent (version 0: nothing stands), or
+  // nothing when all is as it should be.
+  std::optional<PlacementProposal> Propose(Instant aNow,
+                                           const ServiceDeclaration& aService,
+                                           PlacementProfile aProfile,
+                                           const Placement& aCurrent,
+                                           RowVersion aVersion,
+                                           const Membership& aMembership);
+
+  // Withheld servers that answer again and on which no proposal was ever made:
+  // they keep their slices. The reports are forgotten.
+  std::vector<ResumeOrder> TakeResumable(const Placement& aCurrent);
+
+  // The proposal certainly did not take effect.
+  void OnNotCommitted(const PlacementProposal& aProposal);
+
+  // Decisions not to act, each noted once.
+  std::vector<PlacementDecision> TakeNotes();
+
+  // All that was learnt as the placer of a former epoch is void.
+  void Forget();
+
+  std::size_t SlicesMoved() const { return slicesMoved_; }
+
+private:
+  struct Draft;
+
+  void ReconcileServers(Draft& aDraft);
+  void AssignHolders(Draft& aDraft);
+  void SettleFormerHolders(Draft& aDraft);
+  void FinishMoves(Draft& aDraft);
+  void MoveLost(Draft& aDraft);
+  void ReturnLost(Draft& aDraft);
+  void PlaceFirst(Draft& aDraft);
+  void EmptyDraining(Draft& aDraft);
+  void RemoveUndeclared(Draft& aDraft);
+  void Rebalance(Draft& aDraft);
+  bool FillEmptyServer(Draft& aDraft);
+  void EvenOutLoad(Draft& aDraft);
+  void EvenOutHolders(Draft& aDraft);
+  void GiveTo(Draft& aDraft, PlacedServer& aServer, const InstanceId& aHolder);
+  bool IsLossAllowed(Instant aNow, std::size_t aActive);
+  bool IsCertainlySilent(const Draft& aDraft,
+                         const PlacedServer& aServer,
+                         const ServerReport& aReport) const;
+  const ServerReport* ReportOf(const PlacedServer& aServer) const;
+  static std::size_t GiveAway(Draft& aDraft, ServerIndex aLost);
+  static ServerIndex LeastLoaded(const Draft& aDraft);
+
+  std::string service_;
+  PlacerTiming timing_;
+  std::map<std::string, ServerReport> reports_;
+  // Load by server, kept from the last report that carried load.
+  LoadTable loads_;
+  // Former holders that said they have stopped, by server.
+  std::map<std::string, std::set<std::string>> stopped_;
+  // Since when no former holder of a server can have renewed its grant.
+  std::map<std::string, Instant> goneSince_;
+  std::map<std::string, Instant> reachableSince_;
+  // Servers on whose loss a proposal was made that may have been committed.
+  std::set<std::string> condemned_;
+  std::vector<Instant> losses_;
+  std::set<std::string> deferred_;
+  std::vector<PlacementDecision> notes_;
+  Instant rebalancedAt_{ 0 };
+  std::size_t slicesMoved_ = 0;
+};
+
+} // namespace latchslip
--- /dev/null
+++ b/Libraries/LibPlacement/Rebalancer.cpp
@@ -0,0 +1,184 @@
+#include "LibPlacement/Rebalancer.h"
+
+#include <algorithm>
+#include <numeric>
+#include <optional>
+
+namespace latchslip {
+
+namespace {
+
+// Below this many busy slots on the busiest server, evening out is not worth a move.
+constexpr double kNegligibleLoad = 0.05;
+
+// The loads while moves are being chosen.
+struct Balance
+{
+  std::vector<ServerIndex> active_;
+  std::vector<double> loads_;
+  // The share of each server's load that cannot be taken off it.
+  std::vector<bool> isStuck_;
+
+  double Mean() const
+  {
+    double sum = 0;
+    for (const auto server : active_) {
+      sum += loads_[server];
+    }
+    return active_.empty() ? 0 : sum / static_cast<double>(active_.size());
+  }
+
+  std::optional<ServerIndex> Busiest() const
+  {
+    std::optional<ServerIndex> busiest;
+    for (const auto server : active_) {
+      if (!isStuck_[server] && (!busiest || loads_[server] > loads_[*busiest])) {
+        busiest = server;
+      }
+    }
+    return busiest;
+  }
+
+  ServerIndex Idlest() const
+  {
+    return *std::min_element(active_.begin(), active_.end(), [&](auto aLeft, auto aRight) {
+      return loads_[aLeft] < loads_[aRight];
+    });
+  }
+};
+
+Balance
+BalanceOf(const Placement& aPlacement, const LoadTable& aLoads)
+{
+  Balance balance;
+  balance.loads_.resize(aPlacement.servers_.size(), 0);
+  balance.isStuck_.resize(aPlacement.servers_.size(), false);
+  for (ServerIndex index = 0; index < aPlacement.servers_.size(); ++index) {
+    const auto& server = aPlacement.servers_[index];
+    if (server.state_ != PlacedState::Active) {
+      continue;
+    }
+    balance.active_.push_back(index);
+    const auto found = aLoads.find(server.name_);
+    balance.loads_[index] = found == aLoads.end() ? 0 : found->second.load_;
+  }
+  return balance;
+}
+
+void
+AddCandidates(const Placement& aPlacement,
+              const ServerLoad& aLoad,
+              ServerIndex aFrom,
+              std::vector<SliceMove>& aCandidates)
+{
+  for (const auto& [start, load] : aLoad.slices_) {
+    const auto index = aPlacement.SliceIndexOf(start);
+    const auto& slice = aPlacement.slices_[index];
+    if (slice.start_ != start || slice.owner_ != aFrom || slice.IsMoving()) {
+      continue;
+    }
+    aCandidates.push_back({ start, false, false, aFrom, kNoServer, load });
+    const bool isOneKey = aPlacement.LastHashOf(index) == start;
+    const bool hasHotKey = aPlacement.SliceIndexOf(aLoad.hottestKey_) == index;
+    // A slice whose load is one key's cannot be halved to any purpose.
+    if (!isOneKey && !(hasHotKey && aLoad.hottestLoad_ > load / 2)) {
+      aCandidates.push_back({ start, false, true, aFrom, kNoServer, load / 2 });
+    }
+  }
+  const auto hotIndex = aPlacement.SliceIndexOf(aLoad.hottestKey_);
+  const auto& hotSlice = aPlacement.slices_[hotIndex];
+  const bool isOwnSlice = aPlacement.LastHashOf(hotIndex) == hotSlice.start_;
+  if (aLoad.hottestLoad_ > 0 && !isOwnSlice && hotSlice.owner_ == aFrom && !hotSlice.IsMoving()) {
+    aCandidates.push_back({ aLoad.hottestKey_, true, false, aFrom, kNoServer, aLoad.hottestLoad_ });
+  }
+}
+
+// The move that leaves the two servers most even, whole slices before cuts.
+std::optional<SliceMove>
+BestMove(const std::vector<SliceMove>& aCandidates, double aSurplus, double aLeastGain)
+{
+  std::optional<SliceMove> best;
+  double bestGain = 0;
+  for (const auto& candidate : aCandidates) {
+    // Taking more than the surplus only swaps the roles of the two servers.
+    const double gain = std::min(candidate.load_, aSurplus * 2 - candidate.load_);
+    const double cost = candidate.isHalf_ || candidate.isSingleKey_ ? aLeastGain / 2 : 0;
+    if (gain >= aLeastGain && gain - cost > bestGain) {
+      best = candidate;
+      bestGain = gain - cost;
+    }
+  }
+  return best;
+}
+
+} // namespace
+
+RebalancePolicy
+RebalancePolicy::Of(PlacementProfile aProfile)
+{
+  switch (aProfile) {
+    case PlacementProfile::ChurnFirst:
+      return { 0.14, 0.04, 2 };
+    case PlacementProfile::UnavailabilityFirst:
+      break;
+  }
+  return { 0.10, 0.02, 6 };
+}
+
+std::vector<SliceMove>
+ChooseMoves(const Placement& aPlacement, const LoadTable& aLoads, const RebalancePolicy& aPolicy)
+{
+  auto balance = BalanceOf(aPlacement, aLoads);
+  std::vector<SliceMove> moves;
+  if (balance.active_.size() < 2) {
+    return moves;
+  }
+  const double mean = balance.Mean();
+  std::vector<KeyHash> taken;
+  while (moves.size() < aPolicy.mostMoves_) {
+    const auto from = balance.Busiest();
+    if (!from || balance.loads_[*from] < kNegligibleLoad ||
+        balance.loads_[*from] <= mean * (1 + aPolicy.tolerance_)) {
+      break;
+    }
+    const auto to = balance.Idlest();
+    const double surplus =
+      std::min(balance.loads_[*from] - mean, (balance.loads_[*from] - balance.loads_[to]) / 2);
+    std::vector<SliceMove> candidates;
+    const auto load = aLoads.find(aPlacement.servers_[*from].name_);
+    AddCandidates(aPlacement, load->second, *from, candidates);
+    std::erase_if(candidates, [&](const SliceMove& aMove) {
+      return std::any_of(taken.begin(), taken.end(), [&](KeyHash aHash) {
+        return aPlacement.SliceIndexOf(aHash) == aPlacement.SliceIndexOf(aMove.start_);
+      });
+    });
+    auto best = BestMove(candidates, surplus, mean * aPolicy.leastGain_);
+    if (!best) {
+      balance.isStuck_[*from] = true;
+      continue;
+    }
+    best->to_ = to;
+    balance.loads_[*from] -= best->load_;
+    balance.loads_[to] += best->load_;
+    taken.push_back(best->start_);
+    moves.push_back(*best);
+  }
+  return moves;
+}
+
+double
+ImbalanceOf(const Placement& aPlacement, const LoadTable& aLoads)
+{
+  const auto balance = BalanceOf(aPlacement, aLoads);
+  const double mean = balance.Mean();
+  if (mean <= 0) {
+    return 1;
+  }
+  double most = 0;
+  for (const auto server : balance.active_) {
+    most = std::max(most, balance.loads_[server]);
+  }
+  return most / mean;
+}
+
+} // namespace latchslip
--- /dev/null
+++ b/Libraries/LibStandIn/ServerState.cpp
@@ -0,0 +1,132 @@
+#include "LibStandIn/ServerState.h"
+
+#include <algorithm>
+
+namespace latchslip {
+
+namespace {
+
+// For how long a leaving server may still get work that was on its way.
+constexpr Duration kLeavingGrace = seconds(3);
+
+} // namespace
+
+ServerState::ServerState(unsigned aSlots, bool aChecksOrders, std::uint64_t aBootId)
+  : slots_(aSlots)
+  , checksOrders_(aChecksOrders)
+  , bootId_(aBootId)
+{
+}
+
+void
+ServerState::RecordOwnership(Instant aNow, const GrantOrder& aOrder)
+{
+  const Instant until(aOrder.validUntil_);
+  if (!ownerships_.empty()) {
+    auto& last = ownerships_.back();
+    const bool goesOn = last.ranges_ == aOrder.ranges_ && last.until_ >= aNow;
+    if (goesOn && aOrder.validUntil_ != 0) {
+      last.until_ = std::max(last.until_, until);
+      return;
+    }
+    last.until_ = std::min(last.until_, aNow);
+  }
+  if (until > aNow && !aOrder.ranges_.empty()) {
+    ownerships_.push_back({ aOrder.fence_, aNow, until, aOrder.ranges_ });
+  }
+}
+
+GrantReply
+ServerState::OnGrant(Instant aNow, const GrantOrder& aOrder)
+{
+  GrantReply reply;
+  reply.bootId_ = bootId_;
+  reply.clock_ = aNow.count();
+  const bool isOutdated =
+    aOrder.fence_ < fence_ || (aOrder.fence_ == fence_ && aOrder.generation_ < generation_);
+  const bool isForeignBoot = aOrder.bootId_ != 0 && aOrder.bootId_ != bootId_;
+  reply.accepted_ = !checksOrders_ || (!isOutdated && !isForeignBoot);
+  if (reply.accepted_) {
+    fence_ = std::max(fence_, aOrder.fence_);
+    generation_ = aOrder.generation_;
+    if (checksOrders_) {
+      RecordOwnership(aNow, aOrder);
+    }
+    validUntil_ = aOrder.validUntil_;
+    ranges_ = aOrder.ranges_;
+  }
+  reply.fence_ = fence_;
+  reply.generation_ = generation_;
+  for (const auto& [id, running] : running_) {
+    const bool isForeign = running.isOrphan_ || running.work_.fence_ < aOrder.fence_;
+    reply.foreignRunning_ += isForeign ? 1 : 0;
+    reply.releasedRunning_ += CoversHash(aOrder.ranges_, running.work_.hash_) ? 0 : 1;
+  }
+  return reply;
+}
+
+bool
+ServerState::Owns(Instant aNow, KeyHash aHash) const
+{
+  return !checksOrders_ || (aNow.count() < validUntil_ && CoversHash(ranges_, aHash));
+}
+
+StartVerdict
+ServerState::OnWork(Instant aNow, const ServerWork& aWork)
+{
+  if (checksOrders_ && (aWork.fence_ != fence_ || !Owns(aNow, aWork.hash_))) {
+    return StartVerdict::Refused;
+  }
+  if (aWork.validUntil_ != 0 && aNow.count() >= aWork.validUntil_) {
+    return StartVerdict::Expired;
+  }
+  if (running_.size() >= slots_) {
+    ++slotsExceeded_;
+    return StartVerdict::Shed;
+  }
+  if (leavingSince_ != Instant{ 0 } && aNow - leavingSince_ > kLeavingGrace) {
+    ++startedWhileLeaving_;
+  }
+  running_[aWork.id_] = { aWork, aNow };
+  mostRunning_ = std::max(mostRunning_, running_.size());
+  return StartVerdict::Started;
+}
+
+bool
+ServerState::Finish(Instant aNow, std::uint64_t aId)
+{
+  const auto found = running_.find(aId);
+  if (found == running_.end()) {
+    return false;
+  }
+  const auto running = std::move(found->second);
+  running_.erase(found);
+  // The fence may have risen since, but the key must still be this server's.
+  if (!Owns(aNow, running.work_.hash_)) {
+    return false;
+  }
+  executions_.push_back({ running.work_.requestId_,
+                          running.work_.group_,
+                          running.work_.hash_,
+                          running.work_.fence_,
+                          running.startedAt_,
+                          aNow });
+  return true;
+}
+
+bool
+ServerState::Cancel(std::uint64_t aId)
+{
+  return running_.erase(aId) != 0;
+}
+
+void
+ServerState::Orphan(std::uint64_t aId)
+{
+  const auto found = running_.find(aId);
+  if (found != running_.end()) {
+    found->second.isOrphan_ = true;
+  }
+}
+
+} // namespace latchslip
--- /dev/null
+++ b/Services/StandInServer/main.cpp
@@ -0,0 +1,262 @@
+#include "LibBase/KeyHash.h"
+#include "LibBase/Time.h"
+#include "LibNet/HttpServer.h"
+#include "LibNet/ServerProtocol.h"
+#include "LibStandIn/RecordFile.h"
+#include "LibStandIn/ServerState.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <map>
+
+ABSL_FLAG(std::string, address, "", "Where to listen, IP number and port.");
+ABSL_FLAG(std::string, service, "", "Name of the service, for the records.");
+ABSL_FLAG(std::string, server, "", "Name of this server, for the records.");
+ABSL_FLAG(int, slots, 4, "Requests that run at once.");
+ABSL_FLAG(bool, checks_orders, true, "Whether grants and fences are checked.");
+ABSL_FLAG(int, service_time_us, 2000, "How long a request runs.");
+ABSL_FLAG(int, cold_start_ms, 0, "For so long after the start requests run three times as long.");
+ABSL_FLAG(int, reply_bytes, 0, "Filler at the end of each answer.");
+ABSL_FLAG(int, health_lag_ms, 1000, "How old what the health page says may be.");
+ABSL_FLAG(std::string, records_file, "", "Where executions and ownership are written down.");
+
+namespace latchslip {
+
+namespace {
+
+constexpr int kColdFactor = 3;
+
+Instant
+Now()
+{
+  return duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch());
+}
+
+// A stand-in for a backend server that owns keys: grants, slots, a cold start,
+// shedding, leaving and cancellation, and records for audits.
+class StandInServer : public HttpHandler
+{
+public:
+  explicit StandInServer(boost::asio::io_context& aContext)
+    : context_(aContext)
+    , state_(static_cast<unsigned>(absl::GetFlag(FLAGS_slots)),
+             absl::GetFlag(FLAGS_checks_orders),
+             static_cast<std::uint64_t>(Now().count()))
+    , startedAt_(Now())
+    , filler_(static_cast<std::size_t>(absl::GetFlag(FLAGS_reply_bytes)), '.')
+  {
+    if (!absl::GetFlag(FLAGS_records_file).empty()) {
+      records_.open(absl::GetFlag(FLAGS_records_file));
+    }
+    ServerRecords header;
+    header.service_ = absl::GetFlag(FLAGS_service);
+    header.server_ = absl::GetFlag(FLAGS_server);
+    header.slots_ = static_cast<unsigned>(absl::GetFlag(FLAGS_slots));
+    header.checksOrders_ = absl::GetFlag(FLAGS_checks_orders);
+    records_ << SerializeHeader(header) << std::endl;
+  }
+
+  void OnRequest(std::uint64_t aId, HttpRequest aRequest, HttpResponder aRespond) override
+  {
+    const auto path = SplitPath(aRequest.target_);
+    const auto verb = path.empty() ? std::string() : path[0];
+    if (verb == "grant") {
+      Grant(*aRequest.body_, aRespond);
+    } else if (verb == "work" && path.size() == 2) {
+      Work(aId, DecodeSegment(path[1]), aRequest, std::move(aRespond));
+    } else if (verb == "cancel" && path.size() == 2) {
+      Cancel(ParseNumber(path[1], 0), aRespond);
+    } else if (verb == "leave") {
+      state_.SetLeaving(Now());
+      aRespond(MakeHttpResponse(200, "{}"));
+    } else if (verb == "health") {
+      aRespond(MakeHttpResponse(200, "{\"running\":" + std::to_string(LaggingRunning()) + "}"));
+    } else {
+      aRespond(MakeHttpResponse(404, "{}"));
+    }
+  }
+
+  // Nobody waits for the answer any more; the work goes on.
+  void OnGone(std::uint64_t aId) override
+  {
+    const auto found = workOfRequest_.find(aId);
+    if (found != workOfRequest_.end()) {
+      state_.Orphan(found->second);
+    }
+  }
+
+private:
+  struct Running
+  {
+    std::shared_ptr<boost::asio::steady_timer> timer_;
+    HttpResponder respond_;
+    std::uint64_t request_ = 0;
+  };
+
+  void Grant(const std::string& aBody, const HttpResponder& aRespond)
+  {
+    const auto order = ParseGrantRequest(aBody);
+    if (!order) {
+      aRespond(MakeHttpResponse(400, order.error().Describe()));
+      return;
+    }
+    const auto before = state_.Ownerships().size();
+    const auto reply = state_.OnGrant(Now(), order.value());
+    const auto& spans = state_.Ownerships();
+    // The span before may have been cut short by the new one.
+    if (spans.size() > before && before > 0) {
+      records_ << SerializeOwnership(spans[before - 1]) << '\n';
+    }
+    if (!spans.empty()) {
+      records_ << SerializeOwnership(spans.back()) << std::endl;
+    }
+    aRespond(MakeHttpResponse(200, SerializeGrantReply(reply)));
+  }
+
+  static HttpResponse NotRun(const ServerWork& aWork, std::string_view aWhy, unsigned aStatus)
+  {
+    auto response = MakeHttpResponse(aStatus, "{}");
+    response.headers_.emplace_back(kWorkHeader, std::to_string(aWork.id_));
+    response.headers_.emplace_back(kNotRunHeader, aWhy);
+    response.headers_.emplace_back(kRetryAfterHeader, "50");
+    return response;
+  }
+
+  void Work(std::uint64_t aRequestNumber,
+            const std::string& aKey,
+            const HttpRequest& aRequest,
+            HttpResponder aRespond)
+  {
+    ServerWork work;
+    work.id_ = ParseNumber(aRequest.Header(kWorkHeader), aRequestNumber);
+    work.requestId_ = aRequest.Header(kRequestIdHeader);
+    work.group_ = aRequest.Header(kGroupHeader);
+    work.hash_ = HashKey(aKey);
+    work.fence_ = ParseNumber(aRequest.Header(kFenceHeader), 0);
+    work.validUntil_ =
+      static_cast<std::int64_t>(ParseNumber(aRequest.Header(kValidUntilHeader), 0));
+    // Each instance numbers its work from one, so the fence makes it unique here.
+    work.id_ += work.fence_ << 40U;
+    const auto plainId = ParseNumber(aRequest.Header(kWorkHeader), aRequestNumber);
+    auto named = work;
+    named.id_ = plainId;
+    switch (state_.OnWork(Now(), work)) {
+      case StartVerdict::Refused:
+        aRespond(NotRun(named, "refused", 409));
+        return;
+      case StartVerdict::Shed:
+        aRespond(NotRun(named, "shed", 503));
+        return;
+      case StartVerdict::Expired:
+        aRespond(NotRun(named, "expired", 408));
+        return;
+      case StartVerdict::Started:
+        break;
+    }
+    const auto content = "key=" + aKey + " request=" + work.requestId_ +
+                         " body=" + std::to_string(HashKey(*aRequest.body_)) +
+                         " server=" + absl::GetFlag(FLAGS_server) + "\n";
+    auto timer = std::make_shared<boost::asio::steady_timer>(context_, ServiceTime());
+    running_[work.id_] = { timer, std::move(aRespond), aRequestNumber };
+    workOfRequest_[aRequestNumber] = work.id_;
+    timer->async_wait([this, work, named, content](boost::system::error_code aError) {
+      if (!aError) {
+        End(work, named, content);
+      }
+    });
+  }
+
+  Duration ServiceTime() const
+  {
+    const Duration usual(absl::GetFlag(FLAGS_service_time_us));
+    const bool isCold = Now() - startedAt_ < milliseconds(absl::GetFlag(FLAGS_cold_start_ms));
+    return isCold ? usual * kColdFactor : usual;
+  }
+
+  void End(const ServerWork& aWork, const ServerWork& aNamed, const std::string& aContent)
+  {
+    const auto running = std::move(running_.at(aWork.id_));
+    running_.erase(aWork.id_);
+    workOfRequest_.erase(running.request_);
+    if (!state_.Finish(Now(), aWork.id_)) {
+      running.respond_(NotRun(aNamed, "refused", 409));
+      return;
+    }
+    records_ << SerializeExecution(state_.Executions().back(), state_.MostRunning()) << std::endl;
+    auto response = MakeHttpResponse(200, aContent + filler_);
+    response.contentType_ = "text/plain";
+    response.headers_.emplace_back(kWorkHeader, std::to_string(aNamed.id_));
+    running.respond_(std::move(response));
+  }
+
+  void Cancel(std::uint64_t aPlainId, const HttpResponder& aRespond)
+  {
+    for (auto entry = running_.begin(); entry != running_.end(); ++entry) {
+      if ((entry->first & ((1ULL << 40U) - 1)) != aPlainId || !state_.Cancel(entry->first)) {
+        continue;
+      }
+      entry->second.timer_->cancel();
+      ServerWork named;
+      named.id_ = aPlainId;
+      entry->second.respond_(NotRun(named, "cancelled", 409));
+      workOfRequest_.erase(entry->second.request_);
+      running_.erase(entry);
+      break;
+    }
+    aRespond(MakeHttpResponse(200, "{}"));
+  }
+
+  // What the health page says is as old as the lag allows.
+  std::size_t LaggingRunning()
+  {
+    if (Now() - healthAt_ > milliseconds(absl::GetFlag(FLAGS_health_lag_ms))) {
+      healthAt_ = Now();
+      healthRunning_ = state_.Running();
+    }
+    return healthRunning_;
+  }
+
+  boost::asio::io_context& context_;
+  ServerState state_;
+  Instant startedAt_;
+  std::string filler_;
+  std::ofstream records_;
+  std::map<std::uint64_t, Running> running_;
+  std::map<std::uint64_t, std::uint64_t> workOfRequest_;
+  Instant healthAt_{ 0 };
+  std::size_t healthRunning_ = 0;
+};
+
+int
+Run()
+{
+  boost::asio::io_context context(1);
+  StandInServer handler(context);
+  HttpLimits limits;
+  limits.bodyBytes_ = 64 * 1024 * 1024;
+  const auto server = HttpServer::Create(context, absl::GetFlag(FLAGS_address), limits, handler);
+  if (!server) {
+    std::cerr << "stand-in-server: " << server.error().Describe() << '\n';
+    return 2;
+  }
+  boost::asio::signal_set signals(context, SIGTERM, SIGINT);
+  signals.async_wait([&](boost::system::error_code, int) { context.stop(); });
+  context.run();
+  return 0;
+}
+
+} // namespace
+
+} // namespace latchslip
+
+int
+main(int aCount, char** aArguments)
+{
+  absl::ParseCommandLine(aCount, aArguments);
+  return latchslip::Run();
+}
