--- a/Libraries/LibDispatch/GrantKeeper.cpp
+++ b/Libraries/LibDispatch/GrantKeeper.cpp
@@ -183,14 +183,17 @@
   }
 }
 
+bool
+GrantKeeper::IsUsable(Instant aNow) const
+{
+  return state_ == GrantState::Granted && aNow < usableUntil_;
+}
+
 bool
 GrantKeeper::MayDispatch(Instant aNow, KeyHash aHash) const
 {
-  if (state_ != GrantState::Granted || aNow >= usableUntil_) {
-    return false;
-  }
   // Granted by the server and still wished: a range on its way out gets no work.
-  return CoversHash(granted_, aHash) && CoversHash(wish_, aHash);
+  return IsUsable(aNow) && CoversHash(granted_, aHash) && CoversHash(wish_, aHash);
 }
 
 bool
--- a/Libraries/LibDispatch/GrantKeeper.h
+++ b/Libraries/LibDispatch/GrantKeeper.h
@@ -96,6 +96,9 @@
   // The placer has decided that the server keeps its slices after all.
   void Resume();
 
+  // Whether there is a grant under which any work may be sent now.
+  bool IsUsable(Instant aNow) const;
+
   // Whether work for the key may be sent now under this holder's fence.
   bool MayDispatch(Instant aNow, KeyHash aHash) const;
 
--- a/Libraries/LibInstance/DispatchDesk.cpp
+++ b/Libraries/LibInstance/DispatchDesk.cpp
@@ -464,7 +464,7 @@
 }
 
 void
-DispatchDesk::TurnAwayWaiting(Instant aNow, HeldServer& aHeld)
+DispatchDesk::TurnAwayWaiting(Instant aNow, HeldServer& aHeld, Reason aReason)
 {
   std::vector<WorkId> waiting;
   for (const auto& [id, work] : aHeld.works_) {
@@ -474,7 +474,7 @@
   }
   for (const auto id : waiting) {
     aHeld.queue_.Remove(id);
-    Answer(aNow, aHeld.works_.at(id), MakeNotRun(Reason::NotHolder, kOwnerChangeRetry));
+    Answer(aNow, aHeld.works_.at(id), MakeNotRun(aReason, kOwnerChangeRetry));
     Drop(aHeld, id);
   }
 }
@@ -510,7 +510,7 @@
   for (auto& [key, held] : held_) {
     if (!IsHolderInView(*held) && !held->isStopping_) {
       held->isStopping_ = true;
-      TurnAwayWaiting(aNow, *held);
+      TurnAwayWaiting(aNow, *held, Reason::NotHolder);
     }
   }
   LetGo(aNow);
@@ -623,6 +623,11 @@
                               "server=" + held->server_ +
                                 " fence=" + std::to_string(held->keeper_.CurrentFence()));
     }
+    if (!held->keeper_.IsUsable(aNow)) {
+      // Its slots may be taken by work that never answers, so those who wait
+      // would wait until their deadlines for a server that cannot serve them.
+      TurnAwayWaiting(aNow, *held, Reason::OwnerChanging);
+    }
     Pump(aNow, *held);
     Report(aNow, *held);
   }
--- a/Libraries/LibInstance/DispatchDesk.h
+++ b/Libraries/LibInstance/DispatchDesk.h
@@ -63,7 +63,7 @@
   void Drop(HeldServer& aHeld, WorkId aId);
   bool TryAgain(Instant aNow, HeldServer& aHeld, HeldWork& aWork);
   void Abandon(Instant aNow, HeldWork& aWork);
-  void TurnAwayWaiting(Instant aNow, HeldServer& aHeld);
+  void TurnAwayWaiting(Instant aNow, HeldServer& aHeld, Reason aReason);
   void PumpClaims(Instant aNow);
   void Report(Instant aNow, HeldServer& aHeld);
   void ReportStopped(Instant aNow);
--- a/Libraries/LibPlacement/Placer.cpp
+++ b/Libraries/LibPlacement/Placer.cpp
@@ -86,13 +86,7 @@
   known = aReport;
   if (aReport.hasLoad_) {
     auto& load = loads_[aReport.server_];
-    load.load_ = aReport.load_;
-    load.hottestKey_ = aReport.hottestKey_;
-    load.hottestLoad_ = aReport.hottestLoad_;
-    load.slices_.clear();
-    for (const auto& slice : aReport.slices_) {
-      load.slices_[slice.start_] = slice.load_;
-    }
+    load.Blend(aReport);
   }
 }
 
@@ -243,6 +237,7 @@
       aDraft.Note(Event::SliceMoved,
                   "slice=" + std::to_string(slice.start_) + " to=" + target.name_ +
                     " reason=released");
+      MoveLoad(loads_, slice.start_, aDraft.next_.servers_[slice.owner_].name_, target.name_);
       slice.owner_ = slice.next_;
       slice.next_ = kNoServer;
       ++aDraft.moved_;
@@ -307,7 +302,10 @@
     }
     const bool hasTarget =
       slice.IsMoving() && aDraft.next_.servers_[slice.next_].state_ == PlacedState::Active;
-    slice.owner_ = hasTarget ? slice.next_ : LeastLoaded(aDraft);
+    const auto heir = hasTarget ? slice.next_ : LeastLoaded(aDraft);
+    MoveLoad(
+      loads_, slice.start_, aDraft.next_.servers_[aLost].name_, aDraft.next_.servers_[heir].name_);
+    slice.owner_ = heir;
     slice.next_ = kNoServer;
     ++count;
   }
@@ -466,7 +464,8 @@
 Placer::EvenOutLoad(Draft& aDraft)
 {
   auto& placement = aDraft.next_;
-  for (const auto& move : ChooseMoves(placement, loads_, RebalancePolicy::Of(aDraft.profile_))) {
+  for (const auto& move : ChooseMoves(
+         placement, loads_, RebalancePolicy::Of(aDraft.profile_, aDraft.service_.slots_))) {
     auto index = placement.SliceIndexOf(move.start_);
     if (move.isSingleKey_) {
       if (move.start_ != std::numeric_limits<KeyHash>::max()) {
--- a/Libraries/LibPlacement/Placer.h
+++ b/Libraries/LibPlacement/Placer.h
@@ -104,7 +104,7 @@
                          const PlacedServer& aServer,
                          const ServerReport& aReport) const;
   const ServerReport* ReportOf(const PlacedServer& aServer) const;
-  static std::size_t GiveAway(Draft& aDraft, ServerIndex aLost);
+  std::size_t GiveAway(Draft& aDraft, ServerIndex aLost);
   static ServerIndex LeastLoaded(const Draft& aDraft);
 
   std::string service_;
--- a/Libraries/LibPlacement/Rebalancer.cpp
+++ b/Libraries/LibPlacement/Rebalancer.cpp
@@ -8,8 +8,12 @@
 
 namespace {
 
-// Below this many busy slots on the busiest server, evening out is not worth a move.
-constexpr double kNegligibleLoad = 0.05;
+// The share of a server's slots that must be busy before evening out is worth a
+// move.
+constexpr double kNegligibleShare = 0.2;
+// The weight of one report against all before it.
+constexpr double kReportGain = 0.4;
+constexpr double kForgottenLoad = 1e-4;
 
 // The loads while moves are being chosen.
 struct Balance
@@ -113,16 +117,55 @@
 
 } // namespace
 
+void
+ServerLoad::Blend(const ServerReport& aReport)
+{
+  const bool isFirst = slices_.empty() && load_ == 0;
+  const double gain = isFirst ? 1 : kReportGain;
+  const auto blend = [&](double& aKnown, double aNew) { aKnown += gain * (aNew - aKnown); };
+  blend(load_, aReport.load_);
+  // A slice that is not reported had no load, or has gone elsewhere.
+  for (auto& [start, load] : slices_) {
+    load *= 1 - gain;
+  }
+  for (const auto& slice : aReport.slices_) {
+    slices_[slice.start_] += gain * slice.load_;
+  }
+  std::erase_if(slices_, [](const auto& aSlice) { return aSlice.second < kForgottenLoad; });
+  if (aReport.hottestKey_ != hottestKey_) {
+    hottestKey_ = aReport.hottestKey_;
+    hottestLoad_ = 0;
+  }
+  blend(hottestLoad_, aReport.hottestLoad_);
+}
+
+void
+MoveLoad(LoadTable& aLoads, KeyHash aStart, const std::string& aFrom, const std::string& aTo)
+{
+  auto& from = aLoads[aFrom];
+  const auto slice = from.slices_.find(aStart);
+  if (slice == from.slices_.end()) {
+    return;
+  }
+  const double load = slice->second;
+  from.slices_.erase(slice);
+  from.load_ = std::max(0.0, from.load_ - load);
+  auto& to = aLoads[aTo];
+  to.slices_[aStart] += load;
+  to.load_ += load;
+}
+
 RebalancePolicy
-RebalancePolicy::Of(PlacementProfile aProfile)
+RebalancePolicy::Of(PlacementProfile aProfile, unsigned aSlots)
 {
+  const double leastLoad = kNegligibleShare * aSlots;
   switch (aProfile) {
     case PlacementProfile::ChurnFirst:
-      return { 0.14, 0.04, 2 };
+      return { 0.14, 0.04, 2, leastLoad };
     case PlacementProfile::UnavailabilityFirst:
       break;
   }
-  return { 0.10, 0.02, 6 };
+  return { 0.10, 0.02, 6, leastLoad };
 }
 
 std::vector<SliceMove>
@@ -137,7 +180,7 @@
   std::vector<KeyHash> taken;
   while (moves.size() < aPolicy.mostMoves_) {
     const auto from = balance.Busiest();
-    if (!from || balance.loads_[*from] < kNegligibleLoad ||
+    if (!from || balance.loads_[*from] < aPolicy.leastLoad_ ||
         balance.loads_[*from] <= mean * (1 + aPolicy.tolerance_)) {
       break;
     }
--- a/Libraries/LibPlacement/Rebalancer.h
+++ b/Libraries/LibPlacement/Rebalancer.h
@@ -17,19 +17,29 @@
   std::map<KeyHash, double> slices_;
   KeyHash hottestKey_ = 0;
   double hottestLoad_ = 0;
+
+  // Takes a report in. One report is a small sample, and moves made on its noise
+  // would be churn, so that older reports keep a weight.
+  void Blend(const ServerReport& aReport);
 };
 using LoadTable = std::map<std::string, ServerLoad>;
 
-// How eagerly load is evened out. A move pays when it takes at least
-// leastGain_ of the mean load off the busiest server; nothing moves while the
+// The load of a slice goes with it, before the next reports show that.
+void
+MoveLoad(LoadTable& aLoads, KeyHash aStart, const std::string& aFrom, const std::string& aTo);
+
+// How eagerly load is evened out. Below leastLoad_ busy slots on the busiest
+// server nothing waits anywhere, so that a move would be churn for nothing. A move pays when it
+// takes at least leastGain_ of the mean load off the busiest server; nothing moves while the
 // busiest is within tolerance_ of the mean.
 struct RebalancePolicy
 {
   double tolerance_ = 0;
   double leastGain_ = 0;
   std::size_t mostMoves_ = 0;
+  double leastLoad_ = 0;
 
-  static RebalancePolicy Of(PlacementProfile aProfile);
+  static RebalancePolicy Of(PlacementProfile aProfile, unsigned aSlots);
 };
 
 struct SliceMove
--- /dev/null
+++ b/Libraries/LibScenario/Invariants.cpp
@@ -0,0 +1,219 @@
+#include "LibScenario/Invariants.h"
+
+#include <algorithm>
+
+namespace latchslip {
+
+namespace {
+
+constexpr std::size_t kMostViolations = 20;
+// "A backend server that is leaving receives no new work after a few seconds."
+constexpr Duration kLeavingBound = seconds(3);
+
+bool
+Overlap(const std::vector<HashRange>& aLeft, const std::vector<HashRange>& aRight)
+{
+  return std::any_of(aLeft.begin(), aLeft.end(), [&](const HashRange& aOne) {
+    return std::any_of(aRight.begin(), aRight.end(), [&](const HashRange& aOther) {
+      return aOne.first <= aOther.second && aOther.first <= aOne.second;
+    });
+  });
+}
+
+} // namespace
+
+void
+Invariants::Violate(Instant aNow, const std::string& aWhat)
+{
+  if (violations_.size() < kMostViolations) {
+    violations_.push_back("at " + std::to_string(aNow.count()) + " us: " + aWhat);
+  }
+}
+
+void
+Invariants::OnGranted(Instant aNow,
+                      const std::string& aService,
+                      const std::string& aServer,
+                      Instant aUntil,
+                      const std::vector<HashRange>& aRanges)
+{
+  auto& grants = grants_[aService];
+  grants[aServer] = { aUntil, aRanges };
+  if (aUntil <= aNow) {
+    return;
+  }
+  for (const auto& [server, grant] : grants) {
+    if (server != aServer && grant.until_ > aNow && Overlap(grant.ranges_, aRanges)) {
+      Violate(aNow, "one-owner: " + server + " and " + aServer + " own the same keys");
+    }
+  }
+}
+
+void
+Invariants::OnServerLost(const std::string& aService, const std::string& aServer)
+{
+  grants_[aService].erase(aServer);
+  std::erase_if(running_[aService],
+                [&](const auto& aEntry) { return aEntry.second.server_ == aServer; });
+}
+
+void
+Invariants::OnWorkStarted(Instant aNow,
+                          const std::string& aService,
+                          const std::string& aServer,
+                          KeyHash aHash,
+                          std::uint64_t aWork)
+{
+  auto& running = running_[aService];
+  for (const auto& [id, other] : running) {
+    if (other.hash_ == aHash && other.server_ != aServer) {
+      Violate(aNow, "one-owner: " + other.server_ + " and " + aServer + " run work for one key");
+    }
+  }
+  running[{ aServer, aWork }] = { aServer, aHash };
+  const auto leaving = leavingSince_.find(aServer);
+  if (leaving != leavingSince_.end() && aNow - leaving->second > kLeavingBound) {
+    Violate(aNow, "leaving: " + aServer + " got new work after the bound");
+  }
+}
+
+void
+Invariants::OnWorkEnded(const std::string& aService,
+                        const std::string& aServer,
+                        std::uint64_t aWork)
+{
+  running_[aService].erase({ aServer, aWork });
+}
+
+void
+Invariants::CheckNotRun(Instant aNow, const std::string& aRequestId, const Request& aRequest)
+{
+  // With as many runs as there are sendings that were not told "not run", every
+  // "not run" can be true.
+  if (aRequest.executed_ > aRequest.sent_ - aRequest.notRun_) {
+    Violate(aNow, "not-run: " + aRequestId + " ran though its caller was told it had not");
+  }
+}
+
+void
+Invariants::OnExecuted(Instant aNow, const std::string& aRequestId)
+{
+  auto& request = requests_[aRequestId];
+  ++request.executed_;
+  if (!request.isRepeatable_) {
+    if (request.executed_ > 1) {
+      Violate(aNow, "at-most-once: " + aRequestId + " ran again");
+    }
+    CheckNotRun(aNow, aRequestId, request);
+  } else if (request.notRun_ == request.sent_) {
+    CheckNotRun(aNow, aRequestId, request);
+  }
+}
+
+void
+Invariants::OnSent(const std::string& aRequestId, bool aIsRepeatable)
+{
+  auto& request = requests_[aRequestId];
+  request.isRepeatable_ = aIsRepeatable;
+  ++request.sent_;
+}
+
+void
+Invariants::OnAnswered(Instant aNow,
+                       const std::string& aRequestId,
+                       const WorkAnswer& aAnswer,
+                       const std::string& aExpectedBody)
+{
+  auto& request = requests_[aRequestId];
+  ++request.answered_;
+  if (request.answered_ > request.sent_) {
+    Violate(aNow, "one-answer: " + aRequestId + " was answered more often than it was sent");
+  }
+  switch (aAnswer.outcome_) {
+    case RequestOutcome::Answered:
+      if (!aAnswer.body_ || *aAnswer.body_ != aExpectedBody) {
+        Violate(aNow, "own-answer: " + aRequestId + " got a wrong or partial answer");
+      }
+      if (request.executed_ == 0) {
+        Violate(aNow, "answered: " + aRequestId + " was answered but never ran");
+      }
+      break;
+    case RequestOutcome::NotRun:
+      ++request.notRun_;
+      if (!request.isRepeatable_ || request.notRun_ == request.sent_) {
+        CheckNotRun(aNow, aRequestId, request);
+      }
+      break;
+    case RequestOutcome::Unknown:
+      break;
+  }
+}
+
+void
+Invariants::OnConfirmed(RowVersion aRevision, const std::string& aToken)
+{
+  confirmed_[aRevision] = aToken;
+}
+
+void
+Invariants::OnStored(Instant aNow, RowVersion aRevision, const std::string& aToken)
+{
+  if (!confirmed_.empty() && aRevision < confirmed_.rbegin()->first) {
+    Violate(aNow, "confirmed: the stored configuration is older than a confirmed one");
+  }
+  const auto found = confirmed_.find(aRevision);
+  if (found != confirmed_.end() && found->second != aToken) {
+    Violate(aNow, "confirmed: another configuration stands under a confirmed revision");
+  }
+}
+
+void
+Invariants::OnRowStored(const std::string& aRowKey, RowVersion aVersion, const std::string& aToken)
+{
+  stored_[{ aRowKey, aVersion }] = aToken;
+}
+
+void
+Invariants::OnView(Instant aNow,
+                   const std::string& aInstance,
+                   const std::string& aRowKey,
+                   RowVersion aVersion,
+                   const std::string& aToken)
+{
+  auto& known = views_[{ aInstance, aRowKey }];
+  if (aVersion < known) {
+    Violate(aNow, "revert: " + aInstance + " went back to an older " + aRowKey);
+  }
+  if (aVersion == known) {
+    return;
+  }
+  known = aVersion;
+  const auto stored = stored_.find({ aRowKey, aVersion });
+  if (stored == stored_.end() || stored->second != aToken) {
+    Violate(aNow, "in-place: " + aInstance + " acts on a " + aRowKey + " that was never stored");
+  }
+}
+
+void
+Invariants::OnSlotsExceeded(Instant aNow, const std::string& aServer)
+{
+  Violate(aNow, "slots: " + aServer + " got more work at once than it has slots");
+}
+
+void
+Invariants::OnServerLeaving(Instant aNow, const std::string& aServer)
+{
+  leavingSince_.emplace(aServer, aNow);
+}
+
+void
+Invariants::OnCut(Instant aNow, const std::string& aInstance, std::size_t aInFlight)
+{
+  if (aInFlight > 0) {
+    Violate(aNow,
+            "cut: " + aInstance + " stopped with " + std::to_string(aInFlight) +
+              " requests in flight");
+  }
+}
+
+} // namespace latchslip
--- /dev/null
+++ b/Libraries/LibScenario/WorldNetwork.cpp
@@ -0,0 +1,422 @@
+#include "LibScenario/World.h"
+
+#include "LibScenario/WorldParts.h"
+
+#include <boost/json.hpp>
+
+namespace latchslip {
+
+namespace {
+
+constexpr std::uint64_t kLeastDelayMicros = 200;
+constexpr std::uint64_t kDelaySpreadMicros = 800;
+constexpr Duration kGrantTimeout = milliseconds(450);
+constexpr Duration kStoreTimeout = seconds(2);
+constexpr Duration kWorkSlack = seconds(1);
+
+} // namespace
+
+bool
+World::InstanceSide::SendToPeer(const InstanceId& aTo, const PeerMessage& aMessage)
+{
+  const std::string name(NameOfInstance(aTo));
+  const auto found = world_.instances_.find(name);
+  const bool hasLink = found != world_.instances_.end() && found->second->core_ &&
+                       found->second->core_->Members().Self() == aTo;
+  if (!hasLink) {
+    return false;
+  }
+  ++world_.controlMessages_;
+  const auto from = core_->Members().Self();
+  world_.Carry(name_, name, [&world = world_, name, from, aTo, aMessage] {
+    auto& peer = *world.instances_.at(name);
+    if (peer.core_->Members().Self() == aTo) {
+      peer.core_->OnPeerMessage(peer.Clock(), from, aMessage);
+    }
+  });
+  return true;
+}
+
+void
+World::InstanceSide::Record(Event aEvent, std::string_view)
+{
+  ++world_.eventCounts_[aEvent];
+}
+
+Duration
+World::NetworkDelay()
+{
+  return Duration(kLeastDelayMicros + random_() % kDelaySpreadMicros);
+}
+
+bool
+World::IsCut(const std::string& aOne, const std::string& aOther) const
+{
+  return cuts_.contains(std::minmax(aOne, aOther));
+}
+
+void
+World::Arrive(const std::string& aTo, std::function<void()> aAction)
+{
+  if (frozen_.contains(aTo)) {
+    waitingForThaw_[aTo].push_back(
+      [this, aTo, action = std::move(aAction)]() mutable { Arrive(aTo, std::move(action)); });
+    return;
+  }
+  const auto instance = instances_.find(aTo);
+  if (instance != instances_.end() && !instance->second->core_) {
+    return;
+  }
+  aAction();
+}
+
+void
+World::Carry(const std::string& aFrom, const std::string& aTo, std::function<void()> aAction)
+{
+  if (IsCut(aFrom, aTo)) {
+    heldUp_[{ aFrom, aTo }].push_back(std::move(aAction));
+    return;
+  }
+  // One way keeps its order, as TCP does.
+  auto& last = lastArrival_[{ aFrom, aTo }];
+  last = std::max(last, Now() + NetworkDelay());
+  queue_.At(last, [this, aFrom, aTo, action = std::move(aAction)]() mutable {
+    if (IsCut(aFrom, aTo)) {
+      heldUp_[{ aFrom, aTo }].push_back(std::move(action));
+      return;
+    }
+    Arrive(aTo, std::move(action));
+  });
+}
+
+void
+World::ConnectPeers(InstanceSide& aOne)
+{
+  for (auto& [name, other] : instances_) {
+    if (name == aOne.name_ || !other->core_) {
+      continue;
+    }
+    for (const auto& [from, to] :
+         { std::pair(&aOne, other.get()), std::pair(other.get(), &aOne) }) {
+      const auto peer = to->core_->Members().Self();
+      Carry(to->name_, from->name_, [from = from, peer, hall = to->hall_] {
+        from->core_->OnPeerUp(from->Clock(), peer, hall);
+      });
+    }
+  }
+}
+
+void
+World::RecordStored(const Transaction& aTransaction)
+{
+  for (const auto& write : aTransaction.writes_) {
+    const auto& row = table_.Rows().at(write.key_);
+    if (write.key_ == kConfigurationKey) {
+      const auto token = TokenOfConfigurationRow(write.value_);
+      invariants_.OnRowStored(write.key_, row.version_, token);
+      invariants_.OnStored(Now(), row.version_, token);
+    } else if (write.key_.starts_with(kPlacementPrefix)) {
+      invariants_.OnRowStored(
+        write.key_, row.version_, ParsePlacement(write.value_).value().token_);
+    }
+  }
+}
+
+void
+World::ServeStore(const std::string& aInstance,
+                  std::uint64_t aIncarnation,
+                  CallTag aTag,
+                  const StoreCall& aCall)
+{
+  StoreReply reply;
+  if (!storeFaults_.isOut_) {
+    reply = aCall.isRead_ ? table_.Read(aCall.stamps_) : table_.Apply(aCall.transaction_);
+    if (!aCall.isRead_ && reply.status_ == StoreStatus::Done) {
+      RecordStored(aCall.transaction_);
+    }
+    if (!aCall.isRead_ && storeFaults_.answersToLose_ > 0) {
+      --storeFaults_.answersToLose_;
+      reply = { StoreStatus::Unsure, {} };
+    }
+  }
+  Carry("store", aInstance, [this, aInstance, aIncarnation, aTag, reply] {
+    auto& instance = *instances_.at(aInstance);
+    if (instance.incarnation_ == aIncarnation) {
+      instance.core_->OnStoreReply(instance.Clock(), aTag, reply);
+    }
+  });
+}
+
+void
+World::CallStore(InstanceSide& aFrom, CallTag aTag, const StoreCall& aCall)
+{
+  const auto name = aFrom.name_;
+  const auto incarnation = aFrom.incarnation_;
+  Carry(name, "store", [this, name, incarnation, aTag, aCall] {
+    queue_.After(storeFaults_.delay_, [this, name, incarnation, aTag, aCall] {
+      ServeStore(name, incarnation, aTag, aCall);
+    });
+  });
+  // A call that is not answered in time counts as lost; a write may still happen.
+  queue_.After(kStoreTimeout, [this, name, incarnation, aTag, isRead = aCall.isRead_] {
+    Arrive(name, [this, name, incarnation, aTag, isRead] {
+      auto& instance = *instances_.at(name);
+      if (instance.incarnation_ == incarnation) {
+        const auto status = isRead ? StoreStatus::Unavailable : StoreStatus::Unsure;
+        instance.core_->OnStoreReply(instance.Clock(), aTag, { status, {} });
+      }
+    });
+  });
+}
+
+World::Server*
+World::FindServer(const std::string& aName)
+{
+  const auto found = servers_.find(aName);
+  return found == servers_.end() || !found->second->IsUp() ? nullptr : found->second.get();
+}
+
+void
+World::SendGrant(InstanceSide& aFrom, CallTag aTag, const GrantOrder& aOrder)
+{
+  const auto instance = aFrom.name_;
+  const auto incarnation = aFrom.incarnation_;
+  const auto sentAt = Now();
+  Carry(instance, aOrder.server_, [this, instance, incarnation, aTag, aOrder, sentAt] {
+    auto* server = FindServer(aOrder.server_);
+    if (server == nullptr) {
+      return;
+    }
+    const auto reply = server->state_->OnGrant(server->ToClock(Now()), aOrder);
+    if (reply.accepted_ && server->settings_.checksOrders_) {
+      const Instant until(aOrder.validUntil_);
+      invariants_.OnGranted(Now(),
+                            server->settings_.name_,
+                            server->name_,
+                            until - server->clockOffset_,
+                            aOrder.ranges_);
+    }
+    Carry(aOrder.server_, instance, [this, instance, incarnation, aTag, reply, sentAt] {
+      auto& side = *instances_.at(instance);
+      // The HTTP client has given up on an answer that comes later than this.
+      if (side.incarnation_ == incarnation && Now() - sentAt <= kGrantTimeout) {
+        side.core_->OnGrantReply(side.Clock(), aTag, reply);
+      }
+    });
+  });
+}
+
+void
+World::ReplyWork(const std::string& aServer,
+                 const std::string& aInstance,
+                 std::uint64_t aIncarnation,
+                 WorkId aId,
+                 const WorkReply& aReply)
+{
+  Carry(aServer, aInstance, [this, aInstance, aIncarnation, aId, aReply] {
+    auto& instance = *instances_.at(aInstance);
+    if (instance.incarnation_ == aIncarnation && instance.serverOfWork_.erase(aId) != 0) {
+      instance.core_->OnWorkReply(instance.Clock(), aId, aReply);
+    }
+  });
+}
+
+void
+World::SendWork(InstanceSide& aFrom, const WorkOrder& aOrder)
+{
+  const auto instance = aFrom.name_;
+  const auto incarnation = aFrom.incarnation_;
+  aFrom.serverOfWork_[aOrder.id_] = aOrder.server_;
+  const auto& server = *servers_.at(aOrder.server_);
+  if (!server.IsUp() && !server.isSilent_) {
+    WorkReply refused;
+    refused.end_ = WorkEnd::NotSent;
+    ReplyWork(aOrder.server_, instance, incarnation, aOrder.id_, refused);
+    return;
+  }
+  Carry(instance, aOrder.server_, [this, instance, incarnation, aOrder] {
+    ServeWork(instance, incarnation, aOrder);
+  });
+  const auto timeout = aOrder.request_.deadline_ - aFrom.Clock() + kWorkSlack;
+  queue_.After(timeout, [this, instance, incarnation, id = aOrder.id_] {
+    Arrive(instance, [this, instance, incarnation, id] {
+      auto& side = *instances_.at(instance);
+      if (side.incarnation_ == incarnation && side.serverOfWork_.erase(id) != 0) {
+        side.core_->OnWorkReply(side.Clock(), id, WorkReply{});
+      }
+    });
+  });
+}
+
+void
+World::ServeWork(const std::string& aInstance, std::uint64_t aIncarnation, const WorkOrder& aOrder)
+{
+  auto* server = FindServer(aOrder.server_);
+  if (server == nullptr) {
+    return;
+  }
+  ServerWork work;
+  work.id_ = ++server->nextWork_;
+  work.requestId_ = aOrder.request_.requestId_;
+  work.group_ = aOrder.request_.group_;
+  work.hash_ = aOrder.hash_;
+  work.fence_ = aOrder.fence_;
+  work.validUntil_ = aOrder.validUntil_;
+  const auto exceeded = server->state_->SlotsExceeded();
+  WorkReply reply;
+  switch (server->state_->OnWork(server->ToClock(Now()), work)) {
+    case StartVerdict::Refused:
+      reply.end_ = WorkEnd::Refused;
+      break;
+    case StartVerdict::Shed:
+      reply.end_ = WorkEnd::Shed;
+      break;
+    case StartVerdict::Expired:
+      reply.end_ = WorkEnd::Expired;
+      break;
+    case StartVerdict::Started:
+      invariants_.OnWorkStarted(
+        Now(), server->settings_.name_, server->name_, aOrder.hash_, work.id_);
+      server->workByOrder_[aOrder.id_] = work.id_;
+      queue_.After(server->settings_.time_,
+                   [this,
+                    name = server->name_,
+                    boot = server->boot_,
+                    aInstance,
+                    aIncarnation,
+                    aOrder,
+                    id = work.id_] {
+                     Arrive(name, [this, name, boot, aInstance, aIncarnation, aOrder, id] {
+                       EndWork(*servers_.at(name), aInstance, aIncarnation, aOrder, boot, id);
+                     });
+                   });
+      return;
+  }
+  if (server->state_->SlotsExceeded() != exceeded) {
+    invariants_.OnSlotsExceeded(Now(), server->name_);
+  }
+  ReplyWork(aOrder.server_, aInstance, aIncarnation, aOrder.id_, reply);
+}
+
+void
+World::EndWork(Server& aServer,
+               const std::string& aInstance,
+               std::uint64_t aIncarnation,
+               const WorkOrder& aOrder,
+               std::uint64_t aBoot,
+               std::uint64_t aWork)
+{
+  if (!aServer.IsUp() || aServer.boot_ != aBoot) {
+    return;
+  }
+  const bool isRunning = aServer.workByOrder_.erase(aOrder.id_) != 0;
+  invariants_.OnWorkEnded(aServer.settings_.name_, aServer.name_, aWork);
+  if (!isRunning) {
+    return;
+  }
+  WorkReply reply;
+  reply.end_ = WorkEnd::Refused;
+  if (aServer.state_->Finish(aServer.ToClock(Now()), aWork)) {
+    invariants_.OnExecuted(Now(), aOrder.request_.requestId_);
+    busy_[aServer.name_] += aServer.settings_.time_;
+    ++executedByGroup_[{ aServer.settings_.name_, aOrder.request_.group_ }];
+    reply.end_ = WorkEnd::Answered;
+    reply.status_ = 200;
+    reply.body_ = std::make_shared<const std::string>(
+      ExpectedBody(aOrder.request_.requestId_, aOrder.request_.key_));
+  }
+  ReplyWork(aServer.name_, aInstance, aIncarnation, aOrder.id_, reply);
+}
+
+void
+World::CancelWork(InstanceSide& aFrom, WorkId aId)
+{
+  const auto found = aFrom.serverOfWork_.find(aId);
+  if (found == aFrom.serverOfWork_.end()) {
+    return;
+  }
+  const auto instance = aFrom.name_;
+  const auto incarnation = aFrom.incarnation_;
+  const auto name = found->second;
+  Carry(instance, name, [this, instance, incarnation, name, aId] {
+    auto* server = FindServer(name);
+    if (server == nullptr) {
+      return;
+    }
+    const auto running = server->workByOrder_.find(aId);
+    if (running == server->workByOrder_.end() || !server->state_->Cancel(running->second)) {
+      return;
+    }
+    invariants_.OnWorkEnded(server->settings_.name_, name, running->second);
+    server->workByOrder_.erase(running);
+    WorkReply reply;
+    reply.end_ = WorkEnd::Cancelled;
+    ReplyWork(name, instance, incarnation, aId, reply);
+  });
+}
+
+std::string
+World::ExpectedBody(const std::string& aRequestId, const std::string& aKey) const
+{
+  return "answer to " + aRequestId + " for " + aKey;
+}
+
+void
+World::OnCallerAnswer(InstanceSide&, CallerId aCaller, const WorkAnswer& aAnswer)
+{
+  const auto found = callers_.find(aCaller);
+  if (found == callers_.end()) {
+    return;
+  }
+  const auto caller = found->second;
+  callers_.erase(found);
+  invariants_.OnAnswered(
+    Now(), caller.requestId_, aAnswer, ExpectedBody(caller.requestId_, caller.key_));
+  outcomes_[caller.requestId_] = { aAnswer.outcome_, aAnswer.reason_ };
+  switch (aAnswer.outcome_) {
+    case RequestOutcome::Answered: {
+      ++counts_.answered_;
+      const auto [gap, isNew] =
+        gaps_[caller.service_].emplace(caller.key_, std::pair(Now(), Duration{ 0 }));
+      if (!isNew) {
+        gap->second.second = std::max(gap->second.second, Now() - gap->second.first);
+        gap->second.first = Now();
+      }
+      break;
+    }
+    case RequestOutcome::NotRun:
+      ++counts_.notRun_;
+      break;
+    case RequestOutcome::Unknown:
+      ++counts_.unknown_;
+      break;
+  }
+}
+
+void
+World::OnOperatorAnswer(OperatorId aOperator, const OperatorAnswer& aAnswer)
+{
+  const auto found = planOfOperator_.find(aOperator);
+  if (found == planOfOperator_.end()) {
+    return;
+  }
+  const auto space = found->second.find(' ');
+  auto& confirmation = confirmations_[found->second.substr(space + 1)];
+  if (found->second.starts_with("plan")) {
+    confirmation.plan_ = aAnswer.body_;
+    return;
+  }
+  confirmation.status_ = aAnswer.status_;
+  confirmation.answer_ = aAnswer.body_;
+  confirmation.answeredAt_ = Now();
+  if (aAnswer.status_ == 200) {
+    const auto body = boost::json::parse(aAnswer.body_).get_object();
+    const auto revision = body.at("revision").to_number<RowVersion>();
+    const auto& row = table_.Rows().at(std::string(kConfigurationKey));
+    if (row.version_ == revision) {
+      invariants_.OnConfirmed(revision, TokenOfConfigurationRow(row.value_));
+    }
+  }
+}
+
+} // namespace latchslip
--- /dev/null
+++ b/Libraries/LibScenario/WorldParts.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "LibScenario/World.h"
+
+namespace latchslip {
+
+// One instance of a scenario: the real core, and an outbox that carries its
+// actions out on the fakes.
+class World::InstanceSide
+  : public Outbox
+  , public EventSink
+{
+public:
+  InstanceSide(World& aWorld, std::string aName, std::string aHall, Duration aClockOffset)
+    : world_(aWorld)
+    , name_(std::move(aName))
+    , hall_(std::move(aHall))
+    , clockOffset_(aClockOffset)
+  {
+  }
+
+  // The instance's own clock, which runs apart from all others.
+  Instant Clock() const { return world_.Now() + clockOffset_; }
+
+  bool SendToPeer(const InstanceId& aTo, const PeerMessage& aMessage) override;
+  void CallStore(CallTag aTag, const StoreCall& aCall) override
+  {
+    world_.CallStore(*this, aTag, aCall);
+  }
+  void SendGrant(CallTag aTag, const std::string&, const GrantOrder& aOrder) override
+  {
+    world_.SendGrant(*this, aTag, aOrder);
+  }
+  void SendWork(const WorkOrder& aOrder) override { world_.SendWork(*this, aOrder); }
+  void CancelWork(WorkId aId) override { world_.CancelWork(*this, aId); }
+  void AnswerCaller(CallerId aCaller, const WorkAnswer& aAnswer) override
+  {
+    world_.OnCallerAnswer(*this, aCaller, aAnswer);
+  }
+  void AnswerOperator(OperatorId aOperator, const OperatorAnswer& aAnswer) override
+  {
+    world_.OnOperatorAnswer(aOperator, aAnswer);
+  }
+  void Record(Event aEvent, std::string_view aDetail) override;
+
+  World& world_;
+  std::string name_;
+  std::string hall_;
+  Duration clockOffset_;
+  std::uint64_t incarnation_ = 0;
+  std::unique_ptr<InstanceCore> core_;
+  // The way to each server that work in flight takes, to be cancelled by.
+  std::map<WorkId, std::string> serverOfWork_;
+  bool isLeaving_ = false;
+  bool isStopped_ = false;
+};
+
+struct World::Server
+{
+  std::string name_;
+  ServiceSettings settings_;
+  std::string hall_;
+  Duration clockOffset_{ 0 };
+  std::uint64_t boot_ = 0;
+  std::unique_ptr<ServerState> state_;
+  // Gone without a trace: connections hang instead of breaking.
+  bool isSilent_ = false;
+  std::uint64_t nextWork_ = 0;
+  std::map<WorkId, std::uint64_t> workByOrder_;
+
+  bool IsUp() const { return state_ != nullptr; }
+  Instant ToClock(Instant aNow) const { return aNow + clockOffset_; }
+};
+
+} // namespace latchslip
