LibInstance: Keep keys of a server that checks nothing until its work has ended

No term can stop such work, so the holder now withholds its report until the work has ended, the process refuses connections, or an operator removes the server.

Ruled out: a deadline on the work, which the server only checks at its start.

--- a/Libraries/LibDaemon/InstanceHost.cpp
+++ b/Libraries/LibDaemon/InstanceHost.cpp
@@ -304,6 +304,9 @@
 {
   serverClient_->Send(
     aAddress, MakeGrantRequest(aOrder), kGrantTimeout, [this, aTag](const HttpExchange& aExchange) {
+      if (aExchange.isRefused_) {
+        core_.OnConnectionRefused(Now(), aTag);
+      }
       if (aExchange.end_ != ExchangeEnd::Complete || aExchange.response_.status_ != 200) {
         return;
       }
--- a/Libraries/LibInstance/DispatchDesk.cpp
+++ b/Libraries/LibInstance/DispatchDesk.cpp
@@ -358,19 +358,58 @@
       "server=" + held.server_ + " fence=" + std::to_string(held.keeper_.CurrentFence()) +
         " state=" + std::string(kGrantStateNames.NameOf(held.keeper_.State())));
   }
+  held.isRefused_ = false;
   held.queue_.SetForeign(held.keeper_.ForeignRunning());
+  SettleAbandoned(held, order.sentAt_);
+  Report(aNow, held);
+  Pump(aNow, held);
+}
+
+void
+DispatchDesk::SettleAbandoned(HeldServer& aHeld, Instant aOrderSentAt)
+{
   std::vector<WorkId> settled;
-  for (const auto& [id, work] : held.works_) {
-    if (work.phase_ == HeldWork::Phase::Abandoned && order.sentAt_ > work.abandonedAt_) {
+  for (const auto& [id, work] : aHeld.works_) {
+    if (work.phase_ == HeldWork::Phase::Abandoned && aOrderSentAt > work.abandonedAt_) {
       settled.push_back(id);
     }
   }
   for (const auto id : settled) {
-    held.queue_.Finish(id, Duration{ 0 });
-    Drop(held, id);
+    aHeld.queue_.Finish(id, Duration{ 0 });
+    Drop(aHeld, id);
   }
-  Report(aNow, held);
-  Pump(aNow, held);
+}
+
+void
+DispatchDesk::OnConnectionRefused(Instant aNow, CallTag aTag)
+{
+  const auto found = orders_.find(aTag);
+  if (found == orders_.end()) {
+    return;
+  }
+  const auto order = std::move(found->second);
+  orders_.erase(found);
+  const auto entry = held_.find(order.key_);
+  if (entry != held_.end()) {
+    entry->second->isRefused_ = true;
+    SettleAbandoned(*entry->second, order.sentAt_);
+    Report(aNow, *entry->second);
+  }
+}
+
+bool
+DispatchDesk::IsCertainlyWithheld(const HeldServer& aHeld) const
+{
+  if (aHeld.keeper_.State() != GrantState::Withheld) {
+    return false;
+  }
+  // A server that checks drops what it runs once its grant has run out. The
+  // others would finish it, however long they were frozen, so that their keys
+  // must not move before it has ended or the process is known to be gone.
+  const auto* service = context_.view_.Configuration().FindService(aHeld.service_);
+  const bool isDeclared = service != nullptr && service->FindServer(aHeld.server_) != nullptr;
+  return aHeld.checksOrders_ || aHeld.isRefused_ || !isDeclared ||
+         (aHeld.keeper_.IsConfirmed() && !aHeld.MayHaveWork());
 }
 
 void
@@ -581,7 +620,7 @@
   }
   const auto& last = aHeld.lastReport_;
   const bool isLoadDue = aNow - aHeld.loadReportedAt_ >= context_.timing_.reportInterval_;
-  const bool isWithheld = aHeld.keeper_.State() == GrantState::Withheld;
+  const bool isWithheld = IsCertainlyWithheld(aHeld);
   const bool isRepeatDue = isWithheld && aNow - aHeld.reportedAt_ >= context_.timing_.reportRepeat_;
   const bool isReleaseNews = aHeld.keeper_.ReleasedVersion() == placed->version_ &&
                              last.releasedVersion_ != placed->version_ &&
@@ -594,6 +633,7 @@
     return;
   }
   auto report = aHeld.ComposeReport(aNow, context_.membership_.Self(), placed->placement_, *index);
+  report.isWithheld_ = isWithheld;
   if (isLoadDue) {
     aHeld.meter_.Fill(aNow - aHeld.loadReportedAt_, report);
     aHeld.loadReportedAt_ = aNow;
--- a/Libraries/LibInstance/DispatchDesk.h
+++ b/Libraries/LibInstance/DispatchDesk.h
@@ -32,6 +32,7 @@
 
   void OnWorkReply(Instant aNow, WorkId aId, const WorkReply& aReply);
   void OnGrantReply(Instant aNow, CallTag aTag, const GrantReply& aReply);
+  void OnConnectionRefused(Instant aNow, CallTag aTag);
   // False when the tag belongs to another part of the instance.
   bool OnStoreReply(Instant aNow, CallTag aTag, const StoreReply& aReply);
   void OnResume(const ResumeOrder& aOrder);
@@ -64,6 +65,8 @@
   bool TryAgain(Instant aNow, HeldServer& aHeld, HeldWork& aWork);
   void Abandon(Instant aNow, HeldWork& aWork);
   void TurnAwayWaiting(Instant aNow, HeldServer& aHeld, Reason aReason);
+  void SettleAbandoned(HeldServer& aHeld, Instant aOrderSentAt);
+  bool IsCertainlyWithheld(const HeldServer& aHeld) const;
   void PumpClaims(Instant aNow);
   void Report(Instant aNow, HeldServer& aHeld);
   void ReportStopped(Instant aNow);
--- a/Libraries/LibInstance/HeldServer.cpp
+++ b/Libraries/LibInstance/HeldServer.cpp
@@ -69,6 +69,16 @@
                   server.unsettled_.empty());
 }
 
+bool
+HeldServer::MayHaveWork() const
+{
+  return keeper_.ForeignRunning() > 0 ||
+         std::any_of(works_.begin(), works_.end(), [](const auto& aEntry) {
+           const auto phase = aEntry.second.phase_;
+           return phase == HeldWork::Phase::Running || phase == HeldWork::Phase::Abandoned;
+         });
+}
+
 bool
 HeldServer::HasWorkOutside(const Placement& aPlacement, ServerIndex aIndex) const
 {
@@ -95,7 +105,6 @@
   report.fence_ = keeper_.CurrentFence();
   report.sequence_ = ++reportSequence_;
   report.isReachable_ = keeper_.IsReachable(aNow);
-  report.isWithheld_ = keeper_.State() == GrantState::Withheld;
   report.isUnconfirmed_ = !keeper_.IsConfirmed();
   if (!HasWorkOutside(aPlacement, aIndex)) {
     report.releasedVersion_ = keeper_.ReleasedVersion();
--- a/Libraries/LibInstance/HeldServer.h
+++ b/Libraries/LibInstance/HeldServer.h
@@ -58,6 +58,9 @@
   // Takes what the newest placement says of this server.
   void FollowPlacement(const PlacedService& aPlaced, ServerIndex aIndex);
 
+  // Whether work that was sent may still be running at the server.
+  bool MayHaveWork() const;
+
   // Work whose key is in none of the wished ranges and that has not ended.
   bool HasWorkOutside(const Placement& aPlacement, ServerIndex aIndex) const;
 
@@ -77,6 +80,8 @@
   std::map<WorkId, HeldWork> works_;
   // Set once the placement names another holder; ends when the work has.
   bool isStopping_ = false;
+  // The last attempt to reach the server found no process listening.
+  bool isRefused_ = false;
 
   Instant reportedAt_{ 0 };
   Instant loadReportedAt_{ 0 };
--- a/Libraries/LibInstance/InstanceCore.h
+++ b/Libraries/LibInstance/InstanceCore.h
@@ -37,6 +37,11 @@
 
   void OnStoreReply(Instant aNow, CallTag aTag, const StoreReply& aReply);
   void OnGrantReply(Instant aNow, CallTag aTag, const GrantReply& aReply);
+  // The server's host answered that nothing listens there: the process is gone.
+  void OnConnectionRefused(Instant aNow, CallTag aTag)
+  {
+    dispatch_.OnConnectionRefused(aNow, aTag);
+  }
   void OnWorkReply(Instant aNow, WorkId aId, const WorkReply& aReply);
 
   void OnPlan(Instant aNow, OperatorId aOperator, const std::string& aDeclaration);
--- a/Libraries/LibInstance/Outbox.h
+++ b/Libraries/LibInstance/Outbox.h
@@ -30,7 +30,8 @@
   virtual bool SendToPeer(const InstanceId& aTo, const PeerMessage& aMessage) = 0;
   // Answered by OnStoreReply with the same tag.
   virtual void CallStore(CallTag aTag, const StoreCall& aCall) = 0;
-  // Answered by OnGrantReply with the same tag, or not at all.
+  // Answered by OnGrantReply or OnConnectionRefused with the same tag, or not
+  // at all.
   virtual void SendGrant(CallTag aTag, const std::string& aAddress, const GrantOrder& aOrder) = 0;
   // Always answered by OnWorkReply.
   virtual void SendWork(const WorkOrder& aOrder) = 0;
--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -84,7 +84,7 @@
   void OnConnected(error_code aError)
   {
     if (aError) {
-      End(ExchangeEnd::NotSent, aError.message());
+      End(ExchangeEnd::NotSent, aError.message(), aError == asio::error::connection_refused);
       return;
     }
     isConnected_ = true;
@@ -138,12 +138,13 @@
     Finish(std::move(exchange));
   }
 
-  void End(ExchangeEnd aEnd, std::string aProblem)
+  void End(ExchangeEnd aEnd, std::string aProblem, bool aIsRefused = false)
   {
     stream_.close();
     HttpExchange exchange;
     exchange.end_ = aEnd;
     exchange.problem_ = std::move(aProblem);
+    exchange.isRefused_ = aIsRefused;
     Finish(std::move(exchange));
   }
 
@@ -227,7 +228,7 @@
   void Fail(HttpCallback aCallback, std::string aProblem)
   {
     asio::post(context_, [callback = std::move(aCallback), problem = std::move(aProblem)] {
-      callback({ ExchangeEnd::NotSent, {}, problem });
+      callback({ ExchangeEnd::NotSent, {}, problem, false });
     });
   }
 
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -25,6 +25,8 @@
   ExchangeEnd end_ = ExchangeEnd::Broken;
   HttpResponse response_;
   std::string problem_;
+  // The host answered that nothing listens at the address.
+  bool isRefused_ = false;
 };
 
 using HttpCallback = std::function<void(HttpExchange)>;
--- a/Libraries/LibScenario/Invariants.cpp
+++ b/Libraries/LibScenario/Invariants.cpp
@@ -61,12 +61,13 @@
 Invariants::OnWorkStarted(Instant aNow,
                           const std::string& aService,
                           const std::string& aServer,
+                          bool aChecksOrders,
                           KeyHash aHash,
                           std::uint64_t aWork)
 {
   auto& running = running_[aService];
   for (const auto& [id, other] : running) {
-    if (other.hash_ == aHash && other.server_ != aServer) {
+    if (!aChecksOrders && other.hash_ == aHash && other.server_ != aServer) {
       Violate(aNow, "one-owner: " + other.server_ + " and " + aServer + " run work for one key");
     }
   }
--- a/Libraries/LibScenario/Invariants.h
+++ b/Libraries/LibScenario/Invariants.h
@@ -25,9 +25,12 @@
                  const std::vector<HashRange>& aRanges);
   void OnServerLost(const std::string& aService, const std::string& aServer);
 
+  // A server that checks drops, without effect, work whose grant ran out while
+  // it ran; only servers that do not check must never run one key side by side.
   void OnWorkStarted(Instant aNow,
                      const std::string& aService,
                      const std::string& aServer,
+                     bool aChecksOrders,
                      KeyHash aHash,
                      std::uint64_t aWork);
   void OnWorkEnded(const std::string& aService, const std::string& aServer, std::uint64_t aWork);
--- a/Libraries/LibScenario/WorldNetwork.cpp
+++ b/Libraries/LibScenario/WorldNetwork.cpp
@@ -185,6 +185,7 @@
   Carry(instance, aOrder.server_, [this, instance, incarnation, aTag, aOrder, sentAt] {
     auto* server = FindServer(aOrder.server_);
     if (server == nullptr) {
+      RefuseConnection(aOrder.server_, instance, incarnation, aTag);
       return;
     }
     const auto reply = server->state_->OnGrant(server->ToClock(Now()), aOrder);
@@ -206,6 +207,23 @@
   });
 }
 
+void
+World::RefuseConnection(const std::string& aServer,
+                        const std::string& aInstance,
+                        std::uint64_t aIncarnation,
+                        CallTag aTag)
+{
+  if (servers_.at(aServer)->isSilent_) {
+    return;
+  }
+  Carry(aServer, aInstance, [this, aInstance, aIncarnation, aTag] {
+    auto& side = *instances_.at(aInstance);
+    if (side.incarnation_ == aIncarnation) {
+      side.core_->OnConnectionRefused(side.Clock(), aTag);
+    }
+  });
+}
+
 void
 World::ReplyWork(const std::string& aServer,
                  const std::string& aInstance,
@@ -276,7 +294,7 @@
       break;
     case StartVerdict::Started:
       invariants_.OnWorkStarted(
-        Now(), server->settings_.name_, server->name_, aOrder.hash_, work.id_);
+        Now(), server->settings_.name_, server->name_, server->settings_.checksOrders_, aOrder.hash_, work.id_);
       server->workByOrder_[aOrder.id_] = work.id_;
       queue_.After(server->settings_.time_,
                    [this,
--- a/Meta/latchslip.sh
+++ b/Meta/latchslip.sh
@@ -35,7 +35,7 @@
   test)
     install_missing
     build
-    exec ctest --test-dir Build --output-on-failure
+    exec ctest --test-dir Build --output-on-failure -j "$(nproc)"
     ;;
   build)
     install_missing
