Tests: Prove the parts one by one

Cause: the scenarios drive the whole; a newcomer needs each part's rules by themselves, and bad input needs tests of its own.

Found by them and mended here: keys and ids with a zero byte were cut off on the way between instances (setKey took a C string), so the holder would have hashed another key; an event that nothing records stood in the catalogue.

--- a/Libraries/LibBase/Event.cpp
+++ b/Libraries/LibBase/Event.cpp
@@ -36,7 +36,6 @@
   EventName{ Event::GrantAcknowledged, "GrantAcknowledged" },
   EventName{ Event::GrantRefused, "GrantRefused" },
   EventName{ Event::GrantExpired, "GrantExpired" },
-  EventName{ Event::GrantReleased, "GrantReleased" },
   EventName{ Event::GrantResumed, "GrantResumed" },
   EventName{ Event::RequestRouted, "RequestRouted" },
   EventName{ Event::RequestForwarded, "RequestForwarded" },
--- a/Libraries/LibBase/Event.h
+++ b/Libraries/LibBase/Event.h
@@ -38,7 +38,6 @@
   GrantAcknowledged = 300,
   GrantRefused = 301,
   GrantExpired = 302,
-  GrantReleased = 303,
   GrantResumed = 304,
   RequestRouted = 400,
   RequestForwarded = 401,
--- a/Libraries/LibDaemon/Settings.cpp
+++ b/Libraries/LibDaemon/Settings.cpp
@@ -6,7 +6,6 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/reflection.h>
-#include <absl/flags/usage.h>
 #include <absl/strings/escaping.h>
 
 ABSL_FLAG(std::string, instance_name, "", "Name of this instance, as the platform's list has it.");
@@ -292,8 +291,6 @@
 FieldResult<DaemonSettings>
 ReadDaemonSettings(int aCount, char** aArguments)
 {
-  absl::SetProgramUsageMessage("latchslipd: one entry instance of latchslip. docs/SETTINGS.md "
-                               "lists the settings; --check_settings checks them and exits.");
   BOOST_OUTCOME_TRY(ApplyEnvironment(FlagNames()));
   const auto rest = absl::ParseCommandLine(aCount, aArguments);
   if (rest.size() > 1) {
--- a/Libraries/LibNet/PeerCodec.cpp
+++ b/Libraries/LibNet/PeerCodec.cpp
@@ -19,6 +19,13 @@
   return { reinterpret_cast<const kj::byte*>(aText.data()), aText.size() };
 }
 
+// With its length, since a key may hold any byte.
+kj::StringPtr
+ToText(const std::string& aText)
+{
+  return { aText.c_str(), aText.size() };
+}
+
 std::string
 FromData(capnp::Data::Reader aData)
 {
@@ -50,7 +57,7 @@
 Write(wire::Message::Builder aOut, const Suspicion& aMessage)
 {
   auto out = aOut.initSuspicion();
-  out.setTarget(aMessage.target_);
+  out.setTarget(ToText(aMessage.target_));
   out.setSuspected(aMessage.isSuspected_);
 }
 
@@ -59,7 +66,7 @@
 {
   auto out = aOut.initViewStamps(static_cast<unsigned>(aMessage.stamps_.size()));
   for (unsigned index = 0; index < out.size(); ++index) {
-    out[index].setKey(aMessage.stamps_[index].key_);
+    out[index].setKey(ToText(aMessage.stamps_[index].key_));
     out[index].setVersion(aMessage.stamps_[index].version_);
   }
 }
@@ -69,9 +76,9 @@
 {
   auto out = aOut.initViewRows(static_cast<unsigned>(aMessage.rows_.size()));
   for (unsigned index = 0; index < out.size(); ++index) {
-    out[index].setKey(aMessage.rows_[index].key_);
+    out[index].setKey(ToText(aMessage.rows_[index].key_));
     out[index].setVersion(aMessage.rows_[index].version_);
-    out[index].setValue(aMessage.rows_[index].value_);
+    out[index].setValue(ToText(aMessage.rows_[index].value_));
   }
 }
 
@@ -87,10 +94,10 @@
   auto out = aOut.initRequest();
   const auto& request = aMessage.request_;
   out.setId(aMessage.id_);
-  out.setService(request.service_);
-  out.setGroup(request.group_);
-  out.setKey(request.key_);
-  out.setRequestId(request.requestId_);
+  out.setService(ToText(request.service_));
+  out.setGroup(ToText(request.group_));
+  out.setKey(ToText(request.key_));
+  out.setRequestId(ToText(request.requestId_));
   out.setRepeatable(request.isRepeatable_);
   out.setRemainingMicros(request.deadline_.count());
   if (request.body_) {
@@ -108,8 +115,8 @@
   out.setReason(static_cast<std::uint8_t>(answer.reason_));
   out.setStatus(static_cast<std::uint16_t>(answer.status_));
   out.setRetryAfterMicros(answer.retryAfter_.count());
-  out.setContentType(answer.contentType_);
-  out.setDetail(answer.detail_);
+  out.setContentType(ToText(answer.contentType_));
+  out.setDetail(ToText(answer.detail_));
   if (answer.body_) {
     out.setBody(ToData(*answer.body_));
   }
@@ -125,9 +132,9 @@
 Write(wire::Message::Builder aOut, const ServerReport& aMessage)
 {
   auto out = aOut.initReport();
-  out.setService(aMessage.service_);
-  out.setServer(aMessage.server_);
-  out.setHolder(aMessage.holder_);
+  out.setService(ToText(aMessage.service_));
+  out.setServer(ToText(aMessage.server_));
+  out.setHolder(ToText(aMessage.holder_));
   out.setFence(aMessage.fence_);
   out.setSequence(aMessage.sequence_);
   out.setReleasedVersion(aMessage.releasedVersion_);
@@ -150,8 +157,8 @@
 Write(wire::Message::Builder aOut, const ResumeOrder& aMessage)
 {
   auto out = aOut.initResume();
-  out.setService(aMessage.service_);
-  out.setServer(aMessage.server_);
+  out.setService(ToText(aMessage.service_));
+  out.setServer(ToText(aMessage.server_));
   out.setFence(aMessage.fence_);
   out.setSequence(aMessage.sequence_);
 }
@@ -172,8 +179,8 @@
 Write(wire::Message::Builder aOut, const PeerHello& aMessage)
 {
   auto out = aOut.initHello();
-  out.setId(aMessage.id_);
-  out.setHall(aMessage.hall_);
+  out.setId(ToText(aMessage.id_));
+  out.setHall(ToText(aMessage.hall_));
   out.setNonce(ToData(aMessage.nonce_));
   out.setProof(ToData(aMessage.proof_));
 }
--- /dev/null
+++ b/Meta/check-mutants.sh
@@ -0,0 +1,42 @@
+#!/usr/bin/env bash
+# Shows that the scenarios can fail: removes one mechanism at a time from a copy of
+# the code and runs them. Exits non-zero when a mutant is not caught.
+# Usage: Meta/check-mutants.sh [NAME...]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+copy=$(mktemp -d)
+trap 'rm -rf "$copy"' EXIT
+cp -r CMakeLists.txt Libraries Services Utilities Tests Benchmarks "$copy/"
+cmake -S "$copy" -B "$copy/Build" -G Ninja >/dev/null
+ninja -C "$copy/Build" test-scenarios >/dev/null
+
+missed=0
+while IFS='|' read -r name file expression; do
+  name=$(xargs <<<"$name")
+  file=$copy/Libraries/$(xargs <<<"$file")
+  expression=${expression# }
+  if [ $# -gt 0 ] && [[ " $* " != *" $name "* ]]; then
+    continue
+  fi
+  cp "$file" "$copy/original"
+  perl -0pi -e "$expression" "$file"
+  if cmp -s "$file" "$copy/original"; then
+    echo "$name: the substitution changes nothing" >&2
+    missed=1
+    continue
+  fi
+  if ! ninja -C "$copy/Build" test-scenarios >"$copy/log" 2>&1; then
+    echo "$name: the mutant does not build" >&2
+    missed=1
+  elif "$copy/Build/Tests/test-scenarios" >"$copy/log" 2>&1; then
+    echo "$name: NOT caught"
+    missed=1
+  else
+    caught=$(grep -cE '^\[  FAILED  \].*ms\)' "$copy/log" || true)
+    reason=$(grep -oE 'broken: at [0-9]+ us: [a-z-]+|us: [a-z-]+:|it is [0-9.]+|seed [0-9]+$' "$copy/log" |
+      grep -oE '[a-z-]+:?$|it is' | sort | uniq -c | sort -rn | head -3 | xargs || true)
+    echo "$name: caught by $caught tests ($reason)"
+  fi
+  cp "$copy/original" "$file"
+done < <(grep -vE '^#|^$' Tests/Mutants.txt)
+exit "$missed"
--- a/Services/Latchslipd/main.cpp
+++ b/Services/Latchslipd/main.cpp
@@ -1,5 +1,6 @@
 #include "LibDaemon/InstanceHost.h"
 
+#include <absl/flags/usage.h>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <iostream>
@@ -16,6 +17,8 @@
 int
 main(int aCount, char** aArguments)
 {
+  absl::SetProgramUsageMessage("latchslipd: one entry instance of latchslip. docs/SETTINGS.md "
+                               "lists the settings; --check_settings checks them and exits.");
   const auto settings = latchslip::ReadDaemonSettings(aCount, aArguments);
   if (!settings) {
     std::cerr << "latchslipd: " << settings.error().Describe() << '\n';
--- /dev/null
+++ b/Tests/LibNet/TestHttp.cpp
@@ -0,0 +1,193 @@
+#include "LibNet/HttpClient.h"
+#include "LibNet/HttpServer.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+#include <optional>
+
+namespace latchslip {
+
+namespace {
+
+using tcp = boost::asio::ip::tcp;
+
+// Answers with the body it got; "/never" keeps its caller waiting, and "/drop"
+// closes the connection without an answer.
+class EchoHandler : public HttpHandler
+{
+public:
+  void OnRequest(std::uint64_t, HttpRequest aRequest, HttpResponder aRespond) override
+  {
+    ++requests_;
+    if (aRequest.target_ == "/never") {
+      kept_.push_back(std::move(aRespond));
+      return;
+    }
+    HttpResponse response;
+    response.status_ = aRequest.target_ == "/drop" ? kNoAnswer : 200;
+    response.body_ = aRequest.body_;
+    aRespond(std::move(response));
+  }
+  void OnGone(std::uint64_t) override { ++gone_; }
+
+  int requests_ = 0;
+  int gone_ = 0;
+  std::vector<HttpResponder> kept_;
+};
+
+class HttpOnLoopback : public testing::Test
+{
+protected:
+  HttpOnLoopback()
+    : client_(HttpClient::Create(context_, 4))
+  {
+    limits_.headerBytes_ = 4096;
+    limits_.bodyBytes_ = 8 * 1024 * 1024;
+    limits_.transfer_ = milliseconds(300);
+    limits_.connections_ = 8;
+    Listen();
+  }
+
+  // Finds a free port, so that tests can run side by side.
+  void Listen()
+  {
+    for (int port = 21000; port < 22000 && !server_; ++port) {
+      const auto number = 21000 + (port - 21000 + ::getpid() * 7) % 1000;
+      address_ = "127.0.0.1:" + std::to_string(number);
+      auto created = HttpServer::Create(context_, address_, limits_, handler_);
+      if (created) {
+        server_ = std::move(created).value();
+      }
+    }
+  }
+
+  HttpExchange Send(const std::string& aTarget, std::string aBody)
+  {
+    std::optional<HttpExchange> result;
+    HttpRequest request;
+    request.method_ = "POST";
+    request.target_ = aTarget;
+    request.body_ = std::make_shared<const std::string>(std::move(aBody));
+    client_->Send(address_, request, milliseconds(2000), [&](HttpExchange aExchange) {
+      result = std::move(aExchange);
+    });
+    while (!result) {
+      context_.run_one();
+    }
+    return *result;
+  }
+
+  // Sends raw bytes and returns what came back until the server closed.
+  std::string SendRaw(const std::string& aBytes)
+  {
+    tcp::socket socket(context_);
+    const auto colon = address_.find(':');
+    socket.connect({ boost::asio::ip::make_address(address_.substr(0, colon)),
+                     static_cast<std::uint16_t>(std::stoi(address_.substr(colon + 1))) });
+    boost::asio::write(socket, boost::asio::buffer(aBytes));
+    std::string answer;
+    bool isDone = false;
+    boost::asio::async_read(socket,
+                            boost::asio::dynamic_buffer(answer),
+                            [&](boost::system::error_code, std::size_t) { isDone = true; });
+    while (!isDone) {
+      context_.run_one();
+    }
+    return answer;
+  }
+
+  boost::asio::io_context context_;
+  HttpLimits limits_;
+  EchoHandler handler_;
+  std::unique_ptr<HttpServer> server_;
+  std::unique_ptr<HttpClient> client_;
+  std::string address_;
+};
+
+TEST_F(HttpOnLoopback, BodyOfSeveralMegabytes_ComesBackWhole)
+{
+  const std::string image(6'000'000, 'p');
+  const auto exchange = Send("/echo", image);
+  ASSERT_EQ(exchange.end_, ExchangeEnd::Complete);
+  EXPECT_EQ(*exchange.response_.body_, image);
+}
+
+TEST_F(HttpOnLoopback, BodyIsLargerThanAllowed_RefusedAndNothingRun)
+{
+  const auto exchange = Send("/echo", std::string(9'000'000, 'p'));
+  // The answer may be cut off by the reset that follows it while bytes arrive.
+  if (exchange.end_ == ExchangeEnd::Complete) {
+    EXPECT_EQ(exchange.response_.status_, 413U);
+  }
+  EXPECT_EQ(handler_.requests_, 0);
+}
+
+TEST_F(HttpOnLoopback, HeaderIsLargerThanAllowed_Refused)
+{
+  const auto answer =
+    SendRaw("POST / HTTP/1.1\r\nHost: x\r\nLong: " + std::string(6000, 'h') + "\r\n\r\n");
+  EXPECT_NE(answer.find(" 431 "), std::string::npos) << answer;
+  EXPECT_EQ(handler_.requests_, 0);
+}
+
+TEST_F(HttpOnLoopback, BytesAreNoHttp_RefusedWithAnError)
+{
+  const auto answer = SendRaw("NONSENSE\r\n\r\n");
+  EXPECT_NE(answer.find(" 400 "), std::string::npos) << answer;
+  EXPECT_NE(answer.find("Latchslip-Outcome: not-run"), std::string::npos) << answer;
+  EXPECT_EQ(handler_.requests_, 0);
+}
+
+TEST_F(HttpOnLoopback, CallerSendsTooSlowly_HungUpOn)
+{
+  const auto answer = SendRaw("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\nfew");
+  EXPECT_EQ(handler_.requests_, 0);
+  EXPECT_EQ(answer.find(" 200 "), std::string::npos);
+}
+
+TEST_F(HttpOnLoopback, ConnectionIsDropped_ExchangeIsBrokenAndNotReused)
+{
+  EXPECT_EQ(Send("/drop", "x").end_, ExchangeEnd::Broken);
+  EXPECT_EQ(Send("/echo", "y").end_, ExchangeEnd::Complete);
+}
+
+TEST_F(HttpOnLoopback, AnswerDoesNotComeInTime_BrokenAndServerIsTold)
+{
+  EXPECT_EQ(Send("/never", "x").end_, ExchangeEnd::Broken);
+  while (handler_.gone_ == 0) {
+    context_.run_one();
+  }
+  EXPECT_EQ(handler_.gone_, 1);
+}
+
+TEST_F(HttpOnLoopback, NothingListens_NotSentAndRefused)
+{
+  server_.reset();
+  const auto exchange = Send("/echo", "x");
+  EXPECT_EQ(exchange.end_, ExchangeEnd::NotSent);
+  EXPECT_TRUE(exchange.isRefused_);
+}
+
+TEST_F(HttpOnLoopback, ServerDrains_AnswerIsCompleteAndConnectionCloses)
+{
+  server_->BeginDrain();
+  const auto exchange = Send("/echo", "x");
+  EXPECT_EQ(exchange.end_, ExchangeEnd::Complete);
+  EXPECT_EQ(exchange.response_.Header("Connection"), "close");
+}
+
+TEST_F(HttpOnLoopback, AddressIsTaken_ErrorNamesIt)
+{
+  const auto second = HttpServer::Create(context_, address_, limits_, handler_);
+  ASSERT_FALSE(second);
+  EXPECT_EQ(second.error().field_, address_);
+}
+
+} // namespace
+
+} // namespace latchslip
