--- a/Libraries/LibInstance/InstanceCore.cpp
+++ b/Libraries/LibInstance/InstanceCore.cpp
@@ -61,8 +61,10 @@
 InstanceCore::Tick(Instant aNow)
 {
   for (const auto& change : membership_.Tick(aNow)) {
-    events_.Record(change.suspected_ ? Event::PeerSuspected : Event::PeerCleared,
-                   "peer=" + change.target_);
+    if (change.isNews_) {
+      events_.Record(change.suspected_ ? Event::PeerSuspected : Event::PeerCleared,
+                     "peer=" + change.target_);
+    }
     Broadcast(Suspicion{ change.target_, change.suspected_ });
   }
   PollStore(aNow);
--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -120,11 +120,12 @@
     }
     const bool isSilent = aNow - peer.silentSince_ > timing_.silenceLimit_;
     const bool tellsAgain = isSilent && aNow - peer.toldAt_ >= timing_.suspicionRepeat_;
-    if (isSilent != peer.isSuspectedByMe_ || tellsAgain) {
+    const bool isNews = isSilent != peer.isSuspectedByMe_;
+    if (isNews || tellsAgain) {
       peer.isSuspectedByMe_ = isSilent;
       peer.toldAt_ = aNow;
       OnSuspicion(aNow, self_, peer.id_, isSilent);
-      changes.push_back({ peer.id_, isSilent });
+      changes.push_back({ peer.id_, isSilent, isNews });
     }
   }
   return changes;
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -48,6 +48,8 @@
 {
   InstanceId target_;
   bool suspected_ = false;
+  // False when an opinion that still holds is only told again.
+  bool isNews_ = false;
 };
 
 struct MembershipTiming
--- a/Libraries/LibScenario/Script.cpp
+++ b/Libraries/LibScenario/Script.cpp
@@ -456,8 +456,9 @@
   if (aVerb == "list") {
     return SetList(aReader);
   }
-  const bool isFault = aVerb == "kill" || aVerb == "lose" || aVerb == "restart" ||
-                       aVerb == "freeze" || aVerb == "thaw" || aVerb == "cut" || aVerb == "heal";
+  const bool isFault = aVerb == "kill" || aVerb == "lose" || aVerb == "break" ||
+                       aVerb == "restart" || aVerb == "freeze" || aVerb == "thaw" ||
+                       aVerb == "cut" || aVerb == "heal";
   if (!isFault) {
     aIsKnown = false;
     return outcome::success();
@@ -486,6 +487,8 @@
     world_->Freeze(name);
   } else if (aVerb == "thaw") {
     world_->Thaw(name);
+  } else if (aVerb == "break") {
+    world_->BreakConnections(name);
   } else if (aVerb == "restart") {
     isInstance ? world_->RestartInstance(name) : world_->RestartServer(name);
   } else if (isInstance) {
--- a/Libraries/LibScenario/World.cpp
+++ b/Libraries/LibScenario/World.cpp
@@ -248,6 +248,27 @@
   }
 }
 
+void
+World::BreakConnections(const std::string& aServer)
+{
+  auto* server = FindServer(aServer);
+  if (server == nullptr) {
+    return;
+  }
+  for (auto& [name, instance] : instances_) {
+    for (const auto& [work, serverName] : instance->serverOfWork_) {
+      if (serverName != aServer) {
+        continue;
+      }
+      const auto running = server->workByOrder_.find(work);
+      if (running != server->workByOrder_.end()) {
+        server->state_->Orphan(running->second);
+      }
+      ReplyWork(aServer, name, instance->incarnation_, work, WorkReply{});
+    }
+  }
+}
+
 void
 World::RestartInstance(const std::string& aName)
 {
--- a/Libraries/LibScenario/World.h
+++ b/Libraries/LibScenario/World.h
@@ -76,6 +76,8 @@
   void KillInstance(const std::string& aName);
   // aSilently: the host is gone, so that nobody's connection breaks.
   void KillServer(const std::string& aName, bool aSilently);
+  // Every connection to the server breaks; what it runs goes on.
+  void BreakConnections(const std::string& aServer);
   void RestartInstance(const std::string& aName);
   void RestartServer(const std::string& aName);
   void Freeze(const std::string& aName);
--- a/Tests/LibScenario/TestRandomWalk.cpp
+++ b/Tests/LibScenario/TestRandomWalk.cpp
@@ -55,7 +55,7 @@
 
   void AddFault()
   {
-    switch (Pick(9)) {
+    switch (Pick(10)) {
       case 0: {
         const auto name = PickInstance();
         world_.KillInstance(name);
@@ -91,6 +91,9 @@
         world_.Store().isOut_ = true;
         break;
       case 7:
+        world_.BreakConnections(PickServer());
+        break;
+      case 8:
         world_.Store().delay_ = milliseconds(Pick(2500));
         break;
       default:
