--- /dev/null
+++ b/Benchmarks/BenchFleet.cpp
@@ -0,0 +1,121 @@
+#include "LibScenario/World.h"
+
+#include <benchmark/benchmark.h>
+
+namespace latchslip {
+
+namespace {
+
+// A fleet at rest or under a fault, on the fakes of the scenarios: counts that
+// are the same on every machine.
+std::unique_ptr<World>
+MakeFleet(std::size_t aInstances, std::size_t aServers, bool aChecks)
+{
+  auto world = std::make_unique<World>(9, std::vector<std::string>{ "a", "b", "c" });
+  for (std::size_t number = 1; number <= aInstances; ++number) {
+    world->AddInstance("i" + std::to_string(number));
+  }
+  world->AddService({ "rates", aServers, 4, aChecks, milliseconds(2) });
+  SharingIntent intent;
+  intent.group_ = "web";
+  intent.service_ = "rates";
+  intent.portion_ = 1;
+  intent.maxWaiting_ = 256;
+  world->AddIntent(intent);
+  world->Start();
+  return world;
+}
+
+// What an idle fleet costs the store and the peers, a second and an instance.
+void
+BM_IdleFleet(benchmark::State& aState)
+{
+  const auto instances = static_cast<std::size_t>(aState.range(0));
+  constexpr double kSpan = 10;
+  double reads = 0;
+  double writes = 0;
+  double messages = 0;
+  for (auto _ : aState) {
+    auto world = MakeFleet(instances, 10, true);
+    world->Advance(seconds(5));
+    const auto readsBefore = world->Table().Reads();
+    const auto writesBefore = world->Table().Writes();
+    const auto messagesBefore = world->ControlMessages();
+    world->Advance(seconds(10));
+    const auto perInstance = kSpan * static_cast<double>(instances);
+    reads = static_cast<double>(world->Table().Reads() - readsBefore) / perInstance;
+    writes = static_cast<double>(world->Table().Writes() - writesBefore) / perInstance;
+    messages = static_cast<double>(world->ControlMessages() - messagesBefore) / perInstance;
+  }
+  aState.counters["store_reads"] = reads;
+  aState.counters["store_writes"] = writes;
+  aState.counters["peer_messages"] = messages;
+}
+BENCHMARK(BM_IdleFleet)->Arg(4)->Arg(8)->Arg(16)->Unit(benchmark::kMillisecond)->Iterations(1);
+
+// A loss under load, from the last answer of a key to its first after it. The
+// second argument: 0 kills a server, 1 kills an instance; the third: whether the
+// servers check orders.
+void
+BM_LossRecovery(benchmark::State& aState)
+{
+  double gap = 0;
+  double writes = 0;
+  double violations = 0;
+  for (auto _ : aState) {
+    auto world = MakeFleet(8, static_cast<std::size_t>(aState.range(0)), aState.range(2) != 0);
+    world->StartLoad({ "web", "rates", 2000, 200, true, seconds(2), 0 });
+    world->Advance(seconds(3));
+    world->ForgetGaps();
+    const auto before = world->Table().Writes();
+    if (aState.range(1) == 0) {
+      world->KillServer("rates-2", false);
+    } else {
+      world->KillInstance("i3");
+      world->ListGone("i3");
+    }
+    world->Advance(seconds(5));
+    gap = static_cast<double>(world->LongestGap("rates").count()) / 1000;
+    writes = static_cast<double>(world->Table().Writes() - before);
+    violations = static_cast<double>(world->Violations().size());
+  }
+  aState.counters["gap_ms"] = gap;
+  aState.counters["store_writes"] = writes;
+  aState.counters["violations"] = violations;
+}
+BENCHMARK(BM_LossRecovery)
+  ->Args({ 10, 0, 1 })
+  ->Args({ 20, 0, 1 })
+  ->Args({ 40, 0, 1 })
+  ->Args({ 10, 1, 1 })
+  ->Args({ 40, 1, 1 })
+  ->Args({ 10, 0, 0 })
+  ->Args({ 10, 1, 0 })
+  ->Unit(benchmark::kMillisecond)
+  ->Iterations(1);
+
+// A confirmation, until every instance has it in force.
+void
+BM_Confirm(benchmark::State& aState)
+{
+  double span = 0;
+  double writes = 0;
+  for (auto _ : aState) {
+    auto world = MakeFleet(static_cast<std::size_t>(aState.range(0)), 10, true);
+    world->Advance(seconds(2));
+    world->Wanted().intents_[0].portion_ = 2;
+    world->Plan("p", "i1", world->Wanted());
+    const auto before = world->Table().Writes();
+    world->Confirm("p", "i1");
+    world->Advance(seconds(6));
+    span = static_cast<double>(world->TimeOfConfirm("p").count()) / 1000;
+    writes = static_cast<double>(world->Table().Writes() - before);
+  }
+  aState.counters["in_force_ms"] = span;
+  aState.counters["store_writes"] = writes;
+}
+BENCHMARK(BM_Confirm)->Arg(4)->Arg(8)->Arg(16)->Unit(benchmark::kMillisecond)->Iterations(1);
+
+} // namespace
+
+} // namespace latchslip
--- /dev/null
+++ b/Benchmarks/Echo.capnp
@@ -0,0 +1,10 @@
+@0xe5a1c0ffee123457;
+
+# The interface of the transport benchmark; no part of the product.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("latchslip::wire");
+
+interface Echo {
+  call @0 (body :Data) -> (body :Data);
+}
--- a/Libraries/LibInstance/InstanceCore.cpp
+++ b/Libraries/LibInstance/InstanceCore.cpp
@@ -427,14 +427,14 @@
       continue;
     }
     boost::json::array servers;
+    const auto counts = placed->placement_.CountSlices();
     for (ServerIndex index = 0; index < placed->placement_.servers_.size(); ++index) {
       const auto& server = placed->placement_.servers_[index];
-      servers.push_back(
-        boost::json::object{ { "name", server.name_ },
-                             { "state", kPlacedStateNames.NameOf(server.state_) },
-                             { "holder", server.holder_ },
-                             { "fence", server.fence_ },
-                             { "slices", placed->placement_.CountSlicesOf(index) } });
+      servers.push_back(boost::json::object{ { "name", server.name_ },
+                                             { "state", kPlacedStateNames.NameOf(server.state_) },
+                                             { "holder", server.holder_ },
+                                             { "fence", server.fence_ },
+                                             { "slices", counts[index] } });
     }
     services.push_back(boost::json::object{ { "name", service.name_ },
                                             { "version", placed->version_ },
--- a/Libraries/LibInstance/PlacerDesk.cpp
+++ b/Libraries/LibInstance/PlacerDesk.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr Duration kOutagePause = milliseconds(200);
+// Between two rounds while nothing is to be decided; a report ends it at once.
+constexpr Duration kIdleRoundPause = milliseconds(30);
 constexpr Duration kReadBackPause = milliseconds(50);
 
 } // namespace
@@ -57,6 +59,7 @@
   auto& role = RoleOf(aReport.service_);
   if (role.isPlacer_) {
     role.placer_.OnReport(aNow, aReport);
+    role.idleUntil_ = aNow;
   }
 }
 
@@ -68,7 +71,7 @@
   }
   for (const auto& service : context_.view_.Configuration().services_) {
     auto& role = RoleOf(service.name_);
-    if (role.tag_ != 0 || aNow < role.notBefore_) {
+    if (role.tag_ != 0 || aNow < role.notBefore_ || aNow < role.idleUntil_) {
       continue;
     }
     if (role.isUnsure_) {
@@ -123,6 +126,7 @@
     Commit(aNow, aService.name_, aRole, std::move(*proposal));
     return;
   }
+  aRole.idleUntil_ = aNow + kIdleRoundPause;
   for (const auto& order : aRole.placer_.TakeResumable(current)) {
     const auto index = current.FindServer(order.server_);
     resume_(current.servers_[*index].holder_, order);
--- a/Libraries/LibInstance/PlacerDesk.h
+++ b/Libraries/LibInstance/PlacerDesk.h
@@ -49,6 +49,7 @@
     // The answer was lost; the fate of the proposal is open.
     bool isUnsure_ = false;
     Instant notBefore_{ 0 };
+    Instant idleUntil_{ 0 };
   };
 
   Role& RoleOf(const std::string& aService);
--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -44,6 +44,7 @@
            std::pair(HashKey(aRight.name_), aRight.name_);
   });
   list_ = std::move(aList);
+  IndexList();
   firstListAt_ = hasList_ ? firstListAt_ : aNow;
   hasList_ = true;
   for (const auto& listed : list_) {
@@ -56,6 +57,22 @@
   }
 }
 
+void
+Membership::IndexList()
+{
+  positions_.clear();
+  watched_.clear();
+  for (std::size_t index = 0; index < list_.size(); ++index) {
+    positions_[list_[index].name_] = index;
+  }
+  for (const auto& listed : list_) {
+    const auto watchers = SuccessorsOf(listed.name_);
+    if (std::find(watchers.begin(), watchers.end(), NameOfInstance(self_)) != watchers.end()) {
+      watched_.insert(listed.name_);
+    }
+  }
+}
+
 void
 Membership::OnHeard(Instant aNow, const InstanceId& aId, std::string_view aHall, bool aLeaving)
 {
@@ -108,7 +125,7 @@
   lastTick_ = aNow;
   std::vector<SuspicionChange> changes;
   for (auto& [name, peer] : peers_) {
-    if (!WatchesName(name)) {
+    if (!watched_.contains(name)) {
       peer.isSuspectedByMe_ = false;
       peer.suspicions_.erase(self_);
       peer.silentSince_ = aNow;
@@ -134,33 +151,24 @@
 bool
 Membership::IsListed(std::string_view aName) const
 {
-  return std::any_of(
-    list_.begin(), list_.end(), [&](const auto& aListed) { return aListed.name_ == aName; });
+  return positions_.contains(aName);
 }
 
 std::vector<std::string>
 Membership::SuccessorsOf(std::string_view aName) const
 {
-  const auto found = std::find_if(
-    list_.begin(), list_.end(), [&](const auto& aListed) { return aListed.name_ == aName; });
+  const auto found = positions_.find(aName);
   std::vector<std::string> names;
-  if (found == list_.end()) {
+  if (found == positions_.end()) {
     return names;
   }
-  const auto position = static_cast<std::size_t>(found - list_.begin());
+  const auto position = found->second;
   for (std::size_t step = 1; step < list_.size() && names.size() < kWatchers; ++step) {
     names.push_back(list_[(position + step) % list_.size()].name_);
   }
   return names;
 }
 
-bool
-Membership::WatchesName(std::string_view aName) const
-{
-  const auto watchers = SuccessorsOf(aName);
-  return std::find(watchers.begin(), watchers.end(), NameOfInstance(self_)) != watchers.end();
-}
-
 std::vector<std::string>
 Membership::WatcherNames() const
 {
@@ -226,9 +234,8 @@
   const auto name = NameOfInstance(aId);
   const auto found = peers_.find(name);
   const bool saysSo = found != peers_.end() && found->second.leaving_;
-  return saysSo || std::any_of(list_.begin(), list_.end(), [&](const auto& aListed) {
-           return aListed.name_ == name && aListed.leaving_;
-         });
+  const auto position = positions_.find(name);
+  return saysSo || (position != positions_.end() && list_[position->second].leaving_);
 }
 
 bool
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -132,7 +133,7 @@
     std::map<InstanceId, Instant> suspicions_;
   };
 
-  bool WatchesName(std::string_view aName) const;
+  void IndexList();
   std::vector<std::string> SuccessorsOf(std::string_view aName) const;
   bool IsListed(std::string_view aName) const;
   bool IsHeldLost(Instant aNow, const std::string& aName, const Peer& aPeer) const;
@@ -145,6 +146,9 @@
   bool hasList_ = false;
   Instant firstListAt_{ 0 };
   std::vector<ListedInstance> list_;
+  // Where each name stands in the list, and the names that this instance watches.
+  std::map<std::string, std::size_t, std::less<>> positions_;
+  std::set<std::string, std::less<>> watched_;
   // By name.
   std::map<std::string, Peer, std::less<>> peers_;
   // Since when a name has been absent from the list.
--- a/Libraries/LibPlacement/Placement.cpp
+++ b/Libraries/LibPlacement/Placement.cpp
@@ -102,13 +102,17 @@
   return std::nullopt;
 }
 
-std::size_t
-Placement::CountSlicesOf(ServerIndex aServer) const
+std::vector<std::size_t>
+Placement::CountSlices() const
 {
-  return static_cast<std::size_t>(
-    std::count_if(slices_.begin(), slices_.end(), [&](const Slice& aSlice) {
-      return aSlice.owner_ == aServer || aSlice.next_ == aServer;
-    }));
+  std::vector<std::size_t> counts(servers_.size(), 0);
+  for (const auto& slice : slices_) {
+    ++counts[slice.owner_];
+    if (slice.IsMoving()) {
+      ++counts[slice.next_];
+    }
+  }
+  return counts;
 }
 
 std::size_t
--- a/Libraries/LibPlacement/Placement.h
+++ b/Libraries/LibPlacement/Placement.h
@@ -82,8 +82,8 @@
 
   std::optional<ServerIndex> FindServer(std::string_view aName) const;
 
-  // How many slices name this server as owner or as the next owner.
-  std::size_t CountSlicesOf(ServerIndex aServer) const;
+  // How many slices each server owns or is to own next.
+  std::vector<std::size_t> CountSlices() const;
 
   // Splits a slice so that one starts at aHash; returns the index of it.
   std::size_t SplitAt(KeyHash aHash);
--- a/Libraries/LibPlacement/Placer.cpp
+++ b/Libraries/LibPlacement/Placer.cpp
@@ -102,9 +102,17 @@
 Placer::ReconcileServers(Draft& aDraft)
 {
   auto& servers = aDraft.next_.servers_;
+  std::map<std::string_view, const ServerDeclaration*> declarations;
+  std::map<std::string, ServerIndex> indices;
   for (const auto& declared : aDraft.service_.servers_) {
-    const auto index = aDraft.next_.FindServer(declared.name_);
-    if (!index) {
+    declarations[declared.name_] = &declared;
+  }
+  for (ServerIndex index = 0; index < servers.size(); ++index) {
+    indices[servers[index].name_] = index;
+  }
+  for (const auto& declared : aDraft.service_.servers_) {
+    const auto index = indices.find(declared.name_);
+    if (index == indices.end()) {
       PlacedServer added;
       added.name_ = declared.name_;
       added.hall_ = declared.hall_;
@@ -112,7 +120,7 @@
       servers.push_back(std::move(added));
       continue;
     }
-    auto& server = servers[*index];
+    auto& server = servers[index->second];
     server.hall_ = declared.hall_;
     if (declared.draining_ && server.state_ == PlacedState::Active) {
       server.state_ = PlacedState::Draining;
@@ -123,7 +131,7 @@
     }
   }
   for (auto& server : servers) {
-    const bool isDeclared = aDraft.service_.FindServer(server.name_) != nullptr;
+    const bool isDeclared = declarations.contains(server.name_);
     if (!isDeclared && server.state_ == PlacedState::Active) {
       server.state_ = PlacedState::Draining;
       aDraft.Note(Event::ServerLeaving, "server=" + server.name_ + " reason=no-longer-declared");
@@ -248,18 +256,13 @@
 }
 
 ServerIndex
-Placer::LeastLoaded(const Draft& aDraft)
+Placer::LeastLoaded(const Draft& aDraft, const std::vector<std::size_t>& aCounts)
 {
-  ServerIndex chosen = kNoServer;
-  std::size_t least = 0;
-  for (const auto index : aDraft.ActiveServers()) {
-    const auto count = aDraft.next_.CountSlicesOf(index);
-    if (chosen == kNoServer || count < least) {
-      chosen = index;
-      least = count;
-    }
-  }
-  return chosen;
+  const auto active = aDraft.ActiveServers();
+  const auto least = std::min_element(active.begin(), active.end(), [&](auto aLeft, auto aRight) {
+    return aCounts[aLeft] < aCounts[aRight];
+  });
+  return least == active.end() ? kNoServer : *least;
 }
 
 bool
@@ -292,6 +295,7 @@
 Placer::GiveAway(Draft& aDraft, ServerIndex aLost)
 {
   std::size_t count = 0;
+  auto counts = aDraft.next_.CountSlices();
   for (auto& slice : aDraft.next_.slices_) {
     if (slice.next_ == aLost) {
       slice.next_ = kNoServer;
@@ -301,7 +305,8 @@
     }
     const bool hasTarget =
       slice.IsMoving() && aDraft.next_.servers_[slice.next_].state_ == PlacedState::Active;
-    const auto heir = hasTarget ? slice.next_ : LeastLoaded(aDraft);
+    const auto heir = hasTarget ? slice.next_ : LeastLoaded(aDraft, counts);
+    ++counts[heir];
     MoveLoad(
       loads_, slice.start_, aDraft.next_.servers_[aLost].name_, aDraft.next_.servers_[heir].name_);
     slice.owner_ = heir;
@@ -388,15 +393,17 @@
 void
 Placer::EmptyDraining(Draft& aDraft)
 {
+  auto counts = aDraft.next_.CountSlices();
   for (auto& slice : aDraft.next_.slices_) {
     const auto& owner = aDraft.next_.servers_[slice.owner_];
     if (owner.state_ != PlacedState::Draining || slice.IsMoving()) {
       continue;
     }
-    const auto target = LeastLoaded(aDraft);
+    const auto target = LeastLoaded(aDraft, counts);
     if (target == kNoServer) {
       return;
     }
+    ++counts[target];
     slice.next_ = target;
     aDraft.Note(Event::SliceMoveStarted,
                 "slice=" + std::to_string(slice.start_) + " from=" + owner.name_ +
@@ -407,14 +414,15 @@
 void
 Placer::RemoveUndeclared(Draft& aDraft)
 {
+  auto counts = aDraft.next_.CountSlices();
   for (ServerIndex index = 0; index < aDraft.next_.servers_.size();) {
     const auto& server = aDraft.next_.servers_[index];
-    if (aDraft.service_.FindServer(server.name_) != nullptr ||
-        aDraft.next_.CountSlicesOf(index) != 0) {
+    if (counts[index] != 0 || aDraft.service_.FindServer(server.name_) != nullptr) {
       ++index;
       continue;
     }
     aDraft.next_.servers_.erase(aDraft.next_.servers_.begin() + index);
+    counts.erase(counts.begin() + index);
     for (auto& slice : aDraft.next_.slices_) {
       slice.owner_ -= slice.owner_ > index ? 1 : 0;
       slice.next_ -= slice.IsMoving() && slice.next_ > index ? 1 : 0;
@@ -426,17 +434,12 @@
 Placer::FillEmptyServer(Draft& aDraft)
 {
   const auto active = aDraft.ActiveServers();
-  const auto isEmpty = [&](ServerIndex aServer) {
-    return aDraft.next_.CountSlicesOf(aServer) == 0;
-  };
+  auto counts = aDraft.next_.CountSlices();
+  const auto isEmpty = [&](ServerIndex aServer) { return counts[aServer] == 0; };
   const auto empty = std::find_if(active.begin(), active.end(), isEmpty);
   if (empty == active.end()) {
     return false;
   }
-  std::vector<std::size_t> counts(aDraft.next_.servers_.size(), 0);
-  for (const auto& slice : aDraft.next_.slices_) {
-    ++counts[slice.owner_];
-  }
   const std::size_t fair = aDraft.next_.slices_.size() / active.size();
   for (std::size_t given = 0; given < fair; ++given) {
     const auto richest =
--- a/Libraries/LibPlacement/Placer.h
+++ b/Libraries/LibPlacement/Placer.h
@@ -106,7 +106,7 @@
                          const ServerReport& aReport) const;
   const ServerReport* ReportOf(const PlacedServer& aServer) const;
   std::size_t GiveAway(Draft& aDraft, ServerIndex aLost);
-  static ServerIndex LeastLoaded(const Draft& aDraft);
+  static ServerIndex LeastLoaded(const Draft& aDraft, const std::vector<std::size_t>& aCounts);
 
   std::string service_;
   PlacerTiming timing_;
