--- a/Libraries/LibDaemon/Settings.cpp
+++ b/Libraries/LibDaemon/Settings.cpp
@@ -33,7 +33,7 @@
           "File with the operators' token, unless LATCHSLIP_OPERATOR_TOKEN is set.");
 ABSL_FLAG(int,
           heartbeat_interval_ms,
-          150,
+          200,
           "Between two heartbeats to the peers that watch this instance.");
 ABSL_FLAG(int, silence_limit_ms, 400, "After this long a silence a watched peer is suspected.");
 ABSL_FLAG(int,
--- a/Libraries/LibInstance/InstanceContext.h
+++ b/Libraries/LibInstance/InstanceContext.h
@@ -17,7 +17,7 @@
   GrantTiming grant_;
   PlacerTiming placer_;
   ClaimTiming claim_;
-  Duration heartbeatInterval_ = milliseconds(150);
+  Duration heartbeatInterval_ = milliseconds(200);
   Duration reportInterval_ = seconds(1);
   // How often an event that the placer has not acted on is reported again.
   Duration reportRepeat_ = milliseconds(200);
--- a/Tests/LibDaemon/TestDocuments.cpp
+++ b/Tests/LibDaemon/TestDocuments.cpp
@@ -57,6 +57,32 @@
     inProgram);
 }
 
+TEST(CapacityPage, NamesBenchmarks_EachExists)
+{
+  std::string benchmarks;
+  for (const auto& entry : std::filesystem::directory_iterator(LATCHSLIP_ROOT "/Benchmarks")) {
+    if (entry.path().extension() == ".cpp") {
+      benchmarks += ReadPage("Benchmarks/" + entry.path().filename().string());
+    }
+  }
+  const auto named = AllMatches(ReadPage("docs/CAPACITY.md"), "`(BM_[A-Za-z]+)");
+  EXPECT_GE(named.size(), 8U);
+  for (const auto& name : named) {
+    EXPECT_NE(benchmarks.find(name + "("), std::string::npos) << name;
+  }
+}
+
+TEST(ProofsPage, NamesScenarios_EachExists)
+{
+  const auto named = AllMatches(ReadPage("docs/PROOFS.md"), "`([a-z-]+)\\.scenario`");
+  EXPECT_GE(named.size(), 20U);
+  for (const auto& name : named) {
+    EXPECT_TRUE(std::filesystem::exists(std::string(LATCHSLIP_ROOT) + "/Tests/Scenarios/" + name +
+                                        ".scenario"))
+      << name;
+  }
+}
+
 class SettingsFromEnvironment : public testing::Test
 {
 protected:
