--- a/Libraries/LibScenario/Script.cpp
+++ b/Libraries/LibScenario/Script.cpp
@@ -456,7 +456,7 @@
   if (aVerb == "list") {
     return SetList(aReader);
   }
-  const bool isFault = aVerb == "kill" || aVerb == "lose" || aVerb == "break" ||
+  const bool isFault = aVerb == "kill" || aVerb == "lose" || aVerb == "break" || aVerb == "shed" ||
                        aVerb == "restart" || aVerb == "freeze" || aVerb == "thaw" ||
                        aVerb == "cut" || aVerb == "heal";
   if (!isFault) {
@@ -483,7 +483,13 @@
   if (!isInstance && !isServer) {
     return ErrorAt(word, "there is no instance or server \"" + name + "\"");
   }
-  if (aVerb == "freeze") {
+  if (aVerb == "shed") {
+    BOOST_OUTCOME_TRY(const auto sheds, aReader.Choice("on", "off"));
+    if (!isServer) {
+      return ErrorAt(word, "only servers shed");
+    }
+    world_->SetShedding(name, sheds);
+  } else if (aVerb == "freeze") {
     world_->Freeze(name);
   } else if (aVerb == "thaw") {
     world_->Thaw(name);
--- a/Libraries/LibScenario/World.cpp
+++ b/Libraries/LibScenario/World.cpp
@@ -292,6 +292,12 @@
     server.settings_.slots_, server.settings_.checksOrders_, server.boot_);
 }
 
+void
+World::SetShedding(const std::string& aServer, bool aSheds)
+{
+  servers_.at(aServer)->sheds_ = aSheds;
+}
+
 void
 World::Freeze(const std::string& aName)
 {
--- a/Libraries/LibScenario/World.h
+++ b/Libraries/LibScenario/World.h
@@ -80,6 +80,8 @@
   void BreakConnections(const std::string& aServer);
   void RestartInstance(const std::string& aName);
   void RestartServer(const std::string& aName);
+  // The server refuses all work as too much, or takes it again.
+  void SetShedding(const std::string& aServer, bool aSheds);
   void Freeze(const std::string& aName);
   void Thaw(const std::string& aName);
   // Nothing passes between the two until they are healed; then it comes late.
--- a/Libraries/LibScenario/WorldNetwork.cpp
+++ b/Libraries/LibScenario/WorldNetwork.cpp
@@ -273,6 +273,12 @@
   if (server == nullptr) {
     return;
   }
+  if (server->sheds_) {
+    WorkReply shed;
+    shed.end_ = WorkEnd::Shed;
+    ReplyWork(aOrder.server_, aInstance, aIncarnation, aOrder.id_, shed);
+    return;
+  }
   ServerWork work;
   work.id_ = ++server->nextWork_;
   work.requestId_ = aOrder.request_.requestId_;
--- a/Libraries/LibScenario/WorldParts.h
+++ b/Libraries/LibScenario/WorldParts.h
@@ -65,6 +65,7 @@
   std::unique_ptr<ServerState> state_;
   // Gone without a trace: connections hang instead of breaking.
   bool isSilent_ = false;
+  bool sheds_ = false;
   std::uint64_t nextWork_ = 0;
   std::map<WorkId, std::uint64_t> workByOrder_;
 
