--- a/Benchmarks/BenchDecisions.cpp
+++ b/Benchmarks/BenchDecisions.cpp
@@ -96,7 +96,7 @@
     now += seconds(1);
     for (ClaimId count = 0; count < batch; ++count) {
       ++id;
-      book.Submit(now, id, "claim/bookings/web/" + std::to_string(id));
+      book.Submit(now, id, "claim/bookings/web/" + std::to_string(id), "instance-2#0123abcd/1");
     }
     const auto call = book.NextCall(now);
     StoreReply reply;
--- a/Libraries/LibDispatch/ClaimBook.cpp
+++ b/Libraries/LibDispatch/ClaimBook.cpp
@@ -36,7 +36,7 @@
 }
 
 bool
-ClaimBook::Submit(Instant aNow, ClaimId aId, std::string aRowKey)
+ClaimBook::Submit(Instant aNow, ClaimId aId, std::string aRowKey, const std::string& aSendingToken)
 {
   if (IsOutage(aNow)) {
     return false;
@@ -44,7 +44,8 @@
   Claim claim;
   claim.id_ = aId;
   claim.rowKey_ = std::move(aRowKey);
-  claim.value_ = std::string(kStarted) + writer_ + " " + std::to_string(++sequence_);
+  claim.sending_ = std::string(kStarted) + aSendingToken + " ";
+  claim.value_ = claim.sending_ + writer_ + " " + std::to_string(++sequence_);
   pending_.push_back(std::move(claim));
   return true;
 }
@@ -153,7 +154,10 @@
     }
     return ClaimDecision{ aClaim.id_, ClaimVerdict::Claimed, "" };
   }
-  if (isAbsent || aRow->value_ == kReleased) {
+  // NOTE: Taking over rewrites the row, so that the former holder's release, which
+  // may still be under way, no longer meets its condition.
+  const bool isSameSending = !isAbsent && aRow->value_.starts_with(aClaim.sending_);
+  if (isAbsent || isSameSending || aRow->value_ == kReleased) {
     if (abandoned_.erase(aClaim.id_) != 0) {
       return std::nullopt;
     }
--- a/Libraries/LibDispatch/ClaimBook.h
+++ b/Libraries/LibDispatch/ClaimBook.h
@@ -62,9 +62,11 @@
   // aWriter makes the rows of this process recognisable to itself.
   ClaimBook(std::string aWriter, ClaimTiming aTiming);
 
-  // Asks for a claim; the decision comes out of OnReply or Tick. False when an
-  // outage is known, so that nothing is promised.
-  bool Submit(Instant aNow, ClaimId aId, std::string aRowKey);
+  // Asks for a claim; the decision comes out of OnReply. False when an outage is
+  // known, so that nothing is promised. aSendingToken names one sending of the
+  // request: a claim that another holder made for the same sending is taken over,
+  // since it is only handed on when it certainly did not run there.
+  bool Submit(Instant aNow, ClaimId aId, std::string aRowKey, const std::string& aSendingToken);
 
   // The request was certainly not run: its id may be claimed again.
   void Release(ClaimId aId);
@@ -87,6 +89,8 @@
   {
     ClaimId id_ = 0;
     std::string rowKey_;
+    // What the row says of any holder's claim for this sending.
+    std::string sending_;
     std::string value_;
     RowVersion expected_ = 0;
   };
--- a/Libraries/LibInstance/DispatchDesk.cpp
+++ b/Libraries/LibInstance/DispatchDesk.cpp
@@ -24,7 +24,7 @@
 DispatchDesk::DispatchDesk(InstanceContext aContext, AnswerFunction aAnswer, ReportFunction aReport)
   : context_(aContext)
   , answer_(std::move(aAnswer))
-  , report_(std::move(aReport))
+  , reporter_(aContext, std::move(aReport))
   , claims_(aContext.membership_.Self(), aContext.timing_.claim_)
 {
 }
@@ -108,7 +108,7 @@
   const auto id = work.id_;
   if (needsClaim) {
     const auto rowKey = ClaimBook::RowKey(aRequest.service_, aRequest.group_, aRequest.requestId_);
-    if (!claims_.Submit(aNow, id, rowKey)) {
+    if (!claims_.Submit(aNow, id, rowKey, aRequest.sendingToken_)) {
       answer_(aNow, aReplyTo, MakeNotRun(Reason::StoreUnavailable, kOutageRetry));
       return;
     }
@@ -361,7 +361,7 @@
   held.isRefused_ = false;
   held.queue_.SetForeign(held.keeper_.ForeignRunning());
   SettleAbandoned(held, order.sentAt_);
-  Report(aNow, held);
+  reporter_.Report(aNow, held);
   Pump(aNow, held);
 }
 
@@ -393,25 +393,10 @@
   if (entry != held_.end()) {
     entry->second->isRefused_ = true;
     SettleAbandoned(*entry->second, order.sentAt_);
-    Report(aNow, *entry->second);
+    reporter_.Report(aNow, *entry->second);
   }
 }
 
-bool
-DispatchDesk::IsCertainlyWithheld(const HeldServer& aHeld) const
-{
-  if (aHeld.keeper_.State() != GrantState::Withheld) {
-    return false;
-  }
-  // A server that checks drops what it runs once its grant has run out. The
-  // others would finish it, however long they were frozen, so that their keys
-  // must not move before it has ended or the process is known to be gone.
-  const auto* service = context_.view_.Configuration().FindService(aHeld.service_);
-  const bool isDeclared = service != nullptr && service->FindServer(aHeld.server_) != nullptr;
-  return aHeld.checksOrders_ || aHeld.isRefused_ || !isDeclared ||
-         (aHeld.keeper_.IsConfirmed() && !aHeld.MayHaveWork());
-}
-
 void
 DispatchDesk::PumpClaims(Instant aNow)
 {
@@ -572,75 +557,11 @@
       heldOfWork_.erase(id);
     }
     entry = held_.erase(entry);
-    stoppedReportedAt_ = Instant{ 0 };
-  }
-  ReportStopped(aNow);
-}
-
-void
-DispatchDesk::ReportStopped(Instant aNow)
-{
-  if (aNow - stoppedReportedAt_ < context_.timing_.reportRepeat_ &&
-      stoppedReportedAt_ != Instant{ 0 }) {
-    return;
-  }
-  const auto& self = context_.membership_.Self();
-  for (const auto& service : context_.view_.Configuration().services_) {
-    const auto* placed = context_.view_.FindPlacement(service.name_);
-    if (placed == nullptr) {
-      continue;
-    }
-    for (const auto& server : placed->placement_.servers_) {
-      const bool isAwaited = std::find(server.unsettled_.begin(), server.unsettled_.end(), self) !=
-                             server.unsettled_.end();
-      if (!isAwaited || held_.contains(HeldKey(service.name_, server.name_))) {
-        continue;
-      }
-      ServerReport report;
-      report.service_ = service.name_;
-      report.server_ = server.name_;
-      report.holder_ = self;
-      report.hasStopped_ = true;
-      report_(aNow, report);
-      stoppedReportedAt_ = aNow;
-    }
-  }
-}
-
-void
-DispatchDesk::Report(Instant aNow, HeldServer& aHeld)
-{
-  const auto* placed = context_.view_.FindPlacement(aHeld.service_);
-  if (placed == nullptr || aHeld.isStopping_) {
-    return;
-  }
-  const auto index = placed->placement_.FindServer(aHeld.server_);
-  if (!index) {
-    return;
-  }
-  const auto& last = aHeld.lastReport_;
-  const bool isLoadDue = aNow - aHeld.loadReportedAt_ >= context_.timing_.reportInterval_;
-  const bool isWithheld = IsCertainlyWithheld(aHeld);
-  const bool isRepeatDue = isWithheld && aNow - aHeld.reportedAt_ >= context_.timing_.reportRepeat_;
-  const bool isReleaseNews = aHeld.keeper_.ReleasedVersion() == placed->version_ &&
-                             last.releasedVersion_ != placed->version_ &&
-                             !aHeld.HasWorkOutside(placed->placement_, *index);
-  const bool isNews = isReleaseNews || last.isWithheld_ != isWithheld ||
-                      last.isReachable_ != aHeld.keeper_.IsReachable(aNow) ||
-                      last.isUnconfirmed_ == aHeld.keeper_.IsConfirmed() ||
-                      last.fence_ != aHeld.keeper_.CurrentFence();
-  if (!isLoadDue && !isRepeatDue && !isNews) {
-    return;
-  }
-  auto report = aHeld.ComposeReport(aNow, context_.membership_.Self(), placed->placement_, *index);
-  report.isWithheld_ = isWithheld;
-  if (isLoadDue) {
-    aHeld.meter_.Fill(aNow - aHeld.loadReportedAt_, report);
-    aHeld.loadReportedAt_ = aNow;
+    reporter_.ForgetStopped();
   }
-  aHeld.reportedAt_ = aNow;
-  aHeld.lastReport_ = report;
-  report_(aNow, report);
+  reporter_.ReportStopped(aNow, [this](std::string_view aService, std::string_view aServer) {
+    return held_.contains(HeldKey(aService, aServer));
+  });
 }
 
 void
@@ -669,7 +590,7 @@
       TurnAwayWaiting(aNow, *held, Reason::OwnerChanging);
     }
     Pump(aNow, *held);
-    Report(aNow, *held);
+    reporter_.Report(aNow, *held);
   }
   std::erase_if(
     orders_, [&](const auto& aOrder) { return aNow - aOrder.second.sentAt_ > kGrantAnswerLife; });
--- a/Libraries/LibInstance/DispatchDesk.h
+++ b/Libraries/LibInstance/DispatchDesk.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibInstance/HeldServer.h"
+#include "LibInstance/HolderReporter.h"
 #include "LibInstance/InstanceContext.h"
 
 #include <functional>
@@ -18,7 +19,7 @@
 {
 public:
   using AnswerFunction = std::function<void(Instant, const ReplyTo&, const WorkAnswer&)>;
-  using ReportFunction = std::function<void(Instant, const ServerReport&)>;
+  using ReportFunction = HolderReporter::ReportFunction;
 
   DispatchDesk(InstanceContext aContext, AnswerFunction aAnswer, ReportFunction aReport);
 
@@ -66,23 +67,19 @@
   void Abandon(Instant aNow, HeldWork& aWork);
   void TurnAwayWaiting(Instant aNow, HeldServer& aHeld, Reason aReason);
   void SettleAbandoned(HeldServer& aHeld, Instant aOrderSentAt);
-  bool IsCertainlyWithheld(const HeldServer& aHeld) const;
   void PumpClaims(Instant aNow);
-  void Report(Instant aNow, HeldServer& aHeld);
-  void ReportStopped(Instant aNow);
   void LetGo(Instant aNow);
   bool IsHolderInView(const HeldServer& aHeld) const;
 
   InstanceContext context_;
   AnswerFunction answer_;
-  ReportFunction report_;
+  HolderReporter reporter_;
   ClaimBook claims_;
   std::map<std::string, std::unique_ptr<HeldServer>> held_;
   std::map<WorkId, std::string> heldOfWork_;
   std::map<ReplyTo, WorkId> workOfReply_;
   std::map<CallTag, Order> orders_;
   CallTag claimTag_ = 0;
-  Instant stoppedReportedAt_{ 0 };
 };
 
 // Tags and work ids are unique within one process.
--- a/Libraries/LibInstance/Messages.h
+++ b/Libraries/LibInstance/Messages.h
@@ -89,6 +89,9 @@
   // On the clock of the process that has the request.
   Instant deadline_{ 0 };
   Body body_;
+  // Names this one sending of the request, through all of its attempts; set by
+  // the instance that the caller reached.
+  std::string sendingToken_;
 };
 
 struct WorkAnswer
--- a/Libraries/LibNet/Generated/Peer.capnp.h
+++ b/Libraries/LibNet/Generated/Peer.capnp.h
@@ -133,7 +133,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(caa4748378169842, 3, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(caa4748378169842, 3, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -815,6 +815,9 @@
   inline bool hasBody() const;
   inline  ::capnp::Data::Reader getBody() const;
 
+  inline bool hasSendingToken() const;
+  inline  ::capnp::Text::Reader getSendingToken() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -887,6 +890,13 @@
   inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownBody();
 
+  inline bool hasSendingToken();
+  inline  ::capnp::Text::Builder getSendingToken();
+  inline void setSendingToken( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSendingToken(unsigned int size);
+  inline void adoptSendingToken(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSendingToken();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2198,6 +2208,40 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline bool Request::Reader::hasSendingToken() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool Request::Builder::hasSendingToken() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Request::Reader::getSendingToken() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Request::Builder::getSendingToken() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void Request::Builder::setSendingToken( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Request::Builder::initSendingToken(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void Request::Builder::adoptSendingToken(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Request::Builder::disownSendingToken() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t Answer::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Libraries/LibNet/Peer.capnp
+++ b/Libraries/LibNet/Peer.capnp
@@ -46,6 +46,7 @@
   repeatable @5 :Bool;
   remainingMicros @6 :Int64;
   body @7 :Data;
+  sendingToken @8 :Text;
 }
 
 struct Answer {
--- a/Libraries/LibNet/PeerCodec.cpp
+++ b/Libraries/LibNet/PeerCodec.cpp
@@ -98,6 +98,7 @@
   out.setGroup(ToText(request.group_));
   out.setKey(ToText(request.key_));
   out.setRequestId(ToText(request.requestId_));
+  out.setSendingToken(ToText(request.sendingToken_));
   out.setRepeatable(request.isRepeatable_);
   out.setRemainingMicros(request.deadline_.count());
   if (request.body_) {
@@ -222,6 +223,7 @@
   request.group_ = FromText(aIn.getGroup());
   request.key_ = FromText(aIn.getKey());
   request.requestId_ = FromText(aIn.getRequestId());
+  request.sendingToken_ = FromText(aIn.getSendingToken());
   request.isRepeatable_ = aIn.getRepeatable();
   request.deadline_ = Duration(aIn.getRemainingMicros());
   request.body_ = ToBody(aIn.getBody());
--- /dev/null
+++ b/Libraries/LibPlacement/HolderAssigner.cpp
@@ -0,0 +1,167 @@
+#include "LibPlacement/HolderAssigner.h"
+
+#include "LibBase/KeyHash.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace latchslip {
+
+namespace {
+
+// One instance may hold this many servers more than another of the service.
+constexpr std::size_t kHolderSlack = 1;
+
+} // namespace
+
+void
+HolderAssigner::OnStopped(const std::string& aServer, const InstanceId& aHolder)
+{
+  stopped_[aServer].insert(aHolder);
+}
+
+void
+HolderAssigner::Forget()
+{
+  stopped_.clear();
+  goneSince_.clear();
+}
+
+bool
+HolderAssigner::AreFormerGrantsOver(Instant aNow, const PlacedServer& aServer) const
+{
+  const auto gone = goneSince_.find(aServer.name_);
+  return aServer.unsettled_.empty() && gone != goneSince_.end() &&
+         aNow - gone->second >= grantTail_;
+}
+
+void
+HolderAssigner::Assign(PlacementDraft& aDraft)
+{
+  std::vector<LiveInstance> candidates;
+  for (const auto& instance : aDraft.membership_.Live(aDraft.now_)) {
+    if (!instance.leaving_) {
+      candidates.push_back(instance);
+    }
+  }
+  if (candidates.empty()) {
+    return;
+  }
+  std::map<std::string, std::size_t> held;
+  for (const auto& server : aDraft.next_.servers_) {
+    ++held[server.holder_];
+  }
+  for (auto& server : aDraft.next_.servers_) {
+    const bool hasHolder = !server.holder_.empty() &&
+                           aDraft.membership_.IsLive(aDraft.now_, server.holder_) &&
+                           !aDraft.membership_.IsLeavingInstance(server.holder_);
+    if (hasHolder) {
+      continue;
+    }
+    // A holder in another data hall outlives the loss of the server's hall, and
+    // then knows when the server's last grant ran out. The hash breaks ties so
+    // that the services do not all choose the same instance.
+    const auto chosen = std::min_element(
+      candidates.begin(), candidates.end(), [&](const auto& aLeft, const auto& aRight) {
+        const auto rank = [&](const LiveInstance& aInstance) {
+          return std::tuple(aInstance.hall_ == server.hall_,
+                            held[aInstance.id_],
+                            HashPair(aInstance.id_, aDraft.next_.service_ + server.name_));
+        };
+        return rank(aLeft) < rank(aRight);
+      });
+    GiveTo(aDraft, server, chosen->id_);
+    ++held[chosen->id_];
+  }
+}
+
+void
+HolderAssigner::GiveTo(PlacementDraft& aDraft, PlacedServer& aServer, const InstanceId& aHolder)
+{
+  auto& unsettled = aServer.unsettled_;
+  const bool isNoted =
+    std::find(unsettled.begin(), unsettled.end(), aServer.holder_) != unsettled.end();
+  if (!aServer.holder_.empty() && !isNoted) {
+    unsettled.push_back(aServer.holder_);
+  }
+  const auto former = std::exchange(aServer.holder_, aHolder);
+  aServer.fence_ = ++aDraft.next_.lastFence_;
+  goneSince_.erase(aServer.name_);
+  // A holder that comes back must not count as stopped by an old report.
+  stopped_[aServer.name_].erase(aHolder);
+  std::erase(unsettled, aHolder);
+  aDraft.Note(Event::HolderAssigned,
+              "server=" + aServer.name_ + " holder=" + aHolder + " former=" + former +
+                " fence=" + std::to_string(aServer.fence_));
+}
+
+void
+HolderAssigner::Settle(PlacementDraft& aDraft, const ReportFunction& aReportOf)
+{
+  for (auto& server : aDraft.next_.servers_) {
+    if (server.unsettled_.empty()) {
+      goneSince_.emplace(server.name_, aDraft.now_);
+      continue;
+    }
+    const auto& stopped = stopped_[server.name_];
+    std::erase_if(server.unsettled_,
+                  [&](const std::string& aHolder) { return stopped.contains(aHolder); });
+    const bool areGone = std::all_of(
+      server.unsettled_.begin(), server.unsettled_.end(), [&](const std::string& aHolder) {
+        return aDraft.membership_.IsGone(aDraft.now_, aHolder);
+      });
+    if (!areGone) {
+      goneSince_.erase(server.name_);
+      continue;
+    }
+    const auto since = goneSince_.emplace(server.name_, aDraft.now_).first->second;
+    const auto* report = aReportOf(server);
+    // Grants under a lower fence are void once a server that checks has
+    // answered the higher one; otherwise they must have run out.
+    const bool isFencedOff = aDraft.service_.checksOrders_ && report != nullptr &&
+                             report->isReachable_ && !report->isUnconfirmed_;
+    if (isFencedOff || aDraft.now_ - since >= grantTail_) {
+      server.unsettled_.clear();
+    }
+  }
+}
+
+void
+HolderAssigner::EvenOut(PlacementDraft& aDraft)
+{
+  std::map<InstanceId, std::size_t> held;
+  std::map<InstanceId, std::string> halls;
+  for (const auto& instance : aDraft.membership_.Live(aDraft.now_)) {
+    if (!instance.leaving_) {
+      held[instance.id_] = 0;
+      halls[instance.id_] = instance.hall_;
+    }
+  }
+  if (held.empty()) {
+    return;
+  }
+  for (const auto& server : aDraft.next_.servers_) {
+    const auto found = held.find(server.holder_);
+    if (found != held.end()) {
+      ++found->second;
+    }
+  }
+  const auto byCount = [](const auto& aLeft, const auto& aRight) {
+    return aLeft.second < aRight.second;
+  };
+  const auto least = std::min_element(held.begin(), held.end(), byCount);
+  const auto most = std::max_element(held.begin(), held.end(), byCount);
+  if (most->second <= least->second + kHolderSlack) {
+    return;
+  }
+  // One a round, and never into the server's own hall.
+  for (auto& server : aDraft.next_.servers_) {
+    const bool isApart = halls[least->first] != server.hall_;
+    if (server.holder_ == most->first && isApart && server.unsettled_.empty()) {
+      GiveTo(aDraft, server, least->first);
+      return;
+    }
+  }
+}
+
+} // namespace latchslip
--- /dev/null
+++ b/Libraries/LibPlacement/PlacementDraft.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "LibBase/Event.h"
+#include "LibBase/Time.h"
+#include "LibConfig/Declaration.h"
+#include "LibMembership/Membership.h"
+#include "LibPlacement/Placement.h"
+#include "LibStore/Row.h"
+
+#include <string>
+#include <vector>
+
+namespace latchslip {
+
+// One line of the log for one decision of a proposal.
+struct PlacementDecision
+{
+  Event event_;
+  std::string detail_;
+};
+
+// A proposal in the making: what stands, what is known, and what is to stand next.
+struct PlacementDraft
+{
+  Instant now_;
+  const ServiceDeclaration& service_;
+  PlacementProfile profile_;
+  const Placement& current_;
+  RowVersion version_;
+  const Membership& membership_;
+  Placement next_;
+  std::vector<PlacementDecision> decisions_{};
+  std::vector<std::string> lostServers_{};
+  std::size_t moved_ = 0;
+
+  void Note(Event aEvent, std::string aDetail)
+  {
+    decisions_.push_back({ aEvent, std::move(aDetail) });
+  }
+
+  std::vector<ServerIndex> ActiveServers() const
+  {
+    std::vector<ServerIndex> active;
+    for (ServerIndex index = 0; index < next_.servers_.size(); ++index) {
+      if (next_.servers_[index].state_ == PlacedState::Active) {
+        active.push_back(index);
+      }
+    }
+    return active;
+  }
+};
+
+} // namespace latchslip
--- a/Libraries/LibPlacement/Placer.cpp
+++ b/Libraries/LibPlacement/Placer.cpp
@@ -12,45 +12,12 @@
 // enough that the record of a service stays some kilobytes.
 constexpr std::size_t kSlicesPerServer = 16;
 
-// One instance may hold this many servers more than another of the service.
-constexpr std::size_t kHolderSlack = 1;
-
 } // namespace
 
-// A proposal in the making.
-struct Placer::Draft
-{
-  Instant now_;
-  const ServiceDeclaration& service_;
-  PlacementProfile profile_;
-  const Placement& current_;
-  RowVersion version_;
-  const Membership& membership_;
-  Placement next_;
-  std::vector<PlacementDecision> decisions_{};
-  std::vector<std::string> lostServers_{};
-  std::size_t moved_ = 0;
-
-  void Note(Event aEvent, std::string aDetail)
-  {
-    decisions_.push_back({ aEvent, std::move(aDetail) });
-  }
-
-  std::vector<ServerIndex> ActiveServers() const
-  {
-    std::vector<ServerIndex> active;
-    for (ServerIndex index = 0; index < next_.servers_.size(); ++index) {
-      if (next_.servers_[index].state_ == PlacedState::Active) {
-        active.push_back(index);
-      }
-    }
-    return active;
-  }
-};
-
 Placer::Placer(std::string aService, PlacerTiming aTiming)
   : service_(std::move(aService))
   , timing_(aTiming)
+  , holders_(aTiming.grantTail_)
 {
 }
 
@@ -58,8 +25,7 @@
 Placer::Forget()
 {
   reports_.clear();
-  stopped_.clear();
-  goneSince_.clear();
+  holders_.Forget();
   reachableSince_.clear();
 }
 
@@ -67,7 +33,7 @@
 Placer::OnReport(Instant aNow, const ServerReport& aReport)
 {
   if (aReport.hasStopped_) {
-    stopped_[aReport.server_].insert(aReport.holder_);
+    holders_.OnStopped(aReport.server_, aReport.holder_);
     return;
   }
   auto& known = reports_[aReport.server_];
@@ -99,7 +65,7 @@
 }
 
 void
-Placer::ReconcileServers(Draft& aDraft)
+Placer::ReconcileServers(PlacementDraft& aDraft)
 {
   auto& servers = aDraft.next_.servers_;
   std::map<std::string_view, const ServerDeclaration*> declarations;
@@ -140,98 +106,7 @@
 }
 
 void
-Placer::AssignHolders(Draft& aDraft)
-{
-  std::vector<LiveInstance> candidates;
-  for (const auto& instance : aDraft.membership_.Live(aDraft.now_)) {
-    if (!instance.leaving_) {
-      candidates.push_back(instance);
-    }
-  }
-  if (candidates.empty()) {
-    return;
-  }
-  std::map<std::string, std::size_t> held;
-  for (const auto& server : aDraft.next_.servers_) {
-    ++held[server.holder_];
-  }
-  for (auto& server : aDraft.next_.servers_) {
-    const bool hasHolder = !server.holder_.empty() &&
-                           aDraft.membership_.IsLive(aDraft.now_, server.holder_) &&
-                           !aDraft.membership_.IsLeavingInstance(server.holder_);
-    if (hasHolder) {
-      continue;
-    }
-    // A holder in another data hall outlives the loss of the server's hall, and
-    // then knows when the server's last grant ran out. The hash breaks ties so
-    // that the services do not all choose the same instance.
-    const auto chosen = std::min_element(
-      candidates.begin(), candidates.end(), [&](const auto& aLeft, const auto& aRight) {
-        const auto rank = [&](const LiveInstance& aInstance) {
-          return std::tuple(aInstance.hall_ == server.hall_,
-                            held[aInstance.id_],
-                            HashPair(aInstance.id_, service_ + server.name_));
-        };
-        return rank(aLeft) < rank(aRight);
-      });
-    GiveTo(aDraft, server, chosen->id_);
-    ++held[chosen->id_];
-  }
-}
-
-void
-Placer::GiveTo(Draft& aDraft, PlacedServer& aServer, const InstanceId& aHolder)
-{
-  auto& unsettled = aServer.unsettled_;
-  const bool isNoted =
-    std::find(unsettled.begin(), unsettled.end(), aServer.holder_) != unsettled.end();
-  if (!aServer.holder_.empty() && !isNoted) {
-    unsettled.push_back(aServer.holder_);
-  }
-  const auto former = std::exchange(aServer.holder_, aHolder);
-  aServer.fence_ = ++aDraft.next_.lastFence_;
-  goneSince_.erase(aServer.name_);
-  // A holder that comes back must not count as stopped by an old report.
-  stopped_[aServer.name_].erase(aHolder);
-  std::erase(unsettled, aHolder);
-  aDraft.Note(Event::HolderAssigned,
-              "server=" + aServer.name_ + " holder=" + aHolder + " former=" + former +
-                " fence=" + std::to_string(aServer.fence_));
-}
-
-void
-Placer::SettleFormerHolders(Draft& aDraft)
-{
-  for (auto& server : aDraft.next_.servers_) {
-    if (server.unsettled_.empty()) {
-      goneSince_.emplace(server.name_, aDraft.now_);
-      continue;
-    }
-    const auto& stopped = stopped_[server.name_];
-    std::erase_if(server.unsettled_,
-                  [&](const std::string& aHolder) { return stopped.contains(aHolder); });
-    const bool areGone = std::all_of(
-      server.unsettled_.begin(), server.unsettled_.end(), [&](const std::string& aHolder) {
-        return aDraft.membership_.IsGone(aDraft.now_, aHolder);
-      });
-    if (!areGone) {
-      goneSince_.erase(server.name_);
-      continue;
-    }
-    const auto since = goneSince_.emplace(server.name_, aDraft.now_).first->second;
-    const auto* report = ReportOf(server);
-    // Grants under a lower fence are void once a server that checks has
-    // answered the higher one; otherwise they must have run out.
-    const bool isFencedOff = aDraft.service_.checksOrders_ && report != nullptr &&
-                             report->isReachable_ && !report->isUnconfirmed_;
-    if (isFencedOff || aDraft.now_ - since >= timing_.grantTail_) {
-      server.unsettled_.clear();
-    }
-  }
-}
-
-void
-Placer::FinishMoves(Draft& aDraft)
+Placer::FinishMoves(PlacementDraft& aDraft)
 {
   for (auto& slice : aDraft.next_.slices_) {
     if (!slice.IsMoving()) {
@@ -256,7 +131,7 @@
 }
 
 ServerIndex
-Placer::LeastLoaded(const Draft& aDraft, const std::vector<std::size_t>& aCounts)
+Placer::LeastLoaded(const PlacementDraft& aDraft, const std::vector<std::size_t>& aCounts)
 {
   const auto active = aDraft.ActiveServers();
   const auto least = std::min_element(active.begin(), active.end(), [&](auto aLeft, auto aRight) {
@@ -274,7 +149,7 @@
 }
 
 bool
-Placer::IsCertainlySilent(const Draft& aDraft,
+Placer::IsCertainlySilent(const PlacementDraft& aDraft,
                           const PlacedServer& aServer,
                           const ServerReport& aReport) const
 {
@@ -285,14 +160,11 @@
     return true;
   }
   // A holder that never reached the server cannot vouch for its predecessors.
-  const auto gone = goneSince_.find(aServer.name_);
-  const bool isTailOver =
-    gone != goneSince_.end() && aDraft.now_ - gone->second >= timing_.grantTail_;
-  return aServer.unsettled_.empty() && isTailOver;
+  return holders_.AreFormerGrantsOver(aDraft.now_, aServer);
 }
 
 std::size_t
-Placer::GiveAway(Draft& aDraft, ServerIndex aLost)
+Placer::GiveAway(PlacementDraft& aDraft, ServerIndex aLost)
 {
   std::size_t count = 0;
   auto counts = aDraft.next_.CountSlices();
@@ -317,7 +189,7 @@
 }
 
 void
-Placer::MoveLost(Draft& aDraft)
+Placer::MoveLost(PlacementDraft& aDraft)
 {
   for (ServerIndex index = 0; index < aDraft.next_.servers_.size(); ++index) {
     auto& server = aDraft.next_.servers_[index];
@@ -353,7 +225,7 @@
 }
 
 void
-Placer::ReturnLost(Draft& aDraft)
+Placer::ReturnLost(PlacementDraft& aDraft)
 {
   for (auto& server : aDraft.next_.servers_) {
     if (server.state_ != PlacedState::Lost) {
@@ -374,7 +246,7 @@
 }
 
 void
-Placer::PlaceFirst(Draft& aDraft)
+Placer::PlaceFirst(PlacementDraft& aDraft)
 {
   if (!aDraft.next_.slices_.empty()) {
     return;
@@ -391,7 +263,7 @@
 }
 
 void
-Placer::EmptyDraining(Draft& aDraft)
+Placer::EmptyDraining(PlacementDraft& aDraft)
 {
   auto counts = aDraft.next_.CountSlices();
   for (auto& slice : aDraft.next_.slices_) {
@@ -412,7 +284,7 @@
 }
 
 void
-Placer::RemoveUndeclared(Draft& aDraft)
+Placer::RemoveUndeclared(PlacementDraft& aDraft)
 {
   auto counts = aDraft.next_.CountSlices();
   for (ServerIndex index = 0; index < aDraft.next_.servers_.size();) {
@@ -431,7 +303,7 @@
 }
 
 bool
-Placer::FillEmptyServer(Draft& aDraft)
+Placer::FillEmptyServer(PlacementDraft& aDraft)
 {
   const auto active = aDraft.ActiveServers();
   auto counts = aDraft.next_.CountSlices();
@@ -462,7 +334,7 @@
 }
 
 void
-Placer::EvenOutLoad(Draft& aDraft)
+Placer::EvenOutLoad(PlacementDraft& aDraft)
 {
   auto& placement = aDraft.next_;
   for (const auto& move : ChooseMoves(
@@ -489,51 +361,13 @@
 }
 
 void
-Placer::EvenOutHolders(Draft& aDraft)
-{
-  std::map<InstanceId, std::size_t> held;
-  std::map<InstanceId, std::string> halls;
-  for (const auto& instance : aDraft.membership_.Live(aDraft.now_)) {
-    if (!instance.leaving_) {
-      held[instance.id_] = 0;
-      halls[instance.id_] = instance.hall_;
-    }
-  }
-  if (held.empty()) {
-    return;
-  }
-  for (const auto& server : aDraft.next_.servers_) {
-    const auto found = held.find(server.holder_);
-    if (found != held.end()) {
-      ++found->second;
-    }
-  }
-  const auto byCount = [](const auto& aLeft, const auto& aRight) {
-    return aLeft.second < aRight.second;
-  };
-  const auto least = std::min_element(held.begin(), held.end(), byCount);
-  const auto most = std::max_element(held.begin(), held.end(), byCount);
-  if (most->second <= least->second + kHolderSlack) {
-    return;
-  }
-  // One a round, and never into the server's own hall.
-  for (auto& server : aDraft.next_.servers_) {
-    const bool isApart = halls[least->first] != server.hall_;
-    if (server.holder_ == most->first && isApart && server.unsettled_.empty()) {
-      GiveTo(aDraft, server, least->first);
-      return;
-    }
-  }
-}
-
-void
-Placer::Rebalance(Draft& aDraft)
+Placer::Rebalance(PlacementDraft& aDraft)
 {
   if (aDraft.now_ - rebalancedAt_ < timing_.rebalanceInterval_) {
     return;
   }
   rebalancedAt_ = aDraft.now_;
-  EvenOutHolders(aDraft);
+  holders_.EvenOut(aDraft);
   const bool isSettled = std::none_of(aDraft.next_.slices_.begin(),
                                       aDraft.next_.slices_.end(),
                                       [](const Slice& aSlice) { return aSlice.IsMoving(); });
@@ -555,12 +389,12 @@
                 RowVersion aVersion,
                 const Membership& aMembership)
 {
-  Draft draft{ aNow, aService, aProfile, aCurrent, aVersion, aMembership, aCurrent };
+  PlacementDraft draft{ aNow, aService, aProfile, aCurrent, aVersion, aMembership, aCurrent };
   draft.next_.service_ = service_;
   ReconcileServers(draft);
   FinishMoves(draft);
-  AssignHolders(draft);
-  SettleFormerHolders(draft);
+  holders_.Assign(draft);
+  holders_.Settle(draft, [this](const PlacedServer& aServer) { return ReportOf(aServer); });
   MoveLost(draft);
   ReturnLost(draft);
   PlaceFirst(draft);
--- a/Libraries/LibPlacement/Placer.h
+++ b/Libraries/LibPlacement/Placer.h
@@ -4,7 +4,9 @@
 #include "LibBase/Time.h"
 #include "LibConfig/Declaration.h"
 #include "LibMembership/Membership.h"
+#include "LibPlacement/HolderAssigner.h"
 #include "LibPlacement/Placement.h"
+#include "LibPlacement/PlacementDraft.h"
 #include "LibPlacement/Rebalancer.h"
 #include "LibPlacement/ServerReport.h"
 
@@ -33,13 +35,6 @@
   Duration lossSpan_ = seconds(5);
 };
 
-// One line of the log for one decision of a proposal.
-struct PlacementDecision
-{
-  Event event_;
-  std::string detail_;
-};
-
 struct PlacementProposal
 {
   Placement placement_;
@@ -84,39 +79,31 @@
   std::size_t SlicesMoved() const { return slicesMoved_; }
 
 private:
-  struct Draft;
-
-  void ReconcileServers(Draft& aDraft);
-  void AssignHolders(Draft& aDraft);
-  void SettleFormerHolders(Draft& aDraft);
-  void FinishMoves(Draft& aDraft);
-  void MoveLost(Draft& aDraft);
-  void ReturnLost(Draft& aDraft);
-  void PlaceFirst(Draft& aDraft);
-  void EmptyDraining(Draft& aDraft);
-  void RemoveUndeclared(Draft& aDraft);
-  void Rebalance(Draft& aDraft);
-  bool FillEmptyServer(Draft& aDraft);
-  void EvenOutLoad(Draft& aDraft);
-  void EvenOutHolders(Draft& aDraft);
-  void GiveTo(Draft& aDraft, PlacedServer& aServer, const InstanceId& aHolder);
+  void ReconcileServers(PlacementDraft& aDraft);
+  void FinishMoves(PlacementDraft& aDraft);
+  void MoveLost(PlacementDraft& aDraft);
+  void ReturnLost(PlacementDraft& aDraft);
+  void PlaceFirst(PlacementDraft& aDraft);
+  void EmptyDraining(PlacementDraft& aDraft);
+  void RemoveUndeclared(PlacementDraft& aDraft);
+  void Rebalance(PlacementDraft& aDraft);
+  bool FillEmptyServer(PlacementDraft& aDraft);
+  void EvenOutLoad(PlacementDraft& aDraft);
   bool IsLossAllowed(Instant aNow, std::size_t aActive);
-  bool IsCertainlySilent(const Draft& aDraft,
+  bool IsCertainlySilent(const PlacementDraft& aDraft,
                          const PlacedServer& aServer,
                          const ServerReport& aReport) const;
   const ServerReport* ReportOf(const PlacedServer& aServer) const;
-  std::size_t GiveAway(Draft& aDraft, ServerIndex aLost);
-  static ServerIndex LeastLoaded(const Draft& aDraft, const std::vector<std::size_t>& aCounts);
+  std::size_t GiveAway(PlacementDraft& aDraft, ServerIndex aLost);
+  static ServerIndex LeastLoaded(const PlacementDraft& aDraft,
+                                 const std::vector<std::size_t>& aCounts);
 
   std::string service_;
   PlacerTiming timing_;
   std::map<std::string, ServerReport> reports_;
   // Load by server, kept from the last report that carried load.
   LoadTable loads_;
-  // Former holders that said they have stopped, by server.
-  std::map<std::string, std::set<std::string>> stopped_;
-  // Since when no former holder of a server can have renewed its grant.
-  std::map<std::string, Instant> goneSince_;
+  HolderAssigner holders_;
   std::map<std::string, Instant> reachableSince_;
   std::vector<Instant> losses_;
   std::set<std::string> deferred_;
--- a/Libraries/LibScenario/Script.cpp
+++ b/Libraries/LibScenario/Script.cpp
@@ -1,136 +1,9 @@
 #include "LibScenario/Script.h"
 
 #include <algorithm>
-#include <charconv>
 
 namespace latchslip {
 
-namespace {
-
-ScriptError
-ErrorAt(const ScriptWord& aWord, const std::string& aProblem)
-{
-  return { aWord.line_, aWord.column_, aProblem };
-}
-
-} // namespace
-
-std::vector<ScriptStatement>
-SplitScript(std::string_view aText)
-{
-  std::vector<ScriptStatement> statements;
-  std::size_t line = 0;
-  std::size_t start = 0;
-  while (start <= aText.size()) {
-    const auto end = std::min(aText.find('\n', start), aText.size());
-    auto row = aText.substr(start, end - start);
-    row = row.substr(0, row.find('#'));
-    ++line;
-    ScriptStatement statement;
-    std::size_t position = 0;
-    while ((position = row.find_first_not_of(" \t\r", position)) != std::string_view::npos) {
-      const auto stop = std::min(row.find_first_of(" \t\r", position), row.size());
-      statement.push_back(
-        { std::string(row.substr(position, stop - position)), line, position + 1 });
-      position = stop;
-    }
-    if (!statement.empty()) {
-      statements.push_back(std::move(statement));
-    }
-    start = end + 1;
-  }
-  return statements;
-}
-
-class ScriptRunner::Reader
-{
-public:
-  explicit Reader(const ScriptStatement& aStatement)
-    : statement_(aStatement)
-  {
-  }
-
-  bool HasMore() const { return next_ < statement_.size(); }
-  const ScriptWord& Last() const { return statement_[next_ == 0 ? 0 : next_ - 1]; }
-
-  ScriptResult<ScriptWord> Word(const std::string& aWhat)
-  {
-    if (!HasMore()) {
-      return ErrorAt(statement_.back(), "the statement ends where " + aWhat + " is expected");
-    }
-    return statement_[next_++];
-  }
-
-  ScriptResult<std::string> Text(const std::string& aWhat)
-  {
-    BOOST_OUTCOME_TRY(const auto word, Word(aWhat));
-    return word.text_;
-  }
-
-  ScriptResult<void> Literal(const std::string& aText)
-  {
-    BOOST_OUTCOME_TRY(const auto word, Word("\"" + aText + "\""));
-    if (word.text_ != aText) {
-      return ErrorAt(word, "expected \"" + aText + "\" and found \"" + word.text_ + "\"");
-    }
-    return outcome::success();
-  }
-
-  // A number that may end in the given suffix, such as "%" or "/s".
-  ScriptResult<double> Number(const std::string& aWhat, std::string_view aSuffix = "")
-  {
-    BOOST_OUTCOME_TRY(const auto word, Word(aWhat));
-    std::string_view text = word.text_;
-    if (!aSuffix.empty() && text.ends_with(aSuffix)) {
-      text.remove_suffix(aSuffix.size());
-    }
-    double number = 0;
-    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
-    if (parsed.ec != std::errc{} || parsed.ptr != text.data() + text.size()) {
-      return ErrorAt(word, aWhat + " must be a number and not \"" + word.text_ + "\"");
-    }
-    return number;
-  }
-
-  ScriptResult<Duration> Span(const std::string& aWhat)
-  {
-    BOOST_OUTCOME_TRY(const auto word, Word(aWhat));
-    std::string_view text = word.text_;
-    const bool isMillis = text.ends_with("ms");
-    const bool isSeconds = !isMillis && text.ends_with("s");
-    text.remove_suffix(isMillis ? 2 : isSeconds ? 1 : 0);
-    double number = 0;
-    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
-    const bool isWhole = parsed.ec == std::errc{} && parsed.ptr == text.data() + text.size();
-    if (!isWhole || (!isMillis && !isSeconds)) {
-      return ErrorAt(word,
-                     aWhat + " must be a time like 200ms or 2s and not \"" + word.text_ + "\"");
-    }
-    return Duration(static_cast<std::int64_t>(number * (isMillis ? 1e3 : 1e6)));
-  }
-
-  ScriptResult<bool> Choice(const std::string& aYes, const std::string& aNo)
-  {
-    BOOST_OUTCOME_TRY(const auto word, Word(aYes + " or " + aNo));
-    if (word.text_ != aYes && word.text_ != aNo) {
-      return ErrorAt(word, "expected " + aYes + " or " + aNo + " and found \"" + word.text_ + "\"");
-    }
-    return word.text_ == aYes;
-  }
-
-  ScriptResult<void> End() const
-  {
-    if (HasMore()) {
-      return ErrorAt(statement_[next_], "\"" + statement_[next_].text_ + "\" is too much here");
-    }
-    return outcome::success();
-  }
-
-private:
-  const ScriptStatement& statement_;
-  std::size_t next_ = 0;
-};
-
 ScriptResult<void>
 ScriptRunner::RequireWorld(const ScriptWord& aWord)
 {
@@ -141,7 +14,7 @@
 }
 
 ScriptResult<void>
-ScriptRunner::AddService(Reader& aReader)
+ScriptRunner::AddService(ScriptReader& aReader)
 {
   World::ServiceSettings settings;
   BOOST_OUTCOME_TRY(settings.name_, aReader.Text("the name of a service"));
@@ -160,7 +33,7 @@
 }
 
 ScriptResult<void>
-ScriptRunner::AddGroup(Reader& aReader)
+ScriptRunner::AddGroup(ScriptReader& aReader)
 {
   SharingIntent intent;
   BOOST_OUTCOME_TRY(intent.group_, aReader.Text("the name of a group"));
@@ -182,7 +55,7 @@
 }
 
 ScriptResult<void>
-ScriptRunner::AddLoad(Reader& aReader)
+ScriptRunner::AddLoad(ScriptReader& aReader)
 {
   World::LoadSettings load;
   BOOST_OUTCOME_TRY(load.group_, aReader.Text("the name of a group"));
@@ -206,7 +79,7 @@
 }
 
 ScriptResult<void>
-ScriptRunner::SendOne(Reader& aReader)
+ScriptRunner::SendOne(ScriptReader& aReader)
 {
   World::LoadSettings how;
   BOOST_OUTCOME_TRY(const auto id, aReader.Text("the id of a request"));
@@ -225,7 +98,7 @@
 }
 
 ScriptResult<void>
-ScriptRunner::SetStore(Reader& aReader)
+ScriptRunner::SetStore(ScriptReader& aReader)
 {
   BOOST_OUTCOME_TRY(const auto word, aReader.Word("out, up, slow or lose"));
   auto& store = world_->Store();
@@ -245,7 +118,7 @@
 }
 
 ScriptResult<void>
-ScriptRunner::SetList(Reader& aReader)
+ScriptRunner::SetList(ScriptReader& aReader)
 {
   BOOST_OUTCOME_TRY(const auto isLag, aReader.Choice("lag", "gone"));
   if (isLag) {
@@ -259,7 +132,7 @@
 }
 
 ScriptResult<void>
-ScriptRunner::Drain(Reader& aReader)
+ScriptRunner::Drain(ScriptReader& aReader)
 {
   BOOST_OUTCOME_TRY(const auto word, aReader.Word("an instance or a server"));
   if (world_->Core(word.text_) != nullptr) {
@@ -270,7 +143,7 @@
 }
 
 ScriptResult<void>
-ScriptRunner::Want(Reader& aReader)
+ScriptRunner::Want(ScriptReader& aReader)
 {
   BOOST_OUTCOME_TRY(const auto isPortion, aReader.Choice("portion", "draining"));
   if (isPortion) {
@@ -299,7 +172,7 @@
 }
 
 ScriptResult<double>
-ScriptRunner::Quantity(Reader& aReader)
+ScriptRunner::Quantity(ScriptReader& aReader)
 {
   BOOST_OUTCOME_TRY(const auto word, aReader.Word("a quantity"));
   const auto& name = word.text_;
@@ -369,7 +242,7 @@
 }
 
 ScriptResult<void>
-ScriptRunner::ExpectOutcome(Reader& aReader)
+ScriptRunner::ExpectOutcome(ScriptReader& aReader)
 {
   BOOST_OUTCOME_TRY(const auto id, aReader.Word("the id of a request"));
   BOOST_OUTCOME_TRY(const auto wanted, aReader.Word("an outcome"));
@@ -398,7 +271,7 @@
 }
 
 ScriptResult<void>
-ScriptRunner::Expect(Reader& aReader)
+ScriptRunner::Expect(ScriptReader& aReader)
 {
   BOOST_OUTCOME_TRY(const auto value, Quantity(aReader));
   BOOST_OUTCOME_TRY(const auto sign, aReader.Word("<, <=, =, >= or >"));
@@ -416,7 +289,7 @@
 }
 
 ScriptResult<void>
-ScriptRunner::CarrySetup(const std::string& aVerb, Reader& aReader, bool& aIsKnown)
+ScriptRunner::CarrySetup(const std::string& aVerb, ScriptReader& aReader, bool& aIsKnown)
 {
   aIsKnown = true;
   if (aVerb == "instances") {
@@ -447,7 +320,7 @@
 }
 
 ScriptResult<void>
-ScriptRunner::CarryFault(const std::string& aVerb, Reader& aReader, bool& aIsKnown)
+ScriptRunner::CarryFault(const std::string& aVerb, ScriptReader& aReader, bool& aIsKnown)
 {
   aIsKnown = true;
   if (aVerb == "store") {
@@ -506,7 +379,7 @@
 }
 
 ScriptResult<void>
-ScriptRunner::CarryAction(const std::string& aVerb, Reader& aReader, bool& aIsKnown)
+ScriptRunner::CarryAction(const std::string& aVerb, ScriptReader& aReader, bool& aIsKnown)
 {
   aIsKnown = true;
   if (aVerb == "load") {
@@ -558,7 +431,7 @@
 ScriptResult<void>
 ScriptRunner::Carry(const ScriptStatement& aStatement)
 {
-  Reader reader(aStatement);
+  ScriptReader reader(aStatement);
   BOOST_OUTCOME_TRY(const auto verb, reader.Word("a statement"));
   if (verb.text_ == "seed") {
     BOOST_OUTCOME_TRY(const auto seed, reader.Number("the seed"));
--- /dev/null
+++ b/Libraries/LibScenario/ScriptReader.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include "LibBase/Result.h"
+#include "LibBase/Time.h"
+
+#include <charconv>
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace latchslip {
+
+// Reads the words of scenarios; every error says where it stands.
+
+struct ScriptError
+{
+  std::size_t line_ = 0;
+  std::size_t column_ = 0;
+  std::string problem_;
+
+  std::string Describe() const
+  {
+    return "line " + std::to_string(line_) + ", column " + std::to_string(column_) + ": " +
+           problem_;
+  }
+};
+template<typename T>
+using ScriptResult = Result<T, ScriptError>;
+
+// A word of a statement and where it stands.
+struct ScriptWord
+{
+  std::string text_;
+  std::size_t line_ = 0;
+  std::size_t column_ = 0;
+};
+using ScriptStatement = std::vector<ScriptWord>;
+
+std::vector<ScriptStatement>
+SplitScript(std::string_view aText);
+
+ScriptError
+ErrorAt(const ScriptWord& aWord, const std::string& aProblem);
+
+// The words of one statement, taken from the left.
+class ScriptReader
+{
+public:
+  explicit ScriptReader(const ScriptStatement& aStatement)
+    : statement_(aStatement)
+  {
+  }
+
+  bool HasMore() const { return next_ < statement_.size(); }
+  const ScriptWord& Last() const { return statement_[next_ == 0 ? 0 : next_ - 1]; }
+
+  ScriptResult<ScriptWord> Word(const std::string& aWhat)
+  {
+    if (!HasMore()) {
+      return ErrorAt(statement_.back(), "the statement ends where " + aWhat + " is expected");
+    }
+    return statement_[next_++];
+  }
+
+  ScriptResult<std::string> Text(const std::string& aWhat)
+  {
+    BOOST_OUTCOME_TRY(const auto word, Word(aWhat));
+    return word.text_;
+  }
+
+  ScriptResult<void> Literal(const std::string& aText)
+  {
+    BOOST_OUTCOME_TRY(const auto word, Word("\"" + aText + "\""));
+    if (word.text_ != aText) {
+      return ErrorAt(word, "expected \"" + aText + "\" and found \"" + word.text_ + "\"");
+    }
+    return outcome::success();
+  }
+
+  // A number that may end in the given suffix, such as "%" or "/s".
+  ScriptResult<double> Number(const std::string& aWhat, std::string_view aSuffix = "")
+  {
+    BOOST_OUTCOME_TRY(const auto word, Word(aWhat));
+    std::string_view text = word.text_;
+    if (!aSuffix.empty() && text.ends_with(aSuffix)) {
+      text.remove_suffix(aSuffix.size());
+    }
+    double number = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (parsed.ec != std::errc{} || parsed.ptr != text.data() + text.size()) {
+      return ErrorAt(word, aWhat + " must be a number and not \"" + word.text_ + "\"");
+    }
+    return number;
+  }
+
+  ScriptResult<Duration> Span(const std::string& aWhat)
+  {
+    BOOST_OUTCOME_TRY(const auto word, Word(aWhat));
+    std::string_view text = word.text_;
+    const bool isMillis = text.ends_with("ms");
+    const bool isSeconds = !isMillis && text.ends_with("s");
+    text.remove_suffix(isMillis ? 2 : isSeconds ? 1 : 0);
+    double number = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
+    const bool isWhole = parsed.ec == std::errc{} && parsed.ptr == text.data() + text.size();
+    if (!isWhole || (!isMillis && !isSeconds)) {
+      return ErrorAt(word,
+                     aWhat + " must be a time like 200ms or 2s and not \"" + word.text_ + "\"");
+    }
+    return Duration(static_cast<std::int64_t>(number * (isMillis ? 1e3 : 1e6)));
+  }
+
+  ScriptResult<bool> Choice(const std::string& aYes, const std::string& aNo)
+  {
+    BOOST_OUTCOME_TRY(const auto word, Word(aYes + " or " + aNo));
+    if (word.text_ != aYes && word.text_ != aNo) {
+      return ErrorAt(word, "expected " + aYes + " or " + aNo + " and found \"" + word.text_ + "\"");
+    }
+    return word.text_ == aYes;
+  }
+
+  ScriptResult<void> End() const
+  {
+    if (HasMore()) {
+      return ErrorAt(statement_[next_], "\"" + statement_[next_].text_ + "\" is too much here");
+    }
+    return outcome::success();
+  }
+
+private:
+  const ScriptStatement& statement_;
+  std::size_t next_ = 0;
+};
+
+} // namespace latchslip
--- a/Tests/LibDispatch/TestClaimBook.cpp
+++ b/Tests/LibDispatch/TestClaimBook.cpp
@@ -49,7 +49,7 @@
 
 TEST_F(ClaimBookOnTable, IdIsNew_Claimed)
 {
-  ASSERT_TRUE(book_.Submit(now_, 1, "claim/a"));
+  ASSERT_TRUE(book_.Submit(now_, 1, "claim/a", "sending-" + std::to_string(1)));
   const auto decisions = Settle();
   ASSERT_EQ(decisions.size(), 1U);
   EXPECT_EQ(decisions[0].verdict_, ClaimVerdict::Claimed);
@@ -57,8 +57,8 @@
 
 TEST_F(ClaimBookOnTable, SameIdTwiceInOneBatch_OneIsDuplicate)
 {
-  book_.Submit(now_, 1, "claim/a");
-  book_.Submit(now_, 2, "claim/a");
+  book_.Submit(now_, 1, "claim/a", "sending-" + std::to_string(1));
+  book_.Submit(now_, 2, "claim/a", "sending-" + std::to_string(2));
   const auto decisions = Settle();
   ASSERT_EQ(decisions.size(), 2U);
   EXPECT_EQ(decisions[0].verdict_, ClaimVerdict::Claimed);
@@ -68,11 +68,11 @@
 TEST_F(ClaimBookOnTable, OneOfABatchIsTaken_TheOthersAreClaimed)
 {
   ClaimBook other("i2#b", ClaimTiming{});
-  other.Submit(now_, 9, "claim/b");
+  other.Submit(now_, 9, "claim/b", "sending-" + std::to_string(9));
   other.OnReply(now_, Carry(*other.NextCall(now_)));
-  book_.Submit(now_, 1, "claim/a");
-  book_.Submit(now_, 2, "claim/b");
-  book_.Submit(now_, 3, "claim/c");
+  book_.Submit(now_, 1, "claim/a", "sending-" + std::to_string(1));
+  book_.Submit(now_, 2, "claim/b", "sending-" + std::to_string(2));
+  book_.Submit(now_, 3, "claim/c", "sending-" + std::to_string(3));
   std::map<ClaimId, ClaimVerdict> verdicts;
   for (const auto& decision : Settle()) {
     verdicts[decision.id_] = decision.verdict_;
@@ -82,23 +82,37 @@
   EXPECT_EQ(verdicts.at(3), ClaimVerdict::Claimed);
 }
 
+TEST_F(ClaimBookOnTable, SameSendingComesFromAFormerHolder_ClaimIsTakenOver)
+{
+  ClaimBook former("i2#b", ClaimTiming{});
+  former.Submit(now_, 9, "claim/a", "sending-1");
+  former.OnReply(now_, Carry(*former.NextCall(now_)));
+  book_.Submit(now_, 1, "claim/a", "sending-1");
+  EXPECT_EQ(Settle().at(0).verdict_, ClaimVerdict::Claimed);
+  // The former holder's release comes too late to free the id again.
+  former.Release(9);
+  Carry(*former.NextCall(now_));
+  book_.Submit(now_, 2, "claim/a", "sending-2");
+  EXPECT_EQ(Settle().at(0).verdict_, ClaimVerdict::Duplicate);
+}
+
 TEST_F(ClaimBookOnTable, Released_MayBeClaimedAgain)
 {
-  book_.Submit(now_, 1, "claim/a");
+  book_.Submit(now_, 1, "claim/a", "sending-" + std::to_string(1));
   Settle();
   book_.Release(1);
   Settle();
-  book_.Submit(now_, 2, "claim/a");
+  book_.Submit(now_, 2, "claim/a", "sending-" + std::to_string(2));
   EXPECT_EQ(Settle().at(0).verdict_, ClaimVerdict::Claimed);
 }
 
 TEST_F(ClaimBookOnTable, Closed_DuplicateIsToldWhatCameOfIt)
 {
-  book_.Submit(now_, 1, "claim/a");
+  book_.Submit(now_, 1, "claim/a", "sending-" + std::to_string(1));
   Settle();
   book_.Close(1, "answered 200");
   Settle();
-  book_.Submit(now_, 2, "claim/a");
+  book_.Submit(now_, 2, "claim/a", "sending-" + std::to_string(2));
   const auto decision = Settle().at(0);
   EXPECT_EQ(decision.verdict_, ClaimVerdict::Duplicate);
   EXPECT_EQ(decision.earlier_, "answered 200");
@@ -106,7 +120,7 @@
 
 TEST_F(ClaimBookOnTable, AnswerIsLostAfterTheWrite_ReadBackFindsTheOwnClaim)
 {
-  book_.Submit(now_, 1, "claim/a");
+  book_.Submit(now_, 1, "claim/a", "sending-" + std::to_string(1));
   const auto call = book_.NextCall(now_);
   Carry(*call);
   EXPECT_TRUE(book_.OnReply(now_, { StoreStatus::Unsure, {} }).empty());
@@ -117,7 +131,7 @@
 
 TEST_F(ClaimBookOnTable, WriteTakesEffectAfterTheReadBack_StillTheOwnClaim)
 {
-  book_.Submit(now_, 1, "claim/a");
+  book_.Submit(now_, 1, "claim/a", "sending-" + std::to_string(1));
   const auto late = book_.NextCall(now_);
   book_.OnReply(now_, { StoreStatus::Unsure, {} });
   now_ += milliseconds(100);
@@ -130,7 +144,7 @@
 
 TEST_F(ClaimBookOnTable, GivenUpWhileUnsure_ClaimIsReleasedInTheEnd)
 {
-  book_.Submit(now_, 1, "claim/a");
+  book_.Submit(now_, 1, "claim/a", "sending-" + std::to_string(1));
   Carry(*book_.NextCall(now_));
   book_.OnReply(now_, { StoreStatus::Unsure, {} });
   book_.Release(1);
@@ -140,20 +154,20 @@
 
 TEST_F(ClaimBookOnTable, StoreIsDown_RefusedAtOnceAndForAWhile)
 {
-  book_.Submit(now_, 1, "claim/a");
+  book_.Submit(now_, 1, "claim/a", "sending-" + std::to_string(1));
   book_.NextCall(now_);
   const auto decisions = book_.OnReply(now_, { StoreStatus::Unavailable, {} });
   ASSERT_EQ(decisions.size(), 1U);
   EXPECT_EQ(decisions[0].verdict_, ClaimVerdict::StoreUnavailable);
-  EXPECT_FALSE(book_.Submit(now_, 2, "claim/b"));
-  EXPECT_TRUE(book_.Submit(now_ + seconds(1), 2, "claim/b"));
+  EXPECT_FALSE(book_.Submit(now_, 2, "claim/b", "sending-" + std::to_string(2)));
+  EXPECT_TRUE(book_.Submit(now_ + seconds(1), 2, "claim/b", "sending-" + std::to_string(2)));
 }
 
 TEST_F(ClaimBookOnTable, ManyIds_KeepToTheRateOfTransactions)
 {
   std::size_t calls = 0;
   for (ClaimId id = 1; id <= 2000; ++id) {
-    book_.Submit(now_, id, "claim/" + std::to_string(id));
+    book_.Submit(now_, id, "claim/" + std::to_string(id), "sending-" + std::to_string(id));
     now_ += milliseconds(1);
     if (const auto call = book_.NextCall(now_)) {
       ++calls;
--- a/Tests/LibNet/TestCodec.cpp
+++ b/Tests/LibNet/TestCodec.cpp
@@ -36,12 +36,14 @@
   sent.request_.key_ = std::string("line\0one", 8);
   sent.request_.requestId_ = "r-1";
   sent.request_.isRepeatable_ = true;
+  sent.request_.sendingToken_ = "i1#a/7";
   sent.request_.deadline_ = milliseconds(250);
   sent.request_.body_ = std::make_shared<const std::string>(5'000'000, '\xfe');
   const auto got = PeerRoundTrip(sent);
   EXPECT_EQ(got.id_, 99U);
   EXPECT_EQ(got.request_.key_, sent.request_.key_);
   EXPECT_EQ(got.request_.deadline_, milliseconds(250));
+  EXPECT_EQ(got.request_.sendingToken_, "i1#a/7");
   EXPECT_EQ(*got.request_.body_, *sent.request_.body_);
 }
 
