Libraries: Say once what stood twice

Read as a newcomer: the two stand-ins ended alike, three files looked rows up by hand, two compared ranges, and two took the order of a tag.

--- a/Libraries/LibDispatch/ClaimBook.cpp
+++ b/Libraries/LibDispatch/ClaimBook.cpp
@@ -10,14 +10,6 @@
 constexpr std::string_view kReleased = "released";
 constexpr std::string_view kStarted = "started ";
 
-const Row*
-FindRow(const std::vector<Row>& aRows, const std::string& aKey)
-{
-  const auto found =
-    std::find_if(aRows.begin(), aRows.end(), [&](const Row& aRow) { return aRow.key_ == aKey; });
-  return found == aRows.end() ? nullptr : &*found;
-}
-
 } // namespace
 
 std::string
--- a/Libraries/LibDispatch/GrantKeeper.cpp
+++ b/Libraries/LibDispatch/GrantKeeper.cpp
@@ -14,6 +14,16 @@
   return after != aRanges.begin() && aHash <= std::prev(after)->second;
 }
 
+bool
+ShareHash(const std::vector<HashRange>& aLeft, const std::vector<HashRange>& aRight)
+{
+  return std::any_of(aLeft.begin(), aLeft.end(), [&](const HashRange& aOne) {
+    return std::any_of(aRight.begin(), aRight.end(), [&](const HashRange& aOther) {
+      return aOne.first <= aOther.second && aOther.first <= aOne.second;
+    });
+  });
+}
+
 GrantKeeper::GrantKeeper(std::string aService,
                          std::string aServer,
                          bool aChecksOrders,
--- a/Libraries/LibDispatch/GrantKeeper.h
+++ b/Libraries/LibDispatch/GrantKeeper.h
@@ -23,6 +23,10 @@
 bool
 CoversHash(const std::vector<HashRange>& aRanges, KeyHash aHash);
 
+// Whether two lists of ranges have a hash in common.
+bool
+ShareHash(const std::vector<HashRange>& aLeft, const std::vector<HashRange>& aRight);
+
 struct GrantOrder
 {
   std::string service_;
--- a/Libraries/LibInstance/DispatchDesk.cpp
+++ b/Libraries/LibInstance/DispatchDesk.cpp
@@ -330,26 +330,33 @@
   Pump(aNow, held);
 }
 
-void
-DispatchDesk::OnGrantReply(Instant aNow, CallTag aTag, const GrantReply& aReply)
+std::optional<DispatchDesk::Order>
+DispatchDesk::TakeOrder(CallTag aTag)
 {
   const auto found = orders_.find(aTag);
   if (found == orders_.end()) {
-    return;
+    return std::nullopt;
   }
-  const auto order = std::move(found->second);
+  auto order = std::move(found->second);
   orders_.erase(found);
-  const auto entry = held_.find(order.key_);
+  return order;
+}
+
+void
+DispatchDesk::OnGrantReply(Instant aNow, CallTag aTag, const GrantReply& aReply)
+{
+  const auto order = TakeOrder(aTag);
+  const auto entry = order ? held_.find(order->key_) : held_.end();
   if (entry == held_.end()) {
     return;
   }
   auto& held = *entry->second;
   const auto before = held.keeper_.State();
-  held.keeper_.OnReply(aNow, order.sentAt_, order.order_, aReply);
+  held.keeper_.OnReply(aNow, order->sentAt_, order->order_, aReply);
   if (!aReply.accepted_) {
     context_.events_.Record(Event::GrantRefused,
                             "server=" + held.server_ +
-                              " fence=" + std::to_string(order.order_.fence_) +
+                              " fence=" + std::to_string(order->order_.fence_) +
                               " seen=" + std::to_string(aReply.fence_));
   }
   if (before != held.keeper_.State()) {
@@ -360,7 +367,7 @@
   }
   held.isRefused_ = false;
   held.queue_.SetForeign(held.keeper_.ForeignRunning());
-  SettleAbandoned(held, order.sentAt_);
+  SettleAbandoned(held, order->sentAt_);
   reporter_.Report(aNow, held);
   Pump(aNow, held);
 }
@@ -383,16 +390,11 @@
 void
 DispatchDesk::OnConnectionRefused(Instant aNow, CallTag aTag)
 {
-  const auto found = orders_.find(aTag);
-  if (found == orders_.end()) {
-    return;
-  }
-  const auto order = std::move(found->second);
-  orders_.erase(found);
-  const auto entry = held_.find(order.key_);
+  const auto order = TakeOrder(aTag);
+  const auto entry = order ? held_.find(order->key_) : held_.end();
   if (entry != held_.end()) {
     entry->second->isRefused_ = true;
-    SettleAbandoned(*entry->second, order.sentAt_);
+    SettleAbandoned(*entry->second, order->sentAt_);
     reporter_.Report(aNow, *entry->second);
   }
 }
--- a/Libraries/LibInstance/DispatchDesk.h
+++ b/Libraries/LibInstance/DispatchDesk.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -51,6 +52,8 @@
     GrantOrder order_;
   };
 
+  // The grant order that a tag stands for; each is answered once.
+  std::optional<Order> TakeOrder(CallTag aTag);
   static std::string HeldKey(std::string_view aService, std::string_view aServer);
   HeldServer* FindHeldFor(const WorkRequest& aRequest, KeyHash aHash, Reason& aReason);
   Reason CheckAdmission(Instant aNow,
--- a/Libraries/LibInstance/OperatorDesk.cpp
+++ b/Libraries/LibInstance/OperatorDesk.cpp
@@ -121,10 +121,8 @@
 bool
 OperatorDesk::OnStanding(Instant aNow, Confirmation& aConfirmation, const StoreReply& aReply)
 {
-  const auto found = std::find_if(aReply.rows_.begin(), aReply.rows_.end(), [](const Row& aRow) {
-    return aRow.key_ == kConfigurationKey;
-  });
-  const auto version = found == aReply.rows_.end() ? 0 : found->version_;
+  const auto* found = FindRow(aReply.rows_, kConfigurationKey);
+  const auto version = found == nullptr ? 0 : found->version_;
   if (version == aConfirmation.plan_.baseRevision_) {
     // Not in force yet: the same write again is safe under its condition.
     Send(aConfirmation);
--- a/Libraries/LibInstance/PlacerDesk.cpp
+++ b/Libraries/LibInstance/PlacerDesk.cpp
@@ -171,14 +171,6 @@
   context_.outbox_.CallStore(aRole.tag_, call);
 }
 
-const Row*
-PlacerDesk::FindRow(const StoreReply& aReply, const std::string& aKey)
-{
-  const auto found = std::find_if(
-    aReply.rows_.begin(), aReply.rows_.end(), [&](const Row& aRow) { return aRow.key_ == aKey; });
-  return found == aReply.rows_.end() ? nullptr : &*found;
-}
-
 void
 PlacerDesk::OnCommitted(Instant aNow, Role& aRole, const Row& aRow)
 {
@@ -207,7 +199,7 @@
                        Role& aRole,
                        const StoreReply& aReply)
 {
-  const auto* row = FindRow(aReply, PlacementKey(aService));
+  const auto* row = FindRow(aReply.rows_, PlacementKey(aService));
   const auto standing = row == nullptr ? FieldResult<Placement>(FieldError{ "row", "is absent" })
                                        : ParsePlacement(row->value_);
   if (standing && standing.value().token_ == aRole.proposal_->placement_.token_) {
@@ -234,7 +226,7 @@
     aRole.notBefore_ = aNow + kOutagePause;
     return;
   }
-  const auto* row = FindRow(aReply, PlacementKey(aService));
+  const auto* row = FindRow(aReply.rows_, PlacementKey(aService));
   const auto version = row == nullptr ? 0 : row->version_;
   if (version == aRole.proposal_->baseVersion_) {
     // NOTE: It has not taken effect, but it may still be under way. Sending the
--- a/Libraries/LibInstance/PlacerDesk.h
+++ b/Libraries/LibInstance/PlacerDesk.h
@@ -62,7 +62,6 @@
   void OnRefused(Instant aNow, Role& aRole);
   void OnReadBack(Instant aNow, const std::string& aService, Role& aRole, const StoreReply& aReply);
   void OnConflict(Instant aNow, const std::string& aService, Role& aRole, const StoreReply& aReply);
-  static const Row* FindRow(const StoreReply& aReply, const std::string& aKey);
 
   InstanceContext context_;
   InstallFunction install_;
--- a/Libraries/LibScenario/Invariants.cpp
+++ b/Libraries/LibScenario/Invariants.cpp
@@ -10,16 +10,6 @@
 // "A backend server that is leaving receives no new work after a few seconds."
 constexpr Duration kLeavingBound = seconds(3);
 
-bool
-Overlap(const std::vector<HashRange>& aLeft, const std::vector<HashRange>& aRight)
-{
-  return std::any_of(aLeft.begin(), aLeft.end(), [&](const HashRange& aOne) {
-    return std::any_of(aRight.begin(), aRight.end(), [&](const HashRange& aOther) {
-      return aOne.first <= aOther.second && aOther.first <= aOne.second;
-    });
-  });
-}
-
 } // namespace
 
 void
@@ -45,7 +35,7 @@
     return;
   }
   for (const auto& [server, grant] : grants) {
-    if (server != aServer && grant.until_ > aNow && Overlap(grant.ranges_, aRanges)) {
+    if (server != aServer && grant.until_ > aNow && ShareHash(grant.ranges_, aRanges)) {
       Violate(aNow, "one-owner: " + server + " and " + aServer + " own the same keys");
     }
   }
--- a/Libraries/LibStandIn/Audit.cpp
+++ b/Libraries/LibStandIn/Audit.cpp
@@ -13,21 +13,6 @@
 // Enough to see what went wrong without flooding the screen.
 constexpr std::size_t kMostViolations = 50;
 
-bool
-Overlap(const HashRange& aLeft, const HashRange& aRight)
-{
-  return aLeft.first <= aRight.second && aRight.first <= aLeft.second;
-}
-
-bool
-Overlap(const std::vector<HashRange>& aLeft, const std::vector<HashRange>& aRight)
-{
-  return std::any_of(aLeft.begin(), aLeft.end(), [&](const HashRange& aOne) {
-    return std::any_of(
-      aRight.begin(), aRight.end(), [&](const HashRange& aOther) { return Overlap(aOne, aOther); });
-  });
-}
-
 void
 Note(AuditReport& aReport, std::string aViolation)
 {
@@ -43,7 +28,7 @@
     for (const auto& right : aRight.ownerships_) {
       const auto from = std::max(left.from_, right.from_);
       const auto until = std::min(left.until_, right.until_);
-      if (from < until && Overlap(left.ranges_, right.ranges_)) {
+      if (from < until && ShareHash(left.ranges_, right.ranges_)) {
         Note(aReport,
              "one-owner: " + aLeft.server_ + " and " + aRight.server_ +
                " owned the same keys for " + std::to_string((until - from).count()) + " us from " +
--- a/Libraries/LibStore/Row.h
+++ b/Libraries/LibStore/Row.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace latchslip {
@@ -59,4 +60,8 @@
   std::vector<Row> rows_;
 };
 
+// The row of that key, or nothing.
+const Row*
+FindRow(const std::vector<Row>& aRows, std::string_view aKey);
+
 } // namespace latchslip
--- a/Services/StandInPlatform/main.cpp
+++ b/Services/StandInPlatform/main.cpp
@@ -3,15 +3,14 @@
 #include "LibDaemon/Settings.h"
 #include "LibNet/HttpServer.h"
 #include "LibNet/PlatformClient.h"
+#include "LibStandIn/ServeStandIn.h"
 #include "LibStandIn/TableState.h"
 #include "LibStore/StoreJson.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/strings/str_split.h>
-#include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <csignal>
 #include <iostream>
 
 ABSL_FLAG(std::string, address, "", "Where to listen, IP number and port.");
@@ -198,17 +197,7 @@
     return 2;
   }
   StandInPlatform platform(context, list.value());
-  HttpLimits limits;
-  limits.bodyBytes_ = 64UL * 1024 * 1024;
-  const auto server = HttpServer::Create(context, absl::GetFlag(FLAGS_address), limits, platform);
-  if (!server) {
-    std::cerr << "stand-in-platform: " << server.error().Describe() << '\n';
-    return 2;
-  }
-  boost::asio::signal_set signals(context, SIGTERM, SIGINT);
-  signals.async_wait([&](boost::system::error_code, int) { context.stop(); });
-  context.run();
-  return 0;
+  return ServeStandIn("stand-in-platform", absl::GetFlag(FLAGS_address), context, platform);
 }
 
 } // namespace
--- a/Services/StandInServer/main.cpp
+++ b/Services/StandInServer/main.cpp
@@ -3,15 +3,13 @@
 #include "LibNet/HttpServer.h"
 #include "LibNet/ServerProtocol.h"
 #include "LibStandIn/RecordFile.h"
+#include "LibStandIn/ServeStandIn.h"
 #include "LibStandIn/ServerState.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
-#include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <csignal>
 #include <fstream>
-#include <iostream>
 #include <map>
 
 ABSL_FLAG(std::string, address, "", "Where to listen, IP number and port.");
@@ -237,17 +235,7 @@
 {
   boost::asio::io_context context(1);
   StandInServer handler(context);
-  HttpLimits limits;
-  limits.bodyBytes_ = 64UL * 1024 * 1024;
-  const auto server = HttpServer::Create(context, absl::GetFlag(FLAGS_address), limits, handler);
-  if (!server) {
-    std::cerr << "stand-in-server: " << server.error().Describe() << '\n';
-    return 2;
-  }
-  boost::asio::signal_set signals(context, SIGTERM, SIGINT);
-  signals.async_wait([&](boost::system::error_code, int) { context.stop(); });
-  context.run();
-  return 0;
+  return ServeStandIn("stand-in-server", absl::GetFlag(FLAGS_address), context, handler);
 }
 
 } // namespace
