--- a/Libraries/LibInstance/DispatchDesk.cpp
+++ b/Libraries/LibInstance/DispatchDesk.cpp
@@ -104,7 +104,7 @@
     return;
   }
   held->retries_.OnRequest();
-  const bool needsClaim = !aRequest.isRepeatable_ && !aRequest.requestId_.empty();
+  const bool needsClaim = aRequest.NeedsClaim();
   const auto id = work.id_;
   if (needsClaim) {
     const auto rowKey = ClaimBook::RowKey(aRequest.service_, aRequest.group_, aRequest.requestId_);
--- a/Libraries/LibInstance/EntryDesk.cpp
+++ b/Libraries/LibInstance/EntryDesk.cpp
@@ -67,7 +67,9 @@
   PendingRequest pending;
   pending.caller_ = aCaller;
   pending.request_ = aRequest;
-  pending.request_.sendingToken_ = MakeWriteToken(context_.membership_.Self(), NextTag());
+  if (aRequest.NeedsClaim()) {
+    pending.request_.sendingToken_ = MakeWriteToken(context_.membership_.Self(), NextTag());
+  }
   pending.arrivedAt_ = aNow;
   const auto entry = pending_.emplace(aCaller, std::move(pending)).first;
   Route(aNow, entry);
--- a/Libraries/LibInstance/Messages.h
+++ b/Libraries/LibInstance/Messages.h
@@ -89,9 +89,12 @@
   // On the clock of the process that has the request.
   Instant deadline_{ 0 };
   Body body_;
-  // Names this one sending of the request, through all of its attempts; set by
-  // the instance that the caller reached.
+  // Names this one sending of a request that needs a claim, through all of its
+  // attempts; set by the instance that the caller reached.
   std::string sendingToken_;
+
+  // Whether its id must be claimed before it runs.
+  bool NeedsClaim() const { return !isRepeatable_ && !requestId_.empty(); }
 };
 
 struct WorkAnswer
