LibConfig: Refuse a service whose connections do not hold its slots

A holder needs one for each slot, one for the grant and one for cancellations; the declaration is refused below that, and the client's own bound of 64 no longer stops services with more slots.

--- a/Libraries/LibConfig/Declaration.cpp
+++ b/Libraries/LibConfig/Declaration.cpp
@@ -13,6 +13,8 @@
 
 constexpr unsigned kMostSlots = 1024;
 constexpr unsigned kMostConnections = 65536;
+// Connections that a holder needs besides one for each slot.
+constexpr unsigned kControlConnections = 2;
 constexpr unsigned kDefaultMaxWaiting = 256;
 constexpr double kMostPortion = 1e6;
 
@@ -64,6 +66,11 @@
   if (slots == 0 || connections == 0) {
     return FieldError{ reader.PathOf(slots == 0 ? "slots" : "connections"), "is missing" };
   }
+  if (connections < slots + kControlConnections) {
+    return FieldError{ reader.PathOf("connections"),
+                       "must be at least slots + " + std::to_string(kControlConnections) +
+                         ", for the requests, the grant and cancellations" };
+  }
   service.slots_ = static_cast<unsigned>(slots);
   service.connections_ = static_cast<unsigned>(connections);
   BOOST_OUTCOME_TRY(const auto* servers, reader.List("servers"));
--- a/Libraries/LibDaemon/InstanceHost.cpp
+++ b/Libraries/LibDaemon/InstanceHost.cpp
@@ -17,7 +17,9 @@
 // given up on.
 constexpr Duration kWorkSlack = seconds(1);
 constexpr std::size_t kPlatformConnections = 16;
-constexpr std::size_t kServerConnections = 64;
+// To one server. Its slots bound what is in flight, and a declaration must allow
+// for them, so that this only stops a runaway.
+constexpr std::size_t kServerConnections = 1100;
 // Operators send little; their listener takes no large bodies.
 constexpr std::size_t kOperatorBodyBytes = 4UL * 1024 * 1024;
 constexpr std::size_t kOperatorConnections = 64;
--- a/Libraries/LibInstance/DispatchDesk.cpp
+++ b/Libraries/LibInstance/DispatchDesk.cpp
@@ -375,13 +375,7 @@
 void
 DispatchDesk::SettleAbandoned(HeldServer& aHeld, Instant aOrderSentAt)
 {
-  std::vector<WorkId> settled;
-  for (const auto& [id, work] : aHeld.works_) {
-    if (work.phase_ == HeldWork::Phase::Abandoned && aOrderSentAt > work.abandonedAt_) {
-      settled.push_back(id);
-    }
-  }
-  for (const auto id : settled) {
+  for (const auto id : aHeld.AbandonedBefore(aOrderSentAt)) {
     aHeld.queue_.Finish(id, Duration{ 0 });
     Drop(aHeld, id);
   }
@@ -492,13 +486,7 @@
 void
 DispatchDesk::TurnAwayWaiting(Instant aNow, HeldServer& aHeld, Reason aReason)
 {
-  std::vector<WorkId> waiting;
-  for (const auto& [id, work] : aHeld.works_) {
-    if (work.phase_ == HeldWork::Phase::Waiting || work.phase_ == HeldWork::Phase::Claiming) {
-      waiting.push_back(id);
-    }
-  }
-  for (const auto id : waiting) {
+  for (const auto id : aHeld.NotYetSent()) {
     aHeld.queue_.Remove(id);
     Answer(aNow, aHeld.works_.at(id), MakeNotRun(aReason, kOwnerChangeRetry));
     Drop(aHeld, id);
--- a/Libraries/LibInstance/HeldServer.cpp
+++ b/Libraries/LibInstance/HeldServer.cpp
@@ -79,6 +79,30 @@
          });
 }
 
+std::vector<WorkId>
+HeldServer::NotYetSent() const
+{
+  std::vector<WorkId> ids;
+  for (const auto& [id, work] : works_) {
+    if (work.phase_ == HeldWork::Phase::Waiting || work.phase_ == HeldWork::Phase::Claiming) {
+      ids.push_back(id);
+    }
+  }
+  return ids;
+}
+
+std::vector<WorkId>
+HeldServer::AbandonedBefore(Instant aMoment) const
+{
+  std::vector<WorkId> ids;
+  for (const auto& [id, work] : works_) {
+    if (work.phase_ == HeldWork::Phase::Abandoned && work.abandonedAt_ < aMoment) {
+      ids.push_back(id);
+    }
+  }
+  return ids;
+}
+
 bool
 HeldServer::HasWorkOutside(const Placement& aPlacement, ServerIndex aIndex) const
 {
--- a/Libraries/LibInstance/HeldServer.h
+++ b/Libraries/LibInstance/HeldServer.h
@@ -65,6 +65,11 @@
   // Whether work that was sent may still be running at the server.
   bool MayHaveWork() const;
 
+  // Work that waits for its claim or for a slot.
+  std::vector<WorkId> NotYetSent() const;
+  // Work that was given up on before a moment.
+  std::vector<WorkId> AbandonedBefore(Instant aMoment) const;
+
   // Work whose key is in none of the wished ranges and that has not ended.
   bool HasWorkOutside(const Placement& aPlacement, ServerIndex aIndex) const;
 
--- a/Tests/LibConfig/TestDeclaration.cpp
+++ b/Tests/LibConfig/TestDeclaration.cpp
@@ -62,6 +62,7 @@
     BadCase{ "UnknownProfile", "churn-first", "best", "profile" },
     BadCase{ "MissingSlots", "\"slots\": 4,", "", "services[0].slots" },
     BadCase{ "ZeroSlots", "\"slots\": 4", "\"slots\": 0", "services[0].slots" },
+    BadCase{ "FewConnections", "130", "5", "services[0].connections" },
     BadCase{ "TextForSlots", "\"slots\": 4", "\"slots\": \"4\"", "services[0].slots" },
     BadCase{ "HostName", "127.0.0.1:9001", "rates.example:80", "services[0].servers[0].address" },
     BadCase{ "PortTooLarge", "9001", "99001", "services[0].servers[0].address" },
