--- a/Libraries/LibScenario/Invariants.cpp
+++ b/Libraries/LibScenario/Invariants.cpp
@@ -36,7 +36,9 @@
   }
   for (const auto& [server, grant] : grants) {
     if (server != aServer && grant.until_ > aNow && ShareHash(grant.ranges_, aRanges)) {
-      Violate(aNow, "one-owner: " + server + " and " + aServer + " own the same keys");
+      std::string what = "one-owner: ";
+      what.append(server).append(" and ").append(aServer).append(" own the same keys");
+      Violate(aNow, what);
     }
   }
 }
