--- a/Benchmarks/BenchPlacement.cpp
+++ b/Benchmarks/BenchPlacement.cpp
@@ -16,10 +16,10 @@
 class PlacedFleet
 {
 public:
-  explicit PlacedFleet(std::size_t aServers)
+  explicit PlacedFleet(std::size_t aServers, std::size_t aSlicesPerServer = kSlicesPerServer)
     : members_("instance-0#0123abcd", "hall-a", MembershipTiming{})
     , declaration_(MakeDeclaration(aServers))
-    , placement_(MakePlacement(aServers, kSlicesPerServer))
+    , placement_(MakePlacement(aServers, aSlicesPerServer))
     , placer_("rates", PlacerTiming{})
   {
     members_.OnList(now_, MakeList(8));
@@ -93,7 +93,8 @@
 }
 BENCHMARK(BM_PlacerIdleRound)->Arg(10)->Arg(100)->Arg(1000)->Unit(benchmark::kMicrosecond);
 
-// The loss of one server: the cost, and how many slices it moves.
+// The loss of one server: the cost, and how many slices it moves, by the count of
+// servers and the slices of each.
 void
 BM_PlacerServerLoss(benchmark::State& aState)
 {
@@ -101,7 +102,8 @@
   double writes = 0;
   for (auto _ : aState) {
     aState.PauseTiming();
-    PlacedFleet fleet(static_cast<std::size_t>(aState.range(0)));
+    PlacedFleet fleet(static_cast<std::size_t>(aState.range(0)),
+                      static_cast<std::size_t>(aState.range(1)));
     ServerReport report;
     const auto& server = fleet.placement_.servers_[1];
     report.server_ = server.name_;
@@ -124,7 +126,13 @@
   aState.counters["slices_moved"] = moved;
   aState.counters["store_writes"] = writes;
 }
-BENCHMARK(BM_PlacerServerLoss)->Arg(10)->Arg(100)->Arg(1000)->Unit(benchmark::kMicrosecond);
+BENCHMARK(BM_PlacerServerLoss)
+  ->Args({ 10, 16 })
+  ->Args({ 100, 16 })
+  ->Args({ 1000, 16 })
+  ->Args({ 10, 64 })
+  ->Args({ 10, 256 })
+  ->Unit(benchmark::kMicrosecond);
 
 // A hot-key shift: rounds of moves until nothing more is worth one. Reports the
 // imbalance at the end and the share of slices moved over the share that had to.
--- a/Meta/measure.sh
+++ b/Meta/measure.sh
@@ -37,3 +37,17 @@
 "$load" send --targets="$(fleet_caller_targets "$instances")" --requests=5600 --rate=700 --keys=20000 --prefix=low- --streams=rates:booking-sites:repeatable
 echo "as fast as 32 callers can:"
 "$load" send --targets="$(fleet_caller_targets "$instances")" --requests=60000 --workers=32 --keys=20000 --prefix=fast- --streams=rates:booking-sites:repeatable
+
+echo "memory of an instance by idle connections of callers:"
+before=0
+for wanted in 0 200 400 800; do
+  while [ "$before" -lt "$wanted" ]; do
+    exec {connection}<>"/dev/tcp/127.0.0.1/$((fleet_port + 202))"
+    before=$((before + 1))
+  done
+  sleep 1
+  echo "  $wanted connections: $(memory_kb instance-2) KB"
+done
+
+echo "images of 4 MB through the instances:"
+"$load" send --targets="$(fleet_caller_targets "$instances")" --requests=200 --workers=4 --keys=200 --body_bytes=4000000 --prefix=image- --streams=rates:booking-sites:repeatable --deadline_ms=10000
