LibPlacement: Drop state that nothing reads

The placer counted moved slices for an accessor that nobody calls, and a draft kept the standing placement that it already begins as.

--- a/Libraries/LibPlacement/PlacementDraft.h
+++ b/Libraries/LibPlacement/PlacementDraft.h
@@ -25,13 +25,11 @@
   Instant now_;
   const ServiceDeclaration& service_;
   PlacementProfile profile_;
-  const Placement& current_;
   RowVersion version_;
   const Membership& membership_;
   Placement next_;
   std::vector<PlacementDecision> decisions_{};
   std::vector<std::string> lostServers_{};
-  std::size_t moved_ = 0;
 
   void Note(Event aEvent, std::string aDetail)
   {
--- a/Libraries/LibPlacement/Placer.cpp
+++ b/Libraries/LibPlacement/Placer.cpp
@@ -122,7 +122,6 @@
       MoveLoad(loads_, slice.start_, aDraft.next_.servers_[slice.owner_].name_, target.name_);
       slice.owner_ = slice.next_;
       slice.next_ = kNoServer;
-      ++aDraft.moved_;
     } else if (target.state_ != PlacedState::Active) {
       // The target cannot take it any more: the owner keeps it for now.
       slice.next_ = kNoServer;
@@ -217,7 +216,6 @@
     server.state_ = PlacedState::Lost;
     aDraft.lostServers_.push_back(server.name_);
     const auto count = GiveAway(aDraft, index);
-    aDraft.moved_ += count;
     aDraft.Note(Event::ServerLost,
                 "server=" + server.name_ + " slices=" + std::to_string(count) +
                   " reason=grant-ran-out");
@@ -389,7 +387,7 @@
                 RowVersion aVersion,
                 const Membership& aMembership)
 {
-  PlacementDraft draft{ aNow, aService, aProfile, aCurrent, aVersion, aMembership, aCurrent };
+  PlacementDraft draft{ aNow, aService, aProfile, aVersion, aMembership, aCurrent };
   draft.next_.service_ = service_;
   ReconcileServers(draft);
   FinishMoves(draft);
@@ -404,7 +402,6 @@
   if (draft.next_ == aCurrent || draft.next_.slices_.empty()) {
     return std::nullopt;
   }
-  slicesMoved_ += draft.moved_;
   PlacementProposal proposal;
   proposal.placement_ = std::move(draft.next_);
   proposal.baseVersion_ = aVersion;
--- a/Libraries/LibPlacement/Placer.h
+++ b/Libraries/LibPlacement/Placer.h
@@ -76,8 +76,6 @@
   // All that was learnt as the placer of a former epoch is void.
   void Forget();
 
-  std::size_t SlicesMoved() const { return slicesMoved_; }
-
 private:
   void ReconcileServers(PlacementDraft& aDraft);
   void FinishMoves(PlacementDraft& aDraft);
@@ -109,7 +107,6 @@
   std::set<std::string> deferred_;
   std::vector<PlacementDecision> notes_;
   Instant rebalancedAt_{ 0 };
-  std::size_t slicesMoved_ = 0;
 };
 
 } // namespace latchslip
