--- a/Libraries/LibBase/Event.cpp
+++ b/Libraries/LibBase/Event.cpp
@@ -11,6 +11,8 @@
   EventName{ Event::InstanceStarted, "InstanceStarted" },
   EventName{ Event::InstanceLeaving, "InstanceLeaving" },
   EventName{ Event::InstanceStopped, "InstanceStopped" },
+  EventName{ Event::SettingsReloaded, "SettingsReloaded" },
+  EventName{ Event::SettingsRejected, "SettingsRejected" },
   EventName{ Event::PeerConnected, "PeerConnected" },
   EventName{ Event::PeerDisconnected, "PeerDisconnected" },
   EventName{ Event::PeerSuspected, "PeerSuspected" },
--- a/Libraries/LibBase/Event.h
+++ b/Libraries/LibBase/Event.h
@@ -13,6 +13,8 @@
   InstanceStarted = 100,
   InstanceLeaving = 101,
   InstanceStopped = 102,
+  SettingsReloaded = 103,
+  SettingsRejected = 104,
   PeerConnected = 110,
   PeerDisconnected = 111,
   PeerSuspected = 112,
--- a/Libraries/LibDaemon/GatewayHost.cpp
+++ b/Libraries/LibDaemon/GatewayHost.cpp
@@ -17,8 +17,12 @@
 // The balancer asks every second and takes an instance out after two refusals;
 // until then, and a little for connections on their way, clients still come.
 constexpr Duration kBalancerNotice = milliseconds(2300);
-// Idle connections are closed this long before the grace ends.
-constexpr Duration kLastMoments = milliseconds(500);
+// Clients whose connections are idle are told to close only by the close itself.
+// It comes this long before the grace ends, so that what they sent just before
+// can still be answered.
+constexpr Duration kAnsweringTime = milliseconds(2500);
+// A stop ends this long before the grace, whatever is under way.
+constexpr Duration kLastMoments = milliseconds(150);
 // An order to a server that is not answered in this time counts as unanswered.
 constexpr Duration kOrderTimeout = milliseconds(1500);
 constexpr Duration kOrderConnectTimeout = milliseconds(300);
@@ -67,6 +71,13 @@
     return outcome::success();
   }
 
+  void Reload(const GatewayHostSettings& aSettings) override
+  {
+    settings_.stopGrace_ = aSettings.stopGrace_;
+    front_.Desk().SetRetryTerms(aSettings.desk_.retries_);
+    events_.Record(Event::SettingsReloaded, "");
+  }
+
   void BeginLeaving() override
   {
     if (leavingSince_ == Instant::max()) {
@@ -134,11 +145,14 @@
       return false;
     }
     clientServer_->BeginDrain();
+    if (!isClosing_ && past >= std::max(kBalancerNotice, settings_.stopGrace_ - kAnsweringTime)) {
+      isClosing_ = true;
+      clientServer_->BeginClose();
+    }
     const bool isQuiet = front_.Desk().UnderWay() == 0 && clientServer_->Connections() == 0;
-    if (!isQuiet && past < settings_.stopGrace_ - kLastMoments) {
+    if (!(isClosing_ && isQuiet) && past < settings_.stopGrace_ - kLastMoments) {
       return false;
     }
-    clientServer_->BeginClose();
     readyServer_->BeginClose();
     peerServer_->BeginClose();
     store_.Stop();
@@ -177,6 +191,11 @@
     peers_.SendReport(aAddress, aReport);
   }
 
+  void SendViews(const std::string& aAddress, const std::vector<TableView>& aViews) override
+  {
+    peers_.SendViews(aAddress, aViews);
+  }
+
   void FetchViews(const std::string& aAddress, const TableVersions& aVersions) override
   {
     peers_.FetchViews(aAddress, aVersions);
@@ -232,6 +251,7 @@
   Instant nextPrune_ = Instant::min();
   Instant leavingSince_ = Instant::max();
   Duration idleTime_{ 0 };
+  bool isClosing_ = false;
 };
 
 } // namespace
--- a/Libraries/LibDaemon/GatewayHost.h
+++ b/Libraries/LibDaemon/GatewayHost.h
@@ -39,6 +39,9 @@
                                                           EventSink& aEvents);
   virtual ~GatewayHost() = default;
 
+  // Takes over what may change while the instance runs: the grace of a stop and
+  // the terms of retries. Addresses and names stay as they were at the start.
+  virtual void Reload(const GatewayHostSettings& aSettings) = 0;
   // Begins a planned stop; the context runs out of work when it has ended.
   virtual void BeginLeaving() = 0;
 };
--- a/Libraries/LibDaemon/PeerCalls.cpp
+++ b/Libraries/LibDaemon/PeerCalls.cpp
@@ -8,6 +8,7 @@
 
 constexpr std::string_view kReportPath = "/v1/fleet/report";
 constexpr std::string_view kViewsPath = "/v1/fleet/views";
+constexpr std::string_view kNewsPath = "/v1/fleet/news";
 // A peer that does not answer in this time is not heard: many times the way
 // there and back within a region, and less than the interval of reports.
 constexpr Duration kPeerTimeout = milliseconds(600);
@@ -57,6 +58,16 @@
                 });
 }
 
+void
+PeerCalls::SendViews(const std::string& aAddress, const std::vector<TableView>& aViews)
+{
+  // Whoever misses this learns from the next report's answer that it did.
+  client_->Send(aAddress,
+                MakePost(kNewsPath, SerializeViews(aViews)),
+                kPeerTimeout,
+                [](const HttpExchange&) {});
+}
+
 void
 PeerCalls::FetchViews(const std::string& aAddress, const TableVersions& aVersions)
 {
@@ -68,7 +79,7 @@
                     return;
                   }
                   if (const auto views = ParseViews(*aExchange.response_.body_)) {
-                    member_.OnViewsFetched(MonotonicNow(), views.value());
+                    member_.OnViewsReceived(MonotonicNow(), views.value());
                   }
                 });
 }
@@ -78,6 +89,8 @@
 {
   if (aRequest.target_ == kReportPath) {
     aRespond(AnswerReport(aRequest));
+  } else if (aRequest.target_ == kNewsPath) {
+    aRespond(TakeViews(aRequest));
   } else if (aRequest.target_ == kViewsPath) {
     aRespond(AnswerViews(aRequest));
   } else {
@@ -96,6 +109,17 @@
                           SerializeReportAnswer(member_.OnReport(MonotonicNow(), report.value())));
 }
 
+HttpResponse
+PeerCalls::TakeViews(const HttpRequest& aRequest)
+{
+  const auto views = ParseViews(*aRequest.body_);
+  if (!views) {
+    return MakeHttpResponse(kBadRequest, views.error().Describe());
+  }
+  member_.OnViewsReceived(MonotonicNow(), views.value());
+  return MakeHttpResponse(kOk, "");
+}
+
 HttpResponse
 PeerCalls::AnswerViews(const HttpRequest& aRequest) const
 {
--- a/Libraries/LibDaemon/PeerCalls.h
+++ b/Libraries/LibDaemon/PeerCalls.h
@@ -17,6 +17,7 @@
   PeerCalls(boost::asio::io_context& aContext, FleetMember& aMember);
 
   void SendReport(const std::string& aAddress, const InstanceReport& aReport);
+  void SendViews(const std::string& aAddress, const std::vector<TableView>& aViews);
   void FetchViews(const std::string& aAddress, const TableVersions& aVersions);
 
   void OnRequest(std::uint64_t aId, HttpRequest aRequest, HttpResponder aRespond) override;
@@ -24,6 +25,7 @@
 
 private:
   HttpResponse AnswerReport(const HttpRequest& aRequest);
+  HttpResponse TakeViews(const HttpRequest& aRequest);
   HttpResponse AnswerViews(const HttpRequest& aRequest) const;
 
   FleetMember& member_;
--- a/Libraries/LibFleet/FleetMember.cpp
+++ b/Libraries/LibFleet/FleetMember.cpp
@@ -250,6 +250,12 @@
   std::vector<TableView> views;
   for (std::size_t index = 0; index < kFleetTables; ++index) {
     const auto table = static_cast<FleetTable>(index);
+    if (table == FleetTable::Fleet) {
+      if (FleetVersion() > aVersions.at(index)) {
+        views.push_back(FleetView());
+      }
+      continue;
+    }
     if (mirror_.IsKnown(table) && mirror_.VersionOf(table) > aVersions.at(index)) {
       views.push_back(mirror_.Whole(table));
     }
@@ -258,13 +264,19 @@
 }
 
 void
-FleetMember::OnViewsFetched(Instant aNow, const std::vector<TableView>& aViews)
+FleetMember::OnViewsReceived(Instant aNow, const std::vector<TableView>& aViews)
 {
-  // Once the store answers again, its word goes first.
-  if (!isStoreLost_) {
-    return;
-  }
   for (const auto& view : aViews) {
+    if (view.table_ == FleetTable::Fleet) {
+      for (const auto& change : view.rows_) {
+        OnFleetRow(aNow, change.row_);
+      }
+      continue;
+    }
+    // Once the store answers again, its word on its own tables goes first.
+    if (!isStoreLost_) {
+      continue;
+    }
     events_.Record(Event::ViewFromPeer,
                    "table=" + std::string(kFleetTableNames.NameOf(view.table_)) +
                      " version=" + std::to_string(view.version_));
@@ -283,11 +295,50 @@
     return;
   }
   std::uniform_int_distribution<std::size_t> draw(0, addresses.size() - 1);
+  FetchFrom(addresses[draw(random_)]);
+}
+
+void
+FleetMember::FetchFrom(const std::string& aAddress)
+{
   TableVersions versions{};
   for (std::size_t index = 0; index < kFleetTables; ++index) {
-    versions.at(index) = mirror_.VersionOf(static_cast<FleetTable>(index));
+    const auto table = static_cast<FleetTable>(index);
+    versions.at(index) = table == FleetTable::Fleet ? FleetVersion() : mirror_.VersionOf(table);
+  }
+  actions_.FetchViews(aAddress, versions);
+}
+
+RowVersion
+FleetMember::FleetVersion() const
+{
+  RowVersion version = 0;
+  for (const auto& [key, row] : fleetRows_) {
+    version = std::max(version, row.version_);
+  }
+  return version;
+}
+
+TableView
+FleetMember::FleetView() const
+{
+  TableView view{ FleetTable::Fleet, FleetVersion(), true, {} };
+  for (const auto& [key, row] : fleetRows_) {
+    view.rows_.push_back({ row, false });
+  }
+  return view;
+}
+
+// Tells the others at once what this placer has written.
+void
+FleetMember::Spread()
+{
+  const std::vector<TableView> views{ FleetView() };
+  for (const auto& address : instances_) {
+    if (address != settings_.self_.address_) {
+      actions_.SendViews(address, views);
+    }
   }
-  actions_.FetchViews(addresses[draw(random_)], versions);
 }
 
 } // namespace latchslip
--- a/Libraries/LibFleet/FleetMember.h
+++ b/Libraries/LibFleet/FleetMember.h
@@ -41,7 +41,9 @@
   virtual void Order(const std::string& aService, const KeyOrder& aOrder) = 0;
   // The answer goes to OnReportAnswered.
   virtual void SendReport(const std::string& aAddress, const InstanceReport& aReport) = 0;
-  // The answer, if any, goes to OnViewsFetched.
+  // Gives another instance views that it has not asked for.
+  virtual void SendViews(const std::string& aAddress, const std::vector<TableView>& aViews) = 0;
+  // The answer, if any, goes to OnViewsReceived.
   virtual void FetchViews(const std::string& aAddress, const TableVersions& aVersions) = 0;
 
   virtual void OnRoutes(std::shared_ptr<const RouteTable> aRoutes) = 0;
@@ -87,7 +89,8 @@
   void OnReportAnswered(Instant aNow, const std::optional<ReportAnswer>& aAnswer);
   // What another instance is told that has these versions.
   std::vector<TableView> ViewsSince(const TableVersions& aVersions) const;
-  void OnViewsFetched(Instant aNow, const std::vector<TableView>& aViews);
+  // Views from another instance, asked for or not.
+  void OnViewsReceived(Instant aNow, const std::vector<TableView>& aViews);
   void CountKey(const std::string& aService, KeyNumber aKey);
   void OnTime(Instant aNow);
 
@@ -132,6 +135,10 @@
   InstanceReport TakeReport();
   void Report(Instant aNow);
   void FetchFromPeers(Instant aNow);
+  void FetchFrom(const std::string& aAddress);
+  RowVersion FleetVersion() const;
+  TableView FleetView() const;
+  void Spread();
   std::vector<std::string> KeyedServices() const;
 
   FleetMemberSettings settings_;
--- a/Libraries/LibFleet/FleetReport.cpp
+++ b/Libraries/LibFleet/FleetReport.cpp
@@ -97,6 +97,7 @@
 {
   return boost::json::serialize(boost::json::object{
     { "working", aAnswer.isWorking_ },
+    { "fleet_version", aAnswer.fleetVersion_ },
     { "instances", boost::json::array(aAnswer.instances_.begin(), aAnswer.instances_.end()) } });
 }
 
@@ -107,6 +108,9 @@
   BOOST_OUTCOME_TRY(const auto reader, JsonReader::Create(value, ""));
   ReportAnswer answer;
   BOOST_OUTCOME_TRY(answer.isWorking_, reader.FlagOr("working", false));
+  constexpr double kMostVersion = 9e15;
+  BOOST_OUTCOME_TRY(const auto version, reader.NumberOr("fleet_version", 0, 0, kMostVersion));
+  answer.fleetVersion_ = static_cast<RowVersion>(version);
   BOOST_OUTCOME_TRY(const auto* instances, reader.List("instances"));
   for (const auto& instance : *instances) {
     if (!instance.is_string()) {
--- a/Libraries/LibFleet/FleetReport.h
+++ b/Libraries/LibFleet/FleetReport.h
@@ -30,6 +30,8 @@
   bool isWorking_ = false;
   // Where the instances are reached that it has heard lately, itself included.
   std::vector<std::string> instances_;
+  // The highest version of the fleet's rows that it knows.
+  RowVersion fleetVersion_ = 0;
 };
 
 std::string
--- a/Libraries/LibFleet/PlacerDuty.cpp
+++ b/Libraries/LibFleet/PlacerDuty.cpp
@@ -198,6 +198,7 @@
   if (const auto* row = FindRow(aReply.rows_, key)) {
     Learn({ key, row->version_, aWrite.value_ });
   }
+  Spread();
   if (aWrite.service_.empty()) {
     election_.OnRow(aNow, settings_.self_);
     events_.Record(Event::PlacerClaimed, "row_version=" + std::to_string(VersionOf(key)));
@@ -294,6 +295,7 @@
   for (const auto& [address, heardAt] : heardInstances_) {
     answer.instances_.push_back(address);
   }
+  answer.fleetVersion_ = FleetVersion();
   if (!election_.IsPlacer()) {
     return answer;
   }
@@ -330,6 +332,9 @@
   if (aAnswer->isWorking_) {
     election_.OnPlacerHeard(aNow);
   }
+  if (aAnswer->fleetVersion_ > FleetVersion() && election_.Current()) {
+    FetchFrom(election_.Current()->address_);
+  }
   if (!aAnswer->instances_.empty()) {
     instances_ = aAnswer->instances_;
     actions_.OnInstances(instances_.size());
--- a/Libraries/LibFleet/RowMirror.cpp
+++ b/Libraries/LibFleet/RowMirror.cpp
@@ -59,6 +59,10 @@
     ApplyWhole(table, aView, changes);
   } else {
     for (const auto& change : aView.rows_) {
+      const auto known = table.rows_.find(change.row_.key_);
+      if (known != table.rows_.end() && change.row_.version_ <= known->second.version_) {
+        continue;
+      }
       if (change.isRemoved_) {
         table.rows_.erase(change.row_.key_);
       } else {
--- a/Libraries/LibGateway/RequestDesk.h
+++ b/Libraries/LibGateway/RequestDesk.h
@@ -50,6 +50,7 @@
   void SetOwnership(Instant aNow, KeyOwnership aOwnership);
   // To be called after each change of the directory.
   void OnDirectoryChanged(Instant aNow);
+  void SetRetryTerms(const RetryBudgetTerms& aTerms);
   // How many instances share the servers.
   void SetInstances(std::size_t aInstances) { instances_ = aInstances; }
 
--- a/Libraries/LibGateway/ServerChoice.cpp
+++ b/Libraries/LibGateway/ServerChoice.cpp
@@ -103,6 +103,15 @@
   }
 }
 
+void
+RequestDesk::SetRetryTerms(const RetryBudgetTerms& aTerms)
+{
+  settings_.retries_ = aTerms;
+  for (auto& [name, state] : services_) {
+    state.budget_.SetTerms(aTerms);
+  }
+}
+
 Duration
 RequestDesk::MeanLatencyOf(const std::string& aServer) const
 {
--- a/Libraries/LibGateway/ServerDirectory.cpp
+++ b/Libraries/LibGateway/ServerDirectory.cpp
@@ -66,8 +66,10 @@
 Instant
 ServerDirectory::RemovalTime(Instant aNow) const
 {
+  // Without the store, the news came from another instance, which may have seen
+  // the list before the servers were back on it.
   if (isStoreLost_) {
-    return Instant::max();
+    return aNow + kReturnAfterOutage;
   }
   const auto afterOutage =
     regainedAt_ == Instant::min() ? regainedAt_ : regainedAt_ + kReturnAfterOutage;
--- a/Libraries/LibKeys/OwnershipPlacer.cpp
+++ b/Libraries/LibKeys/OwnershipPlacer.cpp
@@ -16,7 +16,12 @@
 // How often due orders are looked for.
 constexpr Duration kStep = milliseconds(50);
 // Orders under way at once, so that a small instance is not choked by them.
-constexpr std::size_t kMostOrders = 64;
+constexpr std::size_t kMostOrders = 16;
+// The first deal waits until no server has come for this long, since each one
+// that comes later must be given keys of the others; but not longer than the
+// second time.
+constexpr Duration kServersSettle = milliseconds(1600);
+constexpr Duration kMostSettle = seconds(5);
 
 Duration
 Stretch(Duration aTime, double aFactor)
@@ -58,6 +63,7 @@
   formerHoldsUntil_.clear();
   hasFormerFences_ = aOwnership.has_value();
   nextTime_ = aNow;
+  startedAt_ = aNow;
   if (!aOwnership) {
     return;
   }
@@ -75,8 +81,11 @@
 }
 
 void
-OwnershipPlacer::SetServers(Instant, std::vector<KeyServer> aServers)
+OwnershipPlacer::SetServers(Instant aNow, std::vector<KeyServer> aServers)
 {
+  if (aServers.size() != servers_.size()) {
+    serversSince_ = aNow;
+  }
   servers_ = std::move(aServers);
   for (const auto& server : servers_) {
     addresses_[server.id_] = server.address_;
@@ -152,6 +161,9 @@
 OwnershipPlacer::Plan(Instant aNow)
 {
   if (committed_.ranges_.empty()) {
+    if (aNow - serversSince_ < kServersSettle && aNow - startedAt_ < kMostSettle) {
+      return std::nullopt;
+    }
     auto first = KeyBalancer::DealAll(service_, committed_.lastFence_, servers_);
     return first.ranges_.empty() ? std::nullopt : std::optional(std::move(first));
   }
--- a/Libraries/LibKeys/OwnershipPlacer.h
+++ b/Libraries/LibKeys/OwnershipPlacer.h
@@ -159,6 +159,9 @@
   std::map<std::string, Instant> formerHoldsUntil_;
   // Where each server was last seen, those that have ended included.
   std::map<std::string, std::string> addresses_;
+  Instant startedAt_{ 0 };
+  // Since when the count of servers is what it is.
+  Instant serversSince_{ 0 };
   Instant nextRebalance_ = Instant::min();
   Instant nextTime_ = Instant::min();
   OrderNumber lastOrder_ = 0;
