--- a/Libraries/LibDaemon/GatewayFront.cpp
+++ b/Libraries/LibDaemon/GatewayFront.cpp
@@ -1,5 +1,7 @@
 #include "LibDaemon/GatewayFront.h"
 
+#include "LibNet/MonotonicClock.h"
+
 namespace latchslip {
 
 namespace {
@@ -14,12 +16,6 @@
 
 } // namespace
 
-Instant
-MonotonicNow()
-{
-  return duration_cast<Instant>(std::chrono::steady_clock::now().time_since_epoch());
-}
-
 GatewayFront::GatewayFront(boost::asio::io_context& aContext,
                            RequestDeskSettings aSettings,
                            const GatewayCodec& aCodec,
--- a/Libraries/LibDaemon/GatewayFront.h
+++ b/Libraries/LibDaemon/GatewayFront.h
@@ -70,8 +70,4 @@
   std::unordered_map<AttemptNumber, RunningAttempt> attempts_;
 };
 
-// The moment on this machine's monotonic clock.
-Instant
-MonotonicNow();
-
 } // namespace latchslip
--- a/Libraries/LibDaemon/GatewayHost.cpp
+++ b/Libraries/LibDaemon/GatewayHost.cpp
@@ -1,6 +1,7 @@
 #include "LibDaemon/GatewayHost.h"
 
 #include "LibDaemon/PeerCalls.h"
+#include "LibNet/MonotonicClock.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -191,14 +192,16 @@
     peers_.SendReport(aAddress, aReport);
   }
 
-  void SendViews(const std::string& aAddress, const std::vector<TableView>& aViews) override
+  void Follow(Following aHow, const TableVersions& aKnown) override { store_.Follow(aHow, aKnown); }
+
+  void SendNews(const std::string& aAddress, const FleetNews& aNews) override
   {
-    peers_.SendViews(aAddress, aViews);
+    peers_.SendNews(aAddress, aNews);
   }
 
-  void FetchViews(const std::string& aAddress, const TableVersions& aVersions) override
+  void FetchNews(const std::string& aAddress, const TableVersions& aVersions) override
   {
-    peers_.FetchViews(aAddress, aVersions);
+    peers_.FetchNews(aAddress, aVersions);
   }
 
   void OnRoutes(std::shared_ptr<const RouteTable> aRoutes) override
--- a/Libraries/LibDaemon/PeerCalls.cpp
+++ b/Libraries/LibDaemon/PeerCalls.cpp
@@ -1,13 +1,15 @@
 #include "LibDaemon/PeerCalls.h"
 
-#include "LibDaemon/GatewayFront.h"
+#include "LibNet/MonotonicClock.h"
 
 namespace latchslip {
 
 namespace {
 
 constexpr std::string_view kReportPath = "/v1/fleet/report";
-constexpr std::string_view kViewsPath = "/v1/fleet/views";
+// Asks for what the caller lacks.
+constexpr std::string_view kSincePath = "/v1/fleet/since";
+// Tells what the caller has learnt.
 constexpr std::string_view kNewsPath = "/v1/fleet/news";
 // A peer that does not answer in this time is not heard: many times the way
 // there and back within a region, and less than the interval of reports.
@@ -59,27 +61,25 @@
 }
 
 void
-PeerCalls::SendViews(const std::string& aAddress, const std::vector<TableView>& aViews)
+PeerCalls::SendNews(const std::string& aAddress, const FleetNews& aNews)
 {
   // Whoever misses this learns from the next report's answer that it did.
-  client_->Send(aAddress,
-                MakePost(kNewsPath, SerializeViews(aViews)),
-                kPeerTimeout,
-                [](const HttpExchange&) {});
+  client_->Send(
+    aAddress, MakePost(kNewsPath, SerializeNews(aNews)), kPeerTimeout, [](const HttpExchange&) {});
 }
 
 void
-PeerCalls::FetchViews(const std::string& aAddress, const TableVersions& aVersions)
+PeerCalls::FetchNews(const std::string& aAddress, const TableVersions& aVersions)
 {
   client_->Send(aAddress,
-                MakePost(kViewsPath, SerializeVersions(aVersions)),
+                MakePost(kSincePath, SerializeVersions(aVersions)),
                 kPeerTimeout,
                 [this](const HttpExchange& aExchange) {
                   if (!IsOk(aExchange)) {
                     return;
                   }
-                  if (const auto views = ParseViews(*aExchange.response_.body_)) {
-                    member_.OnViewsReceived(MonotonicNow(), views.value());
+                  if (const auto news = ParseNews(*aExchange.response_.body_)) {
+                    member_.OnNews(MonotonicNow(), news.value());
                   }
                 });
 }
@@ -90,9 +90,9 @@
   if (aRequest.target_ == kReportPath) {
     aRespond(AnswerReport(aRequest));
   } else if (aRequest.target_ == kNewsPath) {
-    aRespond(TakeViews(aRequest));
-  } else if (aRequest.target_ == kViewsPath) {
-    aRespond(AnswerViews(aRequest));
+    aRespond(TakeNews(aRequest));
+  } else if (aRequest.target_ == kSincePath) {
+    aRespond(AnswerNews(aRequest));
   } else {
     aRespond(MakeHttpResponse(kNotFound, "no such page\n"));
   }
@@ -110,24 +110,24 @@
 }
 
 HttpResponse
-PeerCalls::TakeViews(const HttpRequest& aRequest)
+PeerCalls::TakeNews(const HttpRequest& aRequest)
 {
-  const auto views = ParseViews(*aRequest.body_);
-  if (!views) {
-    return MakeHttpResponse(kBadRequest, views.error().Describe());
+  const auto news = ParseNews(*aRequest.body_);
+  if (!news) {
+    return MakeHttpResponse(kBadRequest, news.error().Describe());
   }
-  member_.OnViewsReceived(MonotonicNow(), views.value());
+  member_.OnNews(MonotonicNow(), news.value());
   return MakeHttpResponse(kOk, "");
 }
 
 HttpResponse
-PeerCalls::AnswerViews(const HttpRequest& aRequest) const
+PeerCalls::AnswerNews(const HttpRequest& aRequest) const
 {
   const auto versions = ParseVersions(*aRequest.body_);
   if (!versions) {
     return MakeHttpResponse(kBadRequest, versions.error().Describe());
   }
-  return MakeHttpResponse(kOk, SerializeViews(member_.ViewsSince(versions.value())));
+  return MakeHttpResponse(kOk, SerializeNews(member_.NewsSince(versions.value())));
 }
 
 } // namespace latchslip
--- a/Libraries/LibDaemon/PeerCalls.h
+++ b/Libraries/LibDaemon/PeerCalls.h
@@ -9,24 +9,24 @@
 
 namespace latchslip {
 
-// What entry instances say to each other: reports to the placer, and views of
-// the store's tables for those that do not reach it.
+// What entry instances say to each other: reports to the placer, and news of
+// the store's tables.
 class PeerCalls : public HttpHandler
 {
 public:
   PeerCalls(boost::asio::io_context& aContext, FleetMember& aMember);
 
   void SendReport(const std::string& aAddress, const InstanceReport& aReport);
-  void SendViews(const std::string& aAddress, const std::vector<TableView>& aViews);
-  void FetchViews(const std::string& aAddress, const TableVersions& aVersions);
+  void SendNews(const std::string& aAddress, const FleetNews& aNews);
+  void FetchNews(const std::string& aAddress, const TableVersions& aVersions);
 
   void OnRequest(std::uint64_t aId, HttpRequest aRequest, HttpResponder aRespond) override;
   void OnGone(std::uint64_t) override {}
 
 private:
   HttpResponse AnswerReport(const HttpRequest& aRequest);
-  HttpResponse TakeViews(const HttpRequest& aRequest);
-  HttpResponse AnswerViews(const HttpRequest& aRequest) const;
+  HttpResponse TakeNews(const HttpRequest& aRequest);
+  HttpResponse AnswerNews(const HttpRequest& aRequest) const;
 
   FleetMember& member_;
   std::unique_ptr<HttpClient> client_;
--- a/Libraries/LibFleet/FleetMember.cpp
+++ b/Libraries/LibFleet/FleetMember.cpp
@@ -8,8 +8,21 @@
 
 namespace {
 
-// Between two questions for a view while the store is out of reach.
+// Between two questions for news while the store is out of reach.
 constexpr Duration kFetchInterval = milliseconds(500);
+// An instance with this part of a processor has no reason to let others go first
+// when a placer is looked for.
+constexpr double kStrongShare = 0.5;
+
+// 0 for a strong instance up to 1 for a weak one, with some chance so that equal
+// ones differ.
+double
+ClaimSpread(double aProcessorShare, std::minstd_rand& aRandom)
+{
+  constexpr double kChance = 0.4;
+  const double weakness = 1 - std::min(1.0, aProcessorShare / kStrongShare);
+  return weakness * (1 - kChance) + std::uniform_real_distribution<double>(0, kChance)(aRandom);
+}
 
 } // namespace
 
@@ -18,14 +31,13 @@
                          FleetActions& aActions,
                          EventSink& aEvents)
   : settings_(std::move(aSettings))
-  , decoder_(aDecoder)
   , actions_(aActions)
   , events_(aEvents)
+  , view_(aDecoder, *this, aEvents)
   , election_(settings_.self_, 0)
   , random_(settings_.seed_)
 {
-  election_ =
-    PlacerElection(settings_.self_, std::uniform_real_distribution<double>(0, 1)(random_));
+  election_ = PlacerElection(settings_.self_, ClaimSpread(settings_.processorShare_, random_));
 }
 
 FleetMember::~FleetMember() = default;
@@ -34,148 +46,54 @@
 FleetMember::OnView(Instant aNow, const TableView& aView)
 {
   storeHeardAt_ = aNow;
-  Apply(aNow, aView);
-}
-
-void
-FleetMember::Apply(Instant aNow, const TableView& aView)
-{
-  const bool isNew = !mirror_.IsKnown(aView.table_);
-  const auto changes = mirror_.Apply(aView);
-  for (const auto& change : changes) {
-    switch (aView.table_) {
-      case FleetTable::Configuration:
-        OnConfigurationRow(change);
-        break;
-      case FleetTable::Servers:
-        OnServerRow(aNow, change);
-        break;
-      case FleetTable::Fleet:
-        if (!change.isRemoved_) {
-          OnFleetRow(aNow, change.row_);
-        }
-        break;
-    }
-  }
-  if (aView.table_ == FleetTable::Servers && (isNew || !changes.empty())) {
-    actions_.OnDirectoryChanged();
-  }
-  if (aView.table_ == FleetTable::Fleet && isNew && !fleetRows_.contains(std::string(kPlacerKey))) {
-    election_.OnRow(aNow, std::nullopt);
-  }
-}
-
-void
-FleetMember::OnConfigurationRow(const RowChange& aChange)
-{
-  if (aChange.isRemoved_) {
+  if (!view_.Take(aNow, aView)) {
     return;
   }
-  auto configuration = decoder_.DecodeConfiguration(aChange.row_);
-  if (configuration && !configuration.value()) {
-    return;
-  }
-  auto table = configuration ? RouteTable::Create(std::move(*configuration.value()))
-                             : FieldResult<RouteTable>(configuration.error());
-  if (!table) {
-    events_.Record(Event::RoutesRejected, "reason=\"" + table.error().Describe() + "\"");
-    return;
-  }
-  const auto version = table.value().Configuration().version_;
-  if (routes_ && version <= routes_->Configuration().version_) {
-    return;
-  }
-  routes_ = std::make_shared<const RouteTable>(std::move(table).value());
-  events_.Record(Event::RoutesInForce,
-                 "version=" + std::to_string(version) +
-                   " routes=" + std::to_string(routes_->Configuration().routes_.size()));
-  actions_.OnRoutes(routes_);
-  for (const auto& [key, row] : fleetRows_) {
-    if (key.starts_with(kOwnershipPrefix)) {
-      OnOwnershipRow(row);
-    }
+  if (election_.IsPlacer() && aView.table_ != FleetTable::Fleet && !aView.rows_.empty()) {
+    FleetNews news;
+    news.views_.push_back(aView);
+    Spread(news);
   }
 }
 
 void
-FleetMember::OnServerRow(Instant aNow, const RowChange& aChange)
+FleetMember::OnNews(Instant aNow, const FleetNews& aNews)
 {
-  if (aChange.isRemoved_) {
-    directory_.Remove(aNow, aChange.row_.key_);
-    return;
+  if (aNews.isLastForNow_) {
+    relay_.OnFailure();
+    ChooseFollowing(aNow);
   }
-  auto record = decoder_.DecodeServer(aChange.row_);
-  if (!record) {
-    events_.Record(Event::RecordRejected,
-                   "server=" + aChange.row_.key_ + " reason=\"" + record.error().Describe() + "\"");
-    return;
+  // What the store itself tells goes first on the tables that others write.
+  const bool ownRowsOnly = following_ != Following::Relayed && !isStoreLost_;
+  if (!aNews.views_.empty() && !ownRowsOnly) {
+    events_.Record(Event::ViewFromPeer,
+                   "tables=" + std::to_string(aNews.views_.size()) +
+                     " following=" + std::string(kFollowingNames.NameOf(following_)));
+  }
+  if (!view_.Take(aNow, aNews, ownRowsOnly) && election_.Current()) {
+    actions_.FetchNews(election_.Current()->address_, view_.Versions());
   }
-  const auto& server = record.value();
-  events_.Record(Event::ServerListed,
-                 "server=" + server.id_ + " service=" + server.service_ + " address=" +
-                   server.address_ + " leaving=" + (server.isLeaving_ ? "true" : "false"));
-  directory_.Put(aNow, std::move(record).value());
 }
 
 void
-FleetMember::OnFleetRow(Instant aNow, const Row& aRow)
+FleetMember::OnRoutes(std::shared_ptr<const RouteTable> aRoutes)
 {
-  if (aRow.version_ <= VersionOf(aRow.key_)) {
-    return;
-  }
-  Learn(aRow);
-  if (aRow.key_ == kPlacerKey) {
-    OnPlacerRow(aNow, aRow);
-  } else if (aRow.key_.starts_with(kOwnershipPrefix)) {
-    OnOwnershipRow(aRow);
-  }
+  actions_.OnRoutes(std::move(aRoutes));
 }
 
 void
-FleetMember::OnPlacerRow(Instant aNow, const Row& aRow)
+FleetMember::OnPlacer(Instant aNow, const std::optional<PlacerRow>& aPlacer)
 {
-  auto row = ParsePlacerRow(aRow.value_);
-  if (!row) {
-    events_.Record(Event::RecordRejected, "row=placer reason=\"" + row.error().Describe() + "\"");
-    return;
-  }
   const bool wasPlacer = election_.IsPlacer();
-  election_.OnRow(aNow, row.value());
+  election_.OnRow(aNow, aPlacer);
+  relay_.OnFailure();
+  nextReport_ = aNow;
   if (wasPlacer && !election_.IsPlacer()) {
-    events_.Record(Event::PlacerClaimLost, "placer=" + row.value().instance_);
+    events_.Record(Event::PlacerClaimLost, "placer=" + aPlacer->instance_);
     StopPlacers();
   }
 }
 
-void
-FleetMember::OnOwnershipRow(const Row& aRow)
-{
-  auto ownership = ParseOwnership(aRow.value_);
-  if (!ownership) {
-    events_.Record(Event::RecordRejected,
-                   "row=" + aRow.key_ + " reason=\"" + ownership.error().Describe() + "\"");
-    return;
-  }
-  events_.Record(Event::OwnershipSeen,
-                 "service=" + ownership.value().service_ +
-                   " row_version=" + std::to_string(aRow.version_) +
-                   " ranges=" + std::to_string(ownership.value().ranges_.size()));
-  actions_.OnOwnership(ownership.value());
-}
-
-RowVersion
-FleetMember::VersionOf(const std::string& aKey) const
-{
-  const auto row = fleetRows_.find(aKey);
-  return row == fleetRows_.end() ? 0 : row->second.version_;
-}
-
-void
-FleetMember::Learn(const Row& aRow)
-{
-  fleetRows_[aRow.key_] = aRow;
-}
-
 void
 FleetMember::OnStoreLost(Instant aNow)
 {
@@ -184,9 +102,14 @@
   }
   isStoreLost_ = true;
   nextFetch_ = aNow;
-  directory_.OnStoreLost(aNow);
+  view_.Directory().OnStoreLost(aNow);
   events_.Record(Event::StoreUnavailable,
                  "heard_ago_us=" + std::to_string((aNow - storeHeardAt_).count()));
+  if (election_.IsPlacer()) {
+    FleetNews news;
+    news.isLastForNow_ = true;
+    Spread(news);
+  }
 }
 
 void
@@ -196,24 +119,9 @@
     return;
   }
   isStoreLost_ = false;
-  storeHeardAt_ = aNow;
-  directory_.OnStoreRegained(aNow);
-  events_.Record(Event::StoreRecovered, "");
-}
-
-std::vector<std::string>
-FleetMember::KeyedServices() const
-{
-  std::vector<std::string> services;
-  if (!routes_) {
-    return services;
-  }
-  for (const auto& service : routes_->Configuration().services_) {
-    if (service.isKeyed_) {
-      services.push_back(service.name_);
-    }
-  }
-  return services;
+  view_.Directory().OnStoreRegained(aNow);
+  events_.Record(Event::StoreRecovered,
+                 "following=" + std::string(kFollowingNames.NameOf(following_)));
 }
 
 void
@@ -225,11 +133,12 @@
 void
 FleetMember::OnTime(Instant aNow)
 {
-  if (directory_.Expire(aNow)) {
-    events_.Record(Event::ServerUnlisted, "servers=" + std::to_string(directory_.All().size()));
+  if (view_.Directory().Expire(aNow)) {
+    events_.Record(Event::ServerUnlisted,
+                   "servers=" + std::to_string(view_.Directory().All().size()));
     actions_.OnDirectoryChanged();
   }
-  if (!isStoreLost_ && routes_ && writes_.empty() && election_.ShouldClaim(aNow)) {
+  if (!isStoreLost_ && view_.Routes() && writes_.empty() && election_.ShouldClaim(aNow)) {
     Claim();
   }
   if (election_.IsPlacer()) {
@@ -239,48 +148,28 @@
   if (aNow >= nextReport_) {
     Report(aNow);
   }
+  ChooseFollowing(aNow);
   if (isStoreLost_ && aNow >= nextFetch_) {
     FetchFromPeers(aNow);
   }
 }
 
-std::vector<TableView>
-FleetMember::ViewsSince(const TableVersions& aVersions) const
-{
-  std::vector<TableView> views;
-  for (std::size_t index = 0; index < kFleetTables; ++index) {
-    const auto table = static_cast<FleetTable>(index);
-    if (table == FleetTable::Fleet) {
-      if (FleetVersion() > aVersions.at(index)) {
-        views.push_back(FleetView());
-      }
-      continue;
-    }
-    if (mirror_.IsKnown(table) && mirror_.VersionOf(table) > aVersions.at(index)) {
-      views.push_back(mirror_.Whole(table));
-    }
-  }
-  return views;
-}
-
 void
-FleetMember::OnViewsReceived(Instant aNow, const std::vector<TableView>& aViews)
+FleetMember::ChooseFollowing(Instant aNow)
 {
-  for (const auto& view : aViews) {
-    if (view.table_ == FleetTable::Fleet) {
-      for (const auto& change : view.rows_) {
-        OnFleetRow(aNow, change.row_);
-      }
-      continue;
-    }
-    // Once the store answers again, its word on its own tables goes first.
-    if (!isStoreLost_) {
-      continue;
-    }
-    events_.Record(Event::ViewFromPeer,
-                   "table=" + std::string(kFleetTableNames.NameOf(view.table_)) +
-                     " version=" + std::to_string(view.version_));
-    Apply(aNow, view);
+  auto following = Following::Alone;
+  if (election_.IsPlacer()) {
+    following = Following::Closely;
+  } else if (IsReady() && relay_.IsRelayed(aNow, view_.Versions())) {
+    following = Following::Relayed;
+  }
+  if (following == following_) {
+    return;
+  }
+  following_ = following;
+  actions_.Follow(following, view_.Versions());
+  if (following == Following::Relayed) {
+    OnStoreRegained(aNow);
   }
 }
 
@@ -295,50 +184,7 @@
     return;
   }
   std::uniform_int_distribution<std::size_t> draw(0, addresses.size() - 1);
-  FetchFrom(addresses[draw(random_)]);
-}
-
-void
-FleetMember::FetchFrom(const std::string& aAddress)
-{
-  TableVersions versions{};
-  for (std::size_t index = 0; index < kFleetTables; ++index) {
-    const auto table = static_cast<FleetTable>(index);
-    versions.at(index) = table == FleetTable::Fleet ? FleetVersion() : mirror_.VersionOf(table);
-  }
-  actions_.FetchViews(aAddress, versions);
-}
-
-RowVersion
-FleetMember::FleetVersion() const
-{
-  RowVersion version = 0;
-  for (const auto& [key, row] : fleetRows_) {
-    version = std::max(version, row.version_);
-  }
-  return version;
-}
-
-TableView
-FleetMember::FleetView() const
-{
-  TableView view{ FleetTable::Fleet, FleetVersion(), true, {} };
-  for (const auto& [key, row] : fleetRows_) {
-    view.rows_.push_back({ row, false });
-  }
-  return view;
-}
-
-// Tells the others at once what this placer has written.
-void
-FleetMember::Spread()
-{
-  const std::vector<TableView> views{ FleetView() };
-  for (const auto& address : instances_) {
-    if (address != settings_.self_.address_) {
-      actions_.SendViews(address, views);
-    }
-  }
+  actions_.FetchNews(addresses[draw(random_)], view_.Versions());
 }
 
 } // namespace latchslip
--- /dev/null
+++ b/Libraries/LibFleet/FleetNews.cpp
@@ -0,0 +1,179 @@
+#include "LibFleet/FleetNews.h"
+
+#include "LibConfig/JsonReader.h"
+
+namespace latchslip {
+
+namespace {
+
+// Versions are whole numbers, which a double holds exactly up to here.
+constexpr double kMostVersion = 9e15;
+
+FieldResult<RowVersion>
+ReadVersion(const JsonReader& aReader, std::string_view aName)
+{
+  BOOST_OUTCOME_TRY(const auto version, aReader.NumberOr(aName, 0, 0, kMostVersion));
+  return static_cast<RowVersion>(version);
+}
+
+boost::json::object
+ToJson(const RowChange& aChange)
+{
+  boost::json::object row{ { "key", aChange.row_.key_ }, { "version", aChange.row_.version_ } };
+  if (aChange.isRemoved_) {
+    row["removed"] = true;
+  } else {
+    row["value"] = aChange.row_.value_;
+  }
+  return row;
+}
+
+FieldResult<RowChange>
+ParseRow(const boost::json::value& aValue)
+{
+  BOOST_OUTCOME_TRY(const auto reader, JsonReader::Create(aValue, "rows"));
+  RowChange change;
+  BOOST_OUTCOME_TRY(change.row_.key_, reader.Text("key"));
+  BOOST_OUTCOME_TRY(change.row_.value_, reader.TextOr("value", ""));
+  BOOST_OUTCOME_TRY(change.row_.version_, ReadVersion(reader, "version"));
+  BOOST_OUTCOME_TRY(change.isRemoved_, reader.FlagOr("removed", false));
+  return change;
+}
+
+boost::json::object
+ToJson(const TableView& aView)
+{
+  boost::json::array rows;
+  for (const auto& change : aView.rows_) {
+    rows.push_back(ToJson(change));
+  }
+  return { { "table", kFleetTableNames.NameOf(aView.table_) },
+           { "version", aView.version_ },
+           { "whole", aView.isWhole_ },
+           { "base", aView.base_ },
+           { "rows", std::move(rows) } };
+}
+
+FieldResult<TableView>
+ParseView(const boost::json::value& aValue)
+{
+  BOOST_OUTCOME_TRY(const auto reader, JsonReader::Create(aValue, "views"));
+  TableView view;
+  BOOST_OUTCOME_TRY(const auto name, reader.Text("table"));
+  const auto table = kFleetTableNames.ValueOf(name);
+  if (!table) {
+    return FieldError{ "table", "is not a known table: " + name };
+  }
+  view.table_ = *table;
+  BOOST_OUTCOME_TRY(view.version_, ReadVersion(reader, "version"));
+  BOOST_OUTCOME_TRY(view.isWhole_, reader.FlagOr("whole", false));
+  BOOST_OUTCOME_TRY(view.base_, ReadVersion(reader, "base"));
+  BOOST_OUTCOME_TRY(const auto* rows, reader.List("rows"));
+  for (const auto& entry : *rows) {
+    BOOST_OUTCOME_TRY(auto change, ParseRow(entry));
+    view.rows_.push_back(std::move(change));
+  }
+  return view;
+}
+
+FieldResult<OwnershipNews>
+ParseOwners(const boost::json::value& aValue)
+{
+  BOOST_OUTCOME_TRY(const auto reader, JsonReader::Create(aValue, "owners"));
+  OwnershipNews news;
+  BOOST_OUTCOME_TRY(news.base_, ReadVersion(reader, "base"));
+  BOOST_OUTCOME_TRY(news.version_, ReadVersion(reader, "version"));
+  BOOST_OUTCOME_TRY(const auto text, reader.Text("ownership"));
+  BOOST_OUTCOME_TRY(news.ownership_, ParseOwnership(text));
+  return news;
+}
+
+} // namespace
+
+std::string
+SerializeNews(const FleetNews& aNews)
+{
+  boost::json::array views;
+  for (const auto& view : aNews.views_) {
+    views.push_back(ToJson(view));
+  }
+  boost::json::array owners;
+  for (const auto& news : aNews.owners_) {
+    owners.push_back(boost::json::object{ { "base", news.base_ },
+                                          { "version", news.version_ },
+                                          { "ownership", SerializeOwnership(news.ownership_) } });
+  }
+  boost::json::object document{ { "last_for_now", aNews.isLastForNow_ },
+                                { "views", std::move(views) },
+                                { "owners", std::move(owners) } };
+  if (aNews.placer_) {
+    document["placer"] = ToJson(RowChange{ *aNews.placer_, false });
+  }
+  return boost::json::serialize(document);
+}
+
+FieldResult<FleetNews>
+ParseNews(std::string_view aText)
+{
+  BOOST_OUTCOME_TRY(const auto value, ParseJson(aText, "news"));
+  BOOST_OUTCOME_TRY(const auto reader, JsonReader::Create(value, ""));
+  FleetNews news;
+  BOOST_OUTCOME_TRY(news.isLastForNow_, reader.FlagOr("last_for_now", false));
+  BOOST_OUTCOME_TRY(const auto* views, reader.List("views"));
+  for (const auto& entry : *views) {
+    BOOST_OUTCOME_TRY(auto view, ParseView(entry));
+    news.views_.push_back(std::move(view));
+  }
+  BOOST_OUTCOME_TRY(const auto* owners, reader.List("owners"));
+  for (const auto& entry : *owners) {
+    BOOST_OUTCOME_TRY(auto ownership, ParseOwners(entry));
+    news.owners_.push_back(std::move(ownership));
+  }
+  if (const auto* placer = value.as_object().if_contains("placer")) {
+    BOOST_OUTCOME_TRY(auto change, ParseRow(*placer));
+    news.placer_ = std::move(change.row_);
+  }
+  return news;
+}
+
+boost::json::array
+VersionsToJson(const TableVersions& aVersions)
+{
+  return boost::json::array(aVersions.begin(), aVersions.end());
+}
+
+FieldResult<TableVersions>
+VersionsFromJson(const boost::json::object& aDocument)
+{
+  const FieldError malformed{ "versions", "must be a list of a whole number for each table" };
+  const auto* found = aDocument.if_contains("versions");
+  const auto* list = found == nullptr ? nullptr : found->if_array();
+  TableVersions versions{};
+  if (list == nullptr || list->size() != versions.size()) {
+    return malformed;
+  }
+  for (std::size_t index = 0; index < versions.size(); ++index) {
+    boost::system::error_code error;
+    versions.at(index) = (*list)[index].to_number<RowVersion>(error);
+    if (error) {
+      return malformed;
+    }
+  }
+  return versions;
+}
+
+std::string
+SerializeVersions(const TableVersions& aVersions)
+{
+  return boost::json::serialize(boost::json::object{ { "versions", VersionsToJson(aVersions) } });
+}
+
+FieldResult<TableVersions>
+ParseVersions(std::string_view aText)
+{
+  BOOST_OUTCOME_TRY(const auto value, ParseJson(aText, "versions"));
+  BOOST_OUTCOME_TRY(JsonReader::Create(value, ""));
+  return VersionsFromJson(value.as_object());
+}
+
+} // namespace latchslip
--- /dev/null
+++ b/Libraries/LibFleet/FleetNews.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "LibBase/Result.h"
+#include "LibFleet/FleetStore.h"
+#include "LibKeys/KeyOwnership.h"
+
+#include <boost/json.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace latchslip {
+
+// Who owns the keys of one service, or what changed in it.
+struct OwnershipNews
+{
+  // The row's version before the changes; 0 when the ownership is whole.
+  RowVersion base_ = 0;
+  RowVersion version_ = 0;
+  KeyOwnership ownership_;
+};
+
+// What one instance tells another of the store's tables.
+struct FleetNews
+{
+  // The sender is the placer but cannot reach the store: it will not tell what
+  // changes from now on.
+  bool isLastForNow_ = false;
+  // Of the tables that others write.
+  std::vector<TableView> views_;
+  // The row that names the placer.
+  std::optional<Row> placer_;
+  std::vector<OwnershipNews> owners_;
+};
+
+std::string
+SerializeNews(const FleetNews& aNews);
+FieldResult<FleetNews>
+ParseNews(std::string_view aText);
+
+std::string
+SerializeVersions(const TableVersions& aVersions);
+FieldResult<TableVersions>
+ParseVersions(std::string_view aText);
+
+// The versions as a member of a larger document.
+boost::json::array
+VersionsToJson(const TableVersions& aVersions);
+FieldResult<TableVersions>
+VersionsFromJson(const boost::json::object& aDocument);
+
+} // namespace latchslip
--- a/Libraries/LibFleet/FleetReport.cpp
+++ b/Libraries/LibFleet/FleetReport.cpp
@@ -1,6 +1,7 @@
 #include "LibFleet/FleetReport.h"
 
 #include "LibConfig/JsonReader.h"
+#include "LibFleet/FleetNews.h"
 
 namespace latchslip {
 
@@ -97,7 +98,7 @@
 {
   return boost::json::serialize(boost::json::object{
     { "working", aAnswer.isWorking_ },
-    { "fleet_version", aAnswer.fleetVersion_ },
+    { "versions", VersionsToJson(aAnswer.versions_) },
     { "instances", boost::json::array(aAnswer.instances_.begin(), aAnswer.instances_.end()) } });
 }
 
@@ -108,9 +109,7 @@
   BOOST_OUTCOME_TRY(const auto reader, JsonReader::Create(value, ""));
   ReportAnswer answer;
   BOOST_OUTCOME_TRY(answer.isWorking_, reader.FlagOr("working", false));
-  constexpr double kMostVersion = 9e15;
-  BOOST_OUTCOME_TRY(const auto version, reader.NumberOr("fleet_version", 0, 0, kMostVersion));
-  answer.fleetVersion_ = static_cast<RowVersion>(version);
+  BOOST_OUTCOME_TRY(answer.versions_, VersionsFromJson(value.as_object()));
   BOOST_OUTCOME_TRY(const auto* instances, reader.List("instances"));
   for (const auto& instance : *instances) {
     if (!instance.is_string()) {
@@ -121,27 +120,4 @@
   return answer;
 }
 
-std::string
-SerializeVersions(const TableVersions& aVersions)
-{
-  return boost::json::serialize(
-    boost::json::object{ { "versions", boost::json::array(aVersions.begin(), aVersions.end()) } });
-}
-
-FieldResult<TableVersions>
-ParseVersions(std::string_view aText)
-{
-  BOOST_OUTCOME_TRY(const auto value, ParseJson(aText, "versions"));
-  BOOST_OUTCOME_TRY(const auto reader, JsonReader::Create(value, ""));
-  BOOST_OUTCOME_TRY(const auto* list, reader.List("versions"));
-  TableVersions versions{};
-  if (list->size() != versions.size()) {
-    return FieldError{ "versions", "must name each table" };
-  }
-  for (std::size_t index = 0; index < versions.size(); ++index) {
-    BOOST_OUTCOME_TRY(versions.at(index), WholeNumber((*list)[index], "versions", 1ULL << 53));
-  }
-  return versions;
-}
-
 } // namespace latchslip
--- a/Libraries/LibFleet/FleetReport.h
+++ b/Libraries/LibFleet/FleetReport.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "LibBase/Result.h"
-#include "LibFleet/RowMirror.h"
+#include "LibFleet/FleetStore.h"
 #include "LibKeys/KeyLoad.h"
 
 #include <array>
@@ -30,8 +30,8 @@
   bool isWorking_ = false;
   // Where the instances are reached that it has heard lately, itself included.
   std::vector<std::string> instances_;
-  // The highest version of the fleet's rows that it knows.
-  RowVersion fleetVersion_ = 0;
+  // How new its copy of each table is.
+  TableVersions versions_{};
 };
 
 std::string
@@ -44,12 +44,4 @@
 FieldResult<ReportAnswer>
 ParseReportAnswer(std::string_view aText);
 
-// The versions of the tables that somebody who asks for a view has already.
-using TableVersions = std::array<RowVersion, kFleetTables>;
-
-std::string
-SerializeVersions(const TableVersions& aVersions);
-FieldResult<TableVersions>
-ParseVersions(std::string_view aText);
-
 } // namespace latchslip
--- a/Libraries/LibFleet/FleetStore.h
+++ b/Libraries/LibFleet/FleetStore.h
@@ -19,6 +19,22 @@
   virtual void OnStoreRegained() = 0;
 };
 
+// How closely the tables are followed.
+enum class Following
+{
+  // Another instance tells what changes; the store is not asked.
+  Relayed,
+  // The store is asked, with long waits.
+  Alone,
+  // Others rely on this instance: an outage must show at once.
+  Closely,
+};
+
+inline constexpr NameTable<Following, 3> kFollowingNames{ { "relayed", "alone", "closely" } };
+
+// The version of each table that somebody has.
+using TableVersions = std::array<RowVersion, kFleetTables>;
+
 // The platform's store, as an instance uses it.
 class FleetStore
 {
@@ -27,8 +43,10 @@
 
   virtual ~FleetStore() = default;
 
-  // Begins to follow the tables, each from what it holds now.
+  // Begins to follow the tables alone, each from what it holds now.
   virtual void Start(FleetStoreListener& aListener) = 0;
+  // Goes on in another way, from the versions that are known by now.
+  virtual void Follow(Following aHow, const TableVersions& aKnown) = 0;
   virtual void Stop() = 0;
   // Writes rows of FleetTable::Fleet. After a conflict the reply holds the rows
   // of the conditions as they stand.
--- /dev/null
+++ b/Libraries/LibFleet/FleetView.cpp
@@ -0,0 +1,247 @@
+#include "LibFleet/FleetView.h"
+
+#include <algorithm>
+
+namespace latchslip {
+
+std::string
+OwnershipKey(const std::string& aService)
+{
+  return std::string(kOwnershipPrefix) + aService;
+}
+
+FleetView::FleetView(const RowDecoder& aDecoder, FleetViewListener& aListener, EventSink& aEvents)
+  : decoder_(aDecoder)
+  , listener_(aListener)
+  , events_(aEvents)
+{
+}
+
+bool
+FleetView::Take(Instant aNow, const TableView& aView)
+{
+  const bool isNew = !mirror_.IsKnown(aView.table_);
+  const auto changes = mirror_.Apply(aView);
+  if (!changes) {
+    return false;
+  }
+  for (const auto& change : *changes) {
+    switch (aView.table_) {
+      case FleetTable::Configuration:
+        OnConfigurationRow(change);
+        break;
+      case FleetTable::Servers:
+        OnServerRow(aNow, change);
+        break;
+      case FleetTable::Fleet:
+        if (!change.isRemoved_) {
+          TakeFleetRow(aNow, change.row_);
+        }
+        break;
+    }
+  }
+  if (aView.table_ == FleetTable::Servers && (isNew || !changes->empty())) {
+    listener_.OnDirectoryChanged();
+  }
+  if (aView.table_ == FleetTable::Fleet && isNew && !placer_) {
+    listener_.OnPlacer(aNow, std::nullopt);
+  }
+  return true;
+}
+
+bool
+FleetView::Take(Instant aNow, const FleetNews& aNews, bool aOwnRowsOnly)
+{
+  bool isWhole = true;
+  if (!aOwnRowsOnly) {
+    for (const auto& view : aNews.views_) {
+      isWhole = Take(aNow, view) && isWhole;
+    }
+  }
+  if (aNews.placer_) {
+    TakeFleetRow(aNow, *aNews.placer_);
+  }
+  for (const auto& news : aNews.owners_) {
+    isWhole = TakeOwners(news) && isWhole;
+  }
+  return isWhole;
+}
+
+bool
+FleetView::TakeOwners(const OwnershipNews& aNews)
+{
+  const auto& service = aNews.ownership_.service_;
+  const auto known = owners_.find(service);
+  const RowVersion version = known == owners_.end() ? 0 : known->second.version_;
+  if (aNews.version_ <= version) {
+    return true;
+  }
+  if (aNews.base_ > version) {
+    return false;
+  }
+  TakeOwnership(aNews.version_,
+                aNews.base_ == 0 ? aNews.ownership_
+                                 : Overlay(known->second.ownership_, aNews.ownership_));
+  return true;
+}
+
+void
+FleetView::TakeOwnership(RowVersion aVersion, const KeyOwnership& aOwnership)
+{
+  auto& owned = owners_[aOwnership.service_];
+  if (aVersion <= owned.version_) {
+    return;
+  }
+  owned = { aVersion, aOwnership };
+  events_.Record(Event::OwnershipSeen,
+                 "service=" + aOwnership.service_ + " row_version=" + std::to_string(aVersion) +
+                   " ranges=" + std::to_string(aOwnership.ranges_.size()));
+  listener_.OnOwnership(owned.ownership_);
+}
+
+void
+FleetView::TakeFleetRow(Instant aNow, const Row& aRow)
+{
+  if (aRow.key_ == kPlacerKey) {
+    OnPlacerRow(aNow, aRow);
+  } else if (aRow.key_.starts_with(kOwnershipPrefix)) {
+    OnOwnershipRow(aRow);
+  }
+}
+
+void
+FleetView::OnConfigurationRow(const RowChange& aChange)
+{
+  if (aChange.isRemoved_) {
+    return;
+  }
+  auto configuration = decoder_.DecodeConfiguration(aChange.row_);
+  if (configuration && !configuration.value()) {
+    return;
+  }
+  auto table = configuration ? RouteTable::Create(std::move(*configuration.value()))
+                             : FieldResult<RouteTable>(configuration.error());
+  if (!table) {
+    events_.Record(Event::RoutesRejected, "reason=\"" + table.error().Describe() + "\"");
+    return;
+  }
+  const auto version = table.value().Configuration().version_;
+  if (routes_ && version <= routes_->Configuration().version_) {
+    return;
+  }
+  routes_ = std::make_shared<const RouteTable>(std::move(table).value());
+  events_.Record(Event::RoutesInForce,
+                 "version=" + std::to_string(version) +
+                   " routes=" + std::to_string(routes_->Configuration().routes_.size()));
+  listener_.OnRoutes(routes_);
+}
+
+void
+FleetView::OnServerRow(Instant aNow, const RowChange& aChange)
+{
+  if (aChange.isRemoved_) {
+    directory_.Remove(aNow, aChange.row_.key_);
+    return;
+  }
+  auto record = decoder_.DecodeServer(aChange.row_);
+  if (!record) {
+    events_.Record(Event::RecordRejected,
+                   "server=" + aChange.row_.key_ + " reason=\"" + record.error().Describe() + "\"");
+    return;
+  }
+  const auto& server = record.value();
+  events_.Record(Event::ServerListed,
+                 "server=" + server.id_ + " service=" + server.service_ + " address=" +
+                   server.address_ + " leaving=" + (server.isLeaving_ ? "true" : "false"));
+  directory_.Put(aNow, std::move(record).value());
+}
+
+void
+FleetView::OnPlacerRow(Instant aNow, const Row& aRow)
+{
+  if (aRow.version_ <= PlacerVersion()) {
+    return;
+  }
+  auto row = ParsePlacerRow(aRow.value_);
+  if (!row) {
+    events_.Record(Event::RecordRejected, "row=placer reason=\"" + row.error().Describe() + "\"");
+    return;
+  }
+  placer_ = aRow;
+  listener_.OnPlacer(aNow, row.value());
+}
+
+void
+FleetView::OnOwnershipRow(const Row& aRow)
+{
+  const auto service = aRow.key_.substr(kOwnershipPrefix.size());
+  if (const auto* known = OwnersOf(service); known != nullptr && aRow.version_ <= known->version_) {
+    return;
+  }
+  auto ownership = ParseOwnership(aRow.value_);
+  if (!ownership || ownership.value().service_ != service) {
+    const auto problem = ownership ? "names another service" : ownership.error().Describe();
+    events_.Record(Event::RecordRejected, "row=" + aRow.key_ + " reason=\"" + problem + "\"");
+    return;
+  }
+  TakeOwnership(aRow.version_, ownership.value());
+}
+
+FleetNews
+FleetView::NewsSince(const TableVersions& aVersions) const
+{
+  FleetNews news;
+  const auto versions = Versions();
+  for (const auto table : { FleetTable::Configuration, FleetTable::Servers }) {
+    const auto index = static_cast<std::size_t>(table);
+    if (mirror_.IsKnown(table) && versions.at(index) > aVersions.at(index)) {
+      news.views_.push_back(mirror_.Whole(table));
+    }
+  }
+  const auto known = aVersions.at(static_cast<std::size_t>(FleetTable::Fleet));
+  if (PlacerVersion() > known) {
+    news.placer_ = placer_;
+  }
+  for (const auto& [service, owned] : owners_) {
+    if (owned.version_ > known) {
+      news.owners_.push_back({ 0, owned.version_, owned.ownership_ });
+    }
+  }
+  return news;
+}
+
+TableVersions
+FleetView::Versions() const
+{
+  RowVersion fleet = PlacerVersion();
+  for (const auto& [service, owned] : owners_) {
+    fleet = std::max(fleet, owned.version_);
+  }
+  return { mirror_.VersionOf(FleetTable::Configuration),
+           mirror_.VersionOf(FleetTable::Servers),
+           fleet };
+}
+
+const FleetView::OwnedService*
+FleetView::OwnersOf(const std::string& aService) const
+{
+  const auto owned = owners_.find(aService);
+  return owned == owners_.end() ? nullptr : &owned->second;
+}
+
+std::vector<std::string>
+FleetView::KeyedServices() const
+{
+  std::vector<std::string> services;
+  if (!routes_) {
+    return services;
+  }
+  for (const auto& service : routes_->Configuration().services_) {
+    if (service.isKeyed_) {
+      services.push_back(service.name_);
+    }
+  }
+  return services;
+}
+
+} // namespace latchslip
--- /dev/null
+++ b/Libraries/LibFleet/FleetView.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "LibBase/Event.h"
+#include "LibFleet/FleetNews.h"
+#include "LibFleet/PlacerElection.h"
+#include "LibFleet/RowMirror.h"
+#include "LibGateway/RoutingTable.h"
+#include "LibGateway/ServerDirectory.h"
+#include "LibKeys/KeyOwnership.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace latchslip {
+
+// The key of the row that names the placer.
+inline constexpr std::string_view kPlacerKey = "placer";
+// The keys of the rows that say who owns the keys of a service begin so.
+inline constexpr std::string_view kOwnershipPrefix = "ownership/";
+
+// The key of the row that says who owns the keys of a service.
+std::string
+OwnershipKey(const std::string& aService);
+
+// Turns the text of rows that others write into types.
+class RowDecoder
+{
+public:
+  virtual ~RowDecoder() = default;
+
+  // No value for rows of that table that hold no configuration.
+  virtual FieldResult<std::optional<RoutingConfiguration>> DecodeConfiguration(
+    const Row& aRow) const = 0;
+  virtual FieldResult<ServerRecord> DecodeServer(const Row& aRow) const = 0;
+};
+
+// Hears what changes in a view.
+class FleetViewListener
+{
+public:
+  virtual ~FleetViewListener() = default;
+
+  virtual void OnRoutes(std::shared_ptr<const RouteTable> aRoutes) = 0;
+  virtual void OnDirectoryChanged() = 0;
+  virtual void OnOwnership(const KeyOwnership& aOwnership) = 0;
+  virtual void OnPlacer(Instant aNow, const std::optional<PlacerRow>& aPlacer) = 0;
+};
+
+// What an instance knows of the store's tables: the routes, the servers, the
+// owners of keys and the placer. It takes the store's word and that of other
+// instances, and only gets newer. Rows that cannot be read are logged, and the
+// last that could be read stay in force.
+class FleetView
+{
+public:
+  struct OwnedService
+  {
+    RowVersion version_ = 0;
+    KeyOwnership ownership_;
+  };
+
+  FleetView(const RowDecoder& aDecoder, FleetViewListener& aListener, EventSink& aEvents);
+
+  // Takes a view of the store; false when it begins after what is known.
+  bool Take(Instant aNow, const TableView& aView);
+  // Takes news of another instance; false when some of them begin after what is
+  // known. With aOwnRowsOnly, tables that are not the fleet's own are left out.
+  bool Take(Instant aNow, const FleetNews& aNews, bool aOwnRowsOnly);
+  // A row of the fleet as it stands in the store.
+  void TakeFleetRow(Instant aNow, const Row& aRow);
+  // What this instance has written itself.
+  void TakeOwnership(RowVersion aVersion, const KeyOwnership& aOwnership);
+  // All that somebody who has these versions lacks.
+  FleetNews NewsSince(const TableVersions& aVersions) const;
+
+  TableVersions Versions() const;
+  bool IsKnown(FleetTable aTable) const { return mirror_.IsKnown(aTable); }
+  const std::shared_ptr<const RouteTable>& Routes() const { return routes_; }
+  ServerDirectory& Directory() { return directory_; }
+  const ServerDirectory& Directory() const { return directory_; }
+  // Null when nobody was ever named owner of that service's keys.
+  const OwnedService* OwnersOf(const std::string& aService) const;
+  // The version of the row that names the placer; 0 when there is none.
+  RowVersion PlacerVersion() const { return placer_ ? placer_->version_ : 0; }
+  // The services of the configuration that are divided by key.
+  std::vector<std::string> KeyedServices() const;
+
+private:
+  void OnConfigurationRow(const RowChange& aChange);
+  void OnServerRow(Instant aNow, const RowChange& aChange);
+  void OnPlacerRow(Instant aNow, const Row& aRow);
+  void OnOwnershipRow(const Row& aRow);
+  bool TakeOwners(const OwnershipNews& aNews);
+
+  const RowDecoder& decoder_;
+  FleetViewListener& listener_;
+  EventSink& events_;
+  // The tables that others write.
+  RowMirror mirror_;
+  ServerDirectory directory_;
+  std::shared_ptr<const RouteTable> routes_;
+  std::optional<Row> placer_;
+  std::map<std::string, OwnedService> owners_;
+};
+
+} // namespace latchslip
--- a/Libraries/LibFleet/PlacerDuty.cpp
+++ b/Libraries/LibFleet/PlacerDuty.cpp
@@ -22,12 +22,6 @@
 // so that a noisy mean cannot empty or flood one.
 constexpr double kMostSpeed = 2.5;
 
-std::string
-OwnershipKey(const std::string& aService)
-{
-  return std::string(kOwnershipPrefix) + aService;
-}
-
 } // namespace
 
 // A claim names the owners' rows too: orders must not go out from older ones.
@@ -35,14 +29,14 @@
 FleetMember::Claim()
 {
   WaitingWrite write;
-  write.value_ = SerializePlacerRow(settings_.self_);
+  auto& conditions = write.transaction_.conditions_;
   const std::string key(kPlacerKey);
-  write.transaction_.conditions_.push_back({ key, VersionOf(key) });
-  for (const auto& service : KeyedServices()) {
-    const auto row = OwnershipKey(service);
-    write.transaction_.conditions_.push_back({ row, VersionOf(row) });
+  conditions.push_back({ key, view_.PlacerVersion() });
+  for (const auto& service : view_.KeyedServices()) {
+    const auto* owned = view_.OwnersOf(service);
+    conditions.push_back({ OwnershipKey(service), owned == nullptr ? 0 : owned->version_ });
   }
-  write.transaction_.writes_.push_back({ key, write.value_ });
+  write.transaction_.writes_.push_back({ key, SerializePlacerRow(settings_.self_) });
   if (election_.Current() && election_.Current()->instance_ != settings_.self_.instance_) {
     events_.Record(Event::PlacerSilent, "placer=" + election_.Current()->instance_);
   }
@@ -52,24 +46,14 @@
 void
 FleetMember::StartPlacers(Instant aNow)
 {
-  for (const auto& service : KeyedServices()) {
+  for (const auto& service : view_.KeyedServices()) {
     if (placers_.contains(service)) {
       continue;
     }
-    std::optional<KeyOwnership> stored;
-    if (const auto row = fleetRows_.find(OwnershipKey(service)); row != fleetRows_.end()) {
-      auto parsed = ParseOwnership(row->second.value_);
-      if (!parsed) {
-        // Without the fences of the past no order is safe.
-        events_.Record(Event::RecordRejected,
-                       "row=" + row->first + " reason=\"" + parsed.error().Describe() + "\"");
-        continue;
-      }
-      stored = std::move(parsed).value();
-    }
+    const auto* owned = view_.OwnersOf(service);
     auto& placer = placers_[service];
     placer = std::make_unique<ServicePlacer>(*this, service);
-    placer->placer_.Start(aNow, std::move(stored));
+    placer->placer_.Start(aNow, owned == nullptr ? std::nullopt : std::optional(owned->ownership_));
   }
 }
 
@@ -87,7 +71,7 @@
   if (aNow - storeHeardAt_ > settings_.placer_.renewalWithoutStore_) {
     return;
   }
-  if (mirror_.IsKnown(FleetTable::Servers)) {
+  if (view_.IsKnown(FleetTable::Servers)) {
     StartPlacers(aNow);
   }
   for (const auto& [service, placer] : placers_) {
@@ -103,14 +87,14 @@
 {
   std::vector<KeyServer> servers;
   std::vector<Duration> known;
-  for (const auto& [id, record] : directory_.All()) {
+  for (const auto& [id, record] : view_.Directory().All()) {
     if (record.service_ != aService) {
       continue;
     }
     KeyServer server;
     server.id_ = id;
     server.address_ = record.address_;
-    server.hasEnded_ = directory_.IsReplaced(record);
+    server.hasEnded_ = view_.Directory().IsReplaced(record);
     server.isUsable_ = !record.isLeaving_ && !server.hasEnded_;
     servers.push_back(std::move(server));
     if (const auto latency = latencies_.find(id); latency != latencies_.end()) {
@@ -125,7 +109,7 @@
   const auto typical = static_cast<double>(known[known.size() / 2].count());
   for (auto& server : servers) {
     const auto latency = latencies_.find(server.id_);
-    const double slots = directory_.Find(server.id_)->slots_;
+    const double slots = view_.Directory().Find(server.id_)->slots_;
     const double speed =
       latency == latencies_.end()
         ? 1
@@ -136,15 +120,15 @@
 }
 
 void
-FleetMember::QueueWrite(const std::string& aService, const KeyOwnership& aOwnership)
+FleetMember::QueueWrite(const KeyOwnership& aOwnership)
 {
   WaitingWrite write;
-  write.service_ = aService;
-  write.value_ = SerializeOwnership(aOwnership);
-  const std::string placer(kPlacerKey);
-  const auto row = OwnershipKey(aService);
-  write.transaction_.conditions_ = { { placer, VersionOf(placer) }, { row, VersionOf(row) } };
-  write.transaction_.writes_ = { { row, write.value_ } };
+  write.ownership_ = aOwnership;
+  const auto row = OwnershipKey(aOwnership.service_);
+  const auto* owned = view_.OwnersOf(aOwnership.service_);
+  write.transaction_.conditions_ = { { std::string(kPlacerKey), view_.PlacerVersion() },
+                                     { row, owned == nullptr ? 0 : owned->version_ } };
+  write.transaction_.writes_ = { { row, SerializeOwnership(aOwnership) } };
   writes_.push_back(std::move(write));
 }
 
@@ -181,9 +165,9 @@
   storeHeardAt_ = aNow;
   const auto ended = std::move(write);
   writes_.erase(writes_.begin());
-  const auto& key = ended.transaction_.writes_.front().key_;
-  const auto* stored = FindRow(aReply.rows_, key);
-  const bool isOwn = stored != nullptr && stored->value_ == ended.value_;
+  const auto& written = ended.transaction_.writes_.front();
+  const auto* stored = FindRow(aReply.rows_, written.key_);
+  const bool isOwn = stored != nullptr && stored->value_ == written.value_;
   if (aReply.status_ == StoreStatus::Done || isOwn) {
     OnWriteDone(aNow, ended, aReply);
   } else {
@@ -194,49 +178,59 @@
 void
 FleetMember::OnWriteDone(Instant aNow, const WaitingWrite& aWrite, const StoreReply& aReply)
 {
-  const auto& key = aWrite.transaction_.writes_.front().key_;
-  if (const auto* row = FindRow(aReply.rows_, key)) {
-    Learn({ key, row->version_, aWrite.value_ });
-  }
-  Spread();
-  if (aWrite.service_.empty()) {
-    election_.OnRow(aNow, settings_.self_);
-    events_.Record(Event::PlacerClaimed, "row_version=" + std::to_string(VersionOf(key)));
+  const auto& written = aWrite.transaction_.writes_.front();
+  const auto* stored = FindRow(aReply.rows_, written.key_);
+  const RowVersion version = stored == nullptr ? 0 : stored->version_;
+  FleetNews news;
+  if (!aWrite.ownership_) {
+    const Row row{ written.key_, version, written.value_ };
+    events_.Record(Event::PlacerClaimed, "row_version=" + std::to_string(version));
+    view_.TakeFleetRow(aNow, row);
+    news.placer_ = row;
+    Spread(news);
     RunPlacers(aNow);
     return;
   }
-  const auto placer = placers_.find(aWrite.service_);
-  if (placer == placers_.end()) {
-    return;
+  const auto& ownership = *aWrite.ownership_;
+  const auto* former = view_.OwnersOf(ownership.service_);
+  if (former == nullptr) {
+    news.owners_.push_back({ 0, version, ownership });
+  } else {
+    news.owners_.push_back(
+      { former->version_, version, ChangesBetween(former->ownership_, ownership) });
+  }
+  view_.TakeOwnership(version, ownership);
+  Spread(news);
+  if (const auto placer = placers_.find(ownership.service_); placer != placers_.end()) {
+    placer->second->placer_.OnWritten(aNow);
   }
-  placer->second->placer_.OnWritten(aNow);
-  actions_.OnOwnership(placer->second->placer_.Committed());
 }
 
 void
 FleetMember::OnWriteConflict(Instant aNow, const WaitingWrite& aWrite, const StoreReply& aReply)
 {
   for (const auto& row : aReply.rows_) {
-    OnFleetRow(aNow, row);
+    view_.TakeFleetRow(aNow, row);
   }
-  if (aWrite.service_.empty()) {
+  if (!aWrite.ownership_) {
     election_.OnClaimFailed(aNow);
     return;
   }
-  const auto placer = placers_.find(aWrite.service_);
-  if (placer == placers_.end()) {
-    return;
+  const auto& service = aWrite.ownership_->service_;
+  const auto* owned = view_.OwnersOf(service);
+  if (const auto placer = placers_.find(service); placer != placers_.end() && owned != nullptr) {
+    placer->second->placer_.OnWriteFailed(aNow, owned->ownership_);
   }
-  const auto row = fleetRows_.find(OwnershipKey(aWrite.service_));
-  auto stored = row == fleetRows_.end() ? FieldResult<KeyOwnership>(FieldError{ "row", "is gone" })
-                                        : ParseOwnership(row->second.value_);
-  if (stored) {
-    placer->second->placer_.OnWriteFailed(aNow, std::move(stored).value());
-  } else {
-    events_.Record(Event::RecordRejected,
-                   "row=ownership/" + aWrite.service_ + " reason=\"" + stored.error().Describe() +
-                     "\"");
-    placers_.erase(placer);
+}
+
+// Tells the others at once what this placer has learnt or written.
+void
+FleetMember::Spread(const FleetNews& aNews)
+{
+  for (const auto& address : instances_) {
+    if (address != settings_.self_.address_) {
+      actions_.SendNews(address, aNews);
+    }
   }
 }
 
@@ -257,9 +251,9 @@
   InstanceReport report;
   report.instance_ = settings_.self_.instance_;
   report.address_ = settings_.self_.address_;
-  for (const auto& service : KeyedServices()) {
+  for (const auto& service : view_.KeyedServices()) {
     report.keyCounts_[service] = counters_[service].Take();
-    for (const auto* server : directory_.OfService(service)) {
+    for (const auto* server : view_.Directory().OfService(service)) {
       if (const auto latency = actions_.LatencyOf(server->id_); latency > Duration(0)) {
         report.latencies_[server->id_] = latency;
       }
@@ -295,7 +289,7 @@
   for (const auto& [address, heardAt] : heardInstances_) {
     answer.instances_.push_back(address);
   }
-  answer.fleetVersion_ = FleetVersion();
+  answer.versions_ = view_.Versions();
   if (!election_.IsPlacer()) {
     return answer;
   }
@@ -319,21 +313,22 @@
       entry->second += Duration(static_cast<Duration::rep>(change));
     }
   }
-  std::erase_if(latencies_,
-                [&](const auto& aEntry) { return directory_.Find(aEntry.first) == nullptr; });
+  std::erase_if(latencies_, [&](const auto& aEntry) {
+    return view_.Directory().Find(aEntry.first) == nullptr;
+  });
 }
 
 void
 FleetMember::OnReportAnswered(Instant aNow, const std::optional<ReportAnswer>& aAnswer)
 {
-  if (!aAnswer) {
+  if (!aAnswer || !aAnswer->isWorking_) {
+    relay_.OnFailure();
     return;
   }
-  if (aAnswer->isWorking_) {
-    election_.OnPlacerHeard(aNow);
-  }
-  if (aAnswer->fleetVersion_ > FleetVersion() && election_.Current()) {
-    FetchFrom(election_.Current()->address_);
+  election_.OnPlacerHeard(aNow);
+  relay_.OnAnswer(aNow, aAnswer->versions_);
+  if (relay_.IsBehind(view_.Versions()) && election_.Current()) {
+    actions_.FetchNews(election_.Current()->address_, view_.Versions());
   }
   if (!aAnswer->instances_.empty()) {
     instances_ = aAnswer->instances_;
--- a/Libraries/LibFleet/RowMirror.h
+++ b/Libraries/LibFleet/RowMirror.h
@@ -7,6 +7,7 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -42,8 +43,9 @@
   FleetTable table_ = FleetTable::Fleet;
   // The store's version at which the view holds.
   RowVersion version_ = 0;
-  // All rows of the table; else only what changed.
+  // All rows of the table; else only what changed after base_.
   bool isWhole_ = false;
+  RowVersion base_ = 0;
   std::vector<RowChange> rows_;
 };
 
@@ -52,8 +54,9 @@
 class RowMirror
 {
 public:
-  // Takes a view and returns what it changed; nothing when the copy is as new.
-  std::vector<RowChange> Apply(const TableView& aView);
+  // Takes a view and returns what it changed; nothing when the copy is as new. No
+  // value when the view begins after what the copy has.
+  std::optional<std::vector<RowChange>> Apply(const TableView& aView);
 
   RowVersion VersionOf(FleetTable aTable) const { return Of(aTable).version_; }
   bool IsKnown(FleetTable aTable) const { return Of(aTable).isKnown_; }
@@ -76,10 +79,4 @@
   std::array<Table, kFleetTables> tables_;
 };
 
-// The text of views that instances give each other.
-std::string
-SerializeViews(const std::vector<TableView>& aViews);
-FieldResult<std::vector<TableView>>
-ParseViews(std::string_view aText);
-
 } // namespace latchslip
--- a/Libraries/LibFleet/ServicePlacer.h
+++ b/Libraries/LibFleet/ServicePlacer.h
@@ -4,11 +4,6 @@
 
 namespace latchslip {
 
-// The key of the row that names the placer.
-inline constexpr std::string_view kPlacerKey = "placer";
-// The keys of the rows that say who owns the keys of a service begin so.
-inline constexpr std::string_view kOwnershipPrefix = "ownership/";
-
 // The placer of one service, with the service's name on what it asks for.
 class FleetMember::ServicePlacer : public PlacerActions
 {
@@ -21,7 +16,7 @@
   }
 
   void Order(const KeyOrder& aOrder) override { member_.actions_.Order(service_, aOrder); }
-  void Write(const KeyOwnership& aOwnership) override { member_.QueueWrite(service_, aOwnership); }
+  void Write(const KeyOwnership& aOwnership) override { member_.QueueWrite(aOwnership); }
 
   OwnershipPlacer placer_;
 
--- a/Libraries/LibKeys/KeyOwnership.cpp
+++ b/Libraries/LibKeys/KeyOwnership.cpp
@@ -91,6 +91,52 @@
   return aKey <= range.last_ ? &range : nullptr;
 }
 
+KeyOwnership
+ChangesBetween(const KeyOwnership& aOld, const KeyOwnership& aNew)
+{
+  KeyOwnership changes{ aNew.service_, aNew.lastFence_, {} };
+  for (const auto& range : aNew.ranges_) {
+    const auto* old = aOld.Find(range.first_);
+    if (old == nullptr || !(*old == range)) {
+      changes.ranges_.push_back(range);
+    }
+  }
+  return changes;
+}
+
+KeyOwnership
+Overlay(const KeyOwnership& aOld, const KeyOwnership& aChanges)
+{
+  KeyOwnership result{ aOld.service_, std::max(aOld.lastFence_, aChanges.lastFence_), {} };
+  result.ranges_ = aChanges.ranges_;
+  for (const auto& range : aOld.ranges_) {
+    // What the changes leave of this range, piece by piece.
+    KeyNumber next = range.first_;
+    for (const auto& change : aChanges.ranges_) {
+      if (change.last_ < next || change.first_ > range.last_) {
+        continue;
+      }
+      if (change.first_ > next) {
+        auto piece = range;
+        piece.first_ = next;
+        piece.last_ = change.first_ - 1;
+        result.ranges_.push_back(std::move(piece));
+      }
+      next = change.last_ + 1;
+    }
+    if (next <= range.last_) {
+      auto piece = range;
+      piece.first_ = next;
+      result.ranges_.push_back(std::move(piece));
+    }
+  }
+  std::sort(
+    result.ranges_.begin(),
+    result.ranges_.end(),
+    [](const KeyRange& aLeft, const KeyRange& aRight) { return aLeft.first_ < aRight.first_; });
+  return result;
+}
+
 std::string
 SerializeOwnership(const KeyOwnership& aOwnership)
 {
--- a/Libraries/LibKeys/KeyOwnership.h
+++ b/Libraries/LibKeys/KeyOwnership.h
@@ -47,6 +47,14 @@
   bool operator==(const KeyOwnership&) const = default;
 };
 
+// The ranges of aNew that do not stand so in aOld, with the last fence of aNew.
+KeyOwnership
+ChangesBetween(const KeyOwnership& aOld, const KeyOwnership& aNew);
+
+// What comes of aOld when the keys of aChanges get their owners from there.
+KeyOwnership
+Overlay(const KeyOwnership& aOld, const KeyOwnership& aChanges);
+
 // The text that stands in the store's row.
 std::string
 SerializeOwnership(const KeyOwnership& aOwnership);
--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -1,6 +1,7 @@
 #include "LibNet/HttpClient.h"
 
 #include "LibNet/Address.h"
+#include "LibNet/MonotonicClock.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -32,12 +33,6 @@
 // request that crosses the close may or may not have run.
 constexpr Duration kIdleMargin = milliseconds(500);
 
-Instant
-Now()
-{
-  return duration_cast<Instant>(std::chrono::steady_clock::now().time_since_epoch());
-}
-
 // The seconds of "timeout=5" in a Keep-Alive header.
 Duration
 IdleTimeOf(std::string_view aKeepAlive)
@@ -85,7 +80,7 @@
     isReusable_ = true;
     echoHeader_ = aOptions.echoHeader_;
     echoValue_ = echoHeader_.empty() ? std::string() : std::string(aRequest.Header(echoHeader_));
-    end_ = Now() + aOptions.timeout_;
+    end_ = MonotonicNow() + aOptions.timeout_;
     request_.emplace();
     request_->version(11);
     request_->method_string(aRequest.method_);
@@ -125,7 +120,7 @@
   // or has sent bytes that belong to no request.
   bool IsStale()
   {
-    if (Now() >= idleUntil_) {
+    if (MonotonicNow() >= idleUntil_) {
       return true;
     }
     char byte = 0;
@@ -144,7 +139,7 @@
     isConnected_ = true;
     error_code ignored;
     stream_.socket().set_option(tcp::no_delay(true), ignored);
-    stream_.expires_after(std::max(end_ - Now(), Duration(1)));
+    stream_.expires_after(std::max(end_ - MonotonicNow(), Duration(1)));
     Write();
   }
 
@@ -200,7 +195,7 @@
     stream_.expires_never();
     // Bytes beyond the answer belong to no request of ours.
     if (message.keep_alive() && buffer_.size() == 0 && isReusable_ && !isFresh_) {
-      idleUntil_ = Now() + IdleTimeOf(message[http::field::keep_alive]);
+      idleUntil_ = MonotonicNow() + IdleTimeOf(message[http::field::keep_alive]);
       pool_->idle_.push_back(shared_from_this());
     } else {
       stream_.close();
