--- a/Libraries/LibFleet/PlacerDuty.cpp
+++ b/Libraries/LibFleet/PlacerDuty.cpp
@@ -94,8 +94,7 @@
     KeyServer server;
     server.id_ = id;
     server.address_ = record.address_;
-    server.hasEnded_ = view_.Directory().IsReplaced(record);
-    server.isUsable_ = !record.isLeaving_ && !server.hasEnded_;
+    server.isUsable_ = !record.isLeaving_ && !view_.Directory().HasEnded(id);
     servers.push_back(std::move(server));
     if (const auto latency = latencies_.find(id); latency != latencies_.end()) {
       known.push_back(latency->second);
--- a/Libraries/LibFleet/ServicePlacer.h
+++ b/Libraries/LibFleet/ServicePlacer.h
@@ -16,6 +16,10 @@
   }
 
   void Order(const KeyOrder& aOrder) override { member_.actions_.Order(service_, aOrder); }
+  bool HasEnded(const std::string& aServer) const override
+  {
+    return member_.Directory().HasEnded(aServer);
+  }
   void Write(const KeyOwnership& aOwnership) override { member_.QueueWrite(aOwnership); }
 
   OwnershipPlacer placer_;
--- a/Libraries/LibGateway/ServerDirectory.cpp
+++ b/Libraries/LibGateway/ServerDirectory.cpp
@@ -13,6 +13,9 @@
 // Living servers write their record again within about two seconds of the
 // store's return (the platform's promise); a little is added for the way here.
 constexpr Duration kReturnAfterOutage = milliseconds(2300);
+// Dropped records that are remembered: more than a fleet's servers are replaced
+// in a minute, and few enough to be nothing in memory.
+constexpr std::size_t kMostFormer = 1024;
 
 } // namespace
 
@@ -85,7 +88,7 @@
       ++removal;
       continue;
     }
-    records_.erase(removal->first);
+    Forget(records_.find(removal->first));
     removal = removals_.erase(removal);
   }
   return removals_.size() != count;
@@ -122,13 +125,32 @@
   return servers;
 }
 
+void
+ServerDirectory::Forget(std::map<std::string, ServerRecord, std::less<>>::iterator aRecord)
+{
+  if (former_.size() >= kMostFormer) {
+    const auto oldest =
+      std::min_element(former_.begin(), former_.end(), [](const auto& aLeft, const auto& aRight) {
+        return aLeft.second.revision_ < aRight.second.revision_;
+      });
+    former_.erase(oldest);
+  }
+  former_.insert(records_.extract(aRecord));
+}
+
 bool
-ServerDirectory::IsReplaced(const ServerRecord& aRecord) const
+ServerDirectory::HasEnded(std::string_view aId) const
 {
+  const auto listed = records_.find(aId);
+  const auto former = former_.find(aId);
+  if (listed == records_.end() && former == former_.end()) {
+    return false;
+  }
+  const auto& record = listed == records_.end() ? former->second : listed->second;
   return std::any_of(records_.begin(), records_.end(), [&](const auto& aEntry) {
     const auto& other = aEntry.second;
-    return other.address_ == aRecord.address_ && other.id_ != aRecord.id_ &&
-           other.revision_ > aRecord.revision_;
+    return other.address_ == record.address_ && other.id_ != record.id_ &&
+           other.revision_ > record.revision_;
   });
 }
 
--- a/Libraries/LibGateway/ServerDirectory.h
+++ b/Libraries/LibGateway/ServerDirectory.h
@@ -53,14 +53,18 @@
   const ServerRecord* Find(std::string_view aId) const;
   // The servers of one service, those that are leaving included, by id.
   std::vector<const ServerRecord*> OfService(std::string_view aService) const;
-  // Whether a later life has the address of this one, which has thus ended.
-  bool IsReplaced(const ServerRecord& aRecord) const;
+  // Whether a later life, of whatever service, has the address of this one, which
+  // has thus ended. False for lives that were never listed.
+  bool HasEnded(std::string_view aId) const;
   const std::map<std::string, ServerRecord, std::less<>>& All() const { return records_; }
 
 private:
   Instant RemovalTime(Instant aNow) const;
+  void Forget(std::map<std::string, ServerRecord, std::less<>>::iterator aRecord);
 
   std::map<std::string, ServerRecord, std::less<>> records_;
+  // Records that were dropped, the latest of them.
+  std::map<std::string, ServerRecord, std::less<>> former_;
   // When each record that has disappeared is dropped.
   std::map<std::string, Instant, std::less<>> removals_;
   bool isStoreLost_ = false;
--- a/Libraries/LibKeys/KeyBalancer.h
+++ b/Libraries/LibKeys/KeyBalancer.h
@@ -18,8 +18,6 @@
   double weight_ = 1;
   // It lives, is not leaving, and may get keys.
   bool isUsable_ = false;
-  // A later life has its address.
-  bool hasEnded_ = false;
 };
 
 // How readily keys move.
--- a/Libraries/LibKeys/OwnershipPlacer.cpp
+++ b/Libraries/LibKeys/OwnershipPlacer.cpp
@@ -254,10 +254,11 @@
 OwnershipPlacer::ClearFormerOwner(Instant aNow, const KeyRange& aRange, RangeState& aState)
 {
   const auto& former = aRange.previous_;
-  if (HasEnded(former) || aNow >= HoldsUntil(former)) {
+  const bool hasEnded = actions_.HasEnded(former);
+  if (hasEnded || aNow >= HoldsUntil(former)) {
     aState.isCleared_ = true;
     events_.Record(Event::KeysCleared,
-                   Describe(aRange) + " reason=" + (HasEnded(former) ? "ended" : "expired"));
+                   Describe(aRange) + " reason=" + (hasEnded ? "ended" : "expired"));
     SendGrant(aNow, aRange, aState);
     return;
   }
@@ -370,21 +371,6 @@
   });
 }
 
-bool
-OwnershipPlacer::HasEnded(const std::string& aServer) const
-{
-  const auto address = addresses_.find(aServer);
-  if (address == addresses_.end()) {
-    return false;
-  }
-  const bool isListed = std::any_of(servers_.begin(), servers_.end(), [&](const KeyServer& aEntry) {
-    return aEntry.id_ == aServer && !aEntry.hasEnded_;
-  });
-  return !isListed && std::any_of(servers_.begin(), servers_.end(), [&](const KeyServer& aEntry) {
-    return aEntry.id_ != aServer && aEntry.address_ == address->second;
-  });
-}
-
 Instant
 OwnershipPlacer::HoldsUntil(const std::string& aServer) const
 {
--- a/Libraries/LibKeys/OwnershipPlacer.h
+++ b/Libraries/LibKeys/OwnershipPlacer.h
@@ -68,6 +68,8 @@
   // Writes the row of the ownership, provided that it still has the version this
   // placer knows and that this instance is still the placer.
   virtual void Write(const KeyOwnership& aOwnership) = 0;
+  // Whether that server life has certainly ended, and holds nothing any more.
+  virtual bool HasEnded(const std::string& aServer) const = 0;
 };
 
 struct OwnershipPlacerSettings
@@ -135,7 +137,6 @@
   void SendGrant(Instant aNow, const KeyRange& aRange, RangeState& aState);
   void SendOrder(RangeState& aState, KeyOrder aOrder);
   bool IsUsable(const std::string& aServer) const;
-  bool HasEnded(const std::string& aServer) const;
   Instant HoldsUntil(const std::string& aServer) const;
   void ExtendHold(Instant aNow, const std::string& aServer, OrderEnd aEnd);
   RangeState* StateOf(OrderNumber aOrder);
