LibKeys: Bound a lost placer's grants by what is known of it

Two servers ended during the store's outage without a word; their keys waited 29 s after the takeover, for orders of the former placer that may come late. Ruled out: a stuck range (it was the bound), and a refused connection as proof of an end (a cut link may refuse as well).

A placer that hears neither store nor most instances now stops after 6 s; a former placer that reports to the new one has stopped; grants that were not answered are told to all instances at once, so that only servers in doubt wait for late orders. What stays: a placer killed within 1.5 s after an order that is taken late, at a server that is cut off from then on.

--- a/Libraries/LibFleet/FleetMember.cpp
+++ b/Libraries/LibFleet/FleetMember.cpp
@@ -63,6 +63,10 @@
     relay_.OnFailure();
     ChooseFollowing(aNow);
   }
+  for (const auto& doubt : aNews.doubts_) {
+    auto& until = doubts_.try_emplace(doubt.server_, Instant::min()).first->second;
+    until = std::max(until, aNow + doubt.holds_);
+  }
   // What the store itself tells goes first on the tables that others write.
   const bool ownRowsOnly = following_ != Following::Relayed && !isStoreLost_;
   if (!aNews.views_.empty() && !ownRowsOnly) {
--- a/Libraries/LibFleet/FleetMember.h
+++ b/Libraries/LibFleet/FleetMember.h
@@ -126,6 +126,9 @@
   void Report(Instant aNow);
   // Tells all instances that report here.
   void Spread(const FleetNews& aNews);
+  void SpreadDoubt(const std::string& aServer, Duration aHolds);
+  // Whether this placer may still give orders, as far as it can know.
+  bool MayOrder(Instant aNow) const;
 
   FleetMemberSettings settings_;
   FleetActions& actions_;
@@ -141,6 +144,10 @@
   // When each other instance reported last, by its address.
   std::map<std::string, Instant> heardInstances_;
   std::vector<std::string> instances_;
+  // Until when servers may hold keys by orders that they take late.
+  std::map<std::string, Instant> doubts_;
+  // The instance that was the placer before this one.
+  std::string formerPlacer_;
   bool isStoreLost_ = false;
   Instant storeHeardAt_{ 0 };
   Instant nextReport_ = Instant::min();
--- a/Libraries/LibFleet/FleetNews.cpp
+++ b/Libraries/LibFleet/FleetNews.cpp
@@ -106,6 +106,13 @@
   boost::json::object document{ { "last_for_now", aNews.isLastForNow_ },
                                 { "views", std::move(views) },
                                 { "owners", std::move(owners) } };
+  if (!aNews.doubts_.empty()) {
+    boost::json::object doubts;
+    for (const auto& doubt : aNews.doubts_) {
+      doubts[doubt.server_] = doubt.holds_.count();
+    }
+    document["doubts_us"] = std::move(doubts);
+  }
   if (aNews.placer_) {
     document["placer"] = ToJson(RowChange{ *aNews.placer_, false });
   }
@@ -129,6 +136,15 @@
     BOOST_OUTCOME_TRY(auto ownership, ParseOwners(entry));
     news.owners_.push_back(std::move(ownership));
   }
+  if (const auto* doubts = value.as_object().if_contains("doubts_us")) {
+    BOOST_OUTCOME_TRY(const auto entries, JsonReader::Create(*doubts, "doubts_us"));
+    for (const auto& entry : doubts->as_object()) {
+      constexpr double kMostDoubt = 3.6e9;
+      BOOST_OUTCOME_TRY(const auto holds, entries.NumberOr(entry.key(), 0, 0, kMostDoubt));
+      news.doubts_.push_back(
+        { std::string(entry.key()), Duration(static_cast<Duration::rep>(holds)) });
+    }
+  }
   if (const auto* placer = value.as_object().if_contains("placer")) {
     BOOST_OUTCOME_TRY(auto change, ParseRow(*placer));
     news.placer_ = std::move(change.row_);
--- a/Libraries/LibFleet/FleetNews.h
+++ b/Libraries/LibFleet/FleetNews.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibBase/Result.h"
+#include "LibBase/Time.h"
 #include "LibFleet/FleetStore.h"
 #include "LibKeys/KeyOwnership.h"
 
@@ -21,6 +22,13 @@
   KeyOwnership ownership_;
 };
 
+// A server that may hold keys for some time by an order that it takes late.
+struct HoldDoubt
+{
+  std::string server_;
+  Duration holds_{ 0 };
+};
+
 // What one instance tells another of the store's tables.
 struct FleetNews
 {
@@ -32,6 +40,7 @@
   // The row that names the placer.
   std::optional<Row> placer_;
   std::vector<OwnershipNews> owners_;
+  std::vector<HoldDoubt> doubts_;
 };
 
 std::string
--- a/Libraries/LibFleet/PlacerDuty.cpp
+++ b/Libraries/LibFleet/PlacerDuty.cpp
@@ -12,6 +12,8 @@
 // Between two reports to the placer: two fit into the time after which a silent
 // placer is replaced, and load is evened out from means over seconds.
 constexpr Duration kReportInterval = milliseconds(800);
+// An instance that reported within this time takes the receiver for the placer.
+constexpr Duration kReportingBound = seconds(2);
 // An instance that has not reported for this long is not counted any more.
 constexpr Duration kInstanceSilence = seconds(4);
 // A write that failed is sent again after this time.
@@ -37,7 +39,8 @@
     conditions.push_back({ OwnershipKey(service), owned == nullptr ? 0 : owned->version_ });
   }
   write.transaction_.writes_.push_back({ key, SerializePlacerRow(settings_.self_) });
-  if (election_.Current() && election_.Current()->instance_ != settings_.self_.instance_) {
+  formerPlacer_ = election_.Current() ? election_.Current()->instance_ : std::string();
+  if (!formerPlacer_.empty() && formerPlacer_ != settings_.self_.instance_) {
     events_.Record(Event::PlacerSilent, "placer=" + election_.Current()->instance_);
   }
   writes_.push_back(std::move(write));
@@ -53,7 +56,11 @@
     const auto* owned = view_.OwnersOf(service);
     auto& placer = placers_[service];
     placer = std::make_unique<ServicePlacer>(*this, service);
-    placer->placer_.Start(aNow, owned == nullptr ? std::nullopt : std::optional(owned->ownership_));
+    placer->placer_.Start(
+      aNow, owned == nullptr ? std::nullopt : std::optional(owned->ownership_), doubts_);
+    if (formerPlacer_ == settings_.self_.instance_) {
+      placer->placer_.OnFormerPlacerStopped(aNow);
+    }
   }
 }
 
@@ -67,8 +74,7 @@
 void
 FleetMember::RunPlacers(Instant aNow)
 {
-  // Another instance may be the placer by now, and counts on this silence.
-  if (aNow - storeHeardAt_ > settings_.placer_.renewalWithoutStore_) {
+  if (!MayOrder(aNow)) {
     return;
   }
   if (view_.IsKnown(FleetTable::Servers)) {
@@ -82,6 +88,22 @@
   }
 }
 
+// Another instance may be the placer by now, and counts on this one's silence. As
+// long as most instances report here, none can be.
+bool
+FleetMember::MayOrder(Instant aNow) const
+{
+  const auto bound = settings_.placer_.renewalAlone_;
+  if (aNow - storeHeardAt_ < bound) {
+    return true;
+  }
+  const auto reporting =
+    std::count_if(heardInstances_.begin(), heardInstances_.end(), [&](const auto& aEntry) {
+      return aNow - aEntry.second < kReportingBound;
+    });
+  return 2 * static_cast<std::size_t>(reporting) > instances_.size();
+}
+
 std::vector<KeyServer>
 FleetMember::KeyServersOf(const std::string& aService) const
 {
@@ -222,6 +244,14 @@
   }
 }
 
+void
+FleetMember::SpreadDoubt(const std::string& aServer, Duration aHolds)
+{
+  FleetNews news;
+  news.doubts_.push_back({ aServer, aHolds });
+  Spread(news);
+}
+
 // Tells the others at once what this placer has learnt or written.
 void
 FleetMember::Spread(const FleetNews& aNews)
@@ -281,6 +311,13 @@
 FleetMember::OnReport(Instant aNow, const InstanceReport& aReport)
 {
   heardInstances_[aReport.address_] = aNow;
+  if (election_.IsPlacer() && aReport.instance_ == formerPlacer_) {
+    // Whoever reports here knows that it is the placer no more.
+    for (const auto& [service, placer] : placers_) {
+      placer->placer_.OnFormerPlacerStopped(aNow);
+    }
+    formerPlacer_.clear();
+  }
   std::erase_if(heardInstances_,
                 [&](const auto& aEntry) { return aNow - aEntry.second > kInstanceSilence; });
   ReportAnswer answer;
--- a/Libraries/LibFleet/ServicePlacer.h
+++ b/Libraries/LibFleet/ServicePlacer.h
@@ -16,9 +16,21 @@
   }
 
   void Order(const KeyOrder& aOrder) override { member_.actions_.Order(service_, aOrder); }
-  bool HasEnded(const std::string& aServer) const override
+  std::optional<ServerLife> LifeOf(const std::string& aServer) const override
   {
-    return member_.Directory().HasEnded(aServer);
+    const auto& directory = member_.Directory();
+    const auto* record = directory.FindAny(aServer);
+    if (record == nullptr) {
+      return std::nullopt;
+    }
+    return ServerLife{ record->address_,
+                       directory.Find(aServer) != nullptr,
+                       record->isLeaving_,
+                       directory.HasEnded(aServer) };
+  }
+  void Doubt(const std::string& aServer, Duration aHolds) override
+  {
+    member_.SpreadDoubt(aServer, aHolds);
   }
   void Write(const KeyOwnership& aOwnership) override { member_.QueueWrite(aOwnership); }
 
--- a/Libraries/LibGateway/ServerDirectory.cpp
+++ b/Libraries/LibGateway/ServerDirectory.cpp
@@ -113,6 +113,16 @@
   return record == records_.end() ? nullptr : &record->second;
 }
 
+const ServerRecord*
+ServerDirectory::FindAny(std::string_view aId) const
+{
+  if (const auto* listed = Find(aId)) {
+    return listed;
+  }
+  const auto former = former_.find(aId);
+  return former == former_.end() ? nullptr : &former->second;
+}
+
 std::vector<const ServerRecord*>
 ServerDirectory::OfService(std::string_view aService) const
 {
@@ -141,17 +151,13 @@
 bool
 ServerDirectory::HasEnded(std::string_view aId) const
 {
-  const auto listed = records_.find(aId);
-  const auto former = former_.find(aId);
-  if (listed == records_.end() && former == former_.end()) {
-    return false;
-  }
-  const auto& record = listed == records_.end() ? former->second : listed->second;
-  return std::any_of(records_.begin(), records_.end(), [&](const auto& aEntry) {
-    const auto& other = aEntry.second;
-    return other.address_ == record.address_ && other.id_ != record.id_ &&
-           other.revision_ > record.revision_;
-  });
+  const auto* record = FindAny(aId);
+  return record != nullptr &&
+         std::any_of(records_.begin(), records_.end(), [&](const auto& aEntry) {
+           const auto& other = aEntry.second;
+           return other.address_ == record->address_ && other.id_ != record->id_ &&
+                  other.revision_ > record->revision_;
+         });
 }
 
 } // namespace latchslip
--- a/Libraries/LibGateway/ServerDirectory.h
+++ b/Libraries/LibGateway/ServerDirectory.h
@@ -51,6 +51,8 @@
   std::optional<Instant> NextExpiry() const;
 
   const ServerRecord* Find(std::string_view aId) const;
+  // As Find, also for records that were dropped.
+  const ServerRecord* FindAny(std::string_view aId) const;
   // The servers of one service, those that are leaving included, by id.
   std::vector<const ServerRecord*> OfService(std::string_view aService) const;
   // Whether a later life, of whatever service, has the address of this one, which
--- a/Libraries/LibKeys/OwnershipPlacer.cpp
+++ b/Libraries/LibKeys/OwnershipPlacer.cpp
@@ -17,6 +17,8 @@
 constexpr Duration kStep = milliseconds(50);
 // Orders under way at once, so that a small instance is not choked by them.
 constexpr std::size_t kMostOrders = 16;
+// Refusals in a row that show, with the other signs, that a server has left.
+constexpr unsigned kProvingRefusals = 3;
 // The first deal waits until no server has come for this long, since each one
 // that comes later must be given keys of the others; but not longer than the
 // second time.
@@ -52,7 +54,9 @@
 }
 
 void
-OwnershipPlacer::Start(Instant aNow, std::optional<KeyOwnership> aOwnership)
+OwnershipPlacer::Start(Instant aNow,
+                       std::optional<KeyOwnership> aOwnership,
+                       const std::map<std::string, Instant>& aDoubts)
 {
   committed_ = {};
   committed_.service_ = service_;
@@ -61,16 +65,15 @@
   orders_.clear();
   holdsUntil_.clear();
   formerHoldsUntil_.clear();
+  doubts_ = aDoubts;
   hasFormerFences_ = aOwnership.has_value();
   nextTime_ = aNow;
   startedAt_ = aNow;
   if (!aOwnership) {
     return;
   }
-  // The last order of the former placer may have been sent without an answer at
-  // the end of the time it may renew for.
-  const auto until = aNow + settings_.renewalWithoutStore_ + settings_.lateOrders_ +
-                     Stretch(settings_.hold_, settings_.clockRate_);
+  const auto until =
+    aNow + settings_.renewalAlone_ + Stretch(settings_.hold_, settings_.clockRate_);
   for (const auto& range : aOwnership->ranges_) {
     formerHoldsUntil_[range.owner_] = until;
     if (!range.previous_.empty()) {
@@ -80,6 +83,15 @@
   Adopt(std::move(*aOwnership));
 }
 
+void
+OwnershipPlacer::OnFormerPlacerStopped(Instant aNow)
+{
+  const auto latest = aNow + Stretch(settings_.hold_, settings_.clockRate_);
+  for (auto& [server, until] : formerHoldsUntil_) {
+    until = std::min(until, latest);
+  }
+}
+
 void
 OwnershipPlacer::SetServers(Instant aNow, std::vector<KeyServer> aServers)
 {
@@ -87,9 +99,6 @@
     serversSince_ = aNow;
   }
   servers_ = std::move(aServers);
-  for (const auto& server : servers_) {
-    addresses_[server.id_] = server.address_;
-  }
 }
 
 void
@@ -235,6 +244,8 @@
     }
   }
   formerHoldsUntil_.erase(aServer);
+  // An order that comes late now meets a higher fence.
+  doubts_.erase(aServer);
 }
 
 void
@@ -250,25 +261,41 @@
   SendGrant(aNow, aRange, aState);
 }
 
+const char*
+OwnershipPlacer::ReasonToClear(Instant aNow, const KeyRange& aRange, const RangeState& aState) const
+{
+  if (aNow >= HoldsUntil(aRange.previous_)) {
+    return "expired";
+  }
+  const auto life = actions_.LifeOf(aRange.previous_);
+  if (!life) {
+    return nullptr;
+  }
+  if (life->hasEnded_) {
+    return "ended";
+  }
+  // A cut link may refuse connections too, but not to a server that announced
+  // its end and is listed no more.
+  const bool hasLeft = life->isLeaving_ && !life->isListed_ && aState.refusals_ >= kProvingRefusals;
+  return hasLeft ? "left" : nullptr;
+}
+
 void
 OwnershipPlacer::ClearFormerOwner(Instant aNow, const KeyRange& aRange, RangeState& aState)
 {
-  const auto& former = aRange.previous_;
-  const bool hasEnded = actions_.HasEnded(former);
-  if (hasEnded || aNow >= HoldsUntil(former)) {
+  if (const auto* reason = ReasonToClear(aNow, aRange, aState)) {
     aState.isCleared_ = true;
-    events_.Record(Event::KeysCleared,
-                   Describe(aRange) + " reason=" + (hasEnded ? "ended" : "expired"));
+    events_.Record(Event::KeysCleared, Describe(aRange) + " reason=" + reason);
     SendGrant(aNow, aRange, aState);
     return;
   }
-  const auto address = addresses_.find(former);
-  if (address == addresses_.end()) {
+  const auto life = actions_.LifeOf(aRange.previous_);
+  if (!life) {
     return;
   }
   KeyOrder order;
-  order.server_ = former;
-  order.address_ = address->second;
+  order.server_ = aRange.previous_;
+  order.address_ = life->address_;
   order.first_ = aRange.first_;
   order.last_ = aRange.last_;
   order.fence_ = aRange.fence_;
@@ -279,13 +306,16 @@
 void
 OwnershipPlacer::SendGrant(Instant aNow, const KeyRange& aRange, RangeState& aState)
 {
-  if (!IsUsable(aRange.owner_)) {
+  const auto server = std::find_if(servers_.begin(), servers_.end(), [&](const KeyServer& aServer) {
+    return aServer.id_ == aRange.owner_ && aServer.isUsable_;
+  });
+  if (server == servers_.end()) {
     aState.nextOrder_ = aNow + kOrderPause;
     return;
   }
   KeyOrder order;
   order.server_ = aRange.owner_;
-  order.address_ = addresses_.at(aRange.owner_);
+  order.address_ = server->address_;
   order.first_ = aRange.first_;
   order.last_ = aRange.last_;
   order.fence_ = aRange.fence_;
@@ -332,6 +362,7 @@
     if (order.isRelease_) {
       state->isCleared_ = isDone || aOutcome.end_ == OrderEnd::OtherLife;
       state->handover_ = aOutcome.handover_;
+      state->refusals_ = aOutcome.end_ == OrderEnd::Refused ? state->refusals_ + 1 : 0;
       state->nextOrder_ = state->isCleared_ ? aNow : aNow + kOrderPause;
     } else {
       state->isGranted_ = state->isGranted_ || isDone;
@@ -360,6 +391,7 @@
     until = std::max(until, aNow + hold);
   } else if (aEnd == OrderEnd::Unanswered) {
     until = std::max(until, aNow + settings_.lateOrders_ + hold);
+    actions_.Doubt(aServer, settings_.lateOrders_ + hold);
   }
 }
 
@@ -374,10 +406,13 @@
 Instant
 OwnershipPlacer::HoldsUntil(const std::string& aServer) const
 {
-  const auto own = holdsUntil_.find(aServer);
-  const auto former = formerHoldsUntil_.find(aServer);
-  return std::max(own == holdsUntil_.end() ? Instant::min() : own->second,
-                  former == formerHoldsUntil_.end() ? Instant::min() : former->second);
+  auto until = Instant::min();
+  for (const auto* bounds : { &holdsUntil_, &formerHoldsUntil_, &doubts_ }) {
+    if (const auto bound = bounds->find(aServer); bound != bounds->end()) {
+      until = std::max(until, bound->second);
+    }
+  }
+  return until;
 }
 
 } // namespace latchslip
--- a/Libraries/LibKeys/OwnershipPlacer.h
+++ b/Libraries/LibKeys/OwnershipPlacer.h
@@ -42,14 +42,16 @@
   OtherLife,
   // No byte was sent.
   NotSent,
+  // No byte was sent, since nothing listens at the address.
+  Refused,
   // The order was sent; it may be carried out now or some seconds later.
   Unanswered,
   // The server called the order malformed.
   Malformed,
 };
 
-inline constexpr NameTable<OrderEnd, 6> kOrderEndNames{
-  { "done", "higher-fence", "other-life", "not-sent", "unanswered", "malformed" }
+inline constexpr NameTable<OrderEnd, 7> kOrderEndNames{
+  { "done", "higher-fence", "other-life", "not-sent", "refused", "unanswered", "malformed" }
 };
 
 struct OrderOutcome
@@ -58,18 +60,33 @@
   std::string handover_;
 };
 
-// Carries out what the placement decides.
+// What is known of a server life, also of one that is listed no more.
+struct ServerLife
+{
+  std::string address_;
+  bool isListed_ = false;
+  // It said that it was about to end.
+  bool isLeaving_ = false;
+  // A later life has its address.
+  bool hasEnded_ = false;
+};
+
+// Carries out what the placement decides, and tells it about servers.
 class PlacerActions
 {
 public:
   virtual ~PlacerActions() = default;
 
   virtual void Order(const KeyOrder& aOrder) = 0;
+  // A grant to that server was not answered and may be carried out late: until
+  // aHolds from now it may hold keys. Other instances should know, lest this one
+  // is lost.
+  virtual void Doubt(const std::string& aServer, Duration aHolds) = 0;
   // Writes the row of the ownership, provided that it still has the version this
   // placer knows and that this instance is still the placer.
   virtual void Write(const KeyOwnership& aOwnership) = 0;
-  // Whether that server life has certainly ended, and holds nothing any more.
-  virtual bool HasEnded(const std::string& aServer) const = 0;
+  // No value for lives that were never listed here.
+  virtual std::optional<ServerLife> LifeOf(const std::string& aServer) const = 0;
 };
 
 struct OwnershipPlacerSettings
@@ -80,9 +97,9 @@
   double clockRate_ = 1.02;
   // How late an order without an answer may be carried out.
   Duration lateOrders_ = seconds(12);
-  // How long an instance renews without having heard of the store; a new placer
-  // waits for it before it gives away the keys of a silent server.
-  Duration renewalWithoutStore_ = seconds(12);
+  // How long a placer that hears neither the store nor most instances renews on;
+  // the next placer counts on it.
+  Duration renewalAlone_ = seconds(6);
   KeyBalancerSettings balancer_;
 };
 
@@ -98,8 +115,13 @@
                   PlacerActions& aActions,
                   EventSink& aEvents);
 
-  // Becomes the placer. aOwnership is what stands in the store, if anything.
-  void Start(Instant aNow, std::optional<KeyOwnership> aOwnership);
+  // Becomes the placer. aOwnership is what stands in the store, if anything;
+  // aDoubts are the servers that may hold keys by late orders, and until when.
+  void Start(Instant aNow,
+             std::optional<KeyOwnership> aOwnership,
+             const std::map<std::string, Instant>& aDoubts);
+  // The former placer certainly gives no orders any more.
+  void OnFormerPlacerStopped(Instant aNow);
   void SetServers(Instant aNow, std::vector<KeyServer> aServers);
   void OnLoad(Instant aNow, const std::vector<KeyCount>& aCounts) { load_.Add(aNow, aCounts); }
   void OnWritten(Instant aNow);
@@ -123,6 +145,8 @@
     std::string handover_;
     // The order under way; 0 when there is none.
     OrderNumber order_ = 0;
+    // Releases that found nobody listening, one after the other.
+    unsigned refusals_ = 0;
     Instant nextOrder_ = Instant::min();
   };
 
@@ -133,6 +157,8 @@
   KeyOwnership RaiseFences() const;
   void ForgetFormerHold(const std::string& aServer);
   void Advance(Instant aNow, const KeyRange& aRange, RangeState& aState);
+  // Why the former owner of a range certainly does not hold it; null if it may.
+  const char* ReasonToClear(Instant aNow, const KeyRange& aRange, const RangeState& aState) const;
   void ClearFormerOwner(Instant aNow, const KeyRange& aRange, RangeState& aState);
   void SendGrant(Instant aNow, const KeyRange& aRange, RangeState& aState);
   void SendOrder(RangeState& aState, KeyOrder aOrder);
@@ -158,8 +184,8 @@
   // The same by orders of former placers, until the server has acknowledged a
   // higher fence on all it owns.
   std::map<std::string, Instant> formerHoldsUntil_;
-  // Where each server was last seen, those that have ended included.
-  std::map<std::string, std::string> addresses_;
+  // The same by orders that were not answered.
+  std::map<std::string, Instant> doubts_;
   Instant startedAt_{ 0 };
   // Since when the count of servers is what it is.
   Instant serversSince_{ 0 };
