--- a/Libraries/LibKeys/KeyBalancer.cpp
+++ b/Libraries/LibKeys/KeyBalancer.cpp
@@ -15,6 +15,9 @@
 constexpr std::size_t kMostRangesPerServer = 8;
 // A move must take at least this part of the mean load off the busiest server.
 constexpr double kLeastGain = 0.04;
+// Nothing moves for load while the least busy server has more than this part of
+// the mean and the busiest is within its tolerance.
+constexpr double kLeastPart = 0.75;
 
 // The load of each usable server, in units of its weight.
 class ServerShares
@@ -259,7 +262,10 @@
     const auto from = shares.Most();
     const auto to = shares.Least();
     const auto mean = shares.MeanLevel();
-    if (shares.Level(from) < settings_.tolerance_ * mean) {
+    // A server that joined may lie far below while no other lies far above.
+    const bool isEven = shares.Level(from) < settings_.tolerance_ * mean &&
+                        shares.Level(to) > kLeastPart * mean;
+    if (isEven) {
       break;
     }
     const auto piece =
--- a/Libraries/LibKeys/KeyBalancer.h
+++ b/Libraries/LibKeys/KeyBalancer.h
@@ -23,8 +23,7 @@
 // How readily keys move.
 struct KeyBalancerSettings
 {
-  // Nothing moves for load while the busiest server has less than this multiple
-  // of the mean.
+  // The busiest server may have this multiple of the mean.
   double tolerance_ = 1.25;
   // Ranges that one round moves for load.
   std::size_t movesARound_ = 4;
--- a/Libraries/LibKeys/OwnershipPlacer.h
+++ b/Libraries/LibKeys/OwnershipPlacer.h
@@ -91,8 +91,10 @@
 
 struct OwnershipPlacerSettings
 {
-  // How long a grant holds.
-  Duration hold_ = seconds(8);
+  // How long a grant holds: twice the time in which a lost placer is replaced, and
+  // not much longer than a lost server stays listed, since the keys of a silent
+  // server wait for it.
+  Duration hold_ = seconds(5);
   // How much slower than ours a server's clock may run, as a factor.
   double clockRate_ = 1.02;
   // How late an order without an answer may be carried out.
--- /dev/null
+++ b/Tests/LibFleet/TestFleetParts.cpp
@@ -0,0 +1,210 @@
+#include "LibFleet/FleetNews.h"
+#include "LibFleet/FleetReport.h"
+#include "LibFleet/PlacerElection.h"
+#include "LibFleet/RelayWatch.h"
+#include "LibFleet/RowMirror.h"
+
+#include <gtest/gtest.h>
+
+namespace latchslip {
+
+namespace {
+
+constexpr Instant kNow = seconds(100);
+
+TableView
+MakeView(RowVersion aVersion, bool aIsWhole, RowVersion aBase, std::vector<RowChange> aRows)
+{
+  return { FleetTable::Servers, aVersion, aIsWhole, aBase, std::move(aRows) };
+}
+
+class MirrorOfTwoRows : public testing::Test
+{
+protected:
+  MirrorOfTwoRows()
+  {
+    mirror_.Apply(
+      MakeView(10, true, 0, { { { "a", 4, "old" }, false }, { { "b", 9, "b" }, false } }));
+  }
+
+  std::string ValueOf(const std::string& aKey) const
+  {
+    const auto* row = mirror_.Find(FleetTable::Servers, aKey);
+    return row == nullptr ? "" : row->value_;
+  }
+
+  RowMirror mirror_;
+};
+
+TEST_F(MirrorOfTwoRows, ChangesFollow_TheyAreTaken)
+{
+  const auto changes = mirror_.Apply(
+    MakeView(12, false, 10, { { { "a", 11, "new" }, false }, { { "b", 12, "" }, true } }));
+  ASSERT_TRUE(changes);
+  EXPECT_EQ(changes->size(), 2U);
+  EXPECT_EQ(ValueOf("a"), "new");
+  EXPECT_EQ(ValueOf("b"), "");
+}
+
+TEST_F(MirrorOfTwoRows, OlderViewComes_NothingChanges)
+{
+  EXPECT_TRUE(mirror_.Apply(MakeView(9, true, 0, {}))->empty());
+  EXPECT_EQ(ValueOf("a"), "old");
+}
+
+TEST_F(MirrorOfTwoRows, ChangesBeginLater_AreRefused)
+{
+  EXPECT_FALSE(mirror_.Apply(MakeView(14, false, 12, { { { "a", 13, "new" }, false } })));
+  EXPECT_EQ(ValueOf("a"), "old");
+  EXPECT_EQ(mirror_.VersionOf(FleetTable::Servers), 10U);
+}
+
+TEST_F(MirrorOfTwoRows, ChangesOverlap_OlderRowIsNotTakenBack)
+{
+  mirror_.Apply(MakeView(12, false, 10, { { { "a", 12, "newest" }, false } }));
+  mirror_.Apply(MakeView(13, false, 10, { { { "a", 11, "older" }, false } }));
+  EXPECT_EQ(ValueOf("a"), "newest");
+}
+
+TEST_F(MirrorOfTwoRows, WholeTableLacksARow_RowIsRemoved)
+{
+  const auto changes = mirror_.Apply(MakeView(20, true, 0, { { { "a", 4, "old" }, false } }));
+  ASSERT_EQ(changes->size(), 1U);
+  EXPECT_TRUE(changes->front().isRemoved_);
+  EXPECT_EQ(ValueOf("b"), "");
+}
+
+TEST(RowMirror, ChangesComeBeforeTheTable_AreRefused)
+{
+  RowMirror mirror;
+  EXPECT_FALSE(mirror.Apply(MakeView(3, false, 0, {})));
+}
+
+class ElectionOfTwo : public testing::Test
+{
+protected:
+  const PlacerRow self_{ "i1", "run2", "10.0.0.1:1" };
+  const PlacerRow other_{ "i2", "run1", "10.0.0.2:1" };
+  PlacerElection election_{ self_, 0.5 };
+};
+
+TEST_F(ElectionOfTwo, RowIsNotKnown_NobodyClaims)
+{
+  EXPECT_FALSE(election_.ShouldClaim(kNow));
+}
+
+TEST_F(ElectionOfTwo, NoPlacer_ClaimsAfterItsSpread)
+{
+  election_.OnRow(kNow, std::nullopt);
+  EXPECT_FALSE(election_.ShouldClaim(kNow + milliseconds(100)));
+  EXPECT_TRUE(election_.ShouldClaim(kNow + milliseconds(200)));
+}
+
+TEST_F(ElectionOfTwo, EarlierRunOfItselfIsNamed_ClaimsAtOnce)
+{
+  election_.OnRow(kNow, PlacerRow{ "i1", "run1", "10.0.0.1:1" });
+  EXPECT_FALSE(election_.IsPlacer());
+  EXPECT_TRUE(election_.ShouldClaim(kNow));
+}
+
+TEST_F(ElectionOfTwo, PlacerAnswers_IsLeftAlone)
+{
+  election_.OnRow(kNow, other_);
+  election_.OnPlacerHeard(kNow + seconds(5));
+  EXPECT_FALSE(election_.ShouldClaim(kNow + seconds(6)));
+}
+
+TEST_F(ElectionOfTwo, PlacerFallsSilent_ClaimsAfterTheLimit)
+{
+  election_.OnRow(kNow, other_);
+  election_.OnPlacerHeard(kNow + seconds(5));
+  EXPECT_TRUE(election_.ShouldClaim(kNow + milliseconds(7100)));
+}
+
+TEST_F(ElectionOfTwo, ClaimFails_PausesBeforeTheNext)
+{
+  election_.OnRow(kNow, std::nullopt);
+  election_.OnClaimFailed(kNow + seconds(1));
+  EXPECT_FALSE(election_.ShouldClaim(kNow + milliseconds(1500)));
+  EXPECT_TRUE(election_.ShouldClaim(kNow + milliseconds(1800)));
+}
+
+TEST_F(ElectionOfTwo, NamedItself_IsPlacerAndClaimsNoMore)
+{
+  election_.OnRow(kNow, self_);
+  EXPECT_TRUE(election_.IsPlacer());
+  EXPECT_FALSE(election_.ShouldClaim(kNow + seconds(60)));
+}
+
+TEST(RelayWatch, PlacerAnswersAndKnowsNoMore_IsRelayedUntilItFallsSilent)
+{
+  RelayWatch watch;
+  EXPECT_FALSE(watch.IsRelayed(kNow, { 5, 5, 5 }));
+  watch.OnAnswer(kNow, { 5, 5, 5 });
+  EXPECT_TRUE(watch.IsRelayed(kNow + seconds(1), { 5, 6, 5 }));
+  EXPECT_FALSE(watch.IsRelayed(kNow + seconds(2), { 5, 6, 5 }));
+}
+
+TEST(RelayWatch, PlacerKnowsMore_IsNotRelayedBeforeItIsCaughtUp)
+{
+  RelayWatch watch;
+  watch.OnAnswer(kNow, { 5, 7, 5 });
+  EXPECT_FALSE(watch.IsRelayed(kNow, { 5, 6, 5 }));
+  EXPECT_TRUE(watch.IsRelayed(kNow, { 5, 7, 5 }));
+}
+
+TEST(RelayWatch, ReportFails_IsNotRelayedAnyMore)
+{
+  RelayWatch watch;
+  watch.OnAnswer(kNow, { 5, 5, 5 });
+  watch.OnFailure();
+  EXPECT_FALSE(watch.IsRelayed(kNow, { 5, 5, 5 }));
+}
+
+TEST(FleetNews, WrittenAndRead_IsTheSame)
+{
+  FleetNews news;
+  news.isLastForNow_ = true;
+  news.views_.push_back(
+    MakeView(12, false, 10, { { { "a", 11, "va\"lue" }, false }, { { "b", 12, "" }, true } }));
+  news.placer_ = Row{ "placer", 3, "{}" };
+  news.owners_.push_back({ 4, 9, { "rates", 2, { { 0, 9, "s1", 2, "s2" } } } });
+  news.doubts_.push_back({ "s1", seconds(17) });
+  const auto read = ParseNews(SerializeNews(news)).value();
+  EXPECT_TRUE(read.isLastForNow_);
+  ASSERT_EQ(read.views_.size(), 1U);
+  EXPECT_EQ(read.views_[0].base_, 10U);
+  EXPECT_EQ(read.views_[0].rows_[0].row_.value_, "va\"lue");
+  EXPECT_TRUE(read.views_[0].rows_[1].isRemoved_);
+  EXPECT_EQ(read.placer_->version_, 3U);
+  EXPECT_EQ(read.owners_[0].base_, 4U);
+  EXPECT_EQ(read.owners_[0].ownership_, news.owners_[0].ownership_);
+  EXPECT_EQ(read.doubts_[0].holds_, seconds(17));
+}
+
+TEST(FleetNews, Malformed_IsRefused)
+{
+  EXPECT_FALSE(ParseNews("{"));
+  EXPECT_FALSE(ParseNews(R"({"views":[{"table":"nothing","rows":[]}],"owners":[]})"));
+  EXPECT_FALSE(ParseVersions(R"({"versions":[1,2]})"));
+  EXPECT_FALSE(ParseVersions(R"({"versions":[1,2,"x"]})"));
+}
+
+TEST(InstanceReport, WrittenAndRead_IsTheSame)
+{
+  InstanceReport report;
+  report.instance_ = "i1";
+  report.address_ = "10.0.0.1:1";
+  report.keyCounts_["rates"] = { { 5, 2 }, { 700, 1 } };
+  report.latencies_["s1"] = milliseconds(40);
+  const auto read = ParseReport(SerializeReport(report)).value();
+  EXPECT_EQ(read.instance_, "i1");
+  EXPECT_EQ(read.keyCounts_, report.keyCounts_);
+  EXPECT_EQ(read.latencies_, report.latencies_);
+  EXPECT_FALSE(ParseReport(R"({"instance":"i","address":"a","key_counts":{"s":[1]}})"));
+  EXPECT_FALSE(ParseReport(R"({"instance":"i","address":"a","key_counts":{"s":[70000,1]}})"));
+}
+
+} // namespace
+
+} // namespace latchslip
--- /dev/null
+++ b/Tests/LibGateway/TestRequestDesk.cpp
@@ -0,0 +1,406 @@
+#include "LibGateway/RequestDesk.h"
+
+#include <gtest/gtest.h>
+#include <set>
+
+namespace latchslip {
+
+namespace {
+
+class SilentEvents : public EventSink
+{
+public:
+  void Record(Event, std::string_view) override {}
+};
+
+// Writes down what the desk decides.
+class RecordedActions : public RequestActions
+{
+public:
+  void Send(const AttemptOrder& aOrder) override { sent_.push_back(aOrder); }
+  void Cancel(AttemptNumber aAttempt) override { cancelled_.push_back(aAttempt); }
+  void Deliver(RequestNumber aRequest, AttemptNumber) override { delivered_.push_back(aRequest); }
+  void Refuse(RequestNumber aRequest, const Refusal& aRefusal) override
+  {
+    refused_[aRequest] = aRefusal;
+  }
+
+  std::vector<AttemptOrder> sent_;
+  std::vector<AttemptNumber> cancelled_;
+  std::vector<RequestNumber> delivered_;
+  std::map<RequestNumber, Refusal> refused_;
+};
+
+// Routes "/read/" (repeatable, urgent last), "/write/" (not repeatable), both to
+// "plain"; "/key/" to the keyed service; "/split/" to two services.
+class DeskOfThreeServers : public testing::Test
+{
+protected:
+  DeskOfThreeServers()
+  {
+    for (const auto* id : { "p1", "p2", "p3" }) {
+      PutServer(id, "plain");
+    }
+    for (const auto* id : { "k1", "k2" }) {
+      PutServer(id, "keyed");
+    }
+    PutServer("o1", "other");
+    RoutingConfiguration configuration;
+    configuration.version_ = 1;
+    configuration.services_ = { { "plain", 100, false },
+                                { "keyed", 100, true },
+                                { "other", 100, false } };
+    configuration.routes_ = { MakeRoute("/read/", true, 2, { { "plain", 1 } }),
+                              MakeRoute("/write/", false, 0, { { "plain", 1 } }),
+                              MakeRoute("/key/", true, 1, { { "keyed", 1 } }),
+                              MakeRoute("/split/", true, 1, { { "plain", 90 }, { "other", 10 } }) };
+    desk_.SetInstances(1);
+    desk_.SetRoutes(now_,
+                    std::make_shared<const RouteTable>(RouteTable::Create(configuration).value()));
+    desk_.SetOwnership(now_, { "keyed", 2, { { 0, 99, "k1", 1, "" }, { 100, 199, "k2", 2, "" } } });
+    // Earn some retries.
+    for (int index = 0; index < 100; ++index) {
+      const auto number = Ask("/read/warm");
+      Answer(number, 200);
+    }
+    actions_ = {};
+  }
+
+  static Route MakeRoute(const std::string& aPrefix,
+                         bool aIsRepeatable,
+                         unsigned aPriority,
+                         std::vector<RouteTarget> aTargets)
+  {
+    Route route;
+    route.host_ = "a.example";
+    route.pathPrefix_ = aPrefix;
+    route.isRepeatable_ = aIsRepeatable;
+    route.priority_ = aPriority;
+    route.latencyTarget_ = milliseconds(200);
+    route.timeLimit_ = milliseconds(500);
+    route.mostAttempts_ = 2;
+    route.targets_ = std::move(aTargets);
+    return route;
+  }
+
+  void PutServer(const std::string& aId, const std::string& aService, bool aIsLeaving = false)
+  {
+    directory_.Put(now_, { aId, aService, aId + ":80", "hall", 4, aIsLeaving, ++revision_ });
+  }
+
+  RequestNumber Ask(const std::string& aPath, std::optional<KeyNumber> aKey = std::nullopt)
+  {
+    RoutedRequest request;
+    request.number_ = ++lastRequest_;
+    request.host_ = "a.example";
+    request.path_ = aPath;
+    request.key_ = aKey;
+    request.timeLeft_ = milliseconds(400);
+    desk_.OnRequest(now_, std::move(request));
+    return lastRequest_;
+  }
+
+  // The last send of a request.
+  const AttemptOrder& SendOf(RequestNumber aRequest) const
+  {
+    const auto send =
+      std::find_if(actions_.sent_.rbegin(), actions_.sent_.rend(), [&](const AttemptOrder& aOrder) {
+        return aOrder.request_ == aRequest;
+      });
+    return *send;
+  }
+
+  std::size_t SendsOf(RequestNumber aRequest) const
+  {
+    return static_cast<std::size_t>(
+      std::count_if(actions_.sent_.begin(), actions_.sent_.end(), [&](const AttemptOrder& aOrder) {
+        return aOrder.request_ == aRequest;
+      }));
+  }
+
+  void End(RequestNumber aRequest, AttemptEnd aEnd, unsigned aStatus = 0, bool aIsOtherLife = false)
+  {
+    desk_.OnAttemptEnded(now_, SendOf(aRequest).number_, { aEnd, aStatus, aIsOtherLife });
+  }
+
+  void Answer(RequestNumber aRequest, unsigned aStatus)
+  {
+    End(aRequest, AttemptEnd::Answered, aStatus);
+  }
+
+  void Pass(Duration aTime)
+  {
+    const auto end = now_ + aTime;
+    while (desk_.NextTime() && *desk_.NextTime() <= end) {
+      now_ = std::max(now_, *desk_.NextTime());
+      desk_.OnTime(now_);
+    }
+    now_ = end;
+  }
+
+  bool IsRefused(RequestNumber aRequest, RefusalReason aReason) const
+  {
+    const auto refusal = actions_.refused_.find(aRequest);
+    return refusal != actions_.refused_.end() && refusal->second.reason_ == aReason;
+  }
+
+  Instant now_ = seconds(100);
+  std::uint64_t revision_ = 0;
+  RequestNumber lastRequest_ = 0;
+  SilentEvents events_;
+  RecordedActions actions_;
+  ServerDirectory directory_;
+  RequestDesk desk_{ { "hall", { 0.2, 0, seconds(10) }, 1 }, directory_, actions_, events_ };
+};
+
+TEST_F(DeskOfThreeServers, RequestArrives_IsSentOnceWithTheTimeThatIsLeft)
+{
+  const auto request = Ask("/read/1");
+  ASSERT_EQ(SendsOf(request), 1U);
+  EXPECT_LE(SendOf(request).timeLeft_, milliseconds(400));
+  EXPECT_GT(SendOf(request).timeLeft_, milliseconds(380));
+  Answer(request, 200);
+  EXPECT_EQ(actions_.delivered_, std::vector<RequestNumber>{ request });
+}
+
+TEST_F(DeskOfThreeServers, NoRouteMatches_IsRefusedAtOnce)
+{
+  EXPECT_TRUE(IsRefused(Ask("/nowhere/"), RefusalReason::NoRoute));
+}
+
+TEST_F(DeskOfThreeServers, RepeatableBreaks_IsTriedAtAnotherServer)
+{
+  const auto request = Ask("/read/1");
+  const auto first = SendOf(request).server_;
+  End(request, AttemptEnd::Broken);
+  ASSERT_EQ(SendsOf(request), 2U);
+  EXPECT_NE(SendOf(request).server_, first);
+}
+
+TEST_F(DeskOfThreeServers, NotRepeatableBreaks_IsNeverSentAgainAndSaidToBeUnknown)
+{
+  const auto request = Ask("/write/1");
+  End(request, AttemptEnd::Broken);
+  EXPECT_EQ(SendsOf(request), 1U);
+  ASSERT_TRUE(IsRefused(request, RefusalReason::OutcomeUnknown));
+  EXPECT_FALSE(actions_.refused_[request].isNotRun_);
+}
+
+TEST_F(DeskOfThreeServers, NotRepeatableIsShed_IsTriedElsewhere)
+{
+  const auto request = Ask("/write/1");
+  End(request, AttemptEnd::NotRun, 503);
+  EXPECT_EQ(SendsOf(request), 2U);
+}
+
+TEST_F(DeskOfThreeServers, NotRepeatableFailsWithAServerError_ItsAnswerIsDelivered)
+{
+  const auto request = Ask("/write/1");
+  Answer(request, 500);
+  EXPECT_EQ(SendsOf(request), 1U);
+  EXPECT_EQ(actions_.delivered_, std::vector<RequestNumber>{ request });
+}
+
+TEST_F(DeskOfThreeServers, RepeatableFailsEverywhere_StopsAtItsAttemptsAndDeliversTheLast)
+{
+  const auto request = Ask("/read/1");
+  Answer(request, 500);
+  ASSERT_EQ(SendsOf(request), 2U);
+  Answer(request, 500);
+  EXPECT_EQ(SendsOf(request), 2U);
+  EXPECT_EQ(actions_.delivered_, std::vector<RequestNumber>{ request });
+}
+
+TEST_F(DeskOfThreeServers, ShedEverywhere_IsRefusedAsNotRunWithATimeToComeBack)
+{
+  const auto request = Ask("/write/1");
+  while (actions_.refused_.empty()) {
+    if (desk_.Waiting() == 0) {
+      End(request, AttemptEnd::NotRun, 503);
+    }
+    Pass(milliseconds(10));
+  }
+  const auto& refusal = actions_.refused_[request];
+  EXPECT_TRUE(refusal.isNotRun_);
+  EXPECT_GT(refusal.retryAfter_, Duration(0));
+  EXPECT_LE(refusal.retryAfter_, milliseconds(400) / 3);
+}
+
+TEST_F(DeskOfThreeServers, AllServersFull_WaitsAndIsRefusedBeforeAQuarterOfItsTarget)
+{
+  while (desk_.Waiting() == 0) {
+    Ask("/read/fill");
+  }
+  const auto request = Ask("/write/1");
+  Pass(milliseconds(30));
+  EXPECT_TRUE(actions_.refused_.empty());
+  Pass(milliseconds(19));
+  EXPECT_TRUE(IsRefused(request, RefusalReason::NoCapacity));
+  EXPECT_EQ(SendsOf(request), 0U);
+}
+
+TEST_F(DeskOfThreeServers, RoomComesWhileSomeWait_MostUrgentGoesFirst)
+{
+  std::vector<RequestNumber> running;
+  while (desk_.Waiting() == 0) {
+    running.push_back(Ask("/read/fill"));
+  }
+  const auto lastWaiting = running.back();
+  const auto urgent = Ask("/write/1");
+  Answer(running.front(), 200);
+  EXPECT_EQ(SendsOf(urgent), 1U);
+  EXPECT_EQ(SendsOf(lastWaiting), 0U);
+}
+
+TEST_F(DeskOfThreeServers, ServerIsLeaving_GetsNothingNew)
+{
+  PutServer("p1", "plain", true);
+  PutServer("p2", "plain", true);
+  desk_.OnDirectoryChanged(now_);
+  for (int index = 0; index < 4; ++index) {
+    EXPECT_EQ(SendOf(Ask("/read/1")).server_, "p3");
+  }
+}
+
+TEST_F(DeskOfThreeServers, ServerLeavesWhileARequestWaits_ItIsNotSentThere)
+{
+  std::vector<RequestNumber> running;
+  while (desk_.Waiting() == 0) {
+    running.push_back(Ask("/read/fill"));
+  }
+  const auto waiting = running.back();
+  const auto freed = SendOf(running.front()).server_;
+  PutServer(freed, "plain", true);
+  desk_.OnDirectoryChanged(now_);
+  Answer(running.front(), 200);
+  EXPECT_EQ(SendsOf(waiting), 0U);
+}
+
+TEST_F(DeskOfThreeServers, KeyHasAnOwner_OnlyTheOwnerGetsIt)
+{
+  EXPECT_EQ(SendOf(Ask("/key/1", 5)).server_, "k1");
+  EXPECT_EQ(SendOf(Ask("/key/1", 105)).server_, "k2");
+}
+
+TEST_F(DeskOfThreeServers, KeyIsMoving_WaitsAndGoesToTheNewOwner)
+{
+  desk_.SetOwnership(now_, { "keyed", 3, { { 0, 99, "k2", 3, "k1" } } });
+  const auto request = Ask("/key/1", 5);
+  EXPECT_EQ(SendsOf(request), 0U);
+  Pass(milliseconds(20));
+  desk_.SetOwnership(now_, { "keyed", 3, { { 0, 99, "k2", 3, "" } } });
+  ASSERT_EQ(SendsOf(request), 1U);
+  EXPECT_EQ(SendOf(request).server_, "k2");
+}
+
+TEST_F(DeskOfThreeServers, KeyHasNoOwnerForLong_IsRefusedAsNotRun)
+{
+  const auto request = Ask("/key/1", 5000);
+  Pass(milliseconds(50));
+  EXPECT_TRUE(IsRefused(request, RefusalReason::NoOwner));
+  EXPECT_TRUE(actions_.refused_[request].isNotRun_);
+}
+
+TEST_F(DeskOfThreeServers, OwnerSaysItIsNot_IsSentAgainOnlyAfterAPause)
+{
+  for (int index = 0; index < 50; ++index) {
+    Answer(Ask("/key/1", 5), 200);
+  }
+  const auto request = Ask("/key/1", 5);
+  End(request, AttemptEnd::WrongServer, 421);
+  EXPECT_EQ(SendsOf(request), 1U);
+  Pass(milliseconds(35));
+  EXPECT_EQ(SendsOf(request), 2U);
+}
+
+TEST_F(DeskOfThreeServers, NoAnswerUntilTheLimit_IsGivenUpAndCancelled)
+{
+  const auto request = Ask("/read/1");
+  Pass(milliseconds(450));
+  EXPECT_TRUE(IsRefused(request, RefusalReason::OutOfTime));
+  EXPECT_FALSE(actions_.refused_[request].isNotRun_);
+  EXPECT_EQ(actions_.cancelled_.size(), 1U);
+}
+
+TEST_F(DeskOfThreeServers, ClientOfARepeatableLeaves_ServerIsRelieved)
+{
+  const auto request = Ask("/read/1");
+  desk_.OnClientGone(now_, request);
+  EXPECT_EQ(actions_.cancelled_, std::vector<AttemptNumber>{ SendOf(request).number_ });
+  EXPECT_EQ(desk_.UnderWay(), 0U);
+}
+
+TEST_F(DeskOfThreeServers, ClientOfANotRepeatableLeaves_ItRunsToItsEnd)
+{
+  const auto request = Ask("/write/1");
+  desk_.OnClientGone(now_, request);
+  EXPECT_TRUE(actions_.cancelled_.empty());
+  Answer(request, 200);
+  EXPECT_TRUE(actions_.delivered_.empty());
+  EXPECT_EQ(desk_.UnderWay(), 0U);
+}
+
+TEST_F(DeskOfThreeServers, ClientLeavesWhileWaiting_NothingIsSent)
+{
+  while (desk_.Waiting() == 0) {
+    Ask("/read/fill");
+  }
+  const auto request = Ask("/write/1");
+  desk_.OnClientGone(now_, request);
+  Answer(1 + lastRequest_ - 2, 200);
+  EXPECT_EQ(SendsOf(request), 0U);
+}
+
+TEST_F(DeskOfThreeServers, RouteHasWeights_SharesAreKeptOverShortSpans)
+{
+  std::size_t others = 0;
+  for (int index = 0; index < 50; ++index) {
+    const auto request = Ask("/split/1");
+    others += SendOf(request).server_ == "o1" ? 1U : 0U;
+    Answer(request, 200);
+  }
+  EXPECT_EQ(others, 5U);
+}
+
+TEST_F(DeskOfThreeServers, AnotherLifeAnswers_AddressIsLeftAlone)
+{
+  const auto request = Ask("/read/1");
+  const auto first = SendOf(request).server_;
+  End(request, AttemptEnd::WrongServer, 421, true);
+  for (int index = 0; index < 30; ++index) {
+    const auto next = Ask("/read/1");
+    EXPECT_NE(SendOf(next).server_, first);
+    Answer(next, 200);
+  }
+}
+
+TEST_F(DeskOfThreeServers, RetriesAreSpent_FailureIsFinal)
+{
+  std::size_t sends = 0;
+  for (int index = 0; index < 100; ++index) {
+    const auto request = Ask("/read/1");
+    now_ += milliseconds(30);
+    Answer(request, 500);
+    sends += SendsOf(request);
+    if (SendsOf(request) == 2) {
+      Answer(request, 500);
+    }
+  }
+  EXPECT_LT(sends, 145U);
+}
+
+TEST(RequestDesk, NoConfigurationYet_IsRefusedAsNotRun)
+{
+  SilentEvents events;
+  RecordedActions actions;
+  const ServerDirectory directory;
+  RequestDesk desk({ "hall", {}, 1 }, directory, actions, events);
+  desk.OnRequest(seconds(1), { 7, "id", "a.example", "/x/", {}, {} });
+  ASSERT_EQ(actions.refused_.count(7), 1U);
+  EXPECT_EQ(actions.refused_[7].reason_, RefusalReason::NoConfiguration);
+  EXPECT_TRUE(actions.refused_[7].isNotRun_);
+}
+
+} // namespace
+
+} // namespace latchslip
--- /dev/null
+++ b/Tests/LibGateway/TestServerDirectory.cpp
@@ -0,0 +1,90 @@
+#include "LibGateway/ServerDirectory.h"
+
+#include <gtest/gtest.h>
+
+namespace latchslip {
+
+namespace {
+
+constexpr Instant kNow = seconds(100);
+
+class DirectoryOfTwoServers : public testing::Test
+{
+protected:
+  DirectoryOfTwoServers()
+  {
+    Put("s1", "10.0.0.1:80", 1);
+    Put("s2", "10.0.0.2:80", 2);
+  }
+
+  void Put(const std::string& aId, const std::string& aAddress, std::uint64_t aRevision)
+  {
+    directory_.Put(kNow, { aId, "rates", aAddress, "hall", 4, false, aRevision });
+  }
+
+  bool IsListedAt(const std::string& aId, Duration aAfter)
+  {
+    directory_.Expire(kNow + aAfter);
+    return directory_.Find(aId) != nullptr;
+  }
+
+  ServerDirectory directory_;
+};
+
+TEST_F(DirectoryOfTwoServers, RecordDisappearsWhileStoreIsWell_IsDroppedSoon)
+{
+  directory_.Remove(kNow, "s1");
+  EXPECT_TRUE(IsListedAt("s1", milliseconds(100)));
+  EXPECT_FALSE(IsListedAt("s1", milliseconds(400)));
+  EXPECT_TRUE(IsListedAt("s2", seconds(60)));
+}
+
+TEST_F(DirectoryOfTwoServers, RecordDisappearsAfterOutage_IsKeptUntilLivingServersAreBack)
+{
+  directory_.OnStoreLost(kNow);
+  directory_.OnStoreRegained(kNow + seconds(4));
+  directory_.Remove(kNow + seconds(4), "s1");
+  EXPECT_TRUE(IsListedAt("s1", seconds(6)));
+  EXPECT_FALSE(IsListedAt("s1", milliseconds(6400)));
+}
+
+TEST_F(DirectoryOfTwoServers, RecordReturnsInTime_IsNotDropped)
+{
+  directory_.OnStoreRegained(kNow);
+  directory_.Remove(kNow, "s1");
+  Put("s1", "10.0.0.1:80", 9);
+  EXPECT_TRUE(IsListedAt("s1", seconds(60)));
+}
+
+TEST_F(DirectoryOfTwoServers, WholeListLacksServer_ServerHasDisappeared)
+{
+  directory_.Replace(kNow, { *directory_.Find("s2") });
+  EXPECT_FALSE(IsListedAt("s1", seconds(1)));
+  EXPECT_TRUE(IsListedAt("s2", seconds(1)));
+}
+
+TEST_F(DirectoryOfTwoServers, LaterLifeHasTheAddress_FormerLifeHasEnded)
+{
+  EXPECT_FALSE(directory_.HasEnded("s1"));
+  Put("s3", "10.0.0.1:80", 7);
+  EXPECT_TRUE(directory_.HasEnded("s1"));
+  EXPECT_FALSE(directory_.HasEnded("s3"));
+}
+
+TEST_F(DirectoryOfTwoServers, AddressPassesOnAfterRecordWasDropped_FormerLifeHasEnded)
+{
+  directory_.Remove(kNow, "s1");
+  ASSERT_FALSE(IsListedAt("s1", seconds(1)));
+  EXPECT_FALSE(directory_.HasEnded("s1"));
+  directory_.Put(kNow, { "other", "bookings", "10.0.0.1:80", "hall", 4, false, 8 });
+  EXPECT_TRUE(directory_.HasEnded("s1"));
+}
+
+TEST_F(DirectoryOfTwoServers, LifeThatWasNeverListed_IsNotCalledEnded)
+{
+  EXPECT_FALSE(directory_.HasEnded("unknown"));
+}
+
+} // namespace
+
+} // namespace latchslip
--- /dev/null
+++ b/Tests/LibKeys/PlacerWorld.h
@@ -0,0 +1,294 @@
+#pragma once
+
+#include "LibKeys/OwnershipPlacer.h"
+
+#include <gtest/gtest.h>
+#include <map>
+#include <memory>
+#include <random>
+#include <vector>
+
+namespace latchslip {
+
+// Servers that hold keys, a row in a store, and placers, on a hand-turned clock.
+// It checks after each step that no key is held by two servers that are up, and
+// that fences rise with each change of the holder.
+class PlacerWorld : public EventSink
+{
+public:
+  static constexpr Duration kStep = milliseconds(10);
+  static constexpr Duration kWay = milliseconds(2);
+
+  struct Holding
+  {
+    FenceNumber fence_ = 0;
+    Instant until_{ 0 };
+  };
+
+  struct Server
+  {
+    std::string id_;
+    std::string address_;
+    bool isUp_ = true;
+    bool isListed_ = true;
+    bool isLeaving_ = false;
+    // Nobody reaches it, and it reaches nobody.
+    bool isCut_ = false;
+    // Orders are taken late and not answered.
+    bool isLate_ = false;
+    std::map<KeyNumber, Holding> held_;
+    std::map<KeyNumber, FenceNumber> seen_;
+  };
+
+  class Placer : public PlacerActions
+  {
+  public:
+    Placer(PlacerWorld& aWorld, OwnershipPlacerSettings aSettings)
+      : placer_("rates", aSettings, *this, aWorld)
+      , world_(aWorld)
+    {
+    }
+    void Order(const KeyOrder& aOrder) override { world_.Deliver(*this, aOrder); }
+    void Doubt(const std::string& aServer, Duration aHolds) override
+    {
+      world_.doubts_[aServer] = world_.now_ + aHolds;
+    }
+    void Write(const KeyOwnership& aOwnership) override { written_ = aOwnership; }
+    std::optional<ServerLife> LifeOf(const std::string& aServer) const override
+    {
+      return world_.LifeOf(aServer);
+    }
+
+    OwnershipPlacer placer_;
+    std::optional<KeyOwnership> written_;
+    bool isRunning_ = false;
+
+  private:
+    PlacerWorld& world_;
+  };
+
+  explicit PlacerWorld(std::uint32_t aSeed = 1)
+    : random_(aSeed)
+  {
+  }
+
+  void Record(Event, std::string_view) override {}
+
+  Server& AddServer(const std::string& aId, const std::string& aAddress)
+  {
+    auto& server = servers_[aId];
+    server.id_ = aId;
+    server.address_ = aAddress;
+    return server;
+  }
+
+  // Makes a new placer the one that the row names; the former is told nothing.
+  Placer& TakeOver()
+  {
+    placers_.push_back(std::make_unique<Placer>(*this, settings_));
+    auto& placer = *placers_.back();
+    placer.isRunning_ = true;
+    named_ = &placer;
+    placer.placer_.Start(now_, stored_, doubts_);
+    return placer;
+  }
+
+  void Stop(Placer& aPlacer)
+  {
+    aPlacer.isRunning_ = false;
+    std::erase_if(pending_, [&](const Pending& aEntry) { return aEntry.placer_ == &aPlacer; });
+  }
+
+  void Pass(Duration aTime)
+  {
+    const auto end = now_ + aTime;
+    while (now_ < end && !testing::Test::HasFailure()) {
+      now_ += kStep;
+      CarryOut();
+      for (const auto& placer : placers_) {
+        Run(*placer);
+      }
+      Check();
+    }
+  }
+
+  // How many keys a server that is up holds under the row's fence.
+  std::size_t ServedKeys() const
+  {
+    std::size_t served = 0;
+    for (const auto& [id, server] : servers_) {
+      for (const auto& [key, holding] : server.held_) {
+        const auto* range = stored_ ? stored_->Find(key) : nullptr;
+        const bool isOwner = range != nullptr && range->owner_ == id && range->previous_.empty();
+        served += server.isUp_ && holding.until_ > now_ && isOwner ? 1 : 0;
+      }
+    }
+    return served;
+  }
+
+  // Keys stand for blocks of this many, so that a step is quick.
+  static constexpr KeyNumber kBlock = 256;
+  static constexpr std::size_t kBlocks = (kLastKey + 1) / kBlock;
+
+  Instant now_ = seconds(1000);
+  std::map<std::string, Server> servers_;
+  std::map<std::string, Instant> doubts_;
+  std::optional<KeyOwnership> stored_;
+  bool isStoreDown_ = false;
+  OwnershipPlacerSettings settings_;
+  std::vector<std::unique_ptr<Placer>> placers_;
+  std::size_t changes_ = 0;
+  std::minstd_rand random_;
+
+private:
+  struct Pending
+  {
+    Instant at_{ 0 };
+    Placer* placer_ = nullptr;
+    KeyOrder order_;
+    // The server takes the order; else its answer arrives.
+    bool isArrival_ = true;
+    bool isAnswered_ = true;
+    OrderOutcome outcome_;
+  };
+
+  std::optional<ServerLife> LifeOf(const std::string& aServer) const
+  {
+    const auto found = servers_.find(aServer);
+    if (found == servers_.end()) {
+      return std::nullopt;
+    }
+    ServerLife life{
+      found->second.address_, found->second.isListed_, found->second.isLeaving_, false
+    };
+    for (const auto& [id, other] : servers_) {
+      life.hasEnded_ =
+        life.hasEnded_ || (id > aServer && other.address_ == life.address_ && other.isListed_);
+    }
+    return life;
+  }
+
+  void Run(Placer& aPlacer)
+  {
+    if (!aPlacer.isRunning_) {
+      return;
+    }
+    std::vector<KeyServer> listed;
+    for (const auto& [id, server] : servers_) {
+      if (server.isListed_) {
+        const bool isUsable = !server.isLeaving_ && !LifeOf(id)->hasEnded_;
+        listed.push_back({ id, server.address_, 1, isUsable });
+      }
+    }
+    aPlacer.placer_.SetServers(now_, listed);
+    aPlacer.placer_.OnTime(now_, !isStoreDown_);
+    if (!aPlacer.written_ || isStoreDown_) {
+      return;
+    }
+    const auto written = *std::exchange(aPlacer.written_, std::nullopt);
+    if (&aPlacer != named_) {
+      aPlacer.placer_.OnWriteFailed(now_, *stored_);
+      Stop(aPlacer);
+      return;
+    }
+    stored_ = written;
+    ++changes_;
+    aPlacer.placer_.OnWritten(now_);
+  }
+
+  void Deliver(Placer& aPlacer, const KeyOrder& aOrder)
+  {
+    const auto found = servers_.find(aOrder.server_);
+    const bool isReached = found != servers_.end() && !found->second.isCut_;
+    Pending pending{ now_ + kWay, &aPlacer, aOrder, true, true, {} };
+    if (!isReached) {
+      pending.isArrival_ = false;
+      pending.outcome_.end_ = OrderEnd::NotSent;
+    } else if (!found->second.isUp_) {
+      pending.isArrival_ = false;
+      pending.outcome_.end_ = OrderEnd::Refused;
+    } else if (found->second.isLate_) {
+      pending.isAnswered_ = false;
+      pending.at_ = now_ + seconds(2) + milliseconds(random_() % 10000);
+      Pending lost{ now_ + milliseconds(1500), &aPlacer, aOrder, false, true, {} };
+      lost.outcome_.end_ = OrderEnd::Unanswered;
+      pending_.push_back(lost);
+    }
+    pending_.push_back(pending);
+  }
+
+  void CarryOut()
+  {
+    std::vector<Pending> due;
+    std::erase_if(pending_, [&](const Pending& aEntry) {
+      if (aEntry.at_ > now_) {
+        return false;
+      }
+      due.push_back(aEntry);
+      return true;
+    });
+    for (auto& entry : due) {
+      if (entry.isArrival_) {
+        entry.outcome_ = Take(servers_.at(entry.order_.server_), entry.order_);
+      }
+      if (entry.isAnswered_ && entry.placer_->isRunning_) {
+        entry.placer_->placer_.OnOrderEnded(now_, entry.order_.number_, entry.outcome_);
+      }
+    }
+  }
+
+  OrderOutcome Take(Server& aServer, const KeyOrder& aOrder)
+  {
+    if (!aServer.isUp_) {
+      return { OrderEnd::Refused, "" };
+    }
+    const auto first = (aOrder.first_ + kBlock - 1) / kBlock * kBlock;
+    for (KeyNumber key = first; !aOrder.isRelease_ && key <= aOrder.last_; key += kBlock) {
+      if (aServer.seen_[key] > aOrder.fence_) {
+        return { OrderEnd::HigherFence, "" };
+      }
+    }
+    for (KeyNumber key = first; key <= aOrder.last_; key += kBlock) {
+      aServer.seen_[key] = std::max(aServer.seen_[key], aOrder.fence_);
+      if (aOrder.isRelease_) {
+        aServer.held_.erase(key);
+        continue;
+      }
+      const auto held = aServer.held_.find(key);
+      const bool isNew = held == aServer.held_.end() || held->second.until_ <= now_;
+      if (isNew && holders_[key] != aServer.id_) {
+        EXPECT_GT(aOrder.fence_, fences_[key]) << "key " << key << " at " << aServer.id_;
+        holders_[key] = aServer.id_;
+      }
+      fences_[key] = std::max(fences_[key], aOrder.fence_);
+      // A server's clock may run slow.
+      constexpr double kSlow = 1.02;
+      aServer.held_[key] = { aOrder.fence_,
+                             now_ + Duration(static_cast<Duration::rep>(
+                                      static_cast<double>(aOrder.hold_.count()) * kSlow)) };
+    }
+    return { OrderEnd::Done, aOrder.isRelease_ ? "warm" : "" };
+  }
+
+  void Check()
+  {
+    std::map<KeyNumber, std::string> holders;
+    for (auto& [id, server] : servers_) {
+      for (const auto& [key, holding] : server.held_) {
+        if (!server.isUp_ || holding.until_ <= now_) {
+          continue;
+        }
+        const auto [entry, isFirst] = holders.try_emplace(key, id);
+        ASSERT_TRUE(isFirst) << "key " << key << " is held by " << entry->second << " and " << id
+                             << " at " << now_.count();
+      }
+    }
+  }
+
+  Placer* named_ = nullptr;
+  std::vector<Pending> pending_;
+  std::map<KeyNumber, std::string> holders_;
+  std::map<KeyNumber, FenceNumber> fences_;
+};
+
+} // namespace latchslip
--- /dev/null
+++ b/Tests/LibKeys/TestKeyBalancer.cpp
@@ -0,0 +1,187 @@
+#include "LibKeys/KeyBalancer.h"
+
+#include <gtest/gtest.h>
+#include <map>
+
+namespace latchslip {
+
+namespace {
+
+constexpr Instant kNow = seconds(100);
+
+std::vector<KeyServer>
+MakeServers(const std::vector<std::string>& aIds)
+{
+  std::vector<KeyServer> servers;
+  for (const auto& id : aIds) {
+    servers.push_back({ id, id + ":80", 1, true });
+  }
+  return servers;
+}
+
+class KeysOfFourServers : public testing::Test
+{
+protected:
+  std::map<std::string, double> LoadByServer(const KeyOwnership& aOwnership) const
+  {
+    std::map<std::string, double> loads;
+    for (const auto& range : aOwnership.ranges_) {
+      loads[range.owner_] += load_.Of(range.first_, range.last_);
+    }
+    return loads;
+  }
+
+  static void ExpectWhole(const KeyOwnership& aOwnership)
+  {
+    KeyNumber next = 0;
+    for (const auto& range : aOwnership.ranges_) {
+      EXPECT_EQ(range.first_, next);
+      EXPECT_LE(range.fence_, aOwnership.lastFence_);
+      next = range.last_ + 1;
+    }
+    EXPECT_EQ(next, kLastKey + 1);
+  }
+
+  // As if all moves had ended.
+  static KeyOwnership Settle(KeyOwnership aOwnership)
+  {
+    for (auto& range : aOwnership.ranges_) {
+      range.previous_.clear();
+    }
+    return aOwnership;
+  }
+
+  std::vector<KeyServer> servers_ = MakeServers({ "a", "b", "c", "d" });
+  KeyLoad load_;
+  KeyBalancer balancer_{ {} };
+  KeyOwnership dealt_ = KeyBalancer::DealAll("rates", 10, servers_);
+};
+
+TEST_F(KeysOfFourServers, Dealt_EveryKeyHasAnOwnerAndFencesRise)
+{
+  ExpectWhole(dealt_);
+  EXPECT_EQ(LoadByServer(dealt_).size(), 4U);
+  for (const auto& range : dealt_.ranges_) {
+    EXPECT_GT(range.fence_, 10U);
+    EXPECT_TRUE(range.previous_.empty());
+  }
+}
+
+TEST_F(KeysOfFourServers, NoServerIsUsable_NothingIsDealt)
+{
+  for (auto& server : servers_) {
+    server.isUsable_ = false;
+  }
+  EXPECT_TRUE(KeyBalancer::DealAll("rates", 0, servers_).ranges_.empty());
+  EXPECT_FALSE(KeyBalancer::Replace(dealt_, servers_, load_));
+}
+
+TEST_F(KeysOfFourServers, LoadIsEven_NothingMoves)
+{
+  EXPECT_FALSE(balancer_.EvenOut(dealt_, servers_, load_));
+}
+
+TEST_F(KeysOfFourServers, ServerLeaves_ItsKeysGoToOthersUnderHigherFences)
+{
+  servers_[1].isUsable_ = false;
+  const auto next = KeyBalancer::Replace(dealt_, servers_, load_);
+  ASSERT_TRUE(next);
+  ExpectWhole(*next);
+  for (std::size_t index = 0; index < next->ranges_.size(); ++index) {
+    const auto& range = next->ranges_[index];
+    EXPECT_NE(range.owner_, "b");
+    if (dealt_.ranges_[index].owner_ == "b") {
+      EXPECT_EQ(range.previous_, "b");
+      EXPECT_GT(range.fence_, dealt_.lastFence_);
+    } else {
+      EXPECT_EQ(range, dealt_.ranges_[index]);
+    }
+  }
+}
+
+TEST_F(KeysOfFourServers, OwnerLeavesWhileFormerMayStillHold_RangeWaits)
+{
+  dealt_.ranges_[1].previous_ = "x";
+  const auto moving = dealt_.ranges_[1];
+  ASSERT_EQ(moving.owner_, "b");
+  servers_[1].isUsable_ = false;
+  const auto next = KeyBalancer::Replace(dealt_, servers_, load_);
+  ASSERT_TRUE(next);
+  EXPECT_EQ(next->ranges_[1], moving);
+}
+
+TEST_F(KeysOfFourServers, KeysGetHot_TheyAreSpreadWithinAFewRounds)
+{
+  std::vector<KeyCount> counts;
+  for (KeyNumber key = 200; key < 400; ++key) {
+    counts.push_back({ key, 10 });
+  }
+  load_.Add(kNow, counts);
+  load_.Refresh(kNow);
+  auto ownership = dealt_;
+  for (int round = 0; round < 4; ++round) {
+    const auto next = balancer_.EvenOut(ownership, servers_, load_);
+    if (!next) {
+      break;
+    }
+    ExpectWhole(*next);
+    ownership = Settle(*next);
+  }
+  for (const auto& [server, load] : LoadByServer(ownership)) {
+    EXPECT_LT(load, 1.3 * load_.Total() / 4) << server;
+  }
+}
+
+TEST_F(KeysOfFourServers, OneKeyIsTheLoad_ItIsNotMovedBackAndForth)
+{
+  load_.Add(kNow, { { 77, 1000 } });
+  load_.Refresh(kNow);
+  auto ownership = dealt_;
+  std::string owner = ownership.Find(77)->owner_;
+  int changes = 0;
+  for (int round = 0; round < 20; ++round) {
+    const auto next = balancer_.EvenOut(ownership, servers_, load_);
+    if (!next) {
+      break;
+    }
+    ownership = Settle(*next);
+    changes += ownership.Find(77)->owner_ == owner ? 0 : 1;
+    owner = ownership.Find(77)->owner_;
+  }
+  EXPECT_LE(changes, 1);
+}
+
+TEST_F(KeysOfFourServers, ServerJoins_GetsItsPart)
+{
+  servers_ = MakeServers({ "a", "b", "c", "d", "e" });
+  auto ownership = dealt_;
+  for (int round = 0; round < 8; ++round) {
+    if (const auto next = balancer_.EvenOut(ownership, servers_, load_)) {
+      ownership = Settle(*next);
+    }
+  }
+  EXPECT_GT(LoadByServer(ownership)["e"], 0.7 * load_.Total() / 5);
+}
+
+TEST_F(KeysOfFourServers, ManyRoundsOfChange_RangesStayFew)
+{
+  auto ownership = dealt_;
+  for (KeyNumber round = 0; round < 200; ++round) {
+    const auto now = kNow + round * Duration(milliseconds(500));
+    std::vector<KeyCount> counts;
+    for (KeyNumber key = 0; key < 50; ++key) {
+      counts.push_back({ (round * 997 + key) % kLastKey, 20 });
+    }
+    load_.Add(now, counts);
+    load_.Refresh(now);
+    if (const auto next = balancer_.EvenOut(ownership, servers_, load_)) {
+      ExpectWhole(*next);
+      ownership = Settle(*next);
+    }
+  }
+  EXPECT_LE(ownership.ranges_.size(), 160U);
+}
+
+} // namespace
+
+} // namespace latchslip
--- /dev/null
+++ b/Tests/LibKeys/TestOwnershipPlacer.cpp
@@ -0,0 +1,290 @@
+#include "PlacerWorld.h"
+
+namespace latchslip {
+
+namespace {
+
+class PlacedKeysOfThreeServers : public testing::Test
+{
+protected:
+  PlacedKeysOfThreeServers()
+  {
+    for (const auto* id : { "s1", "s2", "s3" }) {
+      world_.AddServer(id, std::string(id) + ":80");
+    }
+    placer_ = &world_.TakeOver();
+    world_.Pass(seconds(4));
+  }
+
+  void ExpectAllServed() const { EXPECT_EQ(world_.ServedKeys(), PlacerWorld::kBlocks); }
+
+  // How long until all keys are served again, up to a minute.
+  Duration TimeUntilServed()
+  {
+    const auto begin = world_.now_;
+    while (world_.ServedKeys() < PlacerWorld::kBlocks && world_.now_ - begin < seconds(60)) {
+      world_.Pass(milliseconds(50));
+    }
+    return world_.now_ - begin;
+  }
+
+  PlacerWorld world_;
+  PlacerWorld::Placer* placer_ = nullptr;
+};
+
+TEST_F(PlacedKeysOfThreeServers, Started_EveryKeyIsServed)
+{
+  ExpectAllServed();
+}
+
+TEST_F(PlacedKeysOfThreeServers, TimePasses_GrantsAreRenewedAndNothingIsWritten)
+{
+  const auto changes = world_.changes_;
+  world_.Pass(seconds(30));
+  ExpectAllServed();
+  EXPECT_EQ(world_.changes_, changes);
+}
+
+TEST_F(PlacedKeysOfThreeServers, StoreIsDown_GrantsAreRenewed)
+{
+  world_.isStoreDown_ = true;
+  world_.Pass(seconds(20));
+  ExpectAllServed();
+}
+
+TEST_F(PlacedKeysOfThreeServers, ServerLeaves_KeysPassOnWithinMoments)
+{
+  world_.servers_.at("s1").isLeaving_ = true;
+  world_.Pass(milliseconds(100));
+  EXPECT_LT(TimeUntilServed(), milliseconds(500));
+}
+
+TEST_F(PlacedKeysOfThreeServers, ServerIsSilentAndUnlisted_KeysPassOnAfterItsGrantsRanOut)
+{
+  auto& lost = world_.servers_.at("s1");
+  lost.isCut_ = true;
+  lost.isListed_ = false;
+  world_.Pass(milliseconds(100));
+  const auto time = TimeUntilServed();
+  EXPECT_GT(time, seconds(3));
+  EXPECT_LT(time, seconds(6));
+}
+
+TEST_F(PlacedKeysOfThreeServers, NewLifeHasTheAddress_KeysPassOnAtOnce)
+{
+  world_.servers_.at("s1").isUp_ = false;
+  world_.servers_.at("s1").isListed_ = false;
+  world_.AddServer("s4", "s1:80");
+  world_.Pass(milliseconds(100));
+  EXPECT_LT(TimeUntilServed(), milliseconds(500));
+}
+
+TEST_F(PlacedKeysOfThreeServers, ServerThatSaidItLeavesRefuses_KeysPassOnSoon)
+{
+  auto& left = world_.servers_.at("s1");
+  left.isUp_ = false;
+  left.isLeaving_ = true;
+  left.isListed_ = false;
+  world_.Pass(milliseconds(100));
+  EXPECT_LT(TimeUntilServed(), milliseconds(1500));
+}
+
+TEST_F(PlacedKeysOfThreeServers, OrdersAreTakenLate_LateGrantsMeetHigherFences)
+{
+  world_.servers_.at("s1").isLate_ = true;
+  world_.Pass(seconds(3));
+  world_.servers_.at("s1").isLate_ = false;
+  world_.servers_.at("s1").isLeaving_ = true;
+  world_.Pass(seconds(20));
+  ExpectAllServed();
+}
+
+TEST_F(PlacedKeysOfThreeServers, SilentServerWithLateOrders_KeysWaitForThem)
+{
+  auto& server = world_.servers_.at("s1");
+  server.isLate_ = true;
+  world_.Pass(seconds(2));
+  server.isCut_ = true;
+  server.isListed_ = false;
+  world_.Pass(milliseconds(100));
+  EXPECT_GT(TimeUntilServed(), seconds(10));
+}
+
+TEST_F(PlacedKeysOfThreeServers, PlacerIsKilled_NextRenewsAndMovesNothing)
+{
+  const auto before = *world_.stored_;
+  world_.Stop(*placer_);
+  world_.Pass(seconds(2));
+  world_.TakeOver();
+  world_.Pass(seconds(10));
+  ExpectAllServed();
+  for (const auto& range : before.ranges_) {
+    EXPECT_EQ(world_.stored_->Find(range.first_)->owner_, range.owner_);
+  }
+}
+
+TEST_F(PlacedKeysOfThreeServers, FormerPlacerGoesOn_ItsOrdersDoNoHarm)
+{
+  world_.isStoreDown_ = true;
+  world_.Pass(seconds(1));
+  world_.isStoreDown_ = false;
+  world_.TakeOver();
+  world_.servers_.at("s2").isLeaving_ = true;
+  world_.Pass(seconds(10));
+  ExpectAllServed();
+}
+
+TEST_F(PlacedKeysOfThreeServers, PlacerIsKilledWithinAMove_NextEndsIt)
+{
+  world_.servers_.at("s1").isLeaving_ = true;
+  world_.Pass(milliseconds(20));
+  world_.Stop(*placer_);
+  world_.TakeOver();
+  world_.Pass(seconds(2));
+  ExpectAllServed();
+}
+
+TEST_F(PlacedKeysOfThreeServers, NewOwnerIsLostWithinAMove_KeysGoOnToAnother)
+{
+  world_.servers_.at("s1").isLeaving_ = true;
+  world_.Pass(milliseconds(20));
+  world_.servers_.at("s2").isUp_ = false;
+  world_.servers_.at("s2").isListed_ = false;
+  world_.Pass(seconds(12));
+  ExpectAllServed();
+}
+
+TEST_F(PlacedKeysOfThreeServers, FormerPlacerIsKnownToHaveStopped_SilentServerWaitsForOneHold)
+{
+  auto& lost = world_.servers_.at("s1");
+  lost.isCut_ = true;
+  world_.Stop(*placer_);
+  world_.Pass(seconds(2));
+  auto& next = world_.TakeOver();
+  next.placer_.OnFormerPlacerStopped(world_.now_);
+  lost.isListed_ = false;
+  world_.Pass(milliseconds(100));
+  EXPECT_LT(TimeUntilServed(), seconds(6));
+}
+
+TEST_F(PlacedKeysOfThreeServers, AllServersEndAtOnce_NewOnesServeAllKeys)
+{
+  for (auto& [id, server] : world_.servers_) {
+    server.isUp_ = false;
+    server.isListed_ = false;
+  }
+  world_.Pass(seconds(1));
+  world_.AddServer("t1", "s1:80");
+  world_.AddServer("t2", "s2:80");
+  world_.AddServer("t3", "s3:80");
+  world_.Pass(seconds(3));
+  ExpectAllServed();
+}
+
+// Faults in random order; the world checks the owners at each step.
+class WalkOfFaults : public testing::TestWithParam<std::uint32_t>
+{
+protected:
+  PlacerWorld::Server& AnyServer()
+  {
+    auto server = world_.servers_.begin();
+    std::advance(server, world_.random_() % world_.servers_.size());
+    return server->second;
+  }
+
+  void Strike()
+  {
+    auto& server = AnyServer();
+    switch (world_.random_() % 9) {
+      case 0:
+        server.isLeaving_ = true;
+        break;
+      case 1:
+        server.isCut_ = !server.isCut_;
+        break;
+      case 2:
+        server.isLate_ = !server.isLate_;
+        break;
+      case 3:
+        server.isListed_ = !server.isListed_ && server.isUp_;
+        break;
+      case 4:
+        server.isUp_ = false;
+        server.held_.clear();
+        server.isListed_ = world_.random_() % 2 == 0;
+        break;
+      case 5:
+        EndAllAt(server.address_);
+        Join(server.address_);
+        break;
+      case 6:
+        world_.isStoreDown_ = !world_.isStoreDown_;
+        break;
+      case 7:
+        KillPlacer();
+        break;
+      default:
+        Join("n" + std::to_string(joined_) + ":80");
+        break;
+    }
+  }
+
+  void EndAllAt(const std::string& aAddress)
+  {
+    for (auto& [id, server] : world_.servers_) {
+      if (server.address_ == aAddress) {
+        server.isUp_ = false;
+        server.isListed_ = false;
+      }
+    }
+  }
+
+  void Join(const std::string& aAddress)
+  {
+    // Ids rise, so that of two lives at one address the later is known.
+    world_.AddServer("t" + std::to_string(1000 + ++joined_), aAddress);
+  }
+
+  void KillPlacer()
+  {
+    if (world_.isStoreDown_) {
+      return;
+    }
+    world_.Stop(*world_.placers_.back());
+    world_.Pass(seconds(2));
+    world_.TakeOver().placer_.OnFormerPlacerStopped(world_.now_);
+  }
+
+  PlacerWorld world_{ GetParam() };
+  int joined_ = 0;
+};
+
+TEST_P(WalkOfFaults, AnyOrderOfFaults_NoKeyHasTwoHolders)
+{
+  for (const auto* id : { "s1", "s2", "s3", "s4" }) {
+    world_.AddServer(id, std::string(id) + ":80");
+  }
+  world_.TakeOver();
+  world_.Pass(seconds(4));
+  for (int step = 0; step < 60 && !HasFailure(); ++step) {
+    Strike();
+    world_.Pass(milliseconds(50 + world_.random_() % 1500));
+  }
+  // When the faults end, all keys are served again.
+  world_.isStoreDown_ = false;
+  for (auto& [id, server] : world_.servers_) {
+    server.isCut_ = false;
+    server.isLate_ = false;
+    // Records of servers that are down lapse.
+    server.isListed_ = server.isListed_ && server.isUp_;
+  }
+  Join("last:80");
+  world_.Pass(seconds(40));
+  EXPECT_EQ(world_.ServedKeys(), PlacerWorld::kBlocks);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, WalkOfFaults, testing::Range(1U, 41U));
+
+} // namespace
+
+} // namespace latchslip
