--- /dev/null
+++ b/Tests/LibFleet/TestFleetMember.cpp
@@ -0,0 +1,357 @@
+#include "LibFleet/FleetMember.h"
+
+#include <gtest/gtest.h>
+#include <set>
+
+namespace latchslip {
+
+namespace {
+
+class SilentEvents : public EventSink
+{
+public:
+  void Record(Event, std::string_view) override {}
+};
+
+// Rows in the simplest text: "version" for a configuration with one keyed
+// service, "leaving" or "ready" for a server.
+class PlainDecoder : public RowDecoder
+{
+public:
+  FieldResult<std::optional<RoutingConfiguration>> DecodeConfiguration(
+    const Row& aRow) const override
+  {
+    if (aRow.value_ == "broken") {
+      return FieldError{ "configuration", "is broken" };
+    }
+    RoutingConfiguration configuration;
+    configuration.version_ = std::stoull(aRow.value_);
+    configuration.services_ = { { "rates", 100, true } };
+    return std::optional(configuration);
+  }
+
+  FieldResult<ServerRecord> DecodeServer(const Row& aRow) const override
+  {
+    return ServerRecord{ aRow.key_,    "rates", aRow.key_ + ":80",
+                         "hall",       4,       aRow.value_ == "leaving",
+                         aRow.version_ };
+  }
+};
+
+// Writes down what a member decides.
+class RecordedFleet : public FleetActions
+{
+public:
+  void Transact(const Transaction& aTransaction) override { transactions_.push_back(aTransaction); }
+  void Follow(Following aHow, const TableVersions& aKnown) override
+  {
+    following_ = aHow;
+    followFrom_ = aKnown;
+  }
+  void Order(const std::string&, const KeyOrder& aOrder) override { orders_.push_back(aOrder); }
+  void SendReport(const std::string& aAddress, const InstanceReport&) override
+  {
+    reports_.push_back(aAddress);
+  }
+  void SendNews(const std::string& aAddress, const FleetNews& aNews) override
+  {
+    news_.emplace_back(aAddress, aNews);
+  }
+  void FetchNews(const std::string& aAddress, const TableVersions&) override
+  {
+    fetches_.push_back(aAddress);
+  }
+  void OnRoutes(std::shared_ptr<const RouteTable> aRoutes) override
+  {
+    versions_.push_back(aRoutes->Configuration().version_);
+  }
+  void OnDirectoryChanged() override { ++directoryChanges_; }
+  void OnOwnership(const KeyOwnership& aOwnership) override { ownership_ = aOwnership; }
+  void OnInstances(std::size_t aCount) override { instances_ = aCount; }
+  Duration LatencyOf(const std::string&) const override { return milliseconds(20); }
+
+  std::vector<Transaction> transactions_;
+  Following following_ = Following::Alone;
+  TableVersions followFrom_{};
+  std::vector<KeyOrder> orders_;
+  std::vector<std::string> reports_;
+  std::vector<std::pair<std::string, FleetNews>> news_;
+  std::vector<std::string> fetches_;
+  std::vector<std::uint64_t> versions_;
+  int directoryChanges_ = 0;
+  std::optional<KeyOwnership> ownership_;
+  std::size_t instances_ = 0;
+};
+
+constexpr const char* kSelf = "10.0.0.1:9";
+constexpr const char* kOther = "10.0.0.2:9";
+
+class MemberOfAFleet : public testing::Test
+{
+protected:
+  void Show(FleetTable aTable, RowVersion aVersion, std::vector<Row> aRows)
+  {
+    TableView view{ aTable, aVersion, true, 0, {} };
+    for (auto& row : aRows) {
+      view.rows_.push_back({ std::move(row), false });
+    }
+    member_.OnView(now_, view);
+  }
+
+  void ShowTables()
+  {
+    Show(FleetTable::Configuration, 5, { { "config", 5, "1" } });
+    Show(FleetTable::Servers, 6, { { "s1", 2, "ready" }, { "s2", 3, "ready" } });
+  }
+
+  static std::string Placer(const std::string& aInstance, const std::string& aAddress)
+  {
+    return SerializePlacerRow({ aInstance, "run1", aAddress });
+  }
+
+  void Pass(Duration aTime)
+  {
+    const auto end = now_ + aTime;
+    while (now_ < end) {
+      now_ += milliseconds(50);
+      member_.OnTime(now_);
+    }
+  }
+
+  void AnswerReports(Duration aTime, const TableVersions& aVersions)
+  {
+    const auto end = now_ + aTime;
+    while (now_ < end) {
+      const auto sent = fleet_.reports_.size();
+      Pass(milliseconds(50));
+      if (fleet_.reports_.size() > sent) {
+        member_.OnReportAnswered(now_, ReportAnswer{ true, { kSelf, kOther }, aVersions });
+      }
+    }
+  }
+
+  void BecomePlacer()
+  {
+    ShowTables();
+    Show(FleetTable::Fleet, 7, {});
+    Pass(milliseconds(600));
+    ASSERT_EQ(fleet_.transactions_.size(), 1U);
+    Done(10);
+    ASSERT_TRUE(member_.IsPlacer());
+  }
+
+  // The store carried out the last transaction.
+  void Done(RowVersion aVersion)
+  {
+    const auto& write = fleet_.transactions_.back().writes_.front();
+    member_.OnTransactEnded(now_,
+                            { StoreStatus::Done, { { write.key_, aVersion, write.value_ } } });
+  }
+
+  Instant now_ = seconds(100);
+  SilentEvents events_;
+  PlainDecoder decoder_;
+  RecordedFleet fleet_;
+  FleetMember member_{ { { "i1", "run2", kSelf }, { "10.0.0.3:9" }, 1, {}, 1 },
+                       decoder_,
+                       fleet_,
+                       events_ };
+};
+
+TEST_F(MemberOfAFleet, TablesAreKnown_IsReady)
+{
+  EXPECT_FALSE(member_.IsReady());
+  ShowTables();
+  EXPECT_TRUE(member_.IsReady());
+}
+
+TEST_F(MemberOfAFleet, OlderConfigurationComes_IsNotTaken)
+{
+  ShowTables();
+  Show(FleetTable::Configuration, 8, { { "config", 8, "3" } });
+  Show(FleetTable::Configuration, 9, { { "config", 9, "2" } });
+  EXPECT_EQ(fleet_.versions_, (std::vector<std::uint64_t>{ 1, 3 }));
+}
+
+TEST_F(MemberOfAFleet, ConfigurationCannotBeRead_LastGoodOneStays)
+{
+  ShowTables();
+  Show(FleetTable::Configuration, 8, { { "config", 8, "broken" } });
+  EXPECT_EQ(fleet_.versions_, std::vector<std::uint64_t>{ 1 });
+  EXPECT_TRUE(member_.IsReady());
+}
+
+TEST_F(MemberOfAFleet, NoPlacer_ClaimsOnConditionThatThereIsNone)
+{
+  ShowTables();
+  Show(FleetTable::Fleet, 7, {});
+  Pass(milliseconds(600));
+  ASSERT_EQ(fleet_.transactions_.size(), 1U);
+  EXPECT_EQ(fleet_.transactions_[0].conditions_,
+            (std::vector<RowStamp>{ { "placer", 0 }, { "ownership/rates", 0 } }));
+}
+
+TEST_F(MemberOfAFleet, ClaimIsLost_TheWinnerIsThePlacer)
+{
+  ShowTables();
+  Show(FleetTable::Fleet, 7, {});
+  Pass(milliseconds(600));
+  member_.OnTransactEnded(now_,
+                          { StoreStatus::Conflict, { { "placer", 9, Placer("i2", kOther) } } });
+  Pass(milliseconds(500));
+  EXPECT_FALSE(member_.IsPlacer());
+  EXPECT_EQ(fleet_.transactions_.size(), 1U);
+  EXPECT_EQ(fleet_.reports_.back(), kOther);
+}
+
+TEST_F(MemberOfAFleet, AnswerToAClaimIsLost_SameClaimIsSentAgainAndRecognised)
+{
+  ShowTables();
+  Show(FleetTable::Fleet, 7, {});
+  Pass(milliseconds(600));
+  member_.OnTransactEnded(now_, { StoreStatus::Unsure, {} });
+  Pass(milliseconds(300));
+  ASSERT_EQ(fleet_.transactions_.size(), 2U);
+  const auto& write = fleet_.transactions_[1].writes_.front();
+  EXPECT_EQ(write.value_, fleet_.transactions_[0].writes_.front().value_);
+  member_.OnTransactEnded(now_, { StoreStatus::Conflict, { { write.key_, 9, write.value_ } } });
+  EXPECT_TRUE(member_.IsPlacer());
+}
+
+TEST_F(MemberOfAFleet, IsPlacer_FollowsCloselyAndWritesOwnersBeforeAnyGrant)
+{
+  BecomePlacer();
+  Pass(seconds(3));
+  EXPECT_EQ(fleet_.following_, Following::Closely);
+  ASSERT_EQ(fleet_.transactions_.size(), 2U);
+  EXPECT_TRUE(fleet_.orders_.empty());
+  EXPECT_EQ(fleet_.transactions_[1].conditions_,
+            (std::vector<RowStamp>{ { "placer", 10 }, { "ownership/rates", 0 } }));
+  Done(11);
+  Pass(milliseconds(100));
+  EXPECT_FALSE(fleet_.orders_.empty());
+  EXPECT_TRUE(fleet_.ownership_);
+}
+
+TEST_F(MemberOfAFleet, PlacerLearnsOfAChange_ItTellsThoseThatReport)
+{
+  BecomePlacer();
+  member_.OnReport(now_, { "i2", kOther, {}, {} });
+  member_.OnView(now_,
+                 { FleetTable::Servers, 20, false, 6, { { { "s1", 20, "leaving" }, false } } });
+  ASSERT_FALSE(fleet_.news_.empty());
+  EXPECT_EQ(fleet_.news_.back().first, kOther);
+  EXPECT_EQ(fleet_.news_.back().second.views_.front().version_, 20U);
+}
+
+TEST_F(MemberOfAFleet, PlacerLosesTheStore_ItSaysSoAtOnceAndToEveryReport)
+{
+  BecomePlacer();
+  member_.OnReport(now_, { "i2", kOther, {}, {} });
+  member_.OnStoreLost(now_);
+  EXPECT_TRUE(fleet_.news_.back().second.isLastForNow_);
+  EXPECT_FALSE(member_.OnReport(now_, { "i2", kOther, {}, {} }).isWorking_);
+}
+
+TEST_F(MemberOfAFleet, AnotherClaimsItsPlace_ItGivesNoMoreOrders)
+{
+  BecomePlacer();
+  Pass(seconds(3));
+  Done(11);
+  Pass(milliseconds(100));
+  FleetNews news;
+  news.placer_ = Row{ "placer", 30, Placer("i2", kOther) };
+  member_.OnNews(now_, news);
+  const auto orders = fleet_.orders_.size();
+  Pass(seconds(10));
+  EXPECT_FALSE(member_.IsPlacer());
+  EXPECT_EQ(fleet_.orders_.size(), orders);
+}
+
+TEST_F(MemberOfAFleet, PlacerHearsNeitherStoreNorInstances_ItGivesNoMoreOrders)
+{
+  BecomePlacer();
+  member_.OnReport(now_, { "i2", kOther, {}, {} });
+  member_.OnReport(now_, { "i3", "10.0.0.3:9", {}, {} });
+  Pass(seconds(3));
+  Done(11);
+  member_.OnStoreLost(now_);
+  Pass(seconds(7));
+  const auto orders = fleet_.orders_.size();
+  Pass(seconds(5));
+  EXPECT_EQ(fleet_.orders_.size(), orders);
+}
+
+TEST_F(MemberOfAFleet, PlacerAnswersReports_StoreIsNotFollowed)
+{
+  ShowTables();
+  Show(FleetTable::Fleet, 7, { { "placer", 7, Placer("i2", kOther) } });
+  AnswerReports(seconds(2), { 5, 6, 7 });
+  EXPECT_EQ(fleet_.following_, Following::Relayed);
+  EXPECT_EQ(fleet_.instances_, 2U);
+}
+
+TEST_F(MemberOfAFleet, PlacerKnowsMore_IsAskedForIt)
+{
+  ShowTables();
+  Show(FleetTable::Fleet, 7, { { "placer", 7, Placer("i2", kOther) } });
+  AnswerReports(seconds(1), { 5, 9, 7 });
+  EXPECT_EQ(fleet_.following_, Following::Alone);
+  ASSERT_FALSE(fleet_.fetches_.empty());
+  EXPECT_EQ(fleet_.fetches_.back(), kOther);
+}
+
+TEST_F(MemberOfAFleet, PlacerFallsSilent_StoreIsFollowedFromWhatIsKnownAndThenClaimed)
+{
+  ShowTables();
+  Show(FleetTable::Fleet, 7, { { "placer", 7, Placer("i2", kOther) } });
+  AnswerReports(seconds(2), { 5, 6, 7 });
+  member_.OnReportAnswered(now_, std::nullopt);
+  Pass(milliseconds(50));
+  EXPECT_EQ(fleet_.following_, Following::Alone);
+  EXPECT_EQ(fleet_.followFrom_, (TableVersions{ 5, 6, 7 }));
+  Pass(seconds(3));
+  EXPECT_EQ(fleet_.transactions_.size(), 1U);
+}
+
+TEST_F(MemberOfAFleet, PlacerSaysItLostTheStore_StoreIsFollowedAtOnce)
+{
+  ShowTables();
+  Show(FleetTable::Fleet, 7, { { "placer", 7, Placer("i2", kOther) } });
+  AnswerReports(seconds(2), { 5, 6, 7 });
+  FleetNews news;
+  news.isLastForNow_ = true;
+  member_.OnNews(now_, news);
+  EXPECT_EQ(fleet_.following_, Following::Alone);
+}
+
+TEST_F(MemberOfAFleet, NewsBeginLaterThanWhatIsKnown_TheRestIsFetched)
+{
+  ShowTables();
+  Show(FleetTable::Fleet, 7, { { "placer", 7, Placer("i2", kOther) } });
+  AnswerReports(seconds(2), { 5, 6, 7 });
+  fleet_.fetches_.clear();
+  FleetNews news;
+  news.views_.push_back({ FleetTable::Servers, 20, false, 15, {} });
+  member_.OnNews(now_, news);
+  EXPECT_EQ(fleet_.fetches_, std::vector<std::string>{ kOther });
+}
+
+TEST_F(MemberOfAFleet, StartsWithoutTheStore_LearnsFromASeed)
+{
+  member_.OnStoreLost(now_);
+  Pass(milliseconds(100));
+  EXPECT_EQ(fleet_.fetches_, std::vector<std::string>{ "10.0.0.3:9" });
+  FleetNews news;
+  news.views_.push_back(
+    { FleetTable::Configuration, 5, true, 0, { { { "config", 5, "1" }, false } } });
+  news.views_.push_back({ FleetTable::Servers, 6, true, 0, { { { "s1", 2, "ready" }, false } } });
+  news.placer_ = Row{ "placer", 7, Placer("i2", kOther) };
+  member_.OnNews(now_, news);
+  EXPECT_TRUE(member_.IsReady());
+  EXPECT_NE(member_.Directory().Find("s1"), nullptr);
+}
+
+} // namespace
+
+} // namespace latchslip
--- /dev/null
+++ b/Tests/Platform/TestPlatformCodec.cpp
@@ -0,0 +1,217 @@
+#include "platform/PlatformCodec.h"
+
+#include <gtest/gtest.h>
+
+namespace latchslip::platform {
+
+namespace {
+
+HttpRequest
+MakeClientRequest()
+{
+  HttpRequest request;
+  request.method_ = "POST";
+  request.target_ = "/puka/2?x=1";
+  request.headers_ = { { "Host", "a.example" },
+                       { "X-Request-Id", "r1" },
+                       { "X-Deadline-Ms", "600" },
+                       { "Connection", "keep-alive" },
+                       { "Transfer-Encoding", "chunked" },
+                       { "X-Other", "1" },
+                       { "X-Other", "2" },
+                       { "X-Shard-Key", "4096" } };
+  request.body_ = std::make_shared<const std::string>("body");
+  return request;
+}
+
+class CodecOfOneAttempt : public testing::Test
+{
+protected:
+  AttemptOutcome Decode(unsigned aStatus, std::vector<HttpHeader> aHeaders) const
+  {
+    HttpExchange exchange;
+    exchange.end_ = ExchangeEnd::Complete;
+    exchange.response_.status_ = aStatus;
+    exchange.response_.headers_ = std::move(aHeaders);
+    return codec_.DecodeAttempt(order_, exchange);
+  }
+
+  AttemptOutcome DecodeEnd(ExchangeEnd aEnd) const
+  {
+    HttpExchange exchange;
+    exchange.end_ = aEnd;
+    return codec_.DecodeAttempt(order_, exchange);
+  }
+
+  unsigned StatusOf(RefusalReason aReason, bool aIsNotRun) const
+  {
+    return codec_.EncodeRefusal({}, { aReason, aIsNotRun, milliseconds(125) }).status_;
+  }
+
+  const PlatformCodec codec_;
+  const AttemptOrder order_{ 1, 1, "i-1", "10.0.0.1:80", milliseconds(345) };
+};
+
+TEST_F(CodecOfOneAttempt, ClientRequest_IsReadIntoWhatRoutingNeeds)
+{
+  const auto request = codec_.DecodeRequest(7, MakeClientRequest());
+  EXPECT_EQ(request.number_, 7U);
+  EXPECT_EQ(request.id_, "r1");
+  EXPECT_EQ(request.host_, "a.example");
+  EXPECT_EQ(request.path_, "/puka/2?x=1");
+  EXPECT_EQ(request.key_, 4096U);
+  EXPECT_EQ(request.timeLeft_, milliseconds(600));
+}
+
+TEST_F(CodecOfOneAttempt, KeyOrTimeIsMalformed_CountsAsNotGiven)
+{
+  auto request = MakeClientRequest();
+  request.headers_ = { { "X-Shard-Key", "70000" }, { "X-Deadline-Ms", "soon" } };
+  const auto read = codec_.DecodeRequest(1, request);
+  EXPECT_FALSE(read.key_);
+  EXPECT_FALSE(read.timeLeft_);
+}
+
+TEST_F(CodecOfOneAttempt, RequestGoesToTheServer_OnlyConnectionTimeAndServerDiffer)
+{
+  const auto attempt = codec_.EncodeAttempt(MakeClientRequest(), order_);
+  EXPECT_EQ(attempt.method_, "POST");
+  EXPECT_EQ(attempt.target_, "/puka/2?x=1");
+  EXPECT_EQ(*attempt.body_, "body");
+  EXPECT_EQ(attempt.Header("X-Deadline-Ms"), "345");
+  EXPECT_EQ(attempt.Header("X-Expect-Instance"), "i-1");
+  EXPECT_EQ(attempt.Header("Host"), "a.example");
+  EXPECT_TRUE(attempt.Header("Connection").empty());
+  EXPECT_TRUE(attempt.Header("Transfer-Encoding").empty());
+  EXPECT_EQ(std::count_if(attempt.headers_.begin(),
+                          attempt.headers_.end(),
+                          [](const HttpHeader& aHeader) { return aHeader.first == "X-Other"; }),
+            2);
+}
+
+TEST_F(CodecOfOneAttempt, SuccessWithSignature_IsAnAnswer)
+{
+  EXPECT_EQ(Decode(200, { { "X-Response-Signature", "s" } }).end_, AttemptEnd::Answered);
+}
+
+TEST_F(CodecOfOneAttempt, SuccessWithoutSignature_IsNoAnswer)
+{
+  EXPECT_EQ(Decode(200, {}).end_, AttemptEnd::Broken);
+}
+
+TEST_F(CodecOfOneAttempt, FailureOfTheServer_IsAnAnswerAndMayHaveRun)
+{
+  EXPECT_EQ(Decode(500, {}).end_, AttemptEnd::Answered);
+  EXPECT_EQ(Decode(503, {}).end_, AttemptEnd::Answered);
+}
+
+TEST_F(CodecOfOneAttempt, ServerSaysNotRun_IsNotRun)
+{
+  EXPECT_EQ(Decode(503, { { "X-Not-Executed", "1" } }).end_, AttemptEnd::NotRun);
+  EXPECT_EQ(Decode(429, { { "x-not-executed", "1" } }).end_, AttemptEnd::NotRun);
+}
+
+TEST_F(CodecOfOneAttempt, Misdirected_TellsAnotherLifeFromAWrongOwner)
+{
+  const auto owner = Decode(421, { { "X-Instance-Id", "i-1" }, { "X-Not-Executed", "1" } });
+  EXPECT_EQ(owner.end_, AttemptEnd::WrongServer);
+  EXPECT_FALSE(owner.isOtherLife_);
+  EXPECT_TRUE(Decode(421, { { "X-Instance-Id", "i-2" } }).isOtherLife_);
+}
+
+TEST_F(CodecOfOneAttempt, ExchangeFails_SentAndNotSentAreToldApart)
+{
+  EXPECT_EQ(DecodeEnd(ExchangeEnd::NotSent).end_, AttemptEnd::NotSent);
+  EXPECT_EQ(DecodeEnd(ExchangeEnd::Broken).end_, AttemptEnd::Broken);
+}
+
+TEST_F(CodecOfOneAttempt, Refusal_PromisesOnlyWhatIsCertain)
+{
+  EXPECT_EQ(StatusOf(RefusalReason::NoCapacity, true), 503U);
+  EXPECT_EQ(StatusOf(RefusalReason::NoConfiguration, true), 503U);
+  EXPECT_EQ(StatusOf(RefusalReason::NoRoute, true), 404U);
+  EXPECT_EQ(StatusOf(RefusalReason::OutcomeUnknown, false), 502U);
+  EXPECT_EQ(StatusOf(RefusalReason::OutOfTime, false), 504U);
+}
+
+TEST_F(CodecOfOneAttempt, RefusedAsNotRun_SaysInSecondsWhenToComeBack)
+{
+  RoutedRequest request;
+  request.id_ = "r1";
+  const auto response =
+    codec_.EncodeRefusal(request, { RefusalReason::NoOwner, true, milliseconds(125) });
+  EXPECT_EQ(response.Header("Retry-After"), "0.125");
+  EXPECT_EQ(response.Header("X-Request-Id"), "r1");
+  const auto unknown =
+    codec_.EncodeRefusal(request, { RefusalReason::OutcomeUnknown, false, milliseconds(125) });
+  EXPECT_TRUE(unknown.Header("Retry-After").empty());
+}
+
+TEST_F(CodecOfOneAttempt, AnswerGoesToTheClient_HeadersOfTheConnectionStayBehind)
+{
+  HttpResponse answer;
+  answer.headers_ = { { "Connection", "close" },
+                      { "Keep-Alive", "timeout=5" },
+                      { "Content-Type", "text/plain" },
+                      { "X-Response-Signature", "s" } };
+  const auto passed = codec_.EncodeAnswer(answer);
+  EXPECT_EQ(passed.headers_.size(), 2U);
+  EXPECT_TRUE(passed.contentType_.empty());
+}
+
+class CodecOfOneOrder : public testing::Test
+{
+protected:
+  OrderEnd Decode(unsigned aStatus, std::vector<HttpHeader> aHeaders = {}) const
+  {
+    HttpExchange exchange;
+    exchange.end_ = ExchangeEnd::Complete;
+    exchange.response_.status_ = aStatus;
+    exchange.response_.headers_ = std::move(aHeaders);
+    return codec_.DecodeOrder(order_, exchange).end_;
+  }
+
+  const PlatformCodec codec_;
+  KeyOrder order_{ 1, "i-1", "10.0.0.1:80", 4096, 8191, 12, false, "warm", milliseconds(4000) };
+};
+
+TEST_F(CodecOfOneOrder, Grant_NamesKeysFenceHoldAndHandover)
+{
+  const auto request = codec_.EncodeOrder(order_);
+  EXPECT_EQ(request.target_, "/api/grant");
+  EXPECT_EQ(*request.body_,
+            R"({"from":4096,"targetVersion":8191,"fence":12,"holdMs":4000,"handover":"warm"})");
+}
+
+TEST_F(CodecOfOneOrder, Release_NamesKeysAndFence)
+{
+  order_.isRelease_ = true;
+  const auto request = codec_.EncodeOrder(order_);
+  EXPECT_EQ(request.target_, "/api/release");
+  EXPECT_EQ(*request.body_, R"({"from":4096,"targetVersion":8191,"fence":12})");
+}
+
+TEST_F(CodecOfOneOrder, Answers_TellWhatBecameOfTheOrder)
+{
+  EXPECT_EQ(Decode(200), OrderEnd::Done);
+  EXPECT_EQ(Decode(409), OrderEnd::HigherFence);
+  EXPECT_EQ(Decode(421), OrderEnd::OtherLife);
+  EXPECT_EQ(Decode(200, { { "X-Instance-Id", "i-2" } }), OrderEnd::OtherLife);
+  EXPECT_EQ(Decode(500), OrderEnd::Unanswered);
+  EXPECT_EQ(Decode(503, { { "X-Not-Executed", "1" } }), OrderEnd::NotSent);
+}
+
+TEST_F(CodecOfOneOrder, NoAnswer_OnlyASentOrderMayComeLate)
+{
+  HttpExchange exchange;
+  exchange.end_ = ExchangeEnd::Broken;
+  EXPECT_EQ(codec_.DecodeOrder(order_, exchange).end_, OrderEnd::Unanswered);
+  exchange.end_ = ExchangeEnd::NotSent;
+  EXPECT_EQ(codec_.DecodeOrder(order_, exchange).end_, OrderEnd::NotSent);
+  exchange.isRefused_ = true;
+  EXPECT_EQ(codec_.DecodeOrder(order_, exchange).end_, OrderEnd::Refused);
+}
+
+} // namespace
+
+} // namespace latchslip::platform
--- /dev/null
+++ b/Tests/Platform/TestPlatformDocuments.cpp
@@ -0,0 +1,232 @@
+#include "platform/ManifestDecoder.h"
+#include "platform/PlatformSettings.h"
+#include "platform/StoreProtocol.h"
+
+#include <gtest/gtest.h>
+
+namespace latchslip::platform {
+
+namespace {
+
+constexpr std::string_view kManifest = R"({
+  "version": 7, "limits": {"maxHeaderBytes": 1000, "maxBodyBytes": 2000,
+                           "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+  "listeners": [{"host": "a.example", "rules": [
+    {"name": "r1", "kind": "non_idempotent", "targetLatencyMs": 250, "priority": 1,
+     "match": {"pathPrefix": "/puka/"},
+     "action": {"service": "book", "timeoutMs": 600, "maxAttempts": 2}},
+    {"name": "r2", "kind": "idempotent", "targetLatencyMs": 200, "priority": 2,
+     "match": {"pathPrefix": "/leny/"},
+     "action": {"weightedBackends": [{"service": "rate", "weight": 90},
+                                     {"service": "book", "weight": 10}],
+                "timeoutMs": 500, "maxAttempts": 3}}]}],
+  "clusters": [{"name": "rate", "healthPath": "/health", "maxConns": 130, "sharded": true},
+               {"name": "book", "healthPath": "/health", "maxConns": 120}]})";
+
+std::string
+Replace(std::string_view aText, std::string_view aOld, std::string_view aNew)
+{
+  std::string text(aText);
+  const auto at = text.find(aOld);
+  EXPECT_NE(at, std::string::npos) << aOld;
+  return text.replace(at, aOld.size(), aNew);
+}
+
+class DecoderOfManifests : public testing::Test
+{
+protected:
+  FieldResult<std::optional<RoutingConfiguration>> Decode(std::string aText) const
+  {
+    return decoder_.DecodeConfiguration({ "config", 9, std::move(aText) });
+  }
+
+  const ManifestDecoder decoder_;
+};
+
+TEST_F(DecoderOfManifests, WholeManifest_IsReadIntoRoutes)
+{
+  const auto configuration = *Decode(std::string(kManifest)).value();
+  EXPECT_EQ(configuration.version_, 7U);
+  EXPECT_EQ(configuration.limits_.bodyBytes_, 2000U);
+  EXPECT_EQ(configuration.limits_.idleTime_, seconds(15));
+  ASSERT_EQ(configuration.routes_.size(), 2U);
+  const auto& booking = configuration.routes_[0];
+  EXPECT_EQ(booking.host_, "a.example");
+  EXPECT_EQ(booking.pathPrefix_, "/puka/");
+  EXPECT_FALSE(booking.isRepeatable_);
+  EXPECT_EQ(booking.priority_, 1U);
+  EXPECT_EQ(booking.latencyTarget_, milliseconds(250));
+  EXPECT_EQ(booking.timeLimit_, milliseconds(600));
+  EXPECT_EQ(booking.mostAttempts_, 2U);
+  const auto& rates = configuration.routes_[1];
+  EXPECT_TRUE(rates.isRepeatable_);
+  EXPECT_EQ(rates.targets_, (std::vector<RouteTarget>{ { "rate", 90 }, { "book", 10 } }));
+  EXPECT_TRUE(configuration.services_[0].isKeyed_);
+  EXPECT_FALSE(configuration.services_[1].isKeyed_);
+  EXPECT_EQ(configuration.services_[1].mostConnections_, 120U);
+}
+
+TEST_F(DecoderOfManifests, OtherRowOfTheTable_IsNoConfiguration)
+{
+  const auto other = decoder_.DecodeConfiguration({ "note", 9, "hello" });
+  ASSERT_TRUE(other);
+  EXPECT_FALSE(other.value());
+}
+
+TEST_F(DecoderOfManifests, MalformedManifest_IsRefusedAndNamesTheField)
+{
+  EXPECT_FALSE(Decode("{"));
+  EXPECT_FALSE(Decode("[]"));
+  const auto noPrefix = Decode(Replace(kManifest, R"("pathPrefix": "/puka/")", R"("path": 1)"));
+  ASSERT_FALSE(noPrefix);
+  EXPECT_NE(noPrefix.error().Describe().find("pathPrefix"), std::string::npos);
+  EXPECT_FALSE(Decode(Replace(kManifest, R"("timeoutMs": 600)", R"("timeoutMs": "long")")));
+  EXPECT_FALSE(Decode(Replace(kManifest, R"("maxAttempts": 2)", R"("maxAttempts": 0)")));
+  EXPECT_FALSE(Decode(Replace(kManifest, R"("clusters")", R"("others")")));
+}
+
+TEST_F(DecoderOfManifests, ServerRecord_IsReadWithItsIdFromTheKey)
+{
+  const auto record =
+    decoder_
+      .DecodeServer({ "i-7f",
+                      42,
+                      R"({"service":"rate","address":"10.0.0.9:80","zone":"a","version":"v1",)"
+                      R"("slots":4,"state":"draining","coldRemainingMs":0,"seq":4})" })
+      .value();
+  EXPECT_EQ(record.id_, "i-7f");
+  EXPECT_EQ(record.revision_, 42U);
+  EXPECT_EQ(record.service_, "rate");
+  EXPECT_EQ(record.address_, "10.0.0.9:80");
+  EXPECT_EQ(record.hall_, "a");
+  EXPECT_EQ(record.slots_, 4U);
+  EXPECT_TRUE(record.isLeaving_);
+}
+
+TEST_F(DecoderOfManifests, MalformedServerRecord_IsRefused)
+{
+  EXPECT_FALSE(decoder_.DecodeServer({ "i-7f", 42, "" }));
+  EXPECT_FALSE(decoder_.DecodeServer({ "i-7f", 42, R"({"service":"rate"})" }));
+}
+
+constexpr std::string_view kSettings = R"({
+  "nodeId": "edge-1", "zone": "hall-a", "unknownField": [1],
+  "listen": {"front": "10.1.0.15:1", "ready": "10.1.0.15:2", "control": "10.1.0.15:3"},
+  "seeds": ["10.1.0.16:3"], "limits": {"cpuShare": 0.2},
+  "bounds": ["retryBudgetRatio=0.2", "budgetExtra=62", "budgetWindowS=10", "graceS=6",
+             "holdMaxMs=3000", "unknown=true"],
+  "platform": {"address": "10.200.1.7:4"}})";
+
+TEST(PlatformSettings, WholeFile_IsReadAndUnknownFieldsAreSkipped)
+{
+  const auto settings = ParseSettings(kSettings).value();
+  EXPECT_EQ(settings.storeAddress_, "10.200.1.7:4");
+  const auto& host = settings.host_;
+  EXPECT_EQ(host.clientAddress_, "10.1.0.15:1");
+  EXPECT_EQ(host.readyAddress_, "10.1.0.15:2");
+  EXPECT_EQ(host.peerAddress_, "10.1.0.15:3");
+  EXPECT_EQ(host.desk_.hall_, "hall-a");
+  EXPECT_EQ(host.desk_.retries_.ratio_, 0.2);
+  EXPECT_EQ(host.desk_.retries_.extra_, 62);
+  EXPECT_EQ(host.stopGrace_, seconds(6));
+  EXPECT_EQ(host.member_.self_.instance_, "edge-1");
+  EXPECT_EQ(host.member_.self_.address_, "10.1.0.15:3");
+  EXPECT_EQ(host.member_.seeds_, std::vector<std::string>{ "10.1.0.16:3" });
+  EXPECT_EQ(host.member_.processorShare_, 0.2);
+}
+
+TEST(PlatformSettings, HoldsAreBounded_TheBoundIsKept)
+{
+  EXPECT_EQ(ParseSettings(kSettings).value().host_.member_.placer_.hold_, seconds(3));
+}
+
+TEST(PlatformSettings, FieldIsMissingOrWrong_ErrorNamesIt)
+{
+  const auto noStore = ParseSettings(Replace(kSettings, R"("platform")", R"("elsewhere")"));
+  ASSERT_FALSE(noStore);
+  EXPECT_EQ(noStore.error().field_, "platform");
+  const auto noNumber = ParseSettings(Replace(kSettings, "graceS=6", "graceS=soon"));
+  ASSERT_FALSE(noNumber);
+  EXPECT_EQ(noNumber.error().field_, "bounds.graceS");
+  EXPECT_FALSE(ParseSettings("not json"));
+  EXPECT_FALSE(ParseSettings(Replace(kSettings, R"("graceS=6")", R"("graceS")")));
+}
+
+TEST(StoreProtocol, PageOfRows_IsReadWithItsValuesDecoded)
+{
+  const auto page = DecodePage(R"({"rows":[{"table":"my","part":"","key":"owner",)"
+                               R"("value":"bm9kZS0x","ver":412},)"
+                               R"({"table":"my","part":"","key":"old","ver":500,"removed":true}],)"
+                               R"("truncated":true,"ver":530,"nowMs":51230})")
+                      .value();
+  EXPECT_EQ(page.version_, 530U);
+  EXPECT_TRUE(page.isTruncated_);
+  EXPECT_EQ(page.rows_[0].row_.value_, "node-1");
+  EXPECT_EQ(page.rows_[0].row_.version_, 412U);
+  EXPECT_TRUE(page.rows_[1].isRemoved_);
+}
+
+TEST(StoreProtocol, MalformedPage_IsRefused)
+{
+  EXPECT_FALSE(DecodePage("{}"));
+  EXPECT_FALSE(DecodePage(R"({"rows":[{"key":"a","value":"%%%","ver":1}],"ver":1})"));
+  EXPECT_FALSE(DecodePage(R"({"rows":[{"value":"bm9k","ver":1}],"ver":1})"));
+}
+
+TEST(StoreProtocol, Transaction_NamesConditionsAndWrites)
+{
+  const auto request = EncodeTransaction({ { { "placer", 3 } }, { { "placer", "node-1" } } });
+  EXPECT_EQ(request.target_, "/api/rows-tx");
+  EXPECT_EQ(*request.body_,
+            R"({"expectedRev":[{"table":"latchslip","part":"","key":"placer","ver":3}],)"
+            R"("puts":[{"table":"latchslip","part":"","key":"placer","value":"bm9kZS0x"}],)"
+            R"("remove":[]})");
+}
+
+class AnswerToATransaction : public testing::Test
+{
+protected:
+  StoreReply Decode(unsigned aStatus, std::string aBody) const
+  {
+    HttpExchange exchange;
+    exchange.end_ = ExchangeEnd::Complete;
+    exchange.response_.status_ = aStatus;
+    exchange.response_.body_ = std::make_shared<const std::string>(std::move(aBody));
+    return DecodeTransaction(transaction_, exchange);
+  }
+
+  const Transaction transaction_{ { { "placer", 3 } }, { { "placer", "node-1" } } };
+};
+
+TEST_F(AnswerToATransaction, Done_TellsTheNewVersion)
+{
+  const auto reply = Decode(200, R"({"ver":412,"nowMs":51230})");
+  EXPECT_EQ(reply.status_, StoreStatus::Done);
+  EXPECT_EQ(FindRow(reply.rows_, "placer")->version_, 412U);
+}
+
+TEST_F(AnswerToATransaction, ConditionFailed_TellsTheRowsAsTheyAre)
+{
+  const auto reply = Decode(412,
+                            R"({"rows":[{"table":"latchslip","part":"","key":"placer",)"
+                            R"("value":"bm9kZS0x","ver":9}],"ver":20,"nowMs":1})");
+  EXPECT_EQ(reply.status_, StoreStatus::Conflict);
+  EXPECT_EQ(FindRow(reply.rows_, "placer")->version_, 9U);
+}
+
+TEST_F(AnswerToATransaction, NotDone_IsCertainOnlyWhenTheStoreSaysSo)
+{
+  EXPECT_EQ(Decode(503, "").status_, StoreStatus::Unavailable);
+  EXPECT_EQ(Decode(429, "").status_, StoreStatus::Unavailable);
+  EXPECT_EQ(Decode(500, "").status_, StoreStatus::Unsure);
+  EXPECT_EQ(Decode(200, "garbage").status_, StoreStatus::Unsure);
+  HttpExchange broken;
+  broken.end_ = ExchangeEnd::Broken;
+  EXPECT_EQ(DecodeTransaction(transaction_, broken).status_, StoreStatus::Unsure);
+  broken.end_ = ExchangeEnd::NotSent;
+  EXPECT_EQ(DecodeTransaction(transaction_, broken).status_, StoreStatus::Unavailable);
+}
+
+} // namespace
+
+} // namespace latchslip::platform
