LibKeys: Give a key too hot to be shared to the strongest server

One key had 34 % of the requests, 5.8 slots of work, and stayed at a server with 6 slots at 0.6 of the speed; moving ranges cannot help there. Also the strength of servers was told from mean latency, which makes a busy one look weak.

Now such a key goes to the strongest server, which is then relieved of others; strength comes from idle and mean latency together. The tests of loads were vacuous, since the first refresh forgot them; mended, with a test that fails without the change.

--- a/Libraries/LibDaemon/GatewayHost.cpp
+++ b/Libraries/LibDaemon/GatewayHost.cpp
@@ -229,7 +229,7 @@
 
   Duration LatencyOf(const std::string& aServer) const override
   {
-    return front_.Desk().MeanLatencyOf(aServer);
+    return front_.Desk().StrengthLatencyOf(aServer);
   }
 
   // What the store says.
--- a/Libraries/LibGateway/RequestDesk.h
+++ b/Libraries/LibGateway/RequestDesk.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <random>
 #include <set>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -56,8 +57,8 @@
 
   std::size_t UnderWay() const { return pending_.size(); }
   std::size_t Waiting() const;
-  // Mean latency of a server's answers; zero when none was seen.
-  Duration MeanLatencyOf(const std::string& aServer) const;
+  // What a server's answers tell of its strength; zero when none was seen.
+  Duration StrengthLatencyOf(const std::string& aServer) const;
 
 private:
   struct Candidate
@@ -72,7 +73,11 @@
     unsigned priority_;
     Instant deadline_;
     RequestNumber number_;
-    auto operator<=>(const QueuePlace&) const = default;
+    bool operator<(const QueuePlace& aOther) const
+    {
+      return std::tie(priority_, deadline_, number_) <
+             std::tie(aOther.priority_, aOther.deadline_, aOther.number_);
+    }
   };
 
   struct ServiceState
--- a/Libraries/LibGateway/ServerChoice.cpp
+++ b/Libraries/LibGateway/ServerChoice.cpp
@@ -113,10 +113,10 @@
 }
 
 Duration
-RequestDesk::MeanLatencyOf(const std::string& aServer) const
+RequestDesk::StrengthLatencyOf(const std::string& aServer) const
 {
   const auto load = loads_.find(aServer);
-  return load == loads_.end() ? Duration(0) : load->second.MeanLatency();
+  return load == loads_.end() ? Duration(0) : load->second.StrengthLatency();
 }
 
 const std::string&
--- a/Libraries/LibGateway/ServerLoad.cpp
+++ b/Libraries/LibGateway/ServerLoad.cpp
@@ -1,6 +1,7 @@
 #include "LibGateway/ServerLoad.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace latchslip {
 
@@ -146,6 +147,13 @@
   return underWay_.empty() ? mean : std::max(mean, Duration(aNow - underWay_.begin()->second));
 }
 
+Duration
+ServerLoad::StrengthLatency() const
+{
+  const auto product = static_cast<double>(mean_.count()) * static_cast<double>(unloaded_.count());
+  return Duration(static_cast<Duration::rep>(std::sqrt(product)));
+}
+
 void
 ServerLoad::LearnLatency(Duration aLatency)
 {
--- a/Libraries/LibGateway/ServerLoad.h
+++ b/Libraries/LibGateway/ServerLoad.h
@@ -54,6 +54,10 @@
   Duration ExpectedLatency(Instant aNow, Duration aDefault) const;
   // Mean latency of answers; zero when none was seen yet.
   Duration MeanLatency() const { return mean_; }
+  // Between the mean latency and that of an idle server: what the server can do,
+  // told from its answers; zero when none was seen yet. The mean alone makes a
+  // busy server look weak, the other notices late that one has become slow.
+  Duration StrengthLatency() const;
   // Recent share of sends that failed, 0 to 1.
   double FailureShare() const { return failureShare_; }
   std::size_t UnderWay() const { return underWay_.size(); }
--- a/Libraries/LibKeys/KeyBalancer.cpp
+++ b/Libraries/LibKeys/KeyBalancer.cpp
@@ -19,6 +19,11 @@
 // the mean and the busiest is within its tolerance.
 constexpr double kLeastPart = 0.75;
 
+// A key that has more than this part of its server's load and cannot be shared
+// goes to the strongest server, if that is stronger by this factor at least.
+constexpr double kDominantPart = 0.5;
+constexpr double kStrongerFactor = 1.25;
+
 // The load of each usable server, in units of its weight.
 class ServerShares
 {
@@ -64,6 +69,25 @@
     return (from.load_ * to.weight_ - to.load_ * from.weight_) / (from.weight_ + to.weight_);
   }
 
+  std::string Strongest() const
+  {
+    const auto weaker = [](const auto& aLeft, const auto& aRight) {
+      return aLeft.second.weight_ < aRight.second.weight_;
+    };
+    return std::max_element(shares_.begin(), shares_.end(), weaker)->first;
+  }
+
+  // Whether a key too hot to be shared is better off at another server, which is
+  // then relieved of its other keys.
+  bool IsBetterPlace(const std::string& aFrom, const std::string& aTo, double aLoad) const
+  {
+    const auto& from = shares_.at(aFrom);
+    const auto& to = shares_.at(aTo);
+    const bool isDominant = aLoad > kDominantPart * from.load_;
+    return isDominant && to.weight_ > kStrongerFactor * from.weight_ &&
+           aLoad / from.weight_ > MeanLevel();
+  }
+
 private:
   struct Share
   {
@@ -146,15 +170,39 @@
 void
 Give(KeyOwnership& aOwnership, const Piece& aPiece, const std::string& aTo)
 {
-  auto& range = aOwnership.ranges_[aPiece.range_];
-  KeyRange given{ aPiece.first_, aPiece.last_, aTo, ++aOwnership.lastFence_, range.owner_ };
-  if (aPiece.last_ == range.last_) {
-    range = std::move(given);
-    return;
+  const auto range = aOwnership.ranges_[aPiece.range_];
+  std::vector<KeyRange> parts;
+  if (range.first_ < aPiece.first_) {
+    parts.push_back(range);
+    parts.back().last_ = aPiece.first_ - 1;
   }
-  range.first_ = aPiece.last_ + 1;
-  aOwnership.ranges_.insert(aOwnership.ranges_.begin() + static_cast<std::ptrdiff_t>(aPiece.range_),
-                            std::move(given));
+  parts.push_back({ aPiece.first_, aPiece.last_, aTo, ++aOwnership.lastFence_, range.owner_ });
+  if (aPiece.last_ < range.last_) {
+    parts.push_back(range);
+    parts.back().first_ = aPiece.last_ + 1;
+  }
+  const auto at = aOwnership.ranges_.begin() + static_cast<std::ptrdiff_t>(aPiece.range_);
+  aOwnership.ranges_.insert(aOwnership.ranges_.erase(at), parts.begin(), parts.end());
+}
+
+// The single key of that server with the most load, as a piece.
+std::optional<Piece>
+HottestKey(const KeyOwnership& aOwnership, const std::string& aServer, const KeyLoad& aLoad)
+{
+  std::optional<Piece> hottest;
+  for (std::size_t index = 0; index < aOwnership.ranges_.size(); ++index) {
+    const auto& range = aOwnership.ranges_[index];
+    if (range.owner_ != aServer || !range.previous_.empty()) {
+      continue;
+    }
+    for (KeyNumber key = range.first_; key <= range.last_; ++key) {
+      const double load = aLoad.Of(key, key);
+      if (!hottest || load > hottest->load_) {
+        hottest = Piece{ index, key, key, load };
+      }
+    }
+  }
+  return hottest;
 }
 
 // Makes one range of neighbours with one owner. The owner holds the keys under
@@ -263,19 +311,24 @@
     const auto to = shares.Least();
     const auto mean = shares.MeanLevel();
     // A server that joined may lie far below while no other lies far above.
-    const bool isEven = shares.Level(from) < settings_.tolerance_ * mean &&
-                        shares.Level(to) > kLeastPart * mean;
+    const bool isEven =
+      shares.Level(from) < settings_.tolerance_ * mean && shares.Level(to) > kLeastPart * mean;
     if (isEven) {
       break;
     }
-    const auto piece =
+    auto receiver = to;
+    auto piece =
       BestPiece(next, from, aLoad, shares.Difference(from, to), next.ranges_.size() < mostRanges);
     if (!piece || piece->load_ < kLeastGain * mean) {
-      break;
+      receiver = shares.Strongest();
+      piece = HottestKey(next, from, aLoad);
+      if (!piece || !shares.IsBetterPlace(from, receiver, piece->load_)) {
+        break;
+      }
     }
-    Give(next, *piece, to);
+    Give(next, *piece, receiver);
     shares.Add(from, -piece->load_);
-    shares.Add(to, piece->load_);
+    shares.Add(receiver, piece->load_);
     isChanged = true;
   }
   if (isChanged && next.ranges_.size() > mostRanges / 2) {
--- a/Libraries/LibKeys/KeyBalancer.h
+++ b/Libraries/LibKeys/KeyBalancer.h
@@ -26,7 +26,7 @@
   // The busiest server may have this multiple of the mean.
   double tolerance_ = 1.25;
   // Ranges that one round moves for load.
-  std::size_t movesARound_ = 4;
+  std::size_t movesARound_ = 8;
 };
 
 // Decides which servers own which keys.
--- a/Libraries/LibKeys/KeyLoad.cpp
+++ b/Libraries/LibKeys/KeyLoad.cpp
@@ -40,7 +40,7 @@
   : loads_(kLastKey + 1, 0)
   , sums_(kLastKey + 2, 0)
 {
-  Refresh(Instant(0));
+  Sum();
 }
 
 void
@@ -60,9 +60,17 @@
   const double factor =
     std::exp2(-static_cast<double>(past.count()) / static_cast<double>(kHalfLife.count()));
   decayedAt_ = aNow;
+  for (auto& load : loads_) {
+    load *= factor;
+  }
+  Sum();
+}
+
+void
+KeyLoad::Sum()
+{
   double sum = 0;
   for (std::size_t key = 0; key < loads_.size(); ++key) {
-    loads_[key] *= factor;
     sums_[key] = sum;
     sum += loads_[key] + kIdleLoad;
   }
--- a/Libraries/LibKeys/KeyLoad.h
+++ b/Libraries/LibKeys/KeyLoad.h
@@ -43,6 +43,8 @@
   void Refresh(Instant aNow);
 
 private:
+  void Sum();
+
   std::vector<double> loads_;
   // sums_[k] is the load of all keys below k, as of the last Refresh.
   std::vector<double> sums_;
--- a/Tests/LibKeys/TestKeyBalancer.cpp
+++ b/Tests/LibKeys/TestKeyBalancer.cpp
@@ -151,6 +151,27 @@
   EXPECT_LE(changes, 1);
 }
 
+TEST_F(KeysOfFourServers, OneKeyIsMostOfTheLoad_ItGoesToTheStrongestWhichIsRelievedOfOthers)
+{
+  servers_[2].weight_ = 1.5;
+  std::vector<KeyCount> counts{ { 77, 500 } };
+  for (KeyNumber key = 0; key < kLastKey; key += 64) {
+    counts.push_back({ key, 1 });
+  }
+  load_.Add(kNow, counts);
+  load_.Refresh(kNow);
+  auto ownership = dealt_;
+  ASSERT_NE(ownership.Find(77)->owner_, "c");
+  for (int round = 0; round < 8; ++round) {
+    if (const auto next = balancer_.EvenOut(ownership, servers_, load_)) {
+      ExpectWhole(*next);
+      ownership = Settle(*next);
+    }
+  }
+  EXPECT_EQ(ownership.Find(77)->owner_, "c");
+  EXPECT_LT(LoadByServer(ownership)["c"], 520);
+}
+
 TEST_F(KeysOfFourServers, ServerJoins_GetsItsPart)
 {
   servers_ = MakeServers({ "a", "b", "c", "d", "e" });
