--- a/Libraries/LibBase/Event.cpp
+++ b/Libraries/LibBase/Event.cpp
@@ -59,6 +59,7 @@
   EventName{ Event::ServerUnlisted, "ServerUnlisted" },
   EventName{ Event::RecordRejected, "RecordRejected" },
   EventName{ Event::ViewFromPeer, "ViewFromPeer" },
+  EventName{ Event::FollowingChanged, "FollowingChanged" },
   EventName{ Event::OwnershipSeen, "OwnershipSeen" },
   EventName{ Event::OwnershipWritten, "OwnershipWritten" },
   EventName{ Event::KeysCleared, "KeysCleared" },
--- a/Libraries/LibBase/Event.h
+++ b/Libraries/LibBase/Event.h
@@ -61,6 +61,7 @@
   ServerUnlisted = 613,
   RecordRejected = 614,
   ViewFromPeer = 615,
+  FollowingChanged = 616,
   OwnershipSeen = 620,
   OwnershipWritten = 621,
   KeysCleared = 622,
--- a/Libraries/LibFleet/FleetMember.cpp
+++ b/Libraries/LibFleet/FleetMember.cpp
@@ -46,12 +46,21 @@
 FleetMember::OnView(Instant aNow, const TableView& aView)
 {
   storeHeardAt_ = aNow;
+  const auto before = view_.LastChanges();
   if (!view_.Take(aNow, aView)) {
     return;
   }
-  if (election_.IsPlacer() && aView.table_ != FleetTable::Fleet && !aView.rows_.empty()) {
-    FleetNews news;
+  if (!election_.IsPlacer() || aView.rows_.empty()) {
+    return;
+  }
+  FleetNews news;
+  if (aView.table_ == FleetTable::Servers) {
     news.views_.push_back(aView);
+    // The others have heard of the last change, not of the quiet since.
+    news.views_.back().base_ = before.at(static_cast<std::size_t>(aView.table_));
+    Spread(news);
+  } else if (aView.table_ == FleetTable::Configuration) {
+    news.configurationChange_ = view_.LastChanges().front();
     Spread(news);
   }
 }
@@ -74,8 +83,13 @@
                    "tables=" + std::to_string(aNews.views_.size()) +
                      " following=" + std::string(kFollowingNames.NameOf(following_)));
   }
-  if (!view_.Take(aNow, aNews, ownRowsOnly) && election_.Current()) {
-    actions_.FetchNews(election_.Current()->address_, view_.Versions());
+  if (!view_.Take(aNow, aNews, ownRowsOnly)) {
+    // Some were missed; the store has them all.
+    relay_.OnFailure();
+    ChooseFollowing(aNow);
+  }
+  if (aNews.configurationChange_ > view_.Versions().front() && following_ == Following::Relayed) {
+    actions_.Refresh(FleetTable::Configuration);
   }
 }
 
@@ -173,6 +187,9 @@
     return;
   }
   following_ = following;
+  events_.Record(Event::FollowingChanged,
+                 "following=" + std::string(kFollowingNames.NameOf(following)) +
+                   " store_heard_ago_us=" + std::to_string((aNow - storeHeardAt_).count()));
   actions_.Follow(following, view_.Versions());
   if (following == Following::Relayed) {
     OnStoreRegained(aNow);
--- a/Libraries/LibFleet/FleetMember.h
+++ b/Libraries/LibFleet/FleetMember.h
@@ -24,6 +24,8 @@
 
   // The answer goes to OnTransactEnded.
   virtual void Transact(const Transaction& aTransaction) = 0;
+  // Reads a table of the store once.
+  virtual void Refresh(FleetTable aTable) = 0;
   // How the store is to be followed from now on.
   virtual void Follow(Following aHow, const TableVersions& aKnown) = 0;
   // The answer goes to OnOrderEnded.
--- a/Libraries/LibFleet/FleetReport.cpp
+++ b/Libraries/LibFleet/FleetReport.cpp
@@ -98,7 +98,7 @@
 {
   return boost::json::serialize(boost::json::object{
     { "working", aAnswer.isWorking_ },
-    { "versions", VersionsToJson(aAnswer.versions_) },
+    { "versions", VersionsToJson(aAnswer.lastChanges_) },
     { "instances", boost::json::array(aAnswer.instances_.begin(), aAnswer.instances_.end()) } });
 }
 
@@ -109,7 +109,7 @@
   BOOST_OUTCOME_TRY(const auto reader, JsonReader::Create(value, ""));
   ReportAnswer answer;
   BOOST_OUTCOME_TRY(answer.isWorking_, reader.FlagOr("working", false));
-  BOOST_OUTCOME_TRY(answer.versions_, VersionsFromJson(value.as_object()));
+  BOOST_OUTCOME_TRY(answer.lastChanges_, VersionsFromJson(value.as_object()));
   BOOST_OUTCOME_TRY(const auto* instances, reader.List("instances"));
   for (const auto& instance : *instances) {
     if (!instance.is_string()) {
--- a/Libraries/LibFleet/FleetReport.h
+++ b/Libraries/LibFleet/FleetReport.h
@@ -30,8 +30,8 @@
   bool isWorking_ = false;
   // Where the instances are reached that it has heard lately, itself included.
   std::vector<std::string> instances_;
-  // How new its copy of each table is.
-  TableVersions versions_{};
+  // The last change of each table that it knows.
+  TableVersions lastChanges_{};
 };
 
 std::string
--- a/Libraries/LibFleet/FleetStore.h
+++ b/Libraries/LibFleet/FleetStore.h
@@ -45,6 +45,8 @@
 
   // Begins to follow the tables alone, each from what it holds now.
   virtual void Start(FleetStoreListener& aListener) = 0;
+  // Reads a table once, while it is not followed.
+  virtual void Refresh(FleetTable aTable) = 0;
   // Goes on in another way, from the versions that are known by now.
   virtual void Follow(Following aHow, const TableVersions& aKnown) = 0;
   virtual void Stop() = 0;
--- a/Libraries/LibFleet/FleetView.cpp
+++ b/Libraries/LibFleet/FleetView.cpp
@@ -222,6 +222,16 @@
            fleet };
 }
 
+TableVersions
+FleetView::LastChanges() const
+{
+  auto versions = Versions();
+  for (const auto table : { FleetTable::Configuration, FleetTable::Servers }) {
+    versions.at(static_cast<std::size_t>(table)) = mirror_.LastChangeOf(table);
+  }
+  return versions;
+}
+
 const FleetView::OwnedService*
 FleetView::OwnersOf(const std::string& aService) const
 {
--- a/Libraries/LibFleet/FleetView.h
+++ b/Libraries/LibFleet/FleetView.h
@@ -75,7 +75,10 @@
   // All that somebody who has these versions lacks.
   FleetNews NewsSince(const TableVersions& aVersions) const;
 
+  // As of which version of the store each table is known.
   TableVersions Versions() const;
+  // The last change of each table that is known.
+  TableVersions LastChanges() const;
   bool IsKnown(FleetTable aTable) const { return mirror_.IsKnown(aTable); }
   const std::shared_ptr<const RouteTable>& Routes() const { return routes_; }
   ServerDirectory& Directory() { return directory_; }
--- a/Libraries/LibFleet/PlacerDuty.cpp
+++ b/Libraries/LibFleet/PlacerDuty.cpp
@@ -325,7 +325,7 @@
   for (const auto& [address, heardAt] : heardInstances_) {
     answer.instances_.push_back(address);
   }
-  answer.versions_ = view_.Versions();
+  answer.lastChanges_ = view_.LastChanges();
   if (!election_.IsPlacer()) {
     return answer;
   }
@@ -362,10 +362,7 @@
     return;
   }
   election_.OnPlacerHeard(aNow);
-  relay_.OnAnswer(aNow, aAnswer->versions_);
-  if (relay_.IsBehind(view_.Versions()) && election_.Current()) {
-    actions_.FetchNews(election_.Current()->address_, view_.Versions());
-  }
+  relay_.OnAnswer(aNow, aAnswer->lastChanges_, view_.Versions());
   if (!aAnswer->instances_.empty()) {
     instances_ = aAnswer->instances_;
     actions_.OnInstances(instances_.size());
--- a/Libraries/LibFleet/RelayWatch.cpp
+++ b/Libraries/LibFleet/RelayWatch.cpp
@@ -9,33 +9,44 @@
 // after which a leaving server must get no new work.
 constexpr Duration kAnswerBound = milliseconds(1500);
 
+// News and the answer to a report travel apart; for this long after an answer
+// the news that it mentions may still be on their way.
+constexpr Duration kNewsTime = milliseconds(400);
+
 } // namespace
 
 void
-RelayWatch::OnAnswer(Instant aNow, const TableVersions& aVersions)
+RelayWatch::OnAnswer(Instant aNow, const TableVersions& aLastChanges, const TableVersions& aKnown)
 {
+  const bool wasRelayed = IsRelayed(aNow, aKnown);
   isAnswered_ = true;
   answeredAt_ = aNow;
-  versions_ = aVersions;
+  lastChanges_ = aLastChanges;
+  isCatchingUp_ = wasRelayed && IsBehind(aKnown, aLastChanges);
 }
 
 void
 RelayWatch::OnFailure()
 {
   isAnswered_ = false;
+  isCatchingUp_ = false;
 }
 
 bool
 RelayWatch::IsRelayed(Instant aNow, const TableVersions& aKnown) const
 {
-  return isAnswered_ && aNow - answeredAt_ < kAnswerBound && !IsBehind(aKnown);
+  if (!isAnswered_ || aNow - answeredAt_ >= kAnswerBound) {
+    return false;
+  }
+  const bool mayCatchUp = isCatchingUp_ && aNow - answeredAt_ < kNewsTime;
+  return mayCatchUp || !IsBehind(aKnown, lastChanges_);
 }
 
 bool
-RelayWatch::IsBehind(const TableVersions& aKnown) const
+RelayWatch::IsBehind(const TableVersions& aKnown, const TableVersions& aLastChanges)
 {
   for (std::size_t index = 0; index < kFleetTables; ++index) {
-    if (aKnown.at(index) < versions_.at(index)) {
+    if (aKnown.at(index) < aLastChanges.at(index)) {
       return true;
     }
   }
--- a/Libraries/LibFleet/RelayWatch.h
+++ b/Libraries/LibFleet/RelayWatch.h
@@ -11,21 +11,24 @@
 class RelayWatch
 {
 public:
-  // An answer of a placer that reaches the store, with its versions.
-  void OnAnswer(Instant aNow, const TableVersions& aVersions);
+  // An answer of a placer that reaches the store, with the last changes that it
+  // knows.
+  void OnAnswer(Instant aNow, const TableVersions& aLastChanges, const TableVersions& aKnown);
   // A report was not answered, or by one that does not reach the store; or the
-  // placer is another one now.
+  // placer is another one now, or some of its news did not arrive.
   void OnFailure();
 
   // Whether aKnown is as new as the placer's copy was a short time ago.
   bool IsRelayed(Instant aNow, const TableVersions& aKnown) const;
-  // Whether the placer knows more.
-  bool IsBehind(const TableVersions& aKnown) const;
 
 private:
+  static bool IsBehind(const TableVersions& aKnown, const TableVersions& aLastChanges);
+
   bool isAnswered_ = false;
+  // The news had not all arrived at the last answer, though they had before.
+  bool isCatchingUp_ = false;
   Instant answeredAt_{ 0 };
-  TableVersions versions_{};
+  TableVersions lastChanges_{};
 };
 
 } // namespace latchslip
--- a/Libraries/LibFleet/RowMirror.cpp
+++ b/Libraries/LibFleet/RowMirror.cpp
@@ -1,5 +1,6 @@
 #include "LibFleet/RowMirror.h"
 
+#include <algorithm>
 #include <set>
 
 namespace latchslip {
@@ -31,6 +32,9 @@
       changes.push_back(change);
     }
   }
+  for (const auto& change : changes) {
+    table.lastChange_ = std::max(table.lastChange_, change.row_.version_);
+  }
   table.isKnown_ = true;
   table.version_ = aView.version_;
   return changes;
--- a/Libraries/LibFleet/RowMirror.h
+++ b/Libraries/LibFleet/RowMirror.h
@@ -59,6 +59,9 @@
   std::optional<std::vector<RowChange>> Apply(const TableView& aView);
 
   RowVersion VersionOf(FleetTable aTable) const { return Of(aTable).version_; }
+  // The version of the last change that is known; the table may be as of a later
+  // one that brought none.
+  RowVersion LastChangeOf(FleetTable aTable) const { return Of(aTable).lastChange_; }
   bool IsKnown(FleetTable aTable) const { return Of(aTable).isKnown_; }
   // The row of that key; null when there is none.
   const Row* Find(FleetTable aTable, const std::string& aKey) const;
@@ -69,6 +72,7 @@
   struct Table
   {
     RowVersion version_ = 0;
+    RowVersion lastChange_ = 0;
     bool isKnown_ = false;
     std::map<std::string, Row> rows_;
   };
--- a/Tests/LibFleet/TestFleetParts.cpp
+++ b/Tests/LibFleet/TestFleetParts.cpp
@@ -46,6 +46,13 @@
   EXPECT_EQ(ValueOf("b"), "");
 }
 
+TEST_F(MirrorOfTwoRows, NothingChangesForAWhile_LastChangeStays)
+{
+  mirror_.Apply(MakeView(15, false, 10, {}));
+  EXPECT_EQ(mirror_.VersionOf(FleetTable::Servers), 15U);
+  EXPECT_EQ(mirror_.LastChangeOf(FleetTable::Servers), 9U);
+}
+
 TEST_F(MirrorOfTwoRows, OlderViewComes_NothingChanges)
 {
   EXPECT_TRUE(mirror_.Apply(MakeView(9, true, 0, {}))->empty());
@@ -140,7 +147,7 @@
 {
   RelayWatch watch;
   EXPECT_FALSE(watch.IsRelayed(kNow, { 5, 5, 5 }));
-  watch.OnAnswer(kNow, { 5, 5, 5 });
+  watch.OnAnswer(kNow, { 5, 5, 5 }, { 5, 6, 5 });
   EXPECT_TRUE(watch.IsRelayed(kNow + seconds(1), { 5, 6, 5 }));
   EXPECT_FALSE(watch.IsRelayed(kNow + seconds(2), { 5, 6, 5 }));
 }
@@ -148,15 +155,25 @@
 TEST(RelayWatch, PlacerKnowsMore_IsNotRelayedBeforeItIsCaughtUp)
 {
   RelayWatch watch;
-  watch.OnAnswer(kNow, { 5, 7, 5 });
+  watch.OnAnswer(kNow, { 5, 7, 5 }, { 5, 6, 5 });
   EXPECT_FALSE(watch.IsRelayed(kNow, { 5, 6, 5 }));
   EXPECT_TRUE(watch.IsRelayed(kNow, { 5, 7, 5 }));
 }
 
+TEST(RelayWatch, AnswerOvertakesNews_IsRelayedWhileTheyMayStillCome)
+{
+  RelayWatch watch;
+  watch.OnAnswer(kNow, { 5, 6, 5 }, { 5, 6, 5 });
+  watch.OnAnswer(kNow + seconds(1), { 5, 9, 5 }, { 5, 6, 5 });
+  EXPECT_TRUE(watch.IsRelayed(kNow + milliseconds(1300), { 5, 6, 5 }));
+  EXPECT_FALSE(watch.IsRelayed(kNow + milliseconds(1500), { 5, 6, 5 }));
+  EXPECT_TRUE(watch.IsRelayed(kNow + milliseconds(1500), { 5, 9, 5 }));
+}
+
 TEST(RelayWatch, ReportFails_IsNotRelayedAnyMore)
 {
   RelayWatch watch;
-  watch.OnAnswer(kNow, { 5, 5, 5 });
+  watch.OnAnswer(kNow, { 5, 5, 5 }, { 5, 5, 5 });
   watch.OnFailure();
   EXPECT_FALSE(watch.IsRelayed(kNow, { 5, 5, 5 }));
 }
@@ -165,6 +182,7 @@
 {
   FleetNews news;
   news.isLastForNow_ = true;
+  news.configurationChange_ = 17;
   news.views_.push_back(
     MakeView(12, false, 10, { { { "a", 11, "va\"lue" }, false }, { { "b", 12, "" }, true } }));
   news.placer_ = Row{ "placer", 3, "{}" };
@@ -172,6 +190,7 @@
   news.doubts_.push_back({ "s1", seconds(17) });
   const auto read = ParseNews(SerializeNews(news)).value();
   EXPECT_TRUE(read.isLastForNow_);
+  EXPECT_EQ(read.configurationChange_, 17U);
   ASSERT_EQ(read.views_.size(), 1U);
   EXPECT_EQ(read.views_[0].base_, 10U);
   EXPECT_EQ(read.views_[0].rows_[0].row_.value_, "va\"lue");
