--- a/Libraries/LibDaemon/GatewayHost.cpp
+++ b/Libraries/LibDaemon/GatewayHost.cpp
@@ -15,13 +15,14 @@
 constexpr Duration kStep = milliseconds(50);
 // Between two looks for idle connections that servers are about to close.
 constexpr Duration kPruneInterval = seconds(1);
+// A stopping instance tells clients to close their connections from this time
+// on: earlier, many would come back to it.
+constexpr Duration kTellClients = milliseconds(1200);
 // The balancer asks every second and takes an instance out after two refusals;
 // until then, and a little for connections on their way, clients still come.
-constexpr Duration kBalancerNotice = milliseconds(2300);
-// Clients whose connections are idle are told to close only by the close itself.
-// It comes this long before the grace ends, so that what they sent just before
-// can still be answered.
-constexpr Duration kAnsweringTime = milliseconds(2500);
+// Then idle connections are closed and nothing more is taken: what is taken later
+// than three seconds after the stop must end within the grace.
+constexpr Duration kBalancerNotice = milliseconds(2600);
 // A stop ends this long before the grace, whatever is under way.
 constexpr Duration kLastMoments = milliseconds(400);
 // An order to a server that is not answered in this time counts as unanswered.
@@ -142,11 +143,11 @@
   bool ContinueLeaving(Instant aNow)
   {
     const auto past = aNow - leavingSince_;
-    if (past < kBalancerNotice) {
+    if (past < kTellClients) {
       return false;
     }
     clientServer_->BeginDrain();
-    if (!isClosing_ && past >= std::max(kBalancerNotice, settings_.stopGrace_ - kAnsweringTime)) {
+    if (!isClosing_ && past >= kBalancerNotice) {
       isClosing_ = true;
       clientServer_->BeginClose();
     }
