LibFleet: Keep a living placer through an outage of the whole store

Each takeover raises all fences and grants all ranges anew. A placer that answers now counts as heard while the store is away from here too.

--- a/Libraries/LibFleet/PlacerDuty.cpp
+++ b/Libraries/LibFleet/PlacerDuty.cpp
@@ -357,11 +357,15 @@
 void
 FleetMember::OnReportAnswered(Instant aNow, const std::optional<ReportAnswer>& aAnswer)
 {
+  // A placer without the store is as good as any other while the store is away
+  // from here as well; to replace it at the store's return would help nobody.
+  if (aAnswer && (aAnswer->isWorking_ || isStoreLost_)) {
+    election_.OnPlacerHeard(aNow);
+  }
   if (!aAnswer || !aAnswer->isWorking_) {
     relay_.OnFailure();
     return;
   }
-  election_.OnPlacerHeard(aNow);
   relay_.OnAnswer(aNow, aAnswer->lastChanges_, view_.Versions());
   if (!aAnswer->instances_.empty()) {
     instances_ = aAnswer->instances_;
--- a/Tests/LibFleet/TestFleetMember.cpp
+++ b/Tests/LibFleet/TestFleetMember.cpp
@@ -348,6 +348,33 @@
   EXPECT_EQ(fleet_.transactions_.size(), 1U);
 }
 
+TEST_F(MemberOfAFleet, StoreReturnsAfterAnOutageOfAll_LivingPlacerIsNotReplaced)
+{
+  ShowTables();
+  Show(FleetTable::Fleet, 7, { { "placer", 7, Placer("i2", kOther) } });
+  AnswerReports(seconds(2), { 5, 6, 7 });
+  member_.OnStoreLost(now_);
+  for (int round = 0; round < 100; ++round) {
+    Pass(milliseconds(50));
+    member_.OnReportAnswered(now_, ReportAnswer{ false, { kSelf, kOther }, {} });
+  }
+  member_.OnStoreRegained(now_);
+  Pass(seconds(1));
+  EXPECT_TRUE(fleet_.transactions_.empty());
+}
+
+TEST_F(MemberOfAFleet, PlacerAloneLosesTheStore_IsReplaced)
+{
+  ShowTables();
+  Show(FleetTable::Fleet, 7, { { "placer", 7, Placer("i2", kOther) } });
+  AnswerReports(seconds(2), { 5, 6, 7 });
+  for (int round = 0; round < 60; ++round) {
+    Pass(milliseconds(50));
+    member_.OnReportAnswered(now_, ReportAnswer{ false, { kSelf, kOther }, {} });
+  }
+  EXPECT_EQ(fleet_.transactions_.size(), 1U);
+}
+
 TEST_F(MemberOfAFleet, PlacerSaysItLostTheStore_StoreIsFollowedAtOnce)
 {
   ShowTables();
