--- /dev/null
+++ b/Libraries/LibDaemon/LineLog.cpp
@@ -0,0 +1,146 @@
+#include "LibDaemon/LineLog.h"
+
+#include "LibNet/MonotonicClock.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace latchslip {
+
+namespace {
+
+// Between two lines that say how many were dropped.
+constexpr Duration kTellInterval = seconds(1);
+
+enum class LineClass
+{
+  Success,
+  Failure,
+  State,
+};
+
+LineClass
+ClassOf(Event aEvent)
+{
+  switch (aEvent) {
+    case Event::GatewayAnswer:
+      return LineClass::Success;
+    case Event::GatewayRefusal:
+    case Event::GatewayRetry:
+      return LineClass::Failure;
+    default:
+      return LineClass::State;
+  }
+}
+
+// Microseconds since the epoch, for people and for joining logs; nothing is
+// decided by it.
+std::int64_t
+TimeOfDay()
+{
+  return duration_cast<microseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+} // namespace
+
+bool
+LineLog::Allowance::Take(Instant aNow, double aPerSecond)
+{
+  constexpr double kMicrosecond = 1e-6;
+  const auto past = static_cast<double>((aNow - filledAt_).count()) * kMicrosecond;
+  left_ = std::min(aPerSecond, left_ + past * aPerSecond);
+  filledAt_ = aNow;
+  if (left_ < 1) {
+    return false;
+  }
+  left_ -= 1;
+  return true;
+}
+
+LineLog::LineLog(int aDescriptor, std::string aInstance, LineLogLimits aLimits)
+  : descriptor_(aDescriptor)
+  , instance_(std::move(aInstance))
+  , limits_(aLimits)
+{
+  const auto flags = ::fcntl(descriptor_, F_GETFL);
+  if (flags >= 0) {
+    ::fcntl(descriptor_, F_SETFL, flags | O_NONBLOCK);
+  }
+}
+
+void
+LineLog::Record(Event aEvent, std::string_view aDetail)
+{
+  const auto now = MonotonicNow();
+  const auto number = static_cast<std::size_t>(aEvent);
+  if (number < counts_.size()) {
+    ++counts_.at(number);
+  }
+  const auto kind = ClassOf(aEvent);
+  const auto perSecond = kind == LineClass::State ? limits_.stateLines_ : limits_.requestLines_;
+  if (!allowances_.at(static_cast<std::size_t>(kind)).Take(now, perSecond)) {
+    ++dropped_;
+    return;
+  }
+  TellDropped(now);
+  Append(now, aEvent, aDetail);
+}
+
+void
+LineLog::TellDropped(Instant aNow)
+{
+  if (dropped_ == toldDropped_ || aNow < nextTell_) {
+    return;
+  }
+  nextTell_ = aNow + kTellInterval;
+  const auto count = dropped_ - toldDropped_;
+  toldDropped_ = dropped_;
+  Append(aNow, Event::LogLinesDropped, "count=" + std::to_string(count));
+}
+
+void
+LineLog::Append(Instant, Event aEvent, std::string_view aDetail)
+{
+  std::string line = "time_us=" + std::to_string(TimeOfDay()) + " instance=" + instance_ +
+                     " event=E" + std::to_string(static_cast<int>(aEvent)) +
+                     " name=" + std::string(NameOf(aEvent));
+  if (!aDetail.empty()) {
+    line += ' ';
+    line += aDetail;
+  }
+  // Values come from outside in part; none may begin a line of its own.
+  std::replace_if(
+    line.begin(), line.end(), [](unsigned char aByte) { return aByte < ' '; }, '?');
+  line += '\n';
+  if (waiting_.size() + line.size() > limits_.waitingBytes_) {
+    ++dropped_;
+    return;
+  }
+  waiting_ += line;
+}
+
+void
+LineLog::Flush()
+{
+  while (!waiting_.empty()) {
+    const auto count = ::write(descriptor_, waiting_.data(), waiting_.size());
+    if (count < 0 && errno == EINTR) {
+      continue;
+    }
+    if (count <= 0) {
+      return;
+    }
+    waiting_.erase(0, static_cast<std::size_t>(count));
+  }
+}
+
+std::uint64_t
+LineLog::CountOf(Event aEvent) const
+{
+  const auto number = static_cast<std::size_t>(aEvent);
+  return number < counts_.size() ? counts_.at(number) : 0;
+}
+
+} // namespace latchslip
--- /dev/null
+++ b/Tests/LibDaemon/TestLineLog.cpp
@@ -0,0 +1,108 @@
+#include "LibDaemon/GatewayMetrics.h"
+#include "LibDaemon/LineLog.h"
+
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+namespace latchslip {
+
+namespace {
+
+class LogIntoAPipe : public testing::Test
+{
+protected:
+  LogIntoAPipe()
+  {
+    EXPECT_EQ(::pipe(ends_), 0);
+    ::fcntl(ends_[0], F_SETFL, O_NONBLOCK);
+  }
+  ~LogIntoAPipe() override
+  {
+    ::close(ends_[0]);
+    ::close(ends_[1]);
+  }
+
+  std::string Read()
+  {
+    std::string text;
+    char bytes[4096];
+    for (auto count = ::read(ends_[0], bytes, sizeof(bytes)); count > 0;
+         count = ::read(ends_[0], bytes, sizeof(bytes))) {
+      text.append(bytes, static_cast<std::size_t>(count));
+    }
+    return text;
+  }
+
+  int ends_[2]{};
+};
+
+TEST_F(LogIntoAPipe, EventIsRecorded_IsOneLineOfWords)
+{
+  LineLog log(ends_[1], "edge-1", {});
+  log.Record(Event::StoreRecovered, "following=alone");
+  log.Flush();
+  const auto text = Read();
+  EXPECT_NE(text.find(" instance=edge-1 event=E131 name=StoreRecovered following=alone\n"),
+            std::string::npos)
+    << text;
+}
+
+TEST_F(LogIntoAPipe, ValueHoldsALineBreak_LineStaysOne)
+{
+  LineLog log(ends_[1], "edge-1", {});
+  log.Record(Event::GatewayRefusal, "request=a\nevent=E1 forged");
+  log.Flush();
+  const auto text = Read();
+  EXPECT_EQ(std::count(text.begin(), text.end(), '\n'), 1);
+}
+
+TEST_F(LogIntoAPipe, NobodyReads_RecordingGoesOnAndTheRestIsCounted)
+{
+  LineLogLimits limits;
+  limits.stateLines_ = 1e9;
+  LineLog log(ends_[1], "edge-1", limits);
+  constexpr int kEvents = 20000;
+  for (int index = 0; index < kEvents; ++index) {
+    log.Record(Event::ServerListed, "server=" + std::string(50, 'x'));
+    log.Flush();
+  }
+  EXPECT_GT(log.Dropped(), 0U);
+  EXPECT_EQ(log.CountOf(Event::ServerListed), static_cast<std::uint64_t>(kEvents));
+}
+
+TEST_F(LogIntoAPipe, ManySuccesses_FailuresAreStillWritten)
+{
+  LineLogLimits limits;
+  limits.requestLines_ = 10;
+  LineLog log(ends_[1], "edge-1", limits);
+  for (int index = 0; index < 1000; ++index) {
+    log.Record(Event::GatewayAnswer, "request=good");
+  }
+  log.Record(Event::GatewayRefusal, "request=bad");
+  log.Flush();
+  const auto text = Read();
+  EXPECT_NE(text.find("request=bad"), std::string::npos);
+  EXPECT_NE(text.find("LogLinesDropped count="), std::string::npos);
+  EXPECT_LT(std::count(text.begin(), text.end(), '\n'), 30);
+}
+
+TEST_F(LogIntoAPipe, Metrics_CountAnswersLatenciesAndEvents)
+{
+  LineLog log(ends_[1], "edge-1", {});
+  log.Record(Event::GatewayRefusal, "");
+  GatewayMetrics metrics;
+  metrics.OnAnswer(200, milliseconds(30));
+  metrics.OnAnswer(200, milliseconds(90));
+  metrics.OnAnswer(503, milliseconds(1));
+  const auto text = metrics.Render(log, { { "requests_waiting", 3 } });
+  EXPECT_NE(text.find("latchslip_answers_total{status=\"200\"} 2\n"), std::string::npos) << text;
+  EXPECT_NE(text.find("latchslip_latency_ms_bucket{le=\"50\"} 2\n"), std::string::npos) << text;
+  EXPECT_NE(text.find("latchslip_latency_ms_bucket{le=\"+Inf\"} 3\n"), std::string::npos);
+  EXPECT_NE(text.find("latchslip_events_total{event=\"GatewayRefusal\"} 1\n"), std::string::npos);
+  EXPECT_NE(text.find("latchslip_requests_waiting 3\n"), std::string::npos);
+}
+
+} // namespace
+
+} // namespace latchslip
