--- /dev/null
+++ b/Benchmarks/BenchGateway.cpp
@@ -0,0 +1,132 @@
+// The gateway's decisions, by the count of servers.
+
+#include "LibGateway/RequestDesk.h"
+#include "LibKeys/KeyBalancer.h"
+#include "LibKeys/OwnershipPlacer.h"
+
+#include <benchmark/benchmark.h>
+
+namespace latchslip {
+
+namespace {
+
+class SilentEvents : public EventSink
+{
+public:
+  void Record(Event, std::string_view) override {}
+};
+
+class CountedActions : public RequestActions
+{
+public:
+  void Send(const AttemptOrder& aOrder) override { last_ = aOrder.number_; }
+  void Cancel(AttemptNumber) override {}
+  void Deliver(RequestNumber, AttemptNumber) override { ++delivered_; }
+  void Refuse(RequestNumber, const Refusal&) override {}
+
+  AttemptNumber last_ = 0;
+  std::uint64_t delivered_ = 0;
+};
+
+std::shared_ptr<const RouteTable>
+MakeRoutes(bool aIsKeyed)
+{
+  RoutingConfiguration configuration;
+  configuration.version_ = 1;
+  configuration.services_ = { { "rates", 500, aIsKeyed } };
+  Route route;
+  route.host_ = "a.example";
+  route.pathPrefix_ = "/rates/";
+  route.isRepeatable_ = true;
+  route.mostAttempts_ = 2;
+  route.targets_ = { { "rates", 1 } };
+  configuration.routes_ = { route };
+  return std::make_shared<const RouteTable>(RouteTable::Create(configuration).value());
+}
+
+std::vector<KeyServer>
+MakeServers(std::size_t aCount)
+{
+  std::vector<KeyServer> servers;
+  for (std::size_t index = 0; index < aCount; ++index) {
+    const auto id = "i-" + std::to_string(index);
+    servers.push_back({ id, "10.0.0.1:" + std::to_string(8000 + index), 4, true });
+  }
+  return servers;
+}
+
+// All decisions of one request that is sent and answered.
+void
+DecideRequests(benchmark::State& aState, bool aIsKeyed)
+{
+  const auto servers = MakeServers(static_cast<std::size_t>(aState.range(0)));
+  SilentEvents events;
+  CountedActions actions;
+  ServerDirectory directory;
+  Instant now = seconds(100);
+  for (const auto& server : servers) {
+    directory.Put(now, { server.id_, "rates", server.address_, "hall", 4, false, 1 });
+  }
+  RequestDesk desk({ "hall", {}, 1 }, directory, actions, events);
+  desk.SetInstances(10);
+  desk.SetRoutes(now, MakeRoutes(aIsKeyed));
+  desk.SetOwnership(now, KeyBalancer::DealAll("rates", 0, servers));
+  RequestNumber number = 0;
+  for (auto _ : aState) {
+    ++number;
+    now += microseconds(500);
+    RoutedRequest request;
+    request.number_ = number;
+    request.host_ = "a.example";
+    request.path_ = "/rates/1";
+    request.key_ = static_cast<KeyNumber>((number * 7919) % (kLastKey + 1));
+    desk.OnRequest(now, std::move(request));
+    desk.OnAttemptEnded(now + microseconds(300), actions.last_, { AttemptEnd::Answered, 200 });
+  }
+  aState.counters["answered_share"] =
+    static_cast<double>(actions.delivered_) / static_cast<double>(number);
+}
+
+void
+BM_GatewayRequest(benchmark::State& aState)
+{
+  DecideRequests(aState, false);
+}
+BENCHMARK(BM_GatewayRequest)->Arg(10)->Arg(100)->Arg(1000);
+
+void
+BM_GatewayKeyedRequest(benchmark::State& aState)
+{
+  DecideRequests(aState, true);
+}
+BENCHMARK(BM_GatewayKeyedRequest)->Arg(10)->Arg(100)->Arg(1000);
+
+// One round of evening out when a run of keys has become hot.
+void
+BM_EvenOutKeys(benchmark::State& aState)
+{
+  const auto servers = MakeServers(static_cast<std::size_t>(aState.range(0)));
+  const auto ownership = KeyBalancer::DealAll("rates", 0, servers);
+  KeyLoad load;
+  std::vector<KeyCount> counts;
+  for (KeyNumber key = 1000; key < 1200; ++key) {
+    counts.push_back({ key, 50 });
+  }
+  load.Add(seconds(1), counts);
+  load.Refresh(seconds(1));
+  const KeyBalancer balancer{ {} };
+  std::size_t moved = 0;
+  for (auto _ : aState) {
+    const auto next = balancer.EvenOut(ownership, servers, load);
+    moved = next ? ChangesBetween(ownership, *next).ranges_.size() : 0;
+  }
+  aState.counters["ranges_changed"] = static_cast<double>(moved);
+  aState.counters["row_bytes_per_range"] =
+    static_cast<double>(SerializeOwnership(ownership).size()) /
+    static_cast<double>(ownership.ranges_.size());
+}
+BENCHMARK(BM_EvenOutKeys)->Arg(10)->Arg(100)->Arg(400);
+
+} // namespace
+
+} // namespace latchslip
