--- a/Libraries/LibGateway/ServerChoice.cpp
+++ b/Libraries/LibGateway/ServerChoice.cpp
@@ -10,7 +10,7 @@
 
 // What a server in another data hall costs more than one in the same: bytes
 // between halls are paid for, and the way is longer.
-constexpr double kOtherHallCost = 1.3;
+constexpr double kOtherHallCost = 1.7;
 // How much a failing server is avoided: one that fails every request counts as
 // this many times as slow.
 constexpr double kFailureCost = 15;
