--- a/Libraries/LibKeys/KeyBalancer.cpp
+++ b/Libraries/LibKeys/KeyBalancer.cpp
@@ -1,7 +1,8 @@
 #include "LibKeys/KeyBalancer.h"
 
+#include "LibKeys/ServerShares.h"
+
 #include <algorithm>
-#include <map>
 
 namespace latchslip {
 
@@ -19,98 +20,6 @@
 // the mean and the busiest is within its tolerance.
 constexpr double kLeastPart = 0.75;
 
-// A key that has more than this part of its server's load and cannot be shared
-// goes to the strongest server, if that is stronger by this factor at least.
-constexpr double kDominantPart = 0.5;
-constexpr double kStrongerFactor = 1.25;
-
-// The load of each usable server, in units of its weight.
-class ServerShares
-{
-public:
-  ServerShares(const KeyOwnership& aOwnership,
-               const std::vector<KeyServer>& aServers,
-               const KeyLoad& aLoad)
-  {
-    for (const auto& server : aServers) {
-      if (server.isUsable_) {
-        shares_[server.id_] = { 0, server.weight_ };
-        totalWeight_ += server.weight_;
-      }
-    }
-    for (const auto& range : aOwnership.ranges_) {
-      Add(range.owner_, aLoad.Of(range.first_, range.last_));
-    }
-  }
-
-  void Add(const std::string& aServer, double aLoad)
-  {
-    if (const auto share = shares_.find(aServer); share != shares_.end()) {
-      share->second.load_ += aLoad;
-    }
-    totalLoad_ += aLoad;
-  }
-
-  bool IsEmpty() const { return shares_.empty(); }
-  std::string Least() const { return Extreme(false); }
-  std::string Most() const { return Extreme(true); }
-  double Level(const std::string& aServer) const
-  {
-    const auto& share = shares_.at(aServer);
-    return share.load_ / share.weight_;
-  }
-  double MeanLevel() const { return totalLoad_ / totalWeight_; }
-
-  // The load that must pass from one to the other to bring both to one level.
-  double Difference(const std::string& aFrom, const std::string& aTo) const
-  {
-    const auto& from = shares_.at(aFrom);
-    const auto& to = shares_.at(aTo);
-    return (from.load_ * to.weight_ - to.load_ * from.weight_) / (from.weight_ + to.weight_);
-  }
-
-  std::string Strongest() const
-  {
-    const auto weaker = [](const auto& aLeft, const auto& aRight) {
-      return aLeft.second.weight_ < aRight.second.weight_;
-    };
-    return std::max_element(shares_.begin(), shares_.end(), weaker)->first;
-  }
-
-  // Whether a key too hot to be shared is better off at another server, which is
-  // then relieved of its other keys.
-  bool IsBetterPlace(const std::string& aFrom, const std::string& aTo, double aLoad) const
-  {
-    const auto& from = shares_.at(aFrom);
-    const auto& to = shares_.at(aTo);
-    const bool isDominant = aLoad > kDominantPart * from.load_;
-    return isDominant && to.weight_ > kStrongerFactor * from.weight_ &&
-           aLoad / from.weight_ > MeanLevel();
-  }
-
-private:
-  struct Share
-  {
-    double load_ = 0;
-    double weight_ = 1;
-  };
-
-  std::string Extreme(bool aIsMost) const
-  {
-    const auto lower = [](const auto& aLeft, const auto& aRight) {
-      return aLeft.second.load_ / aLeft.second.weight_ <
-             aRight.second.load_ / aRight.second.weight_;
-    };
-    const auto found = aIsMost ? std::max_element(shares_.begin(), shares_.end(), lower)
-                               : std::min_element(shares_.begin(), shares_.end(), lower);
-    return found->first;
-  }
-
-  std::map<std::string, Share> shares_;
-  double totalLoad_ = 0;
-  double totalWeight_ = 0;
-};
-
 // A piece of one range.
 struct Piece
 {
@@ -120,7 +29,7 @@
   double load_ = 0;
 };
 
-// The longest piece from the beginning of a range whose load is at most aLoad;
+// The longest piece from the beginning of a range whose load is at most aMost;
 // empty (last before first) when already the first key has more.
 Piece
 PieceUpTo(const KeyRange& aRange, std::size_t aIndex, const KeyLoad& aLoad, double aMost)
@@ -142,7 +51,15 @@
   return { aIndex, aRange.first_, low - 1, aLoad.Of(aRange.first_, low - 1) };
 }
 
-// The piece of that server whose load comes closest to aLoad from below.
+// Whether a range may be taken from that server for load: it owns the range, and
+// no former owner has to let go of it first.
+bool
+IsMovable(const KeyRange& aRange, const std::string& aServer)
+{
+  return aRange.owner_ == aServer && aRange.previous_.empty();
+}
+
+// The piece of that server whose load comes closest to aMost from below.
 std::optional<Piece>
 BestPiece(const KeyOwnership& aOwnership,
           const std::string& aServer,
@@ -153,7 +70,7 @@
   std::optional<Piece> best;
   for (std::size_t index = 0; index < aOwnership.ranges_.size(); ++index) {
     const auto& range = aOwnership.ranges_[index];
-    if (range.owner_ != aServer || !range.previous_.empty()) {
+    if (!IsMovable(range, aServer)) {
       continue;
     }
     const auto piece = PieceUpTo(range, index, aLoad, aMost);
@@ -192,7 +109,7 @@
   std::optional<Piece> hottest;
   for (std::size_t index = 0; index < aOwnership.ranges_.size(); ++index) {
     const auto& range = aOwnership.ranges_[index];
-    if (range.owner_ != aServer || !range.previous_.empty()) {
+    if (!IsMovable(range, aServer)) {
       continue;
     }
     for (KeyNumber key = range.first_; key <= range.last_; ++key) {
@@ -225,12 +142,41 @@
   aOwnership.ranges_ = std::move(merged);
 }
 
+// A piece to be taken from the busiest server, and who gets it.
+struct Move
+{
+  Piece piece_;
+  std::string to_;
+};
+
+// The move that evens out best; no value when none is worth its cost.
+std::optional<Move>
+ChooseMove(const KeyOwnership& aOwnership,
+           const ServerShares& aShares,
+           const KeyLoad& aLoad,
+           bool aMayCut)
+{
+  const auto from = aShares.Most();
+  const auto to = aShares.Least();
+  const auto piece = BestPiece(aOwnership, from, aLoad, aShares.Difference(from, to), aMayCut);
+  if (piece && piece->load_ >= kLeastGain * aShares.MeanLevel()) {
+    return Move{ *piece, to };
+  }
+  const auto strongest = aShares.Strongest();
+  const auto hottest = HottestKey(aOwnership, from, aLoad);
+  if (hottest && aShares.IsBetterPlace(from, strongest, hottest->load_)) {
+    return Move{ *hottest, strongest };
+  }
+  return std::nullopt;
+}
+
+// A server that joined may lie far below while no other lies far above.
 bool
-IsUsable(const std::vector<KeyServer>& aServers, const std::string& aId)
+IsEven(const ServerShares& aShares, double aTolerance)
 {
-  return std::any_of(aServers.begin(), aServers.end(), [&](const KeyServer& aServer) {
-    return aServer.id_ == aId && aServer.isUsable_;
-  });
+  const auto mean = aShares.MeanLevel();
+  return aShares.Level(aShares.Most()) < aTolerance * mean &&
+         aShares.Level(aShares.Least()) > kLeastPart * mean;
 }
 
 } // namespace
@@ -281,7 +227,7 @@
   bool isChanged = false;
   for (auto& range : next.ranges_) {
     // A range whose former owner may still hold it waits for that first.
-    if (IsUsable(aServers, range.owner_) || !range.previous_.empty()) {
+    if (FindUsable(aServers, range.owner_) != nullptr || !range.previous_.empty()) {
       continue;
     }
     const auto to = shares.Least();
@@ -306,29 +252,18 @@
   auto next = aOwnership;
   const auto mostRanges = std::max(2 * kFirstRanges, kMostRangesPerServer * aServers.size());
   bool isChanged = false;
-  for (std::size_t move = 0; move < settings_.movesARound_; ++move) {
-    const auto from = shares.Most();
-    const auto to = shares.Least();
-    const auto mean = shares.MeanLevel();
-    // A server that joined may lie far below while no other lies far above.
-    const bool isEven =
-      shares.Level(from) < settings_.tolerance_ * mean && shares.Level(to) > kLeastPart * mean;
-    if (isEven) {
+  for (std::size_t moves = 0; moves < settings_.movesARound_; ++moves) {
+    if (IsEven(shares, settings_.tolerance_)) {
       break;
     }
-    auto receiver = to;
-    auto piece =
-      BestPiece(next, from, aLoad, shares.Difference(from, to), next.ranges_.size() < mostRanges);
-    if (!piece || piece->load_ < kLeastGain * mean) {
-      receiver = shares.Strongest();
-      piece = HottestKey(next, from, aLoad);
-      if (!piece || !shares.IsBetterPlace(from, receiver, piece->load_)) {
-        break;
-      }
+    const auto from = shares.Most();
+    const auto move = ChooseMove(next, shares, aLoad, next.ranges_.size() < mostRanges);
+    if (!move) {
+      break;
     }
-    Give(next, *piece, receiver);
-    shares.Add(from, -piece->load_);
-    shares.Add(receiver, piece->load_);
+    Give(next, move->piece_, move->to_);
+    shares.Add(from, -move->piece_.load_);
+    shares.Add(move->to_, move->piece_.load_);
     isChanged = true;
   }
   if (isChanged && next.ranges_.size() > mostRanges / 2) {
--- a/Libraries/LibKeys/KeyBalancer.h
+++ b/Libraries/LibKeys/KeyBalancer.h
@@ -2,6 +2,7 @@
 
 #include "LibKeys/KeyLoad.h"
 #include "LibKeys/KeyOwnership.h"
+#include "LibKeys/KeyServer.h"
 
 #include <optional>
 #include <string>
@@ -9,17 +10,6 @@
 
 namespace latchslip {
 
-// A server that may own keys.
-struct KeyServer
-{
-  std::string id_;
-  std::string address_;
-  // How much it can do compared with the others.
-  double weight_ = 1;
-  // It lives, is not leaving, and may get keys.
-  bool isUsable_ = false;
-};
-
 // How readily keys move.
 struct KeyBalancerSettings
 {
--- a/Libraries/LibKeys/OwnershipPlacer.cpp
+++ b/Libraries/LibKeys/OwnershipPlacer.cpp
@@ -39,6 +39,18 @@
          " previous=" + (aRange.previous_.empty() ? "-" : aRange.previous_);
 }
 
+KeyOrder
+MakeOrder(const KeyRange& aRange, const std::string& aServer, const std::string& aAddress)
+{
+  KeyOrder order;
+  order.server_ = aServer;
+  order.address_ = aAddress;
+  order.first_ = aRange.first_;
+  order.last_ = aRange.last_;
+  order.fence_ = aRange.fence_;
+  return order;
+}
+
 } // namespace
 
 OwnershipPlacer::OwnershipPlacer(std::string aService,
@@ -170,11 +182,7 @@
 OwnershipPlacer::Plan(Instant aNow)
 {
   if (committed_.ranges_.empty()) {
-    if (aNow - serversSince_ < kServersSettle && aNow - startedAt_ < kMostSettle) {
-      return std::nullopt;
-    }
-    auto first = KeyBalancer::DealAll(service_, committed_.lastFence_, servers_);
-    return first.ranges_.empty() ? std::nullopt : std::optional(std::move(first));
+    return DealFirst(aNow);
   }
   if (hasFormerFences_) {
     return RaiseFences();
@@ -188,6 +196,22 @@
   if (settled) {
     return settled;
   }
+  return EvenOut(aNow);
+}
+
+std::optional<KeyOwnership>
+OwnershipPlacer::DealFirst(Instant aNow) const
+{
+  if (aNow - serversSince_ < kServersSettle && aNow - startedAt_ < kMostSettle) {
+    return std::nullopt;
+  }
+  auto first = KeyBalancer::DealAll(service_, committed_.lastFence_, servers_);
+  return first.ranges_.empty() ? std::nullopt : std::optional(std::move(first));
+}
+
+std::optional<KeyOwnership>
+OwnershipPlacer::EvenOut(Instant aNow)
+{
   const bool isMoving =
     std::any_of(committed_.ranges_.begin(), committed_.ranges_.end(), [](const KeyRange& aRange) {
       return !aRange.previous_.empty();
@@ -207,7 +231,8 @@
     const auto& range = committed_.ranges_[index];
     const auto& state = states_[index];
     // An owner that was lost meanwhile is not waited for; it is replaced next.
-    const bool isSettled = state.isGranted_ || (state.isCleared_ && !IsUsable(range.owner_));
+    const bool isOwnerLost = FindUsable(servers_, range.owner_) == nullptr;
+    const bool isSettled = state.isGranted_ || (state.isCleared_ && isOwnerLost);
     if (range.previous_.empty() || !isSettled) {
       continue;
     }
@@ -293,12 +318,7 @@
   if (!life) {
     return;
   }
-  KeyOrder order;
-  order.server_ = aRange.previous_;
-  order.address_ = life->address_;
-  order.first_ = aRange.first_;
-  order.last_ = aRange.last_;
-  order.fence_ = aRange.fence_;
+  auto order = MakeOrder(aRange, aRange.previous_, life->address_);
   order.isRelease_ = true;
   SendOrder(aState, std::move(order));
 }
@@ -306,19 +326,12 @@
 void
 OwnershipPlacer::SendGrant(Instant aNow, const KeyRange& aRange, RangeState& aState)
 {
-  const auto server = std::find_if(servers_.begin(), servers_.end(), [&](const KeyServer& aServer) {
-    return aServer.id_ == aRange.owner_ && aServer.isUsable_;
-  });
-  if (server == servers_.end()) {
+  const auto* server = FindUsable(servers_, aRange.owner_);
+  if (server == nullptr) {
     aState.nextOrder_ = aNow + kOrderPause;
     return;
   }
-  KeyOrder order;
-  order.server_ = aRange.owner_;
-  order.address_ = server->address_;
-  order.first_ = aRange.first_;
-  order.last_ = aRange.last_;
-  order.fence_ = aRange.fence_;
+  auto order = MakeOrder(aRange, aRange.owner_, server->address_);
   order.handover_ = aState.handover_;
   order.hold_ = settings_.hold_;
   SendOrder(aState, std::move(order));
@@ -358,30 +371,51 @@
   // each of its parts.
   for (auto* state = StateOf(aOrder); state != nullptr; state = StateOf(aOrder)) {
     state->order_ = 0;
-    const bool isDone = aOutcome.end_ == OrderEnd::Done;
     if (order.isRelease_) {
-      state->isCleared_ = isDone || aOutcome.end_ == OrderEnd::OtherLife;
-      state->handover_ = aOutcome.handover_;
-      state->refusals_ = aOutcome.end_ == OrderEnd::Refused ? state->refusals_ + 1 : 0;
-      state->nextOrder_ = state->isCleared_ ? aNow : aNow + kOrderPause;
+      OnReleaseEnded(aNow, *state, aOutcome);
     } else {
-      state->isGranted_ = state->isGranted_ || isDone;
-      state->nextOrder_ = aNow + (isDone ? settings_.hold_ / kRenewalsAHold : kOrderPause);
+      OnGrantEnded(aNow, *state, aOutcome.end_);
     }
   }
   if (!order.isRelease_ && aOutcome.end_ == OrderEnd::Done) {
     ForgetFormerHold(order.server_);
   }
-  if (aOutcome.end_ != OrderEnd::Done || order.isRelease_) {
-    events_.Record(Event::KeyOrderEnded,
-                   "server=" + order.server_ + " keys=" + std::to_string(order.first_) + ".." +
-                     std::to_string(order.last_) + " fence=" + std::to_string(order.fence_) +
-                     " order=" + (order.isRelease_ ? "release" : "grant") +
-                     " end=" + std::string(kOrderEndNames.NameOf(aOutcome.end_)));
-  }
+  RecordOrderEnd(order, aOutcome.end_);
   nextTime_ = aNow;
 }
 
+void
+OwnershipPlacer::OnReleaseEnded(Instant aNow, RangeState& aState, const OrderOutcome& aOutcome)
+{
+  const auto end = aOutcome.end_;
+  aState.isCleared_ = end == OrderEnd::Done || end == OrderEnd::OtherLife;
+  aState.handover_ = aOutcome.handover_;
+  aState.refusals_ = end == OrderEnd::Refused ? aState.refusals_ + 1 : 0;
+  aState.nextOrder_ = aState.isCleared_ ? aNow : aNow + kOrderPause;
+}
+
+void
+OwnershipPlacer::OnGrantEnded(Instant aNow, RangeState& aState, OrderEnd aEnd) const
+{
+  const bool isDone = aEnd == OrderEnd::Done;
+  aState.isGranted_ = aState.isGranted_ || isDone;
+  aState.nextOrder_ = aNow + (isDone ? settings_.hold_ / kRenewalsAHold : kOrderPause);
+}
+
+void
+OwnershipPlacer::RecordOrderEnd(const KeyOrder& aOrder, OrderEnd aEnd)
+{
+  // Grants are renewed all the time; those that went well are not worth a line.
+  if (aEnd == OrderEnd::Done && !aOrder.isRelease_) {
+    return;
+  }
+  events_.Record(Event::KeyOrderEnded,
+                 "server=" + aOrder.server_ + " keys=" + std::to_string(aOrder.first_) + ".." +
+                   std::to_string(aOrder.last_) + " fence=" + std::to_string(aOrder.fence_) +
+                   " order=" + (aOrder.isRelease_ ? "release" : "grant") +
+                   " end=" + std::string(kOrderEndNames.NameOf(aEnd)));
+}
+
 void
 OwnershipPlacer::ExtendHold(Instant aNow, const std::string& aServer, OrderEnd aEnd)
 {
@@ -395,14 +429,6 @@
   }
 }
 
-bool
-OwnershipPlacer::IsUsable(const std::string& aServer) const
-{
-  return std::any_of(servers_.begin(), servers_.end(), [&](const KeyServer& aEntry) {
-    return aEntry.id_ == aServer && aEntry.isUsable_;
-  });
-}
-
 Instant
 OwnershipPlacer::HoldsUntil(const std::string& aServer) const
 {
--- a/Libraries/LibKeys/OwnershipPlacer.h
+++ b/Libraries/LibKeys/OwnershipPlacer.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "LibBase/Event.h"
-#include "LibBase/NameTable.h"
 #include "LibBase/Time.h"
 #include "LibKeys/KeyBalancer.h"
 #include "LibKeys/KeyLoad.h"
+#include "LibKeys/KeyOrder.h"
 #include "LibKeys/KeyOwnership.h"
+#include "LibKeys/KeyServer.h"
+#include "LibKeys/PlacerActions.h"
 
 #include <map>
 #include <optional>
@@ -14,81 +16,7 @@
 
 namespace latchslip {
 
-using OrderNumber = std::uint64_t;
-
-// An order to a server about keys: to hold them for a while, or to let go.
-struct KeyOrder
-{
-  OrderNumber number_ = 0;
-  std::string server_;
-  std::string address_;
-  KeyNumber first_ = 0;
-  KeyNumber last_ = 0;
-  FenceNumber fence_ = 0;
-  // Whether the keys are to be let go; else they are granted.
-  bool isRelease_ = false;
-  // What the former owner gave back, so that the new one need not start cold.
-  std::string handover_;
-  // How long the grant holds, counted by the server from its arrival there.
-  Duration hold_{ 0 };
-};
-
-enum class OrderEnd
-{
-  Done,
-  // The server has seen a higher fence on some of the keys.
-  HigherFence,
-  // Another life answered; the one that was meant has ended.
-  OtherLife,
-  // No byte was sent.
-  NotSent,
-  // No byte was sent, since nothing listens at the address.
-  Refused,
-  // The order was sent; it may be carried out now or some seconds later.
-  Unanswered,
-  // The server called the order malformed.
-  Malformed,
-};
-
-inline constexpr NameTable<OrderEnd, 7> kOrderEndNames{
-  { "done", "higher-fence", "other-life", "not-sent", "refused", "unanswered", "malformed" }
-};
-
-struct OrderOutcome
-{
-  OrderEnd end_ = OrderEnd::Unanswered;
-  std::string handover_;
-};
-
-// What is known of a server life, also of one that is listed no more.
-struct ServerLife
-{
-  std::string address_;
-  bool isListed_ = false;
-  // It said that it was about to end.
-  bool isLeaving_ = false;
-  // A later life has its address.
-  bool hasEnded_ = false;
-};
-
-// Carries out what the placement decides, and tells it about servers.
-class PlacerActions
-{
-public:
-  virtual ~PlacerActions() = default;
-
-  virtual void Order(const KeyOrder& aOrder) = 0;
-  // A grant to that server was not answered and may be carried out late: until
-  // aHolds from now it may hold keys. Other instances should know, lest this one
-  // is lost.
-  virtual void Doubt(const std::string& aServer, Duration aHolds) = 0;
-  // Writes the row of the ownership, provided that it still has the version this
-  // placer knows and that this instance is still the placer.
-  virtual void Write(const KeyOwnership& aOwnership) = 0;
-  // No value for lives that were never listed here.
-  virtual std::optional<ServerLife> LifeOf(const std::string& aServer) const = 0;
-};
-
+// The times that the placement of keys counts with.
 struct OwnershipPlacerSettings
 {
   // How long a grant holds: twice the time in which a lost placer is replaced, and
@@ -132,18 +60,18 @@
   void OnOrderEnded(Instant aNow, OrderNumber aOrder, const OrderOutcome& aOutcome);
   // Sends what is due. aMayWrite: the store answers.
   void OnTime(Instant aNow, bool aMayWrite);
+  // When OnTime has something to do next.
   Instant NextTime() const { return nextTime_; }
 
-  const KeyOwnership& Committed() const { return committed_; }
-  bool IsWriting() const { return writing_.has_value(); }
-
 private:
   // What this placer knows of one range beside what stands in the store.
   struct RangeState
   {
     // The former owner certainly holds the range no more.
     bool isCleared_ = false;
+    // The owner has acknowledged a grant under the present fence.
     bool isGranted_ = false;
+    // What the former owner gave back, for the owner.
     std::string handover_;
     // The order under way; 0 when there is none.
     OrderNumber order_ = 0;
@@ -152,21 +80,34 @@
     Instant nextOrder_ = Instant::min();
   };
 
+  // Takes what stands in the store; ranges that go on keep their state.
   void Adopt(KeyOwnership aOwnership);
   static bool IsContinuation(const KeyRange& aOld, const KeyRange& aNew);
+  // What to write next; no value for nothing.
   std::optional<KeyOwnership> Plan(Instant aNow);
+  std::optional<KeyOwnership> DealFirst(Instant aNow) const;
+  std::optional<KeyOwnership> EvenOut(Instant aNow);
+  // Drops the former owners that need not be waited for any more.
   std::optional<KeyOwnership> ClearSettled() const;
+  // The same owners under fences of this placer.
   KeyOwnership RaiseFences() const;
+  // Once a server has acknowledged fences of this placer on all it owns.
   void ForgetFormerHold(const std::string& aServer);
+  // Sends the next order of a range when it is due.
   void Advance(Instant aNow, const KeyRange& aRange, RangeState& aState);
   // Why the former owner of a range certainly does not hold it; null if it may.
   const char* ReasonToClear(Instant aNow, const KeyRange& aRange, const RangeState& aState) const;
   void ClearFormerOwner(Instant aNow, const KeyRange& aRange, RangeState& aState);
   void SendGrant(Instant aNow, const KeyRange& aRange, RangeState& aState);
   void SendOrder(RangeState& aState, KeyOrder aOrder);
-  bool IsUsable(const std::string& aServer) const;
+  static void OnReleaseEnded(Instant aNow, RangeState& aState, const OrderOutcome& aOutcome);
+  void OnGrantEnded(Instant aNow, RangeState& aState, OrderEnd aEnd) const;
+  void RecordOrderEnd(const KeyOrder& aOrder, OrderEnd aEnd);
+  // Until when a server may hold keys by any order.
   Instant HoldsUntil(const std::string& aServer) const;
+  // Notes until when a grant that ended so may hold.
   void ExtendHold(Instant aNow, const std::string& aServer, OrderEnd aEnd);
+  // A range that waits for that order, or nothing.
   RangeState* StateOf(OrderNumber aOrder);
 
   std::string service_;
@@ -176,10 +117,13 @@
   KeyBalancer balancer_;
   KeyLoad load_;
   std::vector<KeyServer> servers_;
+  // What stands in the store.
   KeyOwnership committed_;
   // One for each range of committed_, in the same order.
   std::vector<RangeState> states_;
+  // What is being written.
   std::optional<KeyOwnership> writing_;
+  // The orders under way.
   std::map<OrderNumber, KeyOrder> orders_;
   // Until when each server that was granted keys may hold them.
   std::map<std::string, Instant> holdsUntil_;
--- /dev/null
+++ b/Libraries/LibKeys/ServerShares.cpp
@@ -0,0 +1,85 @@
+#include "LibKeys/ServerShares.h"
+
+#include <algorithm>
+
+namespace latchslip {
+
+namespace {
+
+// A key that has more than this part of its server's load and cannot be shared
+// goes to the strongest server, if that is stronger by this factor at least.
+constexpr double kDominantPart = 0.5;
+constexpr double kStrongerFactor = 1.25;
+
+} // namespace
+
+ServerShares::ServerShares(const KeyOwnership& aOwnership,
+                           const std::vector<KeyServer>& aServers,
+                           const KeyLoad& aLoad)
+{
+  for (const auto& server : aServers) {
+    if (server.isUsable_) {
+      shares_[server.id_] = { 0, server.weight_ };
+      totalWeight_ += server.weight_;
+    }
+  }
+  for (const auto& range : aOwnership.ranges_) {
+    Add(range.owner_, aLoad.Of(range.first_, range.last_));
+  }
+}
+
+void
+ServerShares::Add(const std::string& aServer, double aLoad)
+{
+  if (const auto share = shares_.find(aServer); share != shares_.end()) {
+    share->second.load_ += aLoad;
+  }
+  totalLoad_ += aLoad;
+}
+
+std::string
+ServerShares::Strongest() const
+{
+  const auto weaker = [](const auto& aLeft, const auto& aRight) {
+    return aLeft.second.weight_ < aRight.second.weight_;
+  };
+  return std::max_element(shares_.begin(), shares_.end(), weaker)->first;
+}
+
+double
+ServerShares::Level(const std::string& aServer) const
+{
+  const auto& share = shares_.at(aServer);
+  return share.load_ / share.weight_;
+}
+
+double
+ServerShares::Difference(const std::string& aFrom, const std::string& aTo) const
+{
+  const auto& from = shares_.at(aFrom);
+  const auto& to = shares_.at(aTo);
+  return (from.load_ * to.weight_ - to.load_ * from.weight_) / (from.weight_ + to.weight_);
+}
+
+bool
+ServerShares::IsBetterPlace(const std::string& aFrom, const std::string& aTo, double aLoad) const
+{
+  const auto& from = shares_.at(aFrom);
+  const auto& to = shares_.at(aTo);
+  const bool isDominant = aLoad > kDominantPart * from.load_;
+  return isDominant && to.weight_ > kStrongerFactor * from.weight_ &&
+         aLoad / from.weight_ > MeanLevel();
+}
+
+std::string
+ServerShares::Extreme(bool aIsMost) const
+{
+  const auto lower = [](const auto& aLeft, const auto& aRight) {
+    return aLeft.second.load_ / aLeft.second.weight_ < aRight.second.load_ / aRight.second.weight_;
+  };
+  const auto found = aIsMost ? std::max_element(shares_.begin(), shares_.end(), lower)
+                             : std::min_element(shares_.begin(), shares_.end(), lower);
+  return found->first;
+}
+
+} // namespace latchslip
--- /dev/null
+++ b/Libraries/LibKeys/ServerShares.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "LibKeys/KeyLoad.h"
+#include "LibKeys/KeyOwnership.h"
+#include "LibKeys/KeyServer.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace latchslip {
+
+// The load of each usable server, in units of its weight. Unless IsEmpty, there is
+// a least, a most and a strongest one.
+class ServerShares
+{
+public:
+  ServerShares(const KeyOwnership& aOwnership,
+               const std::vector<KeyServer>& aServers,
+               const KeyLoad& aLoad);
+
+  // Counts load that a server gets; load it loses is negative.
+  void Add(const std::string& aServer, double aLoad);
+
+  bool IsEmpty() const { return shares_.empty(); }
+  // The server with the lowest level.
+  std::string Least() const { return Extreme(false); }
+  // The server with the highest level.
+  std::string Most() const { return Extreme(true); }
+  // The server with the highest weight.
+  std::string Strongest() const;
+  // The load of a server for each unit of its weight.
+  double Level(const std::string& aServer) const;
+  // The level of every server if the load were spread evenly.
+  double MeanLevel() const { return totalLoad_ / totalWeight_; }
+  // The load that must pass from one to the other to bring both to one level.
+  double Difference(const std::string& aFrom, const std::string& aTo) const;
+  // Whether a key too hot to be shared is better off at another server, which is
+  // then relieved of its other keys.
+  bool IsBetterPlace(const std::string& aFrom, const std::string& aTo, double aLoad) const;
+
+private:
+  struct Share
+  {
+    double load_ = 0;
+    double weight_ = 1;
+  };
+
+  std::string Extreme(bool aIsMost) const;
+
+  std::map<std::string, Share> shares_;
+  double totalLoad_ = 0;
+  double totalWeight_ = 0;
+};
+
+} // namespace latchslip
