--- /dev/null
+++ b/Libraries/LibGateway/PendingRequest.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "LibGateway/Messages.h"
+#include "LibGateway/RoutingTable.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace latchslip {
+
+// A client's request that waits to be sent or for a server's answer.
+struct PendingRequest
+{
+  RoutedRequest request_;
+  // The routes that held when the request came; route_ and service_ lie in them.
+  std::shared_ptr<const RouteTable> routes_;
+  const Route* route_ = nullptr;
+  const RoutedService* service_ = nullptr;
+  Instant arrival_{ 0 };
+  Instant deadline_{ 0 };
+  // Until when it may wait without having been sent.
+  Instant refuseAt_{ 0 };
+  // Until when it must wait before it is sent again.
+  Instant notBefore_ = Instant::min();
+  Instant timer_ = Instant::max();
+  // The send under way; 0 when it waits.
+  AttemptNumber attempt_ = 0;
+  AttemptNumber lastAttempt_ = 0;
+  // The server of the last send.
+  std::string server_;
+  unsigned sends_ = 0;
+  // Sends after which the request may have run.
+  unsigned runs_ = 0;
+  // The servers whose sends ended without an answer for the client.
+  std::vector<std::string> tried_;
+  // The client has left.
+  bool isGone_ = false;
+  // Why it could not be sent when this was last tried.
+  RefusalReason obstacle_ = RefusalReason::NoCapacity;
+};
+
+} // namespace latchslip
--- a/Libraries/LibGateway/RequestDesk.cpp
+++ b/Libraries/LibGateway/RequestDesk.cpp
@@ -17,6 +17,9 @@
 // Clients come back within a third of the time they have left (the platform's
 // pages); later ones would not come back at all.
 constexpr double kRetryAfterOfTimeLeft = 0.3;
+// Assumed for the latency target and the time left of a request without a route,
+// of which neither is known.
+constexpr Duration kUnknownTarget = seconds(1);
 // Left for the answer's way back when a server is told its time.
 constexpr Duration kWayBack = milliseconds(2);
 // An answer of the server at its time limit is waited for this long.
@@ -38,13 +41,21 @@
   return Duration(static_cast<Duration::rep>(static_cast<double>(aTime.count()) * aPart));
 }
 
+// Whether the server said that the request failed there.
+bool
+IsServerError(const AttemptOutcome& aOutcome)
+{
+  // The lowest status of this kind in HTTP.
+  constexpr unsigned kServerError = 500;
+  return aOutcome.status_ >= kServerError;
+}
+
 SendResult
 ToSendResult(const AttemptOutcome& aOutcome)
 {
-  constexpr unsigned kServerError = 500;
   switch (aOutcome.end_) {
     case AttemptEnd::Answered:
-      return aOutcome.status_ >= kServerError ? SendResult::Failed : SendResult::Answered;
+      return IsServerError(aOutcome) ? SendResult::Failed : SendResult::Answered;
     case AttemptEnd::NotRun:
       return SendResult::Shed;
     case AttemptEnd::WrongServer:
@@ -127,35 +138,22 @@
   if (pending.isGone_) {
     Finish(number);
   } else {
-    RetryOrRefuse(aNow, pending, aOutcome);
+    SettleAttempt(aNow, pending, aOutcome);
   }
   Pump(aNow, service);
 }
 
 void
-RequestDesk::RetryOrRefuse(Instant aNow, Pending& aPending, const AttemptOutcome& aOutcome)
+RequestDesk::SettleAttempt(Instant aNow, PendingRequest& aPending, const AttemptOutcome& aOutcome)
 {
-  constexpr unsigned kServerError = 500;
-  const auto number = aPending.request_.number_;
-  const bool isGoodAnswer =
-    aOutcome.end_ == AttemptEnd::Answered && aOutcome.status_ < kServerError;
-  if (!isGoodAnswer && MayRetry(aNow, aPending, aOutcome)) {
-    events_.Record(Event::GatewayRetry,
-                   "request=" + aPending.request_.id_ + " server=" + aPending.server_ +
-                     " end=" + std::string(kAttemptEndNames.NameOf(aOutcome.end_)) +
-                     " status=" + std::to_string(aOutcome.status_) +
-                     " sends=" + std::to_string(aPending.sends_));
-    aPending.tried_.push_back(aPending.server_);
-    aPending.refuseAt_ = aNow + Part(aPending.route_->latencyTarget_, kWaitPart);
-    if (aOutcome.end_ == AttemptEnd::WrongServer && !aOutcome.isOtherLife_) {
-      aPending.notBefore_ = aNow + kWrongOwnerPause;
-    }
-    if (!TrySend(aNow, aPending)) {
-      Wait(aNow, aPending);
-    }
+  const bool isAnswered = aOutcome.end_ == AttemptEnd::Answered;
+  const bool isGoodAnswer = isAnswered && !IsServerError(aOutcome);
+  if (!isGoodAnswer && TryTakeRetry(aNow, aPending, aOutcome)) {
+    Retry(aNow, aPending, aOutcome);
     return;
   }
-  if (aOutcome.end_ == AttemptEnd::Answered) {
+  if (isAnswered) {
+    const auto number = aPending.request_.number_;
     actions_.Deliver(number, aPending.lastAttempt_);
     Finish(number);
     return;
@@ -164,8 +162,25 @@
     aNow, aPending, aPending.runs_ > 0 ? RefusalReason::OutcomeUnknown : RefusalReason::NoCapacity);
 }
 
+void
+RequestDesk::Retry(Instant aNow, PendingRequest& aPending, const AttemptOutcome& aOutcome)
+{
+  events_.Record(Event::GatewayRetry,
+                 "request=" + aPending.request_.id_ + " server=" + aPending.server_ +
+                   " end=" + std::string(kAttemptEndNames.NameOf(aOutcome.end_)) + " status=" +
+                   std::to_string(aOutcome.status_) + " sends=" + std::to_string(aPending.sends_));
+  aPending.tried_.push_back(aPending.server_);
+  aPending.refuseAt_ = aNow + Part(aPending.route_->latencyTarget_, kWaitPart);
+  if (aOutcome.end_ == AttemptEnd::WrongServer && !aOutcome.isOtherLife_) {
+    aPending.notBefore_ = aNow + kWrongOwnerPause;
+  }
+  if (!TrySend(aNow, aPending)) {
+    Wait(aNow, aPending);
+  }
+}
+
 bool
-RequestDesk::MayRetry(Instant aNow, Pending& aPending, const AttemptOutcome& aOutcome)
+RequestDesk::TryTakeRetry(Instant aNow, PendingRequest& aPending, const AttemptOutcome& aOutcome)
 {
   const auto& route = *aPending.route_;
   const bool isAllowed = route.isRepeatable_ || !MayHaveRun(aOutcome.end_);
@@ -230,7 +245,7 @@
 }
 
 void
-RequestDesk::GiveUp(Instant aNow, Pending& aPending)
+RequestDesk::GiveUp(Instant aNow, PendingRequest& aPending)
 {
   actions_.Cancel(aPending.attempt_);
   if (const auto load = loads_.find(aPending.server_); load != loads_.end()) {
@@ -247,24 +262,15 @@
 }
 
 void
-RequestDesk::RefuseWaiting(Instant aNow, Pending& aPending)
+RequestDesk::RefuseWaiting(Instant aNow, PendingRequest& aPending)
 {
   LeaveQueue(aPending);
   Refuse(aNow, aPending, aPending.runs_ > 0 ? RefusalReason::OutcomeUnknown : aPending.obstacle_);
 }
 
 void
-RequestDesk::Refuse(Instant aNow, Pending& aPending, RefusalReason aReason)
+RequestDesk::Refuse(Instant aNow, PendingRequest& aPending, RefusalReason aReason)
 {
-  Refusal refusal;
-  refusal.reason_ = aReason;
-  refusal.isNotRun_ = aPending.runs_ == 0;
-  const auto target =
-    aPending.route_ == nullptr ? Duration(seconds(1)) : aPending.route_->latencyTarget_;
-  const auto left =
-    aPending.route_ == nullptr ? Duration(seconds(1)) : Duration(aPending.deadline_ - aNow);
-  refusal.retryAfter_ = std::min(std::max(kLeastRetryAfter, Part(target, kRetryAfterPart)),
-                                 std::max(Duration(0), Part(left, kRetryAfterOfTimeLeft)));
   const auto number = aPending.request_.number_;
   events_.Record(Event::GatewayRefusal,
                  "request=" + aPending.request_.id_ +
@@ -273,10 +279,20 @@
                    " server=" + (aPending.server_.empty() ? "-" : aPending.server_) + " sends=" +
                    std::to_string(aPending.sends_) + " runs=" + std::to_string(aPending.runs_) +
                    " age_us=" + std::to_string((aNow - aPending.arrival_).count()));
-  actions_.Refuse(number, refusal);
+  actions_.Refuse(number, { aReason, aPending.runs_ == 0, RetryAfterOf(aNow, aPending) });
   Finish(number);
 }
 
+Duration
+RequestDesk::RetryAfterOf(Instant aNow, const PendingRequest& aPending)
+{
+  const bool hasRoute = aPending.route_ != nullptr;
+  const auto target = hasRoute ? aPending.route_->latencyTarget_ : kUnknownTarget;
+  const auto left = hasRoute ? Duration(aPending.deadline_ - aNow) : kUnknownTarget;
+  return std::min(std::max(kLeastRetryAfter, Part(target, kRetryAfterPart)),
+                  std::max(Duration(0), Part(left, kRetryAfterOfTimeLeft)));
+}
+
 void
 RequestDesk::Finish(RequestNumber aRequest)
 {
@@ -287,47 +303,61 @@
 }
 
 bool
-RequestDesk::TrySend(Instant aNow, Pending& aPending)
+RequestDesk::TrySend(Instant aNow, PendingRequest& aPending)
 {
   if (aNow < aPending.notBefore_) {
     return false;
   }
-  Candidate chosen{};
-  switch (ChooseServer(aNow, aPending, chosen)) {
-    case Choice::Found:
-      break;
-    case Choice::NoServer:
-      aPending.obstacle_ = RefusalReason::NoServer;
-      return false;
-    case Choice::NoOwner:
-      aPending.obstacle_ = RefusalReason::NoOwner;
-      return false;
-    case Choice::NoCapacity:
-      aPending.obstacle_ = RefusalReason::NoCapacity;
-      return false;
+  ServerCandidate chosen{};
+  const auto choice = ChooseServer(aNow, aPending, chosen);
+  if (choice != Choice::Found) {
+    aPending.obstacle_ = ObstacleOf(choice);
+    return false;
   }
   const auto timeLeft = aPending.deadline_ - aNow - kWayBack;
   if (timeLeft < kLeastSendTime) {
     return false;
   }
+  SendTo(aNow, aPending, chosen, timeLeft);
+  return true;
+}
+
+RefusalReason
+RequestDesk::ObstacleOf(Choice aChoice)
+{
+  switch (aChoice) {
+    case Choice::NoServer:
+      return RefusalReason::NoServer;
+    case Choice::NoOwner:
+      return RefusalReason::NoOwner;
+    case Choice::NoCapacity:
+    case Choice::Found:
+      break;
+  }
+  return RefusalReason::NoCapacity;
+}
+
+void
+RequestDesk::SendTo(Instant aNow,
+                    PendingRequest& aPending,
+                    const ServerCandidate& aServer,
+                    Duration aTimeLeft)
+{
   LeaveQueue(aPending);
-  aPending.attempt_ = ++lastAttempt_;
-  aPending.lastAttempt_ = lastAttempt_;
-  aPending.server_ = chosen.record_->id_;
+  const auto attempt = ++lastAttempt_;
+  const auto number = aPending.request_.number_;
+  aPending.attempt_ = attempt;
+  aPending.lastAttempt_ = attempt;
+  aPending.server_ = aServer.record_->id_;
   ++aPending.sends_;
-  attempts_[lastAttempt_] = aPending.request_.number_;
-  chosen.load_->OnSent(aNow, lastAttempt_);
+  attempts_[attempt] = number;
+  aServer.load_->OnSent(aNow, attempt);
   SetTimer(aPending, aPending.deadline_ + kAnswerGrace);
-  actions_.Send({ lastAttempt_,
-                  aPending.request_.number_,
-                  chosen.record_->id_,
-                  chosen.record_->address_,
-                  timeLeft });
-  return true;
+  actions_.Send({ attempt, number, aServer.record_->id_, aServer.record_->address_, aTimeLeft });
 }
 
 void
-RequestDesk::Wait(Instant aNow, Pending& aPending)
+RequestDesk::Wait(Instant aNow, PendingRequest& aPending)
 {
   StateOf(aPending.service_->name_)
     .queue_.insert({ aPending.route_->priority_, aPending.deadline_, aPending.request_.number_ });
@@ -339,7 +369,7 @@
 }
 
 void
-RequestDesk::LeaveQueue(const Pending& aPending)
+RequestDesk::LeaveQueue(const PendingRequest& aPending)
 {
   if (aPending.service_ != nullptr) {
     StateOf(aPending.service_->name_)
@@ -359,7 +389,7 @@
 }
 
 void
-RequestDesk::SetTimer(Pending& aPending, Instant aTime)
+RequestDesk::SetTimer(PendingRequest& aPending, Instant aTime)
 {
   if (aPending.timer_ != Instant::max()) {
     timers_.erase({ aPending.timer_, aPending.request_.number_ });
--- a/Libraries/LibGateway/RequestDesk.h
+++ b/Libraries/LibGateway/RequestDesk.h
@@ -2,16 +2,16 @@
 
 #include "LibBase/Event.h"
 #include "LibGateway/Messages.h"
-#include "LibGateway/RetryBudget.h"
+#include "LibGateway/PendingRequest.h"
 #include "LibGateway/RoutingTable.h"
 #include "LibGateway/ServerDirectory.h"
+#include "LibGateway/ServiceState.h"
 
 #include <map>
 #include <memory>
 #include <optional>
 #include <random>
 #include <set>
-#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -63,91 +63,59 @@
   Duration StrengthLatencyOf(const std::string& aServer) const;
 
 private:
-  struct Candidate
-  {
-    const ServerRecord* record_;
-    ServerLoad* load_;
-  };
-
-  // The more urgent first, then those with less time left.
-  struct QueuePlace
-  {
-    unsigned priority_;
-    Instant deadline_;
-    RequestNumber number_;
-    bool operator<(const QueuePlace& aOther) const
-    {
-      return std::tie(priority_, deadline_, number_) <
-             std::tie(aOther.priority_, aOther.deadline_, aOther.number_);
-    }
-  };
-
-  struct ServiceState
-  {
-    explicit ServiceState(RetryBudgetTerms aTerms)
-      : budget_(aTerms)
-    {
-    }
-    std::vector<Candidate> servers_;
-    RetryBudget budget_;
-    std::set<QueuePlace> queue_;
-  };
-
-  struct Pending
-  {
-    RoutedRequest request_;
-    std::shared_ptr<const RouteTable> routes_;
-    const Route* route_ = nullptr;
-    const RoutedService* service_ = nullptr;
-    Instant arrival_{ 0 };
-    Instant deadline_{ 0 };
-    // Until when it may wait without having been sent.
-    Instant refuseAt_{ 0 };
-    // Until when it must wait before it is sent again.
-    Instant notBefore_ = Instant::min();
-    Instant timer_ = Instant::max();
-    // The send under way; 0 when it waits.
-    AttemptNumber attempt_ = 0;
-    AttemptNumber lastAttempt_ = 0;
-    std::string server_;
-    unsigned sends_ = 0;
-    // Sends after which the request may have run.
-    unsigned runs_ = 0;
-    std::vector<std::string> tried_;
-    bool isGone_ = false;
-    RefusalReason obstacle_ = RefusalReason::NoCapacity;
-  };
-
+  // What the choice of a server came to.
   enum class Choice
   {
     Found,
+    // The service has no server that stays.
     NoServer,
+    // The key has no owner that certainly holds it.
     NoOwner,
+    // Each server that may get the request has as much as it can take.
     NoCapacity,
   };
 
+  static RefusalReason ObstacleOf(Choice aChoice);
   ServiceState& StateOf(const std::string& aService);
+  // What is known of a server's load, with the limits that hold now.
   ServerLoad& LoadOf(const ServerRecord& aRecord, const RoutedService& aService);
+  // The service that gets a request of this route, by the weights of its targets.
   const std::string& ChooseTarget(const Route& aRoute);
   // Sends the request if a server can take it now.
-  bool TrySend(Instant aNow, Pending& aPending);
-  Choice ChooseServer(Instant aNow, const Pending& aPending, Candidate& aChosen);
+  bool TrySend(Instant aNow, PendingRequest& aPending);
+  void SendTo(Instant aNow,
+              PendingRequest& aPending,
+              const ServerCandidate& aServer,
+              Duration aTimeLeft);
+  // Who gets a request now; aChosen is set when the choice is Found.
+  Choice ChooseServer(Instant aNow, const PendingRequest& aPending, ServerCandidate& aChosen);
   // Whether a range is between two owners, as far as this instance can tell.
   bool IsMoving(Instant aNow, const std::string& aService, const KeyRange& aRange) const;
-  Choice ChooseOwner(Instant aNow, const Pending& aPending, Candidate& aChosen);
-  Choice ChooseAny(Instant aNow, const Pending& aPending, Candidate& aChosen);
-  double CostOf(Instant aNow, const Candidate& aCandidate, Duration aDefault) const;
-  void Wait(Instant aNow, Pending& aPending);
-  void LeaveQueue(const Pending& aPending);
+  Choice ChooseOwner(Instant aNow, const PendingRequest& aPending, ServerCandidate& aChosen);
+  Choice ChooseAny(Instant aNow, const PendingRequest& aPending, ServerCandidate& aChosen);
+  // How unwelcome a server is: the expected latency of one more request there.
+  double CostOf(Instant aNow, const ServerCandidate& aCandidate, Duration aDefault) const;
+  // Queues the request until it can be sent or is refused.
+  void Wait(Instant aNow, PendingRequest& aPending);
+  void LeaveQueue(const PendingRequest& aPending);
   // Sends what waits for a service and can be sent now.
   void Pump(Instant aNow, const std::string& aService);
-  void RetryOrRefuse(Instant aNow, Pending& aPending, const AttemptOutcome& aOutcome);
-  bool MayRetry(Instant aNow, Pending& aPending, const AttemptOutcome& aOutcome);
-  void RefuseWaiting(Instant aNow, Pending& aPending);
-  void GiveUp(Instant aNow, Pending& aPending);
-  void Refuse(Instant aNow, Pending& aPending, RefusalReason aReason);
+  // What happens to a request whose attempt has ended.
+  void SettleAttempt(Instant aNow, PendingRequest& aPending, const AttemptOutcome& aOutcome);
+  void Retry(Instant aNow, PendingRequest& aPending, const AttemptOutcome& aOutcome);
+  // Takes from the retry budget when it says yes.
+  bool TryTakeRetry(Instant aNow, PendingRequest& aPending, const AttemptOutcome& aOutcome);
+  void RefuseWaiting(Instant aNow, PendingRequest& aPending);
+  // Ends a request whose send is under way at its time limit.
+  void GiveUp(Instant aNow, PendingRequest& aPending);
+  void Refuse(Instant aNow, PendingRequest& aPending, RefusalReason aReason);
+  // When a refused client should come back.
+  static Duration RetryAfterOf(Instant aNow, const PendingRequest& aPending);
+  // Forgets the request.
   void Finish(RequestNumber aRequest);
-  void SetTimer(Pending& aPending, Instant aTime);
+  // Instant::max() for no timer.
+  void SetTimer(PendingRequest& aPending, Instant aTime);
+  // Reads anew from the directory which servers a service has.
   void RefreshServers(ServiceState& aState, const RoutedService& aService);
 
   RequestDeskSettings settings_;
@@ -160,7 +128,7 @@
   std::map<std::pair<std::string, FenceNumber>, Instant> movingSince_;
   std::map<std::string, ServiceState, std::less<>> services_;
   std::map<std::string, ServerLoad, std::less<>> loads_;
-  std::unordered_map<RequestNumber, Pending> pending_;
+  std::unordered_map<RequestNumber, PendingRequest> pending_;
   std::unordered_map<AttemptNumber, RequestNumber> attempts_;
   std::set<std::pair<Instant, RequestNumber>> timers_;
   // The credits of each route's targets, by host and prefix.
--- a/Libraries/LibGateway/ServerChoice.cpp
+++ b/Libraries/LibGateway/ServerChoice.cpp
@@ -30,9 +30,53 @@
 // Instances assumed while their count is not known.
 constexpr std::size_t kUnknownInstances = 8;
 
+bool
+HasServer(const std::vector<ServerCandidate>& aServers)
+{
+  return std::any_of(aServers.begin(), aServers.end(), [](const ServerCandidate& aServer) {
+    return !aServer.record_->isLeaving_;
+  });
+}
+
+// The servers that can take a request now: those that have not had it yet, or if
+// there are none, the others.
+std::vector<ServerCandidate>
+AvailableServers(Instant aNow,
+                 const std::vector<ServerCandidate>& aServers,
+                 const std::vector<std::string>& aTried)
+{
+  std::vector<ServerCandidate> fresh;
+  std::vector<ServerCandidate> again;
+  for (const auto& server : aServers) {
+    if (server.record_->isLeaving_ || !server.load_->HasRoom(aNow)) {
+      continue;
+    }
+    const bool isTried =
+      std::find(aTried.begin(), aTried.end(), server.record_->id_) != aTried.end();
+    (isTried ? again : fresh).push_back(server);
+  }
+  return fresh.empty() ? again : fresh;
+}
+
+// What is expected of a server that has not answered yet: the mean of the others.
+Duration
+TypicalLatency(const std::vector<ServerCandidate>& aServers)
+{
+  Duration sum{ 0 };
+  Duration::rep count = 0;
+  for (const auto& server : aServers) {
+    const auto latency = server.load_->MeanLatency();
+    if (!server.record_->isLeaving_ && latency > Duration(0)) {
+      sum += latency;
+      ++count;
+    }
+  }
+  return count == 0 ? kUnknownLatency : Duration(sum / count);
+}
+
 } // namespace
 
-RequestDesk::ServiceState&
+ServiceState&
 RequestDesk::StateOf(const std::string& aService)
 {
   const auto found = services_.find(aService);
@@ -153,7 +197,7 @@
 }
 
 RequestDesk::Choice
-RequestDesk::ChooseServer(Instant aNow, const Pending& aPending, Candidate& aChosen)
+RequestDesk::ChooseServer(Instant aNow, const PendingRequest& aPending, ServerCandidate& aChosen)
 {
   return aPending.service_->isKeyed_ ? ChooseOwner(aNow, aPending, aChosen)
                                      : ChooseAny(aNow, aPending, aChosen);
@@ -170,7 +214,7 @@
 }
 
 RequestDesk::Choice
-RequestDesk::ChooseOwner(Instant aNow, const Pending& aPending, Candidate& aChosen)
+RequestDesk::ChooseOwner(Instant aNow, const PendingRequest& aPending, ServerCandidate& aChosen)
 {
   const auto ownership = ownership_.find(aPending.service_->name_);
   if (ownership == ownership_.end() || !aPending.request_.key_) {
@@ -189,37 +233,14 @@
 }
 
 RequestDesk::Choice
-RequestDesk::ChooseAny(Instant aNow, const Pending& aPending, Candidate& aChosen)
-{
-  auto& state = StateOf(aPending.service_->name_);
-  std::vector<Candidate> fresh;
-  std::vector<Candidate> again;
-  Duration known{ 0 };
-  std::size_t knownCount = 0;
-  bool hasServer = false;
-  for (const auto& candidate : state.servers_) {
-    if (candidate.record_->isLeaving_) {
-      continue;
-    }
-    hasServer = true;
-    if (candidate.load_->MeanLatency() > Duration(0)) {
-      known += candidate.load_->MeanLatency();
-      ++knownCount;
-    }
-    if (!candidate.load_->HasRoom(aNow)) {
-      continue;
-    }
-    const auto& tried = aPending.tried_;
-    const bool isTried =
-      std::find(tried.begin(), tried.end(), candidate.record_->id_) != tried.end();
-    (isTried ? again : fresh).push_back(candidate);
-  }
-  const auto& available = fresh.empty() ? again : fresh;
+RequestDesk::ChooseAny(Instant aNow, const PendingRequest& aPending, ServerCandidate& aChosen)
+{
+  const auto& servers = StateOf(aPending.service_->name_).servers_;
+  const auto available = AvailableServers(aNow, servers, aPending.tried_);
   if (available.empty()) {
-    return hasServer ? Choice::NoCapacity : Choice::NoServer;
+    return HasServer(servers) ? Choice::NoCapacity : Choice::NoServer;
   }
-  const auto typical =
-    knownCount == 0 ? kUnknownLatency : Duration(known / static_cast<Duration::rep>(knownCount));
+  const auto typical = TypicalLatency(servers);
   // The better of two drawn at random: instances that do not see each other's
   // load would all run to the one best server.
   std::uniform_int_distribution<std::size_t> draw(0, available.size() - 1);
@@ -230,7 +251,7 @@
 }
 
 double
-RequestDesk::CostOf(Instant aNow, const Candidate& aCandidate, Duration aDefault) const
+RequestDesk::CostOf(Instant aNow, const ServerCandidate& aCandidate, Duration aDefault) const
 {
   const auto& load = *aCandidate.load_;
   const auto latency = static_cast<double>(load.ExpectedLatency(aNow, aDefault).count());
--- a/Libraries/LibGateway/ServerLoad.h
+++ b/Libraries/LibGateway/ServerLoad.h
@@ -47,8 +47,6 @@
 
   // Whether one more request may be sent now.
   bool HasRoom(Instant aNow) const;
-  // When a suspended server may be tried again.
-  Instant SuspendedUntil() const { return suspendedUntil_; }
   // The latency to count with, longer while answers are overdue; aDefault when
   // none was seen yet.
   Duration ExpectedLatency(Instant aNow, Duration aDefault) const;
@@ -69,7 +67,7 @@
   void Shrink(Instant aNow, double aFactor);
   bool IsOverdue(Instant aNow) const;
 
-  // When each send began, and the moment of the oldest.
+  // When each send that is under way began.
   std::map<AttemptNumber, Instant> underWay_;
   Duration mean_{ 0 };
   // A low quantile of latency: what the server takes when it is not busy.
