--- a/Libraries/LibDaemon/GatewayFront.h
+++ b/Libraries/LibDaemon/GatewayFront.h
@@ -7,6 +7,8 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <memory>
+#include <string>
 #include <unordered_map>
 
 namespace latchslip {
@@ -18,7 +20,7 @@
   , private RequestActions
 {
 public:
-  // Told of each request for a key that is sent for the first time.
+  // Told of each send of a request for a key.
   using KeyObserver = std::function<void(const std::string& aServer, KeyNumber aKey)>;
 
   GatewayFront(boost::asio::io_context& aContext,
@@ -39,6 +41,7 @@
   void ArmTimer();
 
 private:
+  // A client's request that has no answer yet.
   struct ClientRequest
   {
     RoutedRequest routed_;
@@ -46,6 +49,7 @@
     HttpResponder respond_;
   };
 
+  // A send to a server that is under way.
   struct RunningAttempt
   {
     AttemptOrder order_;
@@ -65,6 +69,7 @@
   std::unique_ptr<HttpClient> client_;
   RequestDesk desk_;
   boost::asio::steady_timer timer_;
+  // What the timer is set to; Instant::max() when it is not.
   Instant armedFor_ = Instant::max();
   std::unordered_map<RequestNumber, ClientRequest> requests_;
   std::unordered_map<AttemptNumber, RunningAttempt> attempts_;
--- a/Libraries/LibDaemon/GatewayHost.cpp
+++ b/Libraries/LibDaemon/GatewayHost.cpp
@@ -1,6 +1,7 @@
 #include "LibDaemon/GatewayHost.h"
 
 #include "LibDaemon/PeerCalls.h"
+#include "LibDaemon/StopSequence.h"
 #include "LibNet/MonotonicClock.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -15,16 +16,6 @@
 constexpr Duration kStep = milliseconds(50);
 // Between two looks for idle connections that servers are about to close.
 constexpr Duration kPruneInterval = seconds(1);
-// A stopping instance tells clients to close their connections from this time
-// on: earlier, many would come back to it.
-constexpr Duration kTellClients = milliseconds(1200);
-// The balancer asks every second and takes an instance out after two refusals;
-// until then, and a little for connections on their way, clients still come.
-// Then idle connections are closed and nothing more is taken: what is taken later
-// than three seconds after the stop must end within the grace.
-constexpr Duration kBalancerNotice = milliseconds(2600);
-// A stop ends this long before the grace, whatever is under way.
-constexpr Duration kLastMoments = milliseconds(400);
 // An order to a server that is not answered in this time counts as unanswered.
 constexpr Duration kOrderTimeout = milliseconds(1500);
 constexpr Duration kOrderConnectTimeout = milliseconds(300);
@@ -82,8 +73,8 @@
 
   void BeginLeaving() override
   {
-    if (leavingSince_ == Instant::max()) {
-      leavingSince_ = MonotonicNow();
+    if (!stop_.HasBegun()) {
+      stop_.Begin(MonotonicNow());
       events_.Record(Event::InstanceLeaving, "");
     }
   }
@@ -109,7 +100,7 @@
     AsioGatewayHost& host_;
   };
 
-  bool IsReady() const { return member_.IsReady() && leavingSince_ == Instant::max(); }
+  bool IsReady() const { return member_.IsReady() && !stop_.HasBegun(); }
 
   void CountKey(const std::string& aServer, KeyNumber aKey)
   {
@@ -128,7 +119,7 @@
       orders_->PruneIdle();
     }
     front_.ArmTimer();
-    if (leavingSince_ != Instant::max() && ContinueLeaving(now)) {
+    if (ContinueLeaving(now)) {
       return;
     }
     timer_.expires_after(kStep);
@@ -139,28 +130,45 @@
     });
   }
 
-  // Whether the stop is complete.
+  // Takes the next steps of a stop, if one has begun. Whether it is complete.
   bool ContinueLeaving(Instant aNow)
   {
-    const auto past = aNow - leavingSince_;
-    if (past < kTellClients) {
+    const auto stage = stop_.StageAt(aNow);
+    if (stage == StopStage::None || stage == StopStage::Unnoticed) {
       return false;
     }
     clientServer_->BeginDrain();
-    if (!isClosing_ && past >= kBalancerNotice) {
+    if (stage == StopStage::Closing && !isClosing_) {
       isClosing_ = true;
       clientServer_->BeginClose();
     }
     const bool isQuiet = front_.Desk().UnderWay() == 0 && clientServer_->Connections() == 0;
-    if (!(isClosing_ && isQuiet) && past < settings_.stopGrace_ - kLastMoments) {
+    if (!stop_.IsOver(aNow, settings_.stopGrace_, isQuiet)) {
       return false;
     }
+    End(isQuiet);
+    return true;
+  }
+
+  void End(bool aIsQuiet)
+  {
     readyServer_->BeginClose();
     peerServer_->BeginClose();
     store_.Stop();
-    events_.Record(Event::InstanceStopped, isQuiet ? "reason=quiet" : "reason=grace");
+    events_.Record(Event::InstanceStopped, aIsQuiet ? "reason=quiet" : "reason=grace");
     context_.stop();
-    return true;
+  }
+
+  void ApplyLimits(const ClientLimits& aLimits)
+  {
+    HttpLimits http;
+    http.headerBytes_ = aLimits.headerBytes_;
+    http.bodyBytes_ = aLimits.bodyBytes_;
+    http.transfer_ = std::max<Duration>(http.transfer_, aLimits.headerTime_);
+    // Kept longer when the limit shrinks: clients may still use the former one.
+    idleTime_ = std::max(idleTime_, aLimits.idleTime_);
+    http.idle_ = idleTime_;
+    clientServer_->SetLimits(http);
   }
 
   // What FleetMember decides.
@@ -209,15 +217,7 @@
 
   void OnRoutes(std::shared_ptr<const RouteTable> aRoutes) override
   {
-    const auto& limits = aRoutes->Configuration().limits_;
-    HttpLimits http;
-    http.headerBytes_ = limits.headerBytes_;
-    http.bodyBytes_ = limits.bodyBytes_;
-    http.transfer_ = std::max<Duration>(http.transfer_, limits.headerTime_);
-    // Kept longer when the limit shrinks: clients may still use the former one.
-    idleTime_ = std::max(idleTime_, limits.idleTime_);
-    http.idle_ = idleTime_;
-    clientServer_->SetLimits(http);
+    ApplyLimits(aRoutes->Configuration().limits_);
     front_.Desk().SetRoutes(MonotonicNow(), std::move(aRoutes));
   }
 
@@ -257,9 +257,11 @@
   std::unique_ptr<HttpServer> peerServer_;
   asio::steady_timer timer_;
   Instant nextPrune_ = Instant::min();
-  Instant leavingSince_ = Instant::max();
-  Duration idleTime_{ 0 };
+  StopSequence stop_;
+  // Whether the listener for clients was told to close.
   bool isClosing_ = false;
+  // How long an idle connection of a client is kept.
+  Duration idleTime_{ 0 };
 };
 
 } // namespace
