--- a/Libraries/LibFleet/FleetMember.h
+++ b/Libraries/LibFleet/FleetMember.h
@@ -47,8 +47,10 @@
   virtual Duration LatencyOf(const std::string& aServer) const = 0;
 };
 
+// What an instance is told of itself and of the fleet when it starts.
 struct FleetMemberSettings
 {
+  // What the placer's row says while this instance is the placer.
   PlacerRow self_;
   // Addresses where other instances may be found at the start.
   std::vector<std::string> seeds_;
@@ -97,6 +99,7 @@
 private:
   class ServicePlacer;
 
+  // A write of the placer; they go to the store one after the other.
   struct WaitingWrite
   {
     // No value for a claim of the placer's row.
@@ -122,13 +125,23 @@
   void RunPlacers(Instant aNow);
   void QueueWrite(const KeyOwnership& aOwnership);
   void SendWrites(Instant aNow);
+  void OnClaimed(Instant aNow, const Row& aRow);
+  void OnOwnershipWritten(Instant aNow, RowVersion aVersion, const KeyOwnership& aOwnership);
   void OnWriteDone(Instant aNow, const WaitingWrite& aWrite, const StoreReply& aReply);
   void OnWriteConflict(Instant aNow, const WaitingWrite& aWrite, const StoreReply& aReply);
   std::vector<KeyServer> KeyServersOf(const std::string& aService) const;
+  // The median latency of a service's servers; no value when none is known.
+  std::optional<Duration> TypicalLatencyOf(const std::string& aService) const;
+  // How fast a server is compared with the typical one.
+  double SpeedOf(const std::string& aServer, Duration aTypical) const;
   void LearnLatencies(const std::map<std::string, Duration>& aLatencies);
+  ReportAnswer MakeReportAnswer() const;
+  // What the placer learns from a report.
+  void TakeIn(Instant aNow, const InstanceReport& aReport);
+  // What this instance has seen since it last reported.
   InstanceReport TakeReport();
   void Report(Instant aNow);
-  // Tells all instances that report here.
+  // Tells the others at once what this placer has learnt or written.
   void Spread(const FleetNews& aNews);
   void SpreadDoubt(const std::string& aServer, Duration aHolds);
   // Whether this placer may still give orders, as far as it can know.
@@ -144,9 +157,11 @@
   std::map<std::string, std::unique_ptr<ServicePlacer>> placers_;
   std::vector<WaitingWrite> writes_;
   std::map<std::string, KeyCounter> counters_;
+  // The mean latency of each server over all instances, as the placer knows it.
   std::map<std::string, Duration> latencies_;
-  // When each other instance reported last, by its address.
+  // When each instance reported here last, by its address.
   std::map<std::string, Instant> heardInstances_;
+  // Addresses of the instances that report to the placer, as it last said.
   std::vector<std::string> instances_;
   // Until when servers may hold keys by orders that they take late.
   std::map<std::string, Instant> doubts_;
--- a/Libraries/LibFleet/PlacerDuty.cpp
+++ b/Libraries/LibFleet/PlacerDuty.cpp
@@ -108,7 +108,7 @@
 FleetMember::KeyServersOf(const std::string& aService) const
 {
   std::vector<KeyServer> servers;
-  std::vector<Duration> known;
+  const auto typical = TypicalLatencyOf(aService);
   for (const auto& [id, record] : view_.Directory().All()) {
     if (record.service_ != aService) {
       continue;
@@ -117,27 +117,42 @@
     server.id_ = id;
     server.address_ = record.address_;
     server.isUsable_ = !record.isLeaving_ && !view_.Directory().HasEnded(id);
+    if (typical) {
+      server.weight_ = record.slots_ * SpeedOf(id, *typical);
+    }
     servers.push_back(std::move(server));
-    if (const auto latency = latencies_.find(id); latency != latencies_.end()) {
+  }
+  return servers;
+}
+
+std::optional<Duration>
+FleetMember::TypicalLatencyOf(const std::string& aService) const
+{
+  std::vector<Duration> known;
+  for (const auto& [id, record] : view_.Directory().All()) {
+    const auto latency = latencies_.find(id);
+    if (record.service_ == aService && latency != latencies_.end()) {
       known.push_back(latency->second);
     }
   }
   if (known.empty()) {
-    return servers;
-  }
-  std::nth_element(
-    known.begin(), known.begin() + static_cast<std::ptrdiff_t>(known.size() / 2), known.end());
-  const auto typical = static_cast<double>(known[known.size() / 2].count());
-  for (auto& server : servers) {
-    const auto latency = latencies_.find(server.id_);
-    const double slots = view_.Directory().Find(server.id_)->slots_;
-    const double speed =
-      latency == latencies_.end()
-        ? 1
-        : typical / static_cast<double>(std::max<Duration::rep>(1, latency->second.count()));
-    server.weight_ = slots * std::clamp(speed, 1 / kMostSpeed, kMostSpeed);
+    return std::nullopt;
   }
-  return servers;
+  const auto middle = known.begin() + static_cast<std::ptrdiff_t>(known.size() / 2);
+  std::nth_element(known.begin(), middle, known.end());
+  return *middle;
+}
+
+double
+FleetMember::SpeedOf(const std::string& aServer, Duration aTypical) const
+{
+  const auto found = latencies_.find(aServer);
+  if (found == latencies_.end()) {
+    return 1;
+  }
+  const auto latency = std::max<Duration::rep>(1, found->second.count());
+  const double speed = static_cast<double>(aTypical.count()) / static_cast<double>(latency);
+  return std::clamp(speed, 1 / kMostSpeed, kMostSpeed);
 }
 
 void
@@ -202,27 +217,38 @@
   const auto& written = aWrite.transaction_.writes_.front();
   const auto* stored = FindRow(aReply.rows_, written.key_);
   const RowVersion version = stored == nullptr ? 0 : stored->version_;
-  FleetNews news;
-  if (!aWrite.ownership_) {
-    const Row row{ written.key_, version, written.value_ };
-    events_.Record(Event::PlacerClaimed, "row_version=" + std::to_string(version));
-    view_.TakeFleetRow(aNow, row);
-    news.placer_ = row;
-    Spread(news);
-    RunPlacers(aNow);
-    return;
+  if (aWrite.ownership_) {
+    OnOwnershipWritten(aNow, version, *aWrite.ownership_);
+  } else {
+    OnClaimed(aNow, { written.key_, version, written.value_ });
   }
-  const auto& ownership = *aWrite.ownership_;
-  const auto* former = view_.OwnersOf(ownership.service_);
+}
+
+void
+FleetMember::OnClaimed(Instant aNow, const Row& aRow)
+{
+  events_.Record(Event::PlacerClaimed, "row_version=" + std::to_string(aRow.version_));
+  view_.TakeFleetRow(aNow, aRow);
+  FleetNews news;
+  news.placer_ = aRow;
+  Spread(news);
+  RunPlacers(aNow);
+}
+
+void
+FleetMember::OnOwnershipWritten(Instant aNow, RowVersion aVersion, const KeyOwnership& aOwnership)
+{
+  FleetNews news;
+  const auto* former = view_.OwnersOf(aOwnership.service_);
   if (former == nullptr) {
-    news.owners_.push_back({ 0, version, ownership });
+    news.owners_.push_back({ 0, aVersion, aOwnership });
   } else {
     news.owners_.push_back(
-      { former->version_, version, ChangesBetween(former->ownership_, ownership) });
+      { former->version_, aVersion, ChangesBetween(former->ownership_, aOwnership) });
   }
-  view_.TakeOwnership(version, ownership);
+  view_.TakeOwnership(aVersion, aOwnership);
   Spread(news);
-  if (const auto placer = placers_.find(ownership.service_); placer != placers_.end()) {
+  if (const auto placer = placers_.find(aOwnership.service_); placer != placers_.end()) {
     placer->second->placer_.OnWritten(aNow);
   }
 }
@@ -252,7 +278,6 @@
   Spread(news);
 }
 
-// Tells the others at once what this placer has learnt or written.
 void
 FleetMember::Spread(const FleetNews& aNews)
 {
@@ -311,32 +336,44 @@
 FleetMember::OnReport(Instant aNow, const InstanceReport& aReport)
 {
   heardInstances_[aReport.address_] = aNow;
-  if (election_.IsPlacer() && aReport.instance_ == formerPlacer_) {
-    // Whoever reports here knows that it is the placer no more.
-    for (const auto& [service, placer] : placers_) {
-      placer->placer_.OnFormerPlacerStopped(aNow);
-    }
-    formerPlacer_.clear();
-  }
   std::erase_if(heardInstances_,
                 [&](const auto& aEntry) { return aNow - aEntry.second > kInstanceSilence; });
+  auto answer = MakeReportAnswer();
+  if (election_.IsPlacer()) {
+    instances_ = answer.instances_;
+    TakeIn(aNow, aReport);
+  }
+  return answer;
+}
+
+ReportAnswer
+FleetMember::MakeReportAnswer() const
+{
   ReportAnswer answer;
   answer.isWorking_ = election_.IsPlacer() && !isStoreLost_;
   for (const auto& [address, heardAt] : heardInstances_) {
     answer.instances_.push_back(address);
   }
   answer.lastChanges_ = view_.LastChanges();
-  if (!election_.IsPlacer()) {
-    return answer;
+  return answer;
+}
+
+void
+FleetMember::TakeIn(Instant aNow, const InstanceReport& aReport)
+{
+  if (aReport.instance_ == formerPlacer_) {
+    // Whoever reports here knows that it is the placer no more.
+    for (const auto& [service, placer] : placers_) {
+      placer->placer_.OnFormerPlacerStopped(aNow);
+    }
+    formerPlacer_.clear();
   }
-  instances_ = answer.instances_;
   for (const auto& [service, counts] : aReport.keyCounts_) {
     if (const auto placer = placers_.find(service); placer != placers_.end()) {
       placer->second->placer_.OnLoad(aNow, counts);
     }
   }
   LearnLatencies(aReport.latencies_);
-  return answer;
 }
 
 void
