--- /dev/null
+++ b/Libraries/LibNet/HttpConnection.cpp
@@ -0,0 +1,228 @@
+#include "LibNet/HttpConnection.h"
+
+#include "LibNet/MonotonicClock.h"
+
+#include <algorithm>
+#include <charconv>
+#include <sys/socket.h>
+
+namespace latchslip {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr std::uint64_t kMostAnswerBytes = 64ULL * 1024 * 1024;
+// How long an idle connection is used again when its server names no time.
+// NOTE: Servers of our users name theirs in whole seconds, so an unnamed one
+// may be shorter than a second.
+constexpr Duration kUnnamedIdle = milliseconds(900);
+// A connection is given up this long before its server closes it, since a
+// request that crosses the close may or may not have run.
+constexpr Duration kIdleMargin = milliseconds(500);
+
+// The seconds of "timeout=5" in a Keep-Alive header.
+Duration
+IdleTimeOf(std::string_view aKeepAlive)
+{
+  constexpr std::string_view kName = "timeout=";
+  const auto at = aKeepAlive.find(kName);
+  if (at == std::string_view::npos) {
+    return kUnnamedIdle;
+  }
+  int named = 0;
+  const auto digits = aKeepAlive.substr(at + kName.size());
+  std::from_chars(digits.data(), digits.data() + digits.size(), named);
+  return std::max<Duration>(seconds(named) - kIdleMargin, Duration(0));
+}
+
+// Takes the body out of the message.
+HttpExchange
+ToExchange(http::response<http::string_body>& aMessage)
+{
+  HttpExchange exchange;
+  exchange.end_ = ExchangeEnd::Complete;
+  auto& response = exchange.response_;
+  response.status_ = aMessage.result_int();
+  response.contentType_ = std::string(aMessage[http::field::content_type]);
+  for (const auto& field : aMessage) {
+    response.headers_.emplace_back(field.name_string(), field.value());
+  }
+  response.body_ = std::make_shared<const std::string>(std::move(aMessage.body()));
+  response.isFramed_ = aMessage.has_content_length() || aMessage.chunked();
+  return exchange;
+}
+
+} // namespace
+
+HttpConnection::HttpConnection(asio::io_context& aContext, std::shared_ptr<HttpPool> aPool)
+  : stream_(aContext)
+  , pool_(std::move(aPool))
+{
+  ++pool_->open_;
+}
+
+void
+HttpConnection::Start(const tcp::endpoint& aEndpoint,
+                      const HttpRequest& aRequest,
+                      const ExchangeOptions& aOptions,
+                      HttpCallback aCallback)
+{
+  callback_ = std::move(aCallback);
+  isFresh_ = aOptions.isFreshConnection_;
+  isReusable_ = true;
+  echoHeader_ = aOptions.echoHeader_;
+  echoValue_ = echoHeader_.empty() ? std::string() : std::string(aRequest.Header(echoHeader_));
+  end_ = MonotonicNow() + aOptions.timeout_;
+  Prepare(aEndpoint, aRequest);
+  if (isConnected_) {
+    stream_.expires_after(aOptions.timeout_);
+    Write();
+    return;
+  }
+  const bool isBounded = aOptions.connectTimeout_ > Duration(0);
+  stream_.expires_after(isBounded ? std::min(aOptions.connectTimeout_, aOptions.timeout_)
+                                  : aOptions.timeout_);
+  stream_.async_connect(
+    aEndpoint, [self = shared_from_this()](error_code aError) { self->OnConnected(aError); });
+}
+
+void
+HttpConnection::Prepare(const tcp::endpoint& aEndpoint, const HttpRequest& aRequest)
+{
+  request_.emplace();
+  request_->version(11);
+  request_->method_string(aRequest.method_);
+  request_->target(aRequest.target_);
+  request_->set(http::field::host, aEndpoint.address().to_string());
+  for (const auto& [name, value] : aRequest.headers_) {
+    if (beast::iequals(name, "Host")) {
+      request_->set(name, value);
+    } else {
+      request_->insert(name, value);
+    }
+  }
+  body_ = aRequest.body_ ? aRequest.body_ : std::make_shared<const std::string>();
+  request_->body() = { body_->data(), body_->size() };
+  request_->prepare_payload();
+  request_->keep_alive(!isFresh_);
+}
+
+void
+HttpConnection::Cancel()
+{
+  callback_ = nullptr;
+  stream_.close();
+}
+
+bool
+HttpConnection::IsStale()
+{
+  if (MonotonicNow() >= idleUntil_) {
+    return true;
+  }
+  char byte = 0;
+  const auto handle = stream_.socket().native_handle();
+  const auto count = ::recv(handle, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return count >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+void
+HttpConnection::OnConnected(error_code aError)
+{
+  if (aError) {
+    End(ExchangeEnd::NotSent, aError);
+    return;
+  }
+  isConnected_ = true;
+  error_code ignored;
+  stream_.socket().set_option(tcp::no_delay(true), ignored);
+  stream_.expires_after(std::max(end_ - MonotonicNow(), Duration(1)));
+  Write();
+}
+
+void
+HttpConnection::Write()
+{
+  http::async_write(
+    stream_, *request_, [self = shared_from_this()](error_code aError, std::size_t aCount) {
+      self->OnWritten(aError, aCount);
+    });
+}
+
+void
+HttpConnection::OnWritten(error_code aError, std::size_t aCount)
+{
+  if (aError) {
+    End(aCount == 0 ? ExchangeEnd::NotSent : ExchangeEnd::Broken, aError);
+    return;
+  }
+  Read();
+}
+
+void
+HttpConnection::Read()
+{
+  parser_.emplace();
+  parser_->body_limit(kMostAnswerBytes);
+  http::async_read(
+    stream_, buffer_, *parser_, [self = shared_from_this()](error_code aFailure, std::size_t) {
+      self->OnRead(aFailure);
+    });
+}
+
+void
+HttpConnection::OnRead(error_code aError)
+{
+  if (aError) {
+    End(ExchangeEnd::Broken, aError);
+    return;
+  }
+  auto message = parser_->release();
+  if (!echoHeader_.empty() && message[echoHeader_] != echoValue_) {
+    // The answer to an earlier request; the right one may still follow.
+    isReusable_ = false;
+    Read();
+    return;
+  }
+  auto exchange = ToExchange(message);
+  stream_.expires_never();
+  // Bytes beyond the answer belong to no request of ours.
+  if (message.keep_alive() && buffer_.size() == 0 && isReusable_ && !isFresh_) {
+    idleUntil_ = MonotonicNow() + IdleTimeOf(message[http::field::keep_alive]);
+    pool_->idle_.push_back(shared_from_this());
+  } else {
+    stream_.close();
+  }
+  Finish(std::move(exchange));
+}
+
+void
+HttpConnection::End(ExchangeEnd aEnd, error_code aError)
+{
+  stream_.close();
+  HttpExchange exchange;
+  exchange.end_ = aEnd;
+  exchange.problem_ = aError.message();
+  exchange.isRefused_ = aError == asio::error::connection_refused;
+  exchange.isTimeout_ = aError == beast::error::timeout;
+  Finish(std::move(exchange));
+}
+
+void
+HttpConnection::Finish(HttpExchange aExchange)
+{
+  request_.reset();
+  body_.reset();
+  parser_.reset();
+  const auto callback = std::exchange(callback_, nullptr);
+  if (callback) {
+    callback(std::move(aExchange));
+  }
+}
+
+} // namespace latchslip
