--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -1,272 +1,31 @@
 #include "LibNet/HttpServer.h"
 
 #include "LibNet/Address.h"
+#include "LibNet/HttpSession.h"
 #include "LibNet/MonotonicClock.h"
 
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
-#include <optional>
-#include <set>
-#include <sys/socket.h>
 
 namespace latchslip {
 
 namespace {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace http = beast::http;
 using boost::system::error_code;
 using tcp = asio::ip::tcp;
 
-// Where the first field of a request's header is read into.
-constexpr std::size_t kReadBuffer = 64UL * 1024;
-
 // How often connections that were idle too long are looked for.
 constexpr Duration kIdleCheck = seconds(1);
 
-class HttpSession;
-
-// What the sessions of one listener share.
-struct Listener
-{
-  HttpLimits limits_;
-  HttpHandler& handler_;
-  bool isDraining_ = false;
-  std::set<HttpSession*> sessions_;
-  std::uint64_t lastId_ = 0;
-};
-
-std::string
-ErrorBody(std::string_view aField, std::string_view aProblem)
-{
-  return R"({"error":{"field":")" + std::string(aField) + R"(","problem":")" +
-         std::string(aProblem) + "\"}}";
-}
-
-class HttpSession : public std::enable_shared_from_this<HttpSession>
-{
-public:
-  HttpSession(tcp::socket aSocket, std::shared_ptr<Listener> aListener)
-    : stream_(std::move(aSocket))
-    , buffer_(kReadBuffer + aListener->limits_.headerBytes_)
-    , listener_(std::move(aListener))
-  {
-    listener_->sessions_.insert(this);
-  }
-
-  ~HttpSession() { listener_->sessions_.erase(this); }
-  HttpSession(const HttpSession&) = delete;
-  HttpSession& operator=(const HttpSession&) = delete;
-
-  void ReadNext()
-  {
-    parser_.emplace();
-    parser_->header_limit(static_cast<std::uint32_t>(listener_->limits_.headerBytes_));
-    parser_->body_limit(listener_->limits_.bodyBytes_);
-    isIdle_ = buffer_.size() == 0;
-    if (!isIdle_) {
-      ReadHeader();
-      return;
-    }
-    stream_.expires_never();
-    idleUntil_ = MonotonicNow() + listener_->limits_.idle_;
-    // NOTE: The first byte is waited for, not read: what was read already but not
-    // yet handled could not be told from an idle connection when that is closed.
-    beast::get_lowest_layer(stream_).socket().async_wait(
-      tcp::socket::wait_read,
-      [self = shared_from_this()](error_code aError) { self->OnReadable(aError); });
-  }
-
-  // When an idle connection is to be closed.
-  Instant IdleUntil() const { return isIdle_ ? idleUntil_ : Instant::max(); }
-
-  // Closes the connection if it carries no request now and none lies unread.
-  void CloseIfIdle()
-  {
-    if (isIdle_ && !HasUnreadBytes()) {
-      Close();
-    }
-  }
-
-private:
-  void OnReadable(error_code aError)
-  {
-    if (aError) {
-      Close();
-      return;
-    }
-    isIdle_ = false;
-    ReadHeader();
-  }
-
-  void ReadHeader()
-  {
-    stream_.expires_after(listener_->limits_.transfer_);
-    http::async_read(
-      stream_, buffer_, *parser_, [self = shared_from_this()](error_code aError, std::size_t) {
-        self->OnRead(aError);
-      });
-  }
-
-  void OnRead(error_code aError)
-  {
-    if (aError) {
-      RefuseUnreadable(aError);
-      return;
-    }
-    auto message = parser_->release();
-    keepAlive_ = message.keep_alive() && !listener_->isDraining_;
-    HttpRequest request;
-    request.method_ = std::string(message.method_string());
-    request.target_ = std::string(message.target());
-    for (const auto& field : message) {
-      request.headers_.emplace_back(field.name_string(), field.value());
-    }
-    request.body_ = std::make_shared<const std::string>(std::move(message.body()));
-    id_ = ++listener_->lastId_;
-    isWaiting_ = true;
-    stream_.expires_never();
-    WatchForClose();
-    listener_->handler_.OnRequest(
-      id_,
-      std::move(request),
-      [self = shared_from_this(), id = id_](const HttpResponse& aResponse) {
-        self->Respond(id, aResponse);
-      });
-  }
-
-  void RefuseUnreadable(error_code aError)
-  {
-    unsigned status = 400;
-    std::string_view problem = "is not valid HTTP/1.1";
-    std::string_view field = "request";
-    if (aError == http::error::body_limit) {
-      status = 413;
-      field = "body";
-      problem = "is larger than this listener takes";
-    } else if (aError == http::error::header_limit || aError == http::error::buffer_overflow) {
-      status = 431;
-      field = "header";
-      problem = "is larger than this listener takes";
-    } else if (aError == beast::error::timeout) {
-      status = 408;
-      problem = "did not arrive in time";
-    } else if (aError.category() != http::make_error_code(http::error::end_of_stream).category() ||
-               aError == http::error::end_of_stream || aError == http::error::partial_message) {
-      Close();
-      return;
-    }
-    keepAlive_ = false;
-    isWaiting_ = true;
-    auto response = MakeHttpResponse(status, ErrorBody(field, problem));
-    response.headers_.emplace_back("Latchslip-Outcome", "not-run");
-    Respond(id_, response);
-  }
-
-  void WatchForClose()
-  {
-    beast::get_lowest_layer(stream_).socket().async_wait(
-      tcp::socket::wait_read, [weak = weak_from_this(), id = id_](error_code aError) {
-        const auto self = weak.lock();
-        if (self && !aError && self->isWaiting_ && self->id_ == id && self->IsClosedByPeer()) {
-          self->isWaiting_ = false;
-          self->listener_->handler_.OnGone(id);
-          self->Close();
-        }
-      });
-  }
-
-  bool HasUnreadBytes()
-  {
-    char byte = 0;
-    const auto handle = beast::get_lowest_layer(stream_).socket().native_handle();
-    return ::recv(handle, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
-  }
-
-  bool IsClosedByPeer()
-  {
-    char byte = 0;
-    const auto handle = beast::get_lowest_layer(stream_).socket().native_handle();
-    const auto count = ::recv(handle, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-  }
-
-  void Respond(std::uint64_t aId, const HttpResponse& aResponse)
-  {
-    if (!isWaiting_ || aId != id_) {
-      return;
-    }
-    isWaiting_ = false;
-    if (aResponse.status_ == kNoAnswer) {
-      Close();
-      return;
-    }
-    body_ = aResponse.body_ ? aResponse.body_ : std::make_shared<const std::string>();
-    response_.emplace();
-    response_->version(11);
-    response_->result(aResponse.status_);
-    if (!aResponse.contentType_.empty()) {
-      response_->set(http::field::content_type, aResponse.contentType_);
-    }
-    for (const auto& [name, value] : aResponse.headers_) {
-      response_->insert(name, value);
-    }
-    keepAlive_ = keepAlive_ && !listener_->isDraining_ && aResponse.isFramed_;
-    response_->keep_alive(keepAlive_);
-    response_->body() = { body_->data(), body_->size() };
-    if (aResponse.isFramed_) {
-      response_->prepare_payload();
-    }
-    stream_.expires_after(listener_->limits_.transfer_);
-    http::async_write(
-      stream_, *response_, [self = shared_from_this()](error_code aError, std::size_t) {
-        self->OnWritten(aError);
-      });
-  }
-
-  void OnWritten(error_code aError)
-  {
-    response_.reset();
-    body_.reset();
-    if (aError || !keepAlive_) {
-      Close();
-      return;
-    }
-    ReadNext();
-  }
-
-  void Close()
-  {
-    error_code ignored;
-    stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
-    stream_.close();
-  }
-
-  beast::tcp_stream stream_;
-  beast::flat_buffer buffer_;
-  std::shared_ptr<Listener> listener_;
-  std::optional<http::request_parser<http::string_body>> parser_;
-  std::optional<http::response<http::span_body<const char>>> response_;
-  std::shared_ptr<const std::string> body_;
-  std::uint64_t id_ = 0;
-  bool keepAlive_ = false;
-  bool isIdle_ = true;
-  bool isWaiting_ = false;
-  Instant idleUntil_{ 0 };
-};
-
 class BeastHttpServer : public HttpServer
 {
 public:
   BeastHttpServer(tcp::acceptor aAcceptor, HttpLimits aLimits, HttpHandler& aHandler)
     : acceptor_(std::move(aAcceptor))
     , idleTimer_(acceptor_.get_executor())
-    , listener_(std::make_shared<Listener>(Listener{ aLimits, aHandler, false, {}, 0 }))
+    , listener_(std::make_shared<HttpListener>(HttpListener{ aLimits, aHandler, false, {}, 0 }))
   {
     Accept();
   }
@@ -360,7 +119,7 @@
   tcp::acceptor acceptor_;
   asio::steady_timer idleTimer_;
   bool isIdleTimerArmed_ = false;
-  std::shared_ptr<Listener> listener_;
+  std::shared_ptr<HttpListener> listener_;
 };
 
 } // namespace
