--- a/Libraries/LibFleet/FleetMember.cpp
+++ b/Libraries/LibFleet/FleetMember.cpp
@@ -107,7 +107,8 @@
   relay_.OnFailure();
   nextReport_ = aNow;
   if (wasPlacer && !election_.IsPlacer()) {
-    events_.Record(Event::PlacerClaimLost, "placer=" + aPlacer->instance_);
+    events_.Record(Event::PlacerClaimLost,
+                   "placer=" + (aPlacer ? aPlacer->instance_ : std::string("-")));
     StopPlacers();
   }
 }
--- a/Libraries/LibFleet/FleetMember.h
+++ b/Libraries/LibFleet/FleetMember.h
@@ -106,6 +106,8 @@
     std::optional<KeyOwnership> ownership_;
     Transaction transaction_;
     bool isUnderWay_ = false;
+    // This instance is no longer the placer that wanted it.
+    bool isAbandoned_ = false;
     Instant retryAt_ = Instant::min();
   };
 
@@ -163,6 +165,8 @@
   std::map<std::string, Instant> heardInstances_;
   // Addresses of the instances that report to the placer, as it last said.
   std::vector<std::string> instances_;
+  // How many other instances reported here while the store was heard.
+  std::size_t othersWithStore_ = 0;
   // Until when servers may hold keys by orders that they take late.
   std::map<std::string, Instant> doubts_;
   // The instance that was the placer before this one.
--- a/Libraries/LibFleet/PlacerDuty.cpp
+++ b/Libraries/LibFleet/PlacerDuty.cpp
@@ -14,6 +14,10 @@
 constexpr Duration kReportInterval = milliseconds(800);
 // An instance that reported within this time takes the receiver for the placer.
 constexpr Duration kReportingBound = seconds(2);
+// The store was heard lately: it answers a placer more often than this. Less than
+// the time after which silent instances are forgotten, so that whoever is cut off
+// from all at once still knows how many they were.
+constexpr Duration kStoreLately = milliseconds(1500);
 // An instance that has not reported for this long is not counted any more.
 constexpr Duration kInstanceSilence = seconds(4);
 // A write that failed is sent again after this time.
@@ -68,7 +72,11 @@
 FleetMember::StopPlacers()
 {
   placers_.clear();
-  writes_.clear();
+  // The answer to a write under way must not be taken for that of a later one.
+  std::erase_if(writes_, [](const WaitingWrite& aWrite) { return !aWrite.isUnderWay_; });
+  for (auto& write : writes_) {
+    write.isAbandoned_ = true;
+  }
 }
 
 void
@@ -89,7 +97,8 @@
 }
 
 // Another instance may be the placer by now, and counts on this one's silence. As
-// long as most instances report here, none can be.
+// long as most of the others report here that did when the store was last heard,
+// none can be.
 bool
 FleetMember::MayOrder(Instant aNow) const
 {
@@ -99,9 +108,9 @@
   }
   const auto reporting =
     std::count_if(heardInstances_.begin(), heardInstances_.end(), [&](const auto& aEntry) {
-      return aNow - aEntry.second < kReportingBound;
+      return aEntry.first != settings_.self_.address_ && aNow - aEntry.second < kReportingBound;
     });
-  return 2 * static_cast<std::size_t>(reporting) > instances_.size();
+  return othersWithStore_ == 0 || 2 * static_cast<std::size_t>(reporting) > othersWithStore_;
 }
 
 std::vector<KeyServer>
@@ -186,6 +195,10 @@
   }
   auto& write = writes_.front();
   write.isUnderWay_ = false;
+  if (write.isAbandoned_) {
+    writes_.erase(writes_.begin());
+    return;
+  }
   switch (aReply.status_) {
     case StoreStatus::Unsure:
       events_.Record(Event::StoreUnsure, "row=" + write.transaction_.writes_.front().key_);
@@ -339,6 +352,9 @@
   std::erase_if(heardInstances_,
                 [&](const auto& aEntry) { return aNow - aEntry.second > kInstanceSilence; });
   auto answer = MakeReportAnswer();
+  if (aNow - storeHeardAt_ < kStoreLately) {
+    othersWithStore_ = heardInstances_.size() - heardInstances_.count(settings_.self_.address_);
+  }
   if (election_.IsPlacer()) {
     instances_ = answer.instances_;
     TakeIn(aNow, aReport);
--- a/Libraries/LibGateway/ServerChoice.cpp
+++ b/Libraries/LibGateway/ServerChoice.cpp
@@ -122,6 +122,12 @@
   for (const auto& service : routes_->Configuration().services_) {
     RefreshServers(StateOf(service.name_), service);
   }
+  // Requests may still wait for a service that left the configuration.
+  for (auto& [name, state] : services_) {
+    if (routes_->FindService(name) == nullptr) {
+      state.servers_.clear();
+    }
+  }
   std::erase_if(loads_, [&](const auto& aEntry) {
     return directory_.Find(aEntry.first) == nullptr && aEntry.second.UnderWay() == 0;
   });
--- a/Libraries/LibKeys/OwnershipPlacer.cpp
+++ b/Libraries/LibKeys/OwnershipPlacer.cpp
@@ -286,10 +286,19 @@
   SendGrant(aNow, aRange, aState);
 }
 
+bool
+OwnershipPlacer::HasGrantUnderWay(const std::string& aServer) const
+{
+  return std::any_of(orders_.begin(), orders_.end(), [&](const auto& aEntry) {
+    return aEntry.second.server_ == aServer && !aEntry.second.isRelease_;
+  });
+}
+
 const char*
 OwnershipPlacer::ReasonToClear(Instant aNow, const KeyRange& aRange, const RangeState& aState) const
 {
-  if (aNow >= HoldsUntil(aRange.previous_)) {
+  // What a grant under way bounds is known when it ends.
+  if (!HasGrantUnderWay(aRange.previous_) && aNow >= HoldsUntil(aRange.previous_)) {
     return "expired";
   }
   const auto life = actions_.LifeOf(aRange.previous_);
--- a/Libraries/LibKeys/OwnershipPlacer.h
+++ b/Libraries/LibKeys/OwnershipPlacer.h
@@ -95,6 +95,7 @@
   void ForgetFormerHold(const std::string& aServer);
   // Sends the next order of a range when it is due.
   void Advance(Instant aNow, const KeyRange& aRange, RangeState& aState);
+  bool HasGrantUnderWay(const std::string& aServer) const;
   // Why the former owner of a range certainly does not hold it; null if it may.
   const char* ReasonToClear(Instant aNow, const KeyRange& aRange, const RangeState& aState) const;
   void ClearFormerOwner(Instant aNow, const KeyRange& aRange, RangeState& aState);
--- a/Tests/LibFleet/TestFleetMember.cpp
+++ b/Tests/LibFleet/TestFleetMember.cpp
@@ -253,8 +253,8 @@
   BecomePlacer();
   member_.OnReport(now_, { "i2", kOther, {}, {} });
   member_.OnView(now_, { FleetTable::Servers, 50, false, 6, {} });
-  member_.OnView(
-    now_, { FleetTable::Servers, 60, false, 50, { { { "s1", 60, "leaving" }, false } } });
+  member_.OnView(now_,
+                 { FleetTable::Servers, 60, false, 50, { { { "s1", 60, "leaving" }, false } } });
   ASSERT_FALSE(fleet_.news_.empty());
   EXPECT_EQ(fleet_.news_.back().second.views_.front().base_, 3U);
 }
@@ -283,6 +283,67 @@
   EXPECT_EQ(fleet_.orders_.size(), orders);
 }
 
+TEST_F(MemberOfAFleet, PlacerHearsNobodyAndItsOrdersAreAnswered_ItStopsInTime)
+{
+  BecomePlacer();
+  Pass(seconds(3));
+  Done(11);
+  member_.OnReport(now_, { "i2", kOther, {}, {} });
+  Pass(seconds(1));
+  member_.OnStoreLost(now_);
+  std::size_t answered = 0;
+  const auto answerOrders = [&](Duration aTime) {
+    const auto end = now_ + aTime;
+    while (now_ < end) {
+      Pass(milliseconds(50));
+      for (; answered < fleet_.orders_.size(); ++answered) {
+        member_.OnOrderEnded(
+          now_, "rates", fleet_.orders_[answered].number_, { OrderEnd::Done, "" });
+      }
+    }
+  };
+  answerOrders(seconds(7));
+  const auto orders = fleet_.orders_.size();
+  EXPECT_GT(orders, 64U);
+  answerOrders(seconds(20));
+  EXPECT_EQ(fleet_.orders_.size(), orders);
+}
+
+TEST_F(MemberOfAFleet, PlacerLosesTheStoreButMostReport_ItGoesOn)
+{
+  BecomePlacer();
+  Pass(seconds(3));
+  Done(11);
+  member_.OnStoreLost(now_);
+  std::size_t answered = 0;
+  for (int round = 0; round < 400; ++round) {
+    member_.OnReport(now_, { "i2", kOther, {}, {} });
+    Pass(milliseconds(50));
+    for (; answered < fleet_.orders_.size(); ++answered) {
+      member_.OnOrderEnded(now_, "rates", fleet_.orders_[answered].number_, { OrderEnd::Done, "" });
+    }
+  }
+  // Sixty-four ranges, renewed every five thirds of a second for twenty.
+  EXPECT_GT(fleet_.orders_.size(), 600U);
+}
+
+TEST_F(MemberOfAFleet, AnswerToAWriteComesAfterTheClaimWasLost_IsNotTakenForALaterOne)
+{
+  BecomePlacer();
+  Pass(seconds(3));
+  ASSERT_EQ(fleet_.transactions_.size(), 2U);
+  FleetNews news;
+  news.placer_ = Row{ "placer", 30, Placer("i2", kOther) };
+  member_.OnNews(now_, news);
+  Pass(seconds(4));
+  // The other is silent, but nothing is claimed before the answer to that write.
+  EXPECT_EQ(fleet_.transactions_.size(), 2U);
+  member_.OnTransactEnded(now_, { StoreStatus::Done, { { "ownership/rates", 31, "" } } });
+  EXPECT_FALSE(member_.IsPlacer());
+  Pass(seconds(1));
+  EXPECT_EQ(fleet_.transactions_.size(), 3U);
+}
+
 TEST_F(MemberOfAFleet, PlacerHearsNeitherStoreNorInstances_ItGivesNoMoreOrders)
 {
   BecomePlacer();
--- a/Tests/LibGateway/TestRequestDesk.cpp
+++ b/Tests/LibGateway/TestRequestDesk.cpp
@@ -393,6 +393,26 @@
   }
 }
 
+TEST_F(DeskOfThreeServers, ServiceLeavesTheConfigurationWhileRequestsWait_TheyAreRefused)
+{
+  while (desk_.Waiting() == 0) {
+    Ask("/read/fill");
+  }
+  const auto waiting = lastRequest_;
+  RoutingConfiguration configuration;
+  configuration.version_ = 2;
+  configuration.services_ = { { "other", 100, false } };
+  desk_.SetRoutes(now_,
+                  std::make_shared<const RouteTable>(RouteTable::Create(configuration).value()));
+  for (const auto* id : { "p1", "p2", "p3" }) {
+    directory_.Remove(now_, id);
+  }
+  directory_.Expire(now_ + seconds(1));
+  desk_.OnDirectoryChanged(now_);
+  Pass(milliseconds(100));
+  EXPECT_EQ(actions_.refused_.count(waiting), 1U);
+}
+
 TEST_F(DeskOfThreeServers, RetriesAreSpent_FailureIsFinal)
 {
   std::size_t sends = 0;
--- a/Tests/LibKeys/TestOwnershipPlacer.cpp
+++ b/Tests/LibKeys/TestOwnershipPlacer.cpp
@@ -110,6 +110,21 @@
   EXPECT_GT(TimeUntilServed(), seconds(10));
 }
 
+TEST(OwnershipPlacer, ServerLeavesWhileItsFirstGrantsAreUnderWay_KeysWaitForThem)
+{
+  PlacerWorld world;
+  world.AddServer("s1", "s1:80").isLate_ = true;
+  // So many that its orders do not fill the placer's allowance.
+  for (const auto* id : { "s2", "s3", "s4", "s5", "s6", "s7", "s8" }) {
+    world.AddServer(id, std::string(id) + ":80");
+  }
+  world.TakeOver();
+  // Long enough to be dealt, too short for the first answers to be missed.
+  world.Pass(milliseconds(2200));
+  world.servers_.at("s1").isLeaving_ = true;
+  world.Pass(seconds(40));
+}
+
 TEST_F(PlacedKeysOfThreeServers, PlacerIsKilled_NextRenewsAndMovesNothing)
 {
   const auto before = *world_.stored_;
--- a/Tests/Platform/TestPlatformCodec.cpp
+++ b/Tests/Platform/TestPlatformCodec.cpp
@@ -195,7 +195,10 @@
 {
   EXPECT_EQ(Decode(200), OrderEnd::Done);
   EXPECT_EQ(Decode(409), OrderEnd::HigherFence);
-  EXPECT_EQ(Decode(421), OrderEnd::OtherLife);
+  EXPECT_EQ(Decode(421, { { "X-Instance-Id", "i-2" } }), OrderEnd::OtherLife);
+  // The life that was meant is there, so it may hold keys.
+  EXPECT_EQ(Decode(421, { { "X-Instance-Id", "i-1" } }), OrderEnd::Unanswered);
+  EXPECT_EQ(Decode(421), OrderEnd::Unanswered);
   EXPECT_EQ(Decode(200, { { "X-Instance-Id", "i-2" } }), OrderEnd::OtherLife);
   EXPECT_EQ(Decode(500), OrderEnd::Unanswered);
   EXPECT_EQ(Decode(503, { { "X-Not-Executed", "1" } }), OrderEnd::NotSent);
--- a/Tests/Platform/TestPlatformDocuments.cpp
+++ b/Tests/Platform/TestPlatformDocuments.cpp
@@ -148,6 +148,8 @@
   const auto noNumber = ParseSettings(Replace(kSettings, "graceS=6", "graceS=soon"));
   ASSERT_FALSE(noNumber);
   EXPECT_EQ(noNumber.error().field_, "bounds.graceS");
+  EXPECT_FALSE(ParseSettings(Replace(kSettings, "graceS=6", "graceS=6abc")));
+  EXPECT_FALSE(ParseSettings(Replace(kSettings, "graceS=6", "graceS=nan")));
   EXPECT_FALSE(ParseSettings("not json"));
   EXPECT_FALSE(ParseSettings(Replace(kSettings, R"("graceS=6")", R"("graceS")")));
 }
--- /dev/null
+++ b/Tests/Platform/TestTableFollower.cpp
@@ -0,0 +1,134 @@
+#include "platform/TableFollower.h"
+
+#include <gtest/gtest.h>
+#include <thread>
+
+namespace latchslip::platform {
+
+namespace {
+
+// Answers questions by hand.
+class AskedStore : public StoreQuestions
+{
+public:
+  ExchangeId Send(HttpRequest aRequest, Duration, HttpCallback aCallback) override
+  {
+    targets_.push_back(aRequest.target_);
+    callback_ = std::move(aCallback);
+    return targets_.size();
+  }
+  void Cancel(ExchangeId) override { callback_ = nullptr; }
+  bool IsStopped() const override { return false; }
+  void OnView(const TableView& aView) override { views_.push_back(aView); }
+  void OnFailure() override { ++failures_; }
+  void OnSuccess() override {}
+  void OnMalformed(const FieldError&) override { ++malformed_; }
+
+  void Answer(unsigned aStatus, std::string aBody)
+  {
+    HttpExchange exchange;
+    exchange.end_ = ExchangeEnd::Complete;
+    exchange.response_.status_ = aStatus;
+    exchange.response_.body_ = std::make_shared<const std::string>(std::move(aBody));
+    const auto callback = std::exchange(callback_, nullptr);
+    ASSERT_TRUE(callback);
+    callback(exchange);
+  }
+
+  std::vector<std::string> targets_;
+  HttpCallback callback_;
+  std::vector<TableView> views_;
+  int failures_ = 0;
+  int malformed_ = 0;
+};
+
+class FollowerOfServers : public testing::Test
+{
+protected:
+  FollowerOfServers()
+  {
+    follower_.Ask();
+    store_.Answer(200, R"({"rows":[{"key":"s1","value":"YQ==","ver":80}],"ver":90})");
+    RunUntilAsked();
+  }
+
+  void RunUntilAsked()
+  {
+    while (!store_.callback_) {
+      context_.restart();
+      context_.run_one();
+    }
+  }
+
+  // The version after which the last question asked.
+  std::string LastAfter() const
+  {
+    const auto& target = store_.targets_.back();
+    const auto at = target.find("after=");
+    return at == std::string::npos ? "" : target.substr(at + 6, target.find('&', at) - at - 6);
+  }
+
+  boost::asio::io_context context_;
+  AskedStore store_;
+  TableFollower follower_{ context_, store_, FleetTable::Servers };
+};
+
+TEST_F(FollowerOfServers, TableIsRead_ChangesAfterItAreAskedFor)
+{
+  ASSERT_EQ(store_.views_.size(), 1U);
+  EXPECT_TRUE(store_.views_[0].isWhole_);
+  EXPECT_EQ(LastAfter(), "90");
+}
+
+TEST_F(FollowerOfServers, AnswersWithoutRowsFollowEachOther_TheyDoNotMovePastHiddenChanges)
+{
+  store_.Answer(200, R"({"rows":[],"ver":100})");
+  RunUntilAsked();
+  store_.Answer(200, R"({"rows":[],"ver":101})");
+  RunUntilAsked();
+  EXPECT_EQ(LastAfter(), "90");
+}
+
+TEST_F(FollowerOfServers, NothingChangesForSomeTime_OldVersionIsTakenForGranted)
+{
+  store_.Answer(200, R"({"rows":[],"ver":100})");
+  RunUntilAsked();
+  std::this_thread::sleep_for(std::chrono::milliseconds(2600));
+  store_.Answer(200, R"({"rows":[],"ver":110})");
+  RunUntilAsked();
+  store_.Answer(200, R"({"rows":[],"ver":111})");
+  RunUntilAsked();
+  EXPECT_EQ(LastAfter(), "90");
+  std::this_thread::sleep_for(std::chrono::milliseconds(2600));
+  store_.Answer(200, R"({"rows":[],"ver":120})");
+  RunUntilAsked();
+  EXPECT_EQ(LastAfter(), "110");
+}
+
+TEST_F(FollowerOfServers, HistoryIsGone_TableIsReadAgain)
+{
+  store_.Answer(410, "");
+  EXPECT_NE(store_.targets_.back().find("/api/rows-get"), std::string::npos);
+}
+
+TEST_F(FollowerOfServers, RowsChange_ViewBeginsAtWhatWasAsked)
+{
+  store_.Answer(200, R"({"rows":[{"key":"s1","ver":95,"removed":true}],"ver":99})");
+  ASSERT_EQ(store_.views_.size(), 2U);
+  EXPECT_EQ(store_.views_[1].base_, 90U);
+  EXPECT_EQ(store_.views_[1].version_, 95U);
+  EXPECT_TRUE(store_.views_[1].rows_[0].isRemoved_);
+}
+
+TEST_F(FollowerOfServers, AnswerCannotBeRead_IsCountedAndAskedAgain)
+{
+  store_.Answer(200, "garbage");
+  EXPECT_EQ(store_.malformed_, 1);
+  EXPECT_EQ(store_.failures_, 1);
+  RunUntilAsked();
+  EXPECT_EQ(LastAfter(), "90");
+}
+
+} // namespace
+
+} // namespace latchslip::platform
