--- a/Libraries/LibDaemon/GatewayFront.cpp
+++ b/Libraries/LibDaemon/GatewayFront.cpp
@@ -21,8 +21,10 @@
                            const GatewayCodec& aCodec,
                            const ServerDirectory& aDirectory,
                            EventSink& aEvents,
+                           GatewayMetrics& aMetrics,
                            KeyObserver aObserver)
   : codec_(aCodec)
+  , metrics_(aMetrics)
   , observer_(std::move(aObserver))
   , client_(HttpClient::Create(aContext, kMostConnections))
   , desk_(std::move(aSettings), aDirectory, *this, aEvents)
@@ -34,8 +36,9 @@
 GatewayFront::OnRequest(std::uint64_t aId, HttpRequest aRequest, HttpResponder aRespond)
 {
   auto routed = codec_.DecodeRequest(aId, aRequest);
-  requests_[aId] = { routed, std::move(aRequest), std::move(aRespond) };
-  desk_.OnRequest(MonotonicNow(), std::move(routed));
+  const auto now = MonotonicNow();
+  requests_[aId] = { routed, std::move(aRequest), std::move(aRespond), now };
+  desk_.OnRequest(now, std::move(routed));
   ArmTimer();
 }
 
@@ -117,6 +120,7 @@
   if (request == requests_.end()) {
     return;
   }
+  metrics_.OnAnswer(aResponse.status_, MonotonicNow() - request->second.arrival_);
   const auto respond = std::move(request->second.respond_);
   requests_.erase(request);
   respond(std::move(aResponse));
--- a/Libraries/LibDaemon/GatewayFront.h
+++ b/Libraries/LibDaemon/GatewayFront.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibDaemon/GatewayCodec.h"
+#include "LibDaemon/GatewayMetrics.h"
 #include "LibFleet/FleetMember.h"
 #include "LibGateway/RequestDesk.h"
 #include "LibNet/HttpServer.h"
@@ -28,6 +29,7 @@
                const GatewayCodec& aCodec,
                const ServerDirectory& aDirectory,
                EventSink& aEvents,
+               GatewayMetrics& aMetrics,
                KeyObserver aObserver);
 
   void OnRequest(std::uint64_t aId, HttpRequest aRequest, HttpResponder aRespond) override;
@@ -47,6 +49,7 @@
     RoutedRequest routed_;
     HttpRequest request_;
     HttpResponder respond_;
+    Instant arrival_{ 0 };
   };
 
   // A send to a server that is under way.
@@ -65,6 +68,7 @@
   void Respond(RequestNumber aRequest, HttpResponse aResponse);
 
   const GatewayCodec& codec_;
+  GatewayMetrics& metrics_;
   KeyObserver observer_;
   std::unique_ptr<HttpClient> client_;
   RequestDesk desk_;
--- a/Libraries/LibDaemon/GatewayHost.cpp
+++ b/Libraries/LibDaemon/GatewayHost.cpp
@@ -32,7 +32,7 @@
                   const GatewayCodec& aCodec,
                   const RowDecoder& aDecoder,
                   FleetStore& aStore,
-                  EventSink& aEvents)
+                  LineLog& aEvents)
     : context_(aContext)
     , settings_(std::move(aSettings))
     , codec_(aCodec)
@@ -44,9 +44,10 @@
              aCodec,
              member_.Directory(),
              aEvents,
+             metrics_,
              [this](const std::string& aServer, KeyNumber aKey) { CountKey(aServer, aKey); })
     , orders_(HttpClient::Create(aContext, kMostOrderConnections))
-    , peers_(aContext, member_)
+    , peers_(aContext, member_, [this] { return RenderMetrics(); })
     , timer_(aContext)
   {
   }
@@ -102,6 +103,17 @@
 
   bool IsReady() const { return member_.IsReady() && !stop_.HasBegun(); }
 
+  std::string RenderMetrics() const
+  {
+    return metrics_.Render(
+      events_,
+      { { "requests_under_way", static_cast<double>(front_.Desk().UnderWay()) },
+        { "requests_waiting", static_cast<double>(front_.Desk().Waiting()) },
+        { "is_placer", member_.IsPlacer() ? 1 : 0 },
+        { "is_ready", IsReady() ? 1 : 0 },
+        { "servers_listed", static_cast<double>(member_.Directory().All().size()) } });
+  }
+
   void CountKey(const std::string& aServer, KeyNumber aKey)
   {
     if (const auto* server = member_.Directory().Find(aServer)) {
@@ -119,6 +131,7 @@
       orders_->PruneIdle();
     }
     front_.ArmTimer();
+    events_.Flush();
     if (ContinueLeaving(now)) {
       return;
     }
@@ -156,6 +169,7 @@
     peerServer_->BeginClose();
     store_.Stop();
     events_.Record(Event::InstanceStopped, aIsQuiet ? "reason=quiet" : "reason=grace");
+    events_.Flush();
     context_.stop();
   }
 
@@ -246,8 +260,9 @@
   GatewayHostSettings settings_;
   const GatewayCodec& codec_;
   FleetStore& store_;
-  EventSink& events_;
+  LineLog& events_;
   FleetMember member_;
+  GatewayMetrics metrics_;
   GatewayFront front_;
   std::unique_ptr<HttpClient> orders_;
   PeerCalls peers_;
@@ -272,7 +287,7 @@
                     const GatewayCodec& aCodec,
                     const RowDecoder& aDecoder,
                     FleetStore& aStore,
-                    EventSink& aEvents)
+                    LineLog& aEvents)
 {
   auto host = std::make_unique<AsioGatewayHost>(
     aContext, std::move(aSettings), aCodec, aDecoder, aStore, aEvents);
--- a/Libraries/LibDaemon/GatewayHost.h
+++ b/Libraries/LibDaemon/GatewayHost.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibDaemon/GatewayFront.h"
+#include "LibDaemon/LineLog.h"
 #include "LibFleet/FleetMember.h"
 #include "LibFleet/FleetStore.h"
 #include "LibNet/HttpServer.h"
@@ -36,7 +37,7 @@
                                                           const GatewayCodec& aCodec,
                                                           const RowDecoder& aDecoder,
                                                           FleetStore& aStore,
-                                                          EventSink& aEvents);
+                                                          LineLog& aEvents);
   virtual ~GatewayHost() = default;
 
   // Takes over what may change while the instance runs: the grace of a stop and
--- a/Libraries/LibDaemon/PeerCalls.cpp
+++ b/Libraries/LibDaemon/PeerCalls.cpp
@@ -10,6 +10,7 @@
 // Asks for what the caller lacks.
 constexpr std::string_view kSincePath = "/v1/fleet/since";
 // Tells what the caller has learnt.
+constexpr std::string_view kMetricsPath = "/metrics";
 constexpr std::string_view kNewsPath = "/v1/fleet/news";
 // A peer that does not answer in this time is not heard: many times the way
 // there and back within a region, and less than the interval of reports.
@@ -37,8 +38,9 @@
 
 } // namespace
 
-PeerCalls::PeerCalls(boost::asio::io_context& aContext, FleetMember& aMember)
+PeerCalls::PeerCalls(boost::asio::io_context& aContext, FleetMember& aMember, MetricsPage aMetrics)
   : member_(aMember)
+  , metrics_(std::move(aMetrics))
   , client_(HttpClient::Create(aContext, kMostConnections))
 {
 }
@@ -93,6 +95,10 @@
     aRespond(TakeNews(aRequest));
   } else if (aRequest.target_ == kSincePath) {
     aRespond(AnswerNews(aRequest));
+  } else if (aRequest.target_ == kMetricsPath) {
+    auto page = MakeHttpResponse(kOk, metrics_());
+    page.contentType_ = "text/plain; version=0.0.4";
+    aRespond(std::move(page));
   } else {
     aRespond(MakeHttpResponse(kNotFound, "no such page\n"));
   }
--- a/Libraries/LibDaemon/PeerCalls.h
+++ b/Libraries/LibDaemon/PeerCalls.h
@@ -14,7 +14,10 @@
 class PeerCalls : public HttpHandler
 {
 public:
-  PeerCalls(boost::asio::io_context& aContext, FleetMember& aMember);
+  // Gives the text of the metrics page.
+  using MetricsPage = std::function<std::string()>;
+
+  PeerCalls(boost::asio::io_context& aContext, FleetMember& aMember, MetricsPage aMetrics);
 
   void SendReport(const std::string& aAddress, const InstanceReport& aReport);
   void SendNews(const std::string& aAddress, const FleetNews& aNews);
@@ -29,6 +32,7 @@
   HttpResponse AnswerNews(const HttpRequest& aRequest) const;
 
   FleetMember& member_;
+  MetricsPage metrics_;
   std::unique_ptr<HttpClient> client_;
 };
 
--- a/Libraries/LibGateway/PendingRequest.h
+++ b/Libraries/LibGateway/PendingRequest.h
@@ -18,6 +18,8 @@
   const Route* route_ = nullptr;
   const RoutedService* service_ = nullptr;
   Instant arrival_{ 0 };
+  // When it was last sent.
+  Instant sentAt_{ 0 };
   Instant deadline_{ 0 };
   // Until when it may wait without having been sent.
   Instant refuseAt_{ 0 };
--- a/Libraries/LibGateway/RequestDesk.cpp
+++ b/Libraries/LibGateway/RequestDesk.cpp
@@ -154,6 +154,15 @@
   }
   if (isAnswered) {
     const auto number = aPending.request_.number_;
+    events_.Record(
+      Event::GatewayAnswer,
+      "request=" + aPending.request_.id_ + " route=" + aPending.route_->host_ +
+        aPending.route_->pathPrefix_ + " service=" + aPending.service_->name_ +
+        " server=" + aPending.server_ + " status=" + std::to_string(aOutcome.status_) +
+        " sends=" + std::to_string(aPending.sends_) +
+        " waited_us=" + std::to_string((aPending.sentAt_ - aPending.arrival_).count()) +
+        " age_us=" + std::to_string((aNow - aPending.arrival_).count()) +
+        " configuration=" + std::to_string(aPending.routes_->Configuration().version_));
     actions_.Deliver(number, aPending.lastAttempt_);
     Finish(number);
     return;
@@ -350,6 +359,7 @@
   aPending.lastAttempt_ = attempt;
   aPending.server_ = aServer.record_->id_;
   ++aPending.sends_;
+  aPending.sentAt_ = aNow;
   attempts_[attempt] = number;
   aServer.load_->OnSent(aNow, attempt);
   SetTimer(aPending, aPending.deadline_ + kAnswerGrace);
