LibFleet: Rely on no placer that answers slowly

Ruled out: a lost change (the store's answer bears the time 7.2 s), a lost question.

An answer to a report that takes more than 150 ms sends the instance to the store itself; the placer stays.

--- a/Libraries/LibDaemon/PeerCalls.cpp
+++ b/Libraries/LibDaemon/PeerCalls.cpp
@@ -51,14 +51,15 @@
   client_->Send(aAddress,
                 MakePost(kReportPath, SerializeReport(aReport)),
                 kPeerTimeout,
-                [this](const HttpExchange& aExchange) {
+                [this, sentAt = MonotonicNow()](const HttpExchange& aExchange) {
                   std::optional<ReportAnswer> answer;
                   if (IsOk(aExchange)) {
                     if (auto parsed = ParseReportAnswer(*aExchange.response_.body_)) {
                       answer = std::move(parsed).value();
                     }
                   }
-                  member_.OnReportAnswered(MonotonicNow(), answer);
+                  const auto now = MonotonicNow();
+                  member_.OnReportAnswered(now, answer, now - sentAt);
                 });
 }
 
--- a/Libraries/LibFleet/FleetMember.h
+++ b/Libraries/LibFleet/FleetMember.h
@@ -82,8 +82,10 @@
                     OrderNumber aOrder,
                     const OrderOutcome& aOutcome);
   ReportAnswer OnReport(Instant aNow, const InstanceReport& aReport);
-  // No value when no answer came.
-  void OnReportAnswered(Instant aNow, const std::optional<ReportAnswer>& aAnswer);
+  // No value when no answer came. aRoundTrip is how long it took.
+  void OnReportAnswered(Instant aNow,
+                        const std::optional<ReportAnswer>& aAnswer,
+                        Duration aRoundTrip = Duration(0));
   // What another instance is told that has these versions.
   FleetNews NewsSince(const TableVersions& aVersions) const { return view_.NewsSince(aVersions); }
   // News from another instance, asked for or not.
--- a/Libraries/LibFleet/PlacerDuty.cpp
+++ b/Libraries/LibFleet/PlacerDuty.cpp
@@ -14,6 +14,10 @@
 constexpr Duration kReportInterval = milliseconds(800);
 // An instance that reported within this time takes the receiver for the placer.
 constexpr Duration kReportingBound = seconds(2);
+// A placer that takes longer to answer is slowed itself: it hears of changes in
+// many steps, and each takes as long. Well above the way there and back within a
+// region with a busy processor.
+constexpr Duration kSlowAnswer = milliseconds(150);
 // The store was heard lately: it answers a placer more often than this. Less than
 // the time after which silent instances are forgotten, so that whoever is cut off
 // from all at once still knows how many they were.
@@ -408,7 +412,9 @@
 }
 
 void
-FleetMember::OnReportAnswered(Instant aNow, const std::optional<ReportAnswer>& aAnswer)
+FleetMember::OnReportAnswered(Instant aNow,
+                              const std::optional<ReportAnswer>& aAnswer,
+                              Duration aRoundTrip)
 {
   // A placer without the store is as good as any other while the store is away
   // from here as well; to replace it at the store's return would help nobody.
@@ -419,7 +425,11 @@
     relay_.OnFailure();
     return;
   }
-  relay_.OnAnswer(aNow, aAnswer->lastChanges_, view_.Versions());
+  if (aRoundTrip > kSlowAnswer) {
+    relay_.OnFailure();
+  } else {
+    relay_.OnAnswer(aNow, aAnswer->lastChanges_, view_.Versions());
+  }
   if (!aAnswer->instances_.empty()) {
     instances_ = aAnswer->instances_;
     actions_.OnInstances(instances_.size());
--- a/Tests/LibFleet/TestFleetMember.cpp
+++ b/Tests/LibFleet/TestFleetMember.cpp
@@ -436,6 +436,21 @@
   EXPECT_EQ(fleet_.transactions_.size(), 1U);
 }
 
+TEST_F(MemberOfAFleet, PlacerAnswersSlowly_StoreIsFollowedButThePlacerStays)
+{
+  ShowTables();
+  Show(FleetTable::Fleet, 7, { { "placer", 7, Placer("i2", kOther) } });
+  AnswerReports(seconds(2), { 5, 6, 7 });
+  ASSERT_EQ(fleet_.following_, Following::Relayed);
+  for (int round = 0; round < 100; ++round) {
+    Pass(milliseconds(50));
+    member_.OnReportAnswered(
+      now_, ReportAnswer{ true, { kSelf, kOther }, { 5, 6, 7 } }, milliseconds(250));
+  }
+  EXPECT_EQ(fleet_.following_, Following::Alone);
+  EXPECT_TRUE(fleet_.transactions_.empty());
+}
+
 TEST_F(MemberOfAFleet, PlacerSaysItLostTheStore_StoreIsFollowedAtOnce)
 {
   ShowTables();
