--- a/Libraries/LibFleet/FleetMember.cpp
+++ b/Libraries/LibFleet/FleetMember.cpp
@@ -10,6 +10,8 @@
 
 // Between two questions for news while the store is out of reach.
 constexpr Duration kFetchInterval = milliseconds(500);
+// A placer that answered within this time also tells what changes: two reports.
+constexpr Duration kNewsBound = milliseconds(1800);
 // An instance with this part of a processor has no reason to let others go first
 // when a placer is looked for.
 constexpr double kStrongShare = 0.5;
@@ -121,7 +123,6 @@
   }
   isStoreLost_ = true;
   nextFetch_ = aNow;
-  actions_.OnNewsStale(!election_.IsPlacer());
   view_.Directory().OnStoreLost(aNow);
   events_.Record(Event::StoreUnavailable,
                  "heard_ago_us=" + std::to_string((aNow - storeHeardAt_).count()));
@@ -139,7 +140,6 @@
     return;
   }
   isStoreLost_ = false;
-  actions_.OnNewsStale(false);
   view_.Directory().OnStoreRegained(aNow);
   events_.Record(Event::StoreRecovered,
                  "following=" + std::string(kFollowingNames.NameOf(following_)));
@@ -170,6 +170,7 @@
     Report(aNow);
   }
   ChooseFollowing(aNow);
+  NoteStaleness(aNow);
   if (isStoreLost_ && aNow >= nextFetch_) {
     FetchFromPeers(aNow);
   }
@@ -197,6 +198,17 @@
   }
 }
 
+void
+FleetMember::NoteStaleness(Instant aNow)
+{
+  const bool isHeard = election_.IsPlacer() || aNow - placerHeardAt_ < kNewsBound;
+  const bool isStale = isStoreLost_ && !isHeard;
+  if (isStale != isNewsStale_) {
+    isNewsStale_ = isStale;
+    actions_.OnNewsStale(isStale);
+  }
+}
+
 void
 FleetMember::FetchFromPeers(Instant aNow)
 {
--- a/Libraries/LibFleet/FleetMember.h
+++ b/Libraries/LibFleet/FleetMember.h
@@ -120,6 +120,7 @@
   void OnPlacer(Instant aNow, const std::optional<PlacerRow>& aPlacer) override;
 
   void ChooseFollowing(Instant aNow);
+  void NoteStaleness(Instant aNow);
   void FetchFromPeers(Instant aNow);
 
   // The placer's part.
@@ -174,6 +175,9 @@
   // The instance that was the placer before this one.
   std::string formerPlacer_;
   bool isStoreLost_ = false;
+  bool isNewsStale_ = false;
+  // When the placer answered last, whether it reaches the store or not.
+  Instant placerHeardAt_ = Instant(0);
   Instant storeHeardAt_{ 0 };
   Instant nextReport_ = Instant::min();
   Instant nextFetch_ = Instant::min();
--- a/Libraries/LibFleet/PlacerDuty.cpp
+++ b/Libraries/LibFleet/PlacerDuty.cpp
@@ -416,6 +416,9 @@
                               const std::optional<ReportAnswer>& aAnswer,
                               Duration aRoundTrip)
 {
+  if (aAnswer) {
+    placerHeardAt_ = aNow;
+  }
   // A placer without the store is as good as any other while the store is away
   // from here as well; to replace it at the store's return would help nobody.
   if (aAnswer && (aAnswer->isWorking_ || isStoreLost_)) {
--- a/Tests/LibFleet/TestFleetMember.cpp
+++ b/Tests/LibFleet/TestFleetMember.cpp
@@ -424,6 +424,21 @@
   EXPECT_TRUE(fleet_.transactions_.empty());
 }
 
+TEST_F(MemberOfAFleet, StoreIsLostButThePlacerAnswersSlowly_NewsAreNotStale)
+{
+  ShowTables();
+  Show(FleetTable::Fleet, 7, { { "placer", 7, Placer("i2", kOther) } });
+  member_.OnStoreLost(now_);
+  for (int round = 0; round < 60; ++round) {
+    Pass(milliseconds(50));
+    member_.OnReportAnswered(
+      now_, ReportAnswer{ true, { kSelf, kOther }, { 5, 6, 7 } }, milliseconds(250));
+  }
+  EXPECT_FALSE(fleet_.isStale_);
+  Pass(seconds(3));
+  EXPECT_TRUE(fleet_.isStale_);
+}
+
 TEST_F(MemberOfAFleet, PlacerAloneLosesTheStore_IsReplaced)
 {
   ShowTables();
--- a/Tests/Platform/TestTableFollower.cpp
+++ b/Tests/Platform/TestTableFollower.cpp
@@ -105,6 +105,24 @@
   EXPECT_EQ(LastAfter(), "110");
 }
 
+TEST_F(FollowerOfServers, PlacerRelays_NothingMoreIsAsked)
+{
+  follower_.Follow(Following::Relayed, 95);
+  EXPECT_FALSE(store_.callback_);
+  follower_.Follow(Following::Alone, 95);
+  EXPECT_EQ(LastAfter(), "95");
+}
+
+TEST(FollowerOfTheConfiguration, PlacerRelays_GoesOnAsking)
+{
+  boost::asio::io_context context;
+  AskedStore store;
+  TableFollower follower(context, store, FleetTable::Configuration);
+  follower.Ask();
+  follower.Follow(Following::Relayed, 0);
+  EXPECT_TRUE(store.callback_);
+}
+
 TEST_F(FollowerOfServers, HistoryIsGone_TableIsReadAgain)
 {
   store_.Answer(410, "");
