--- a/Tests/LibNet/TestHttp.cpp
+++ b/Tests/LibNet/TestHttp.cpp
@@ -83,17 +83,21 @@
     return *result;
   }
 
-  // Sends raw bytes and returns what came back until the server closed.
-  std::string SendRaw(const std::string& aBytes)
+  tcp::socket Connect()
   {
     tcp::socket socket(context_);
     const auto colon = address_.find(':');
     socket.connect({ boost::asio::ip::make_address(address_.substr(0, colon)),
                      static_cast<std::uint16_t>(std::stoi(address_.substr(colon + 1))) });
-    boost::asio::write(socket, boost::asio::buffer(aBytes));
+    return socket;
+  }
+
+  // What comes until the server closes.
+  std::string ReadToEnd(tcp::socket& aSocket)
+  {
     std::string answer;
     bool isDone = false;
-    boost::asio::async_read(socket,
+    boost::asio::async_read(aSocket,
                             boost::asio::dynamic_buffer(answer),
                             [&](boost::system::error_code, std::size_t) { isDone = true; });
     while (!isDone) {
@@ -102,6 +106,14 @@
     return answer;
   }
 
+  // Sends raw bytes and returns what came back until the server closed.
+  std::string SendRaw(const std::string& aBytes)
+  {
+    auto socket = Connect();
+    boost::asio::write(socket, boost::asio::buffer(aBytes));
+    return ReadToEnd(socket);
+  }
+
   boost::asio::io_context context_;
   HttpLimits limits_;
   EchoHandler handler_;
@@ -193,10 +205,7 @@
 // of the close the kernel has it, or the loop has but its handler has not run.
 TEST_F(HttpOnLoopback, ListenerClosesWhileARequestLiesUnhandled_ItIsAnswered)
 {
-  tcp::socket socket(context_);
-  const auto colon = address_.find(':');
-  socket.connect({ boost::asio::ip::make_address(address_.substr(0, colon)),
-                   static_cast<std::uint16_t>(std::stoi(address_.substr(colon + 1))) });
+  auto socket = Connect();
   // Let the connection be accepted and wait for its first byte.
   context_.run_for(std::chrono::milliseconds(20));
   context_.restart();
@@ -204,14 +213,7 @@
                      boost::asio::buffer(std::string("GET /x HTTP/1.1\r\nHost: a\r\n\r\n")));
   // The loop looks at its sockets between the two posts.
   boost::asio::post(context_, [&] { boost::asio::post(context_, [&] { server_->BeginClose(); }); });
-  std::string answer;
-  bool isDone = false;
-  boost::asio::async_read(socket,
-                          boost::asio::dynamic_buffer(answer),
-                          [&](boost::system::error_code, std::size_t) { isDone = true; });
-  while (!isDone) {
-    context_.run_one();
-  }
+  const auto answer = ReadToEnd(socket);
   EXPECT_EQ(handler_.requests_, 1);
   EXPECT_NE(answer.find("200 OK"), std::string::npos) << answer;
 }
@@ -219,21 +221,11 @@
 // The same for a connection that the kernel has opened but nobody has accepted.
 TEST_F(HttpOnLoopback, ListenerClosesWhileAConnectionWaits_ItsRequestIsAnswered)
 {
-  tcp::socket socket(context_);
-  const auto colon = address_.find(':');
-  socket.connect({ boost::asio::ip::make_address(address_.substr(0, colon)),
-                   static_cast<std::uint16_t>(std::stoi(address_.substr(colon + 1))) });
+  auto socket = Connect();
   boost::asio::write(socket,
                      boost::asio::buffer(std::string("GET /x HTTP/1.1\r\nHost: a\r\n\r\n")));
   server_->BeginClose();
-  std::string answer;
-  bool isDone = false;
-  boost::asio::async_read(socket,
-                          boost::asio::dynamic_buffer(answer),
-                          [&](boost::system::error_code, std::size_t) { isDone = true; });
-  while (!isDone) {
-    context_.run_one();
-  }
+  const auto answer = ReadToEnd(socket);
   EXPECT_EQ(handler_.requests_, 1);
   EXPECT_NE(answer.find("200 OK"), std::string::npos) << answer;
 }
