LatchslipLoad: Let each request walk the targets on its own

The load generator plays the platform's balancer; it drew the target of each try from one counter that all requests share, so that in a burst the four tries of one request could all meet the one instance that had stopped. Ruled out: the instance. A request that ends as not sent after four tries has met no listener four times, while three of the four targets listened all the time.

--- a/Utilities/LatchslipLoad/LoadRun.cpp
+++ b/Utilities/LatchslipLoad/LoadRun.cpp
@@ -148,27 +148,37 @@
     SendTo(MakeRequest(aStream, record, aKey, body),
            record,
            "key=" + aKey + " request=" + aId + " body=" + std::to_string(HashKey(body)) + " ",
-           settings_.targets_.size(),
+           { nextTarget_++ % settings_.targets_.size(), settings_.targets_.size() },
            std::move(aDone));
   }
 
+  // Which target a request goes to, and how many it has not met yet.
+  struct TargetChoice
+  {
+    std::size_t index_;
+    std::size_t left_;
+  };
+
   // Plays the platform's balancer: a target that takes no connection got no
-  // byte, so the next is tried.
+  // byte, so the next is tried, until the request has met each target once.
   void SendTo(HttpRequest aRequest,
               const CallerRecord& aRecord,
               const std::string& aExpected,
-              std::size_t aTargetsLeft,
+              TargetChoice aTarget,
               std::function<void()> aDone)
   {
-    const auto& target = settings_.targets_[nextTarget_++ % settings_.targets_.size()];
-    client_->Send(target,
+    client_->Send(settings_.targets_[aTarget.index_],
                   aRequest,
                   settings_.deadline_ + kTimeoutSlack,
-                  [this, aRequest, aRecord, aExpected, aTargetsLeft, done = std::move(aDone)](
+                  [this, aRequest, aRecord, aExpected, aTarget, done = std::move(aDone)](
                     const HttpExchange& aExchange) mutable {
-                    if (aExchange.end_ == ExchangeEnd::NotSent && aTargetsLeft > 1) {
-                      SendTo(
-                        std::move(aRequest), aRecord, aExpected, aTargetsLeft - 1, std::move(done));
+                    if (aExchange.end_ == ExchangeEnd::NotSent && aTarget.left_ > 1) {
+                      const auto next = (aTarget.index_ + 1) % settings_.targets_.size();
+                      SendTo(std::move(aRequest),
+                             aRecord,
+                             aExpected,
+                             { next, aTarget.left_ - 1 },
+                             std::move(done));
                       return;
                     }
                     Keep(aRecord, aExpected, aExchange);
