LibKeys: Give orders to many servers at once, and few to silent ones

Ruled out: slow news. Refusals were no-owner, not no-capacity, and the orders under way stood at 16. Now 384 at once, 64 to one server, 2 to one that did not answer its last order.

--- a/Libraries/LibDaemon/GatewayHost.cpp
+++ b/Libraries/LibDaemon/GatewayHost.cpp
@@ -19,7 +19,8 @@
 // An order to a server that is not answered in this time counts as unanswered.
 constexpr Duration kOrderTimeout = milliseconds(1500);
 constexpr Duration kOrderConnectTimeout = milliseconds(300);
-constexpr std::size_t kMostOrderConnections = 16;
+// To one server: as many as the placer sends orders to it.
+constexpr std::size_t kMostOrderConnections = 64;
 
 class AsioGatewayHost
   : public GatewayHost
--- a/Libraries/LibKeys/OwnershipPlacer.cpp
+++ b/Libraries/LibKeys/OwnershipPlacer.cpp
@@ -15,8 +15,16 @@
 constexpr Duration kRebalanceInterval = milliseconds(500);
 // How often due orders are looked for.
 constexpr Duration kStep = milliseconds(50);
-// Orders under way at once, so that a small instance is not choked by them.
-constexpr std::size_t kMostOrders = 16;
+// Orders under way at once: each has a connection of its own, and an instance must
+// keep most of its descriptors (4,100 at the least) for its clients. When many
+// servers leave together their keys have no owner until these orders are done, and
+// each lasts as long as the work that the server still does on the keys.
+constexpr std::size_t kMostOrders = 384;
+// The same to one server, as many as ranges are taken from it in a round.
+constexpr std::size_t kMostOrdersAServer = 64;
+// The same to one that did not answer its last order, so that many of them do not
+// hold up the orders of the others.
+constexpr std::size_t kMostOrdersUnanswered = 2;
 // Refusals in a row that show, with the other signs, that a server has left.
 constexpr unsigned kProvingRefusals = 3;
 // The first deal waits until no server has come for this long, since each one
@@ -75,6 +83,8 @@
   states_.clear();
   writing_.reset();
   orders_.clear();
+  ordersOf_.clear();
+  silent_.clear();
   holdsUntil_.clear();
   formerHoldsUntil_.clear();
   doubts_ = aDoubts;
@@ -276,16 +286,31 @@
 void
 OwnershipPlacer::Advance(Instant aNow, const KeyRange& aRange, RangeState& aState)
 {
-  if (aState.order_ != 0 || aNow < aState.nextOrder_ || orders_.size() >= kMostOrders) {
+  if (aState.order_ != 0 || aNow < aState.nextOrder_) {
     return;
   }
-  if (!aRange.previous_.empty() && !aState.isCleared_) {
+  const bool isWaiting = !aRange.previous_.empty() && !aState.isCleared_;
+  if (!HasRoomFor(isWaiting ? aRange.previous_ : aRange.owner_)) {
+    return;
+  }
+  if (isWaiting) {
     ClearFormerOwner(aNow, aRange, aState);
     return;
   }
   SendGrant(aNow, aRange, aState);
 }
 
+bool
+OwnershipPlacer::HasRoomFor(const std::string& aServer) const
+{
+  if (orders_.size() >= kMostOrders) {
+    return false;
+  }
+  const auto count = ordersOf_.find(aServer);
+  const auto most = silent_.contains(aServer) ? kMostOrdersUnanswered : kMostOrdersAServer;
+  return count == ordersOf_.end() || count->second < most;
+}
+
 bool
 OwnershipPlacer::HasGrantUnderWay(const std::string& aServer) const
 {
@@ -352,6 +377,7 @@
   aOrder.number_ = ++lastOrder_;
   aState.order_ = aOrder.number_;
   orders_[aOrder.number_] = aOrder;
+  ++ordersOf_[aOrder.server_];
   actions_.Order(aOrder);
 }
 
@@ -373,6 +399,14 @@
   }
   const auto order = std::move(found->second);
   orders_.erase(found);
+  if (--ordersOf_.at(order.server_) == 0) {
+    ordersOf_.erase(order.server_);
+  }
+  if (aOutcome.end_ == OrderEnd::Unanswered || aOutcome.end_ == OrderEnd::NotSent) {
+    silent_.insert(order.server_);
+  } else {
+    silent_.erase(order.server_);
+  }
   if (!order.isRelease_) {
     ExtendHold(aNow, order.server_, aOutcome.end_);
   }
--- a/Libraries/LibKeys/OwnershipPlacer.h
+++ b/Libraries/LibKeys/OwnershipPlacer.h
@@ -11,6 +11,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -95,6 +96,8 @@
   void ForgetFormerHold(const std::string& aServer);
   // Sends the next order of a range when it is due.
   void Advance(Instant aNow, const KeyRange& aRange, RangeState& aState);
+  // Whether one more order may go to that server now.
+  bool HasRoomFor(const std::string& aServer) const;
   bool HasGrantUnderWay(const std::string& aServer) const;
   // Why the former owner of a range certainly does not hold it; null if it may.
   const char* ReasonToClear(Instant aNow, const KeyRange& aRange, const RangeState& aState) const;
@@ -126,6 +129,10 @@
   std::optional<KeyOwnership> writing_;
   // The orders under way.
   std::map<OrderNumber, KeyOrder> orders_;
+  // How many of them go to each server.
+  std::map<std::string, std::size_t> ordersOf_;
+  // Servers that did not answer the order that ended last.
+  std::set<std::string> silent_;
   // Until when each server that was granted keys may hold them.
   std::map<std::string, Instant> holdsUntil_;
   // The same by orders of former placers, until the server has acknowledged a
--- a/Tests/LibKeys/PlacerWorld.h
+++ b/Tests/LibKeys/PlacerWorld.h
@@ -36,6 +36,8 @@
     bool isCut_ = false;
     // Orders are taken late and not answered.
     bool isLate_ = false;
+    // How long its work goes on after a release, whose answer waits for it.
+    Duration workTime_{ 0 };
     std::map<KeyNumber, Holding> held_;
     std::map<KeyNumber, FenceNumber> seen_;
   };
@@ -229,7 +231,14 @@
     });
     for (auto& entry : due) {
       if (entry.isArrival_) {
-        entry.outcome_ = Take(servers_.at(entry.order_.server_), entry.order_);
+        auto& server = servers_.at(entry.order_.server_);
+        entry.outcome_ = Take(server, entry.order_);
+        if (entry.order_.isRelease_ && server.workTime_ > Duration(0)) {
+          entry.isArrival_ = false;
+          entry.at_ = now_ + server.workTime_;
+          pending_.push_back(entry);
+          continue;
+        }
       }
       if (entry.isAnswered_ && entry.placer_->isRunning_) {
         entry.placer_->placer_.OnOrderEnded(now_, entry.order_.number_, entry.outcome_);
--- a/Tests/LibKeys/TestOwnershipPlacer.cpp
+++ b/Tests/LibKeys/TestOwnershipPlacer.cpp
@@ -1,5 +1,7 @@
 #include "PlacerWorld.h"
 
+#include <algorithm>
+
 namespace latchslip {
 
 namespace {
@@ -110,6 +112,49 @@
   EXPECT_GT(TimeUntilServed(), seconds(10));
 }
 
+class PlacedKeysOfManyServers : public testing::Test
+{
+protected:
+  static constexpr int kServers = 128;
+
+  PlacedKeysOfManyServers()
+  {
+    for (int number = 0; number < kServers; ++number) {
+      const auto id = IdOf(number);
+      world_.AddServer(id, id + ":80").workTime_ = milliseconds(700);
+    }
+    world_.TakeOver();
+    world_.Pass(seconds(4));
+  }
+
+  static std::string IdOf(int aNumber) { return "s" + std::to_string(100 + aNumber); }
+
+  PlacerWorld world_;
+};
+
+TEST_F(PlacedKeysOfManyServers, HalfLeaveWhileAtWork_AllLetGoTogether)
+{
+  for (int number = 0; number < kServers; number += 2) {
+    world_.servers_.at(IdOf(number)).isLeaving_ = true;
+  }
+  // The work, and the steps before and after it.
+  world_.Pass(milliseconds(1100));
+  EXPECT_EQ(world_.ServedKeys(), PlacerWorld::kBlocks);
+}
+
+TEST_F(PlacedKeysOfManyServers, SomeAnswerNothing_GrantsOfTheOthersAreRenewed)
+{
+  for (int number = 0; number < 32; ++number) {
+    world_.servers_.at(IdOf(number)).isLate_ = true;
+  }
+  std::size_t least = PlacerWorld::kBlocks;
+  for (int step = 0; step < 100; ++step) {
+    world_.Pass(milliseconds(100));
+    least = std::min(least, world_.ServedKeys());
+  }
+  EXPECT_GE(least, PlacerWorld::kBlocks * (kServers - 32) / kServers);
+}
+
 TEST(OwnershipPlacer, ServerLeavesWhileItsFirstGrantsAreUnderWay_KeysWaitForThem)
 {
   PlacerWorld world;
