LibKeys: Fill servers only to their part when load is evened out

Cause: a move gave the least busy server half of the difference to the busiest, so that after one move that server was the busiest itself, with keys that cannot pass on before their former owner has let go: the round ended after two moves. It also ended at the first server whose load is one key, and nothing was evened out at all while any range was on its way, as those of a silent server are for seconds. Now a receiver is filled to the tolerance, stuck servers are passed over, as many ranges move as a half of the servers, and moves under way hold up nothing.

--- a/Libraries/LibKeys/KeyBalancer.cpp
+++ b/Libraries/LibKeys/KeyBalancer.cpp
@@ -3,6 +3,8 @@
 #include "LibKeys/ServerShares.h"
 
 #include <algorithm>
+#include <limits>
+#include <map>
 
 namespace latchslip {
 
@@ -16,6 +18,13 @@
 constexpr std::size_t kMostRangesPerServer = 8;
 // A move must take at least this part of the mean load off the busiest server.
 constexpr double kLeastGain = 0.04;
+// One range may move in a round for this many servers: keys that get hot lie close
+// together, most of them at one server, and are more than the others can take in a
+// few moves.
+constexpr std::size_t kServersAMove = 2;
+// Ranges that one round takes from one server at the most, as many as can be let go
+// of together: keys that wait to be let go of have no owner.
+constexpr std::size_t kMostTakenFromOne = 64;
 // Nothing moves for load while the least busy server has more than this part of
 // the mean and the busiest is within its tolerance.
 constexpr double kLeastPart = 0.75;
@@ -102,9 +111,13 @@
   aOwnership.ranges_.insert(aOwnership.ranges_.erase(at), parts.begin(), parts.end());
 }
 
-// The single key of that server with the most load, as a piece.
+// The single key of that server with the most load of those that have at most
+// aMost, as a piece.
 std::optional<Piece>
-HottestKey(const KeyOwnership& aOwnership, const std::string& aServer, const KeyLoad& aLoad)
+HottestKey(const KeyOwnership& aOwnership,
+           const std::string& aServer,
+           const KeyLoad& aLoad,
+           double aMost)
 {
   std::optional<Piece> hottest;
   for (std::size_t index = 0; index < aOwnership.ranges_.size(); ++index) {
@@ -114,7 +127,7 @@
     }
     for (KeyNumber key = range.first_; key <= range.last_; ++key) {
       const double load = aLoad.Of(key, key);
-      if (!hottest || load > hottest->load_) {
+      if (load <= aMost && (!hottest || load > hottest->load_)) {
         hottest = Piece{ index, key, key, load };
       }
     }
@@ -149,21 +162,33 @@
   std::string to_;
 };
 
-// The move that evens out best; no value when none is worth its cost.
+// The move from the busiest server to the least busy one that evens out best; no
+// value when none is worth its cost. The receiver is filled up to aTolerance of
+// its part only: what it got cannot pass on before the former owner has let go of
+// it. A key that has more than that goes alone.
 std::optional<Move>
 ChooseMove(const KeyOwnership& aOwnership,
            const ServerShares& aShares,
            const KeyLoad& aLoad,
+           double aTolerance,
            bool aMayCut)
 {
+  constexpr double kAnyLoad = std::numeric_limits<double>::infinity();
   const auto from = aShares.Most();
   const auto to = aShares.Least();
-  const auto piece = BestPiece(aOwnership, from, aLoad, aShares.Difference(from, to), aMayCut);
-  if (piece && piece->load_ >= kLeastGain * aShares.MeanLevel()) {
+  const auto difference = aShares.Difference(from, to);
+  const auto leastLoad = kLeastGain * aShares.MeanLevel();
+  const auto most = std::min(difference, aShares.Room(to, aTolerance));
+  const auto piece = BestPiece(aOwnership, from, aLoad, most, aMayCut);
+  if (piece && piece->load_ >= leastLoad) {
     return Move{ *piece, to };
   }
+  const auto single = HottestKey(aOwnership, from, aLoad, difference);
+  if (aMayCut && single && single->load_ >= leastLoad) {
+    return Move{ *single, to };
+  }
   const auto strongest = aShares.Strongest();
-  const auto hottest = HottestKey(aOwnership, from, aLoad);
+  const auto hottest = HottestKey(aOwnership, from, aLoad, kAnyLoad);
   if (hottest && aShares.IsBetterPlace(from, strongest, hottest->load_)) {
     return Move{ *hottest, strongest };
   }
@@ -251,21 +276,24 @@
   }
   auto next = aOwnership;
   const auto mostRanges = std::max(2 * kFirstRanges, kMostRangesPerServer * aServers.size());
-  bool isChanged = false;
-  for (std::size_t moves = 0; moves < settings_.movesARound_; ++moves) {
-    if (IsEven(shares, settings_.tolerance_)) {
-      break;
-    }
+  const auto mostMoves = std::max(settings_.leastMoves_, aServers.size() / kServersAMove);
+  std::map<std::string, std::size_t> taken;
+  std::size_t moves = 0;
+  while (moves < mostMoves && shares.HasMost() && !IsEven(shares, settings_.tolerance_)) {
     const auto from = shares.Most();
-    const auto move = ChooseMove(next, shares, aLoad, next.ranges_.size() < mostRanges);
-    if (!move) {
-      break;
+    const auto move =
+      ChooseMove(next, shares, aLoad, settings_.tolerance_, next.ranges_.size() < mostRanges);
+    if (!move || ++taken[from] > kMostTakenFromOne) {
+      // One key may be all its load, or its ranges are on their way already.
+      shares.LeaveOut(from);
+      continue;
     }
     Give(next, move->piece_, move->to_);
     shares.Add(from, -move->piece_.load_);
     shares.Add(move->to_, move->piece_.load_);
-    isChanged = true;
+    ++moves;
   }
+  const bool isChanged = moves > 0;
   if (isChanged && next.ranges_.size() > mostRanges / 2) {
     MergeNeighbours(next);
   }
--- a/Libraries/LibKeys/KeyBalancer.h
+++ b/Libraries/LibKeys/KeyBalancer.h
@@ -15,8 +15,8 @@
 {
   // The busiest server may have this multiple of the mean.
   double tolerance_ = 1.25;
-  // Ranges that one round moves for load.
-  std::size_t movesARound_ = 8;
+  // Ranges that one round may move for load, however few servers there are.
+  std::size_t leastMoves_ = 8;
 };
 
 // Decides which servers own which keys.
--- a/Libraries/LibKeys/OwnershipPlacer.cpp
+++ b/Libraries/LibKeys/OwnershipPlacer.cpp
@@ -222,11 +222,9 @@
 std::optional<KeyOwnership>
 OwnershipPlacer::EvenOut(Instant aNow)
 {
-  const bool isMoving =
-    std::any_of(committed_.ranges_.begin(), committed_.ranges_.end(), [](const KeyRange& aRange) {
-      return !aRange.previous_.empty();
-    });
-  if (aNow < nextRebalance_ || isMoving) {
+  // NOTE: Ranges on their way do not hold this up: those of a silent server wait for
+  // seconds. They stay as they are, and count at their new owners.
+  if (aNow < nextRebalance_) {
     return std::nullopt;
   }
   nextRebalance_ = aNow + kRebalanceInterval;
--- a/Libraries/LibKeys/ServerShares.cpp
+++ b/Libraries/LibKeys/ServerShares.cpp
@@ -71,15 +71,35 @@
          aLoad / from.weight_ > MeanLevel();
 }
 
+double
+ServerShares::Room(const std::string& aServer, double aMultiple) const
+{
+  const auto& share = shares_.at(aServer);
+  return aMultiple * MeanLevel() * share.weight_ - share.load_;
+}
+
 std::string
-ServerShares::Extreme(bool aIsMost) const
+ServerShares::Least() const
 {
   const auto lower = [](const auto& aLeft, const auto& aRight) {
     return aLeft.second.load_ / aLeft.second.weight_ < aRight.second.load_ / aRight.second.weight_;
   };
-  const auto found = aIsMost ? std::max_element(shares_.begin(), shares_.end(), lower)
-                             : std::min_element(shares_.begin(), shares_.end(), lower);
-  return found->first;
+  return std::min_element(shares_.begin(), shares_.end(), lower)->first;
+}
+
+std::string
+ServerShares::Most() const
+{
+  const std::string* most = nullptr;
+  double highest = 0;
+  for (const auto& [server, share] : shares_) {
+    const double level = share.load_ / share.weight_;
+    if (!leftOut_.contains(server) && (most == nullptr || level > highest)) {
+      most = &server;
+      highest = level;
+    }
+  }
+  return *most;
 }
 
 } // namespace latchslip
--- a/Libraries/LibKeys/ServerShares.h
+++ b/Libraries/LibKeys/ServerShares.h
@@ -5,6 +5,7 @@
 #include "LibKeys/KeyServer.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -24,15 +25,22 @@
 
   bool IsEmpty() const { return shares_.empty(); }
   // The server with the lowest level.
-  std::string Least() const { return Extreme(false); }
-  // The server with the highest level.
-  std::string Most() const { return Extreme(true); }
+  std::string Least() const;
+  // The server with the highest level of those that are not left out.
+  std::string Most() const;
   // The server with the highest weight.
   std::string Strongest() const;
   // The load of a server for each unit of its weight.
   double Level(const std::string& aServer) const;
   // The level of every server if the load were spread evenly.
   double MeanLevel() const { return totalLoad_ / totalWeight_; }
+  // The load that a server can get before it is at that multiple of the mean level;
+  // negative when it is beyond.
+  double Room(const std::string& aServer, double aMultiple) const;
+  // Leaves a server out of Most from now on: nothing can be taken from it.
+  void LeaveOut(const std::string& aServer) { leftOut_.insert(aServer); }
+  // Whether Most has a server left.
+  bool HasMost() const { return leftOut_.size() < shares_.size(); }
   // The load that must pass from one to the other to bring both to one level.
   double Difference(const std::string& aFrom, const std::string& aTo) const;
   // Whether a key too hot to be shared is better off at another server, which is
@@ -46,9 +54,8 @@
     double weight_ = 1;
   };
 
-  std::string Extreme(bool aIsMost) const;
-
   std::map<std::string, Share> shares_;
+  std::set<std::string> leftOut_;
   double totalLoad_ = 0;
   double totalWeight_ = 0;
 };
--- a/Tests/LibKeys/TestKeyBalancer.cpp
+++ b/Tests/LibKeys/TestKeyBalancer.cpp
@@ -174,6 +174,62 @@
   EXPECT_LT(LoadByServer(ownership)["c"], 1.25 * load_.Total() * servers_[2].weight_ / kWeights);
 }
 
+TEST_F(KeysOfFourServers, OneServerCannotBeRelieved_TheOthersAreEvenedOutAllTheSame)
+{
+  // All of c is one key that nobody else could take; a has two busy ranges.
+  std::vector<KeyCount> counts{ { dealt_.ranges_[2].first_, 1000 } };
+  for (const std::size_t index : { 0U, 4U }) {
+    for (KeyNumber key = 0; key < 100; ++key) {
+      counts.push_back({ dealt_.ranges_[index].first_ + key, 3 });
+    }
+  }
+  load_.Add(kNow, counts);
+  load_.Refresh(kNow);
+  auto ownership = dealt_;
+  for (int round = 0; round < 6; ++round) {
+    if (const auto next = balancer_.EvenOut(ownership, servers_, load_)) {
+      ownership = Settle(*next);
+    }
+  }
+  const auto loads = LoadByServer(ownership);
+  EXPECT_LT(loads.at("a"), 260);
+  EXPECT_GT(loads.at("b"), 140);
+  EXPECT_GT(loads.at("d"), 140);
+}
+
+TEST(KeysOfManyServers, NeighbouringKeysGetHot_OneRoundSpreadsThem)
+{
+  constexpr std::size_t kServers = 160;
+  std::vector<std::string> ids;
+  for (std::size_t number = 0; number < kServers; ++number) {
+    ids.push_back("s" + std::to_string(1000 + number));
+  }
+  const auto servers = MakeServers(ids);
+  const auto dealt = KeyBalancer::DealAll("rates", 10, servers);
+  KeyLoad load;
+  std::vector<KeyCount> counts;
+  for (KeyNumber key = 0; key < kLastKey; key += 32) {
+    counts.push_back({ key, 1 });
+  }
+  // As much as a tenth of all the others together, at one server.
+  for (KeyNumber key = 0; key < 200; ++key) {
+    counts.push_back({ dealt.ranges_[70].first_ + key, 1 });
+  }
+  load.Add(kNow, counts);
+  load.Refresh(kNow);
+  const auto next = KeyBalancer({}).EvenOut(dealt, servers, load);
+  ASSERT_TRUE(next);
+  std::map<std::string, double> loads;
+  for (const auto& range : next->ranges_) {
+    loads[range.owner_] += load.Of(range.first_, range.last_);
+  }
+  const double mean = load.Total() / kServers;
+  // The busiest had 16 times the mean.
+  for (const auto& [server, share] : loads) {
+    EXPECT_LT(share, 1.5 * mean) << server;
+  }
+}
+
 TEST_F(KeysOfFourServers, ServerJoins_GetsItsPart)
 {
   servers_ = MakeServers({ "a", "b", "c", "d", "e" });
--- a/Tests/LibKeys/TestOwnershipPlacer.cpp
+++ b/Tests/LibKeys/TestOwnershipPlacer.cpp
@@ -72,6 +72,27 @@
   EXPECT_LT(time, seconds(6));
 }
 
+TEST_F(PlacedKeysOfThreeServers, KeysOfASilentServerWait_TheOthersAreEvenedOutMeanwhile)
+{
+  auto& lost = world_.servers_.at("s1");
+  lost.isCut_ = true;
+  lost.isListed_ = false;
+  world_.Pass(milliseconds(200));
+  std::vector<KeyCount> counts;
+  for (const auto& range : world_.stored_->ranges_) {
+    if (range.owner_ == "s2" && range.previous_.empty()) {
+      counts.push_back({ range.first_, 100 });
+    }
+  }
+  placer_->placer_.OnLoad(world_.now_, counts);
+  world_.Pass(milliseconds(1500));
+  std::size_t passedOn = 0;
+  for (const auto& [key, count] : counts) {
+    passedOn += world_.stored_->Find(key)->owner_ == "s3" ? 1 : 0;
+  }
+  EXPECT_GT(3 * passedOn, counts.size());
+}
+
 TEST_F(PlacedKeysOfThreeServers, NewLifeHasTheAddress_KeysPassOnAtOnce)
 {
   world_.servers_.at("s1").isUp_ = false;
