LibGateway: Count a key when it is asked for, not when it is sent

Cause: the load of keys was counted at each send to their owner. Before: the new test counts 0 for a key without owner and 8 of 40 for one whose owner is full.

--- a/Benchmarks/BenchGateway.cpp
+++ b/Benchmarks/BenchGateway.cpp
@@ -23,6 +23,7 @@
   void Cancel(AttemptNumber) override {}
   void Deliver(RequestNumber, AttemptNumber) override { ++delivered_; }
   void Refuse(RequestNumber, const Refusal&) override {}
+  void CountKey(const std::string&, KeyNumber) override {}
 
   AttemptNumber last_ = 0;
   std::uint64_t delivered_ = 0;
--- a/Libraries/LibDaemon/GatewayFront.cpp
+++ b/Libraries/LibDaemon/GatewayFront.cpp
@@ -57,9 +57,6 @@
   if (request == requests_.end()) {
     return;
   }
-  if (request->second.routed_.key_) {
-    observer_(aOrder.server_, *request->second.routed_.key_);
-  }
   ExchangeOptions options;
   options.timeout_ = aOrder.timeLeft_ + kExchangeGrace;
   options.connectTimeout_ = kConnectTimeout;
--- a/Libraries/LibDaemon/GatewayFront.h
+++ b/Libraries/LibDaemon/GatewayFront.h
@@ -21,8 +21,8 @@
   , private RequestActions
 {
 public:
-  // Told of each send of a request for a key.
-  using KeyObserver = std::function<void(const std::string& aServer, KeyNumber aKey)>;
+  // Told of each request for a key.
+  using KeyObserver = std::function<void(const std::string& aService, KeyNumber aKey)>;
 
   GatewayFront(boost::asio::io_context& aContext,
                RequestDeskSettings aSettings,
@@ -64,6 +64,7 @@
   void Cancel(AttemptNumber aAttempt) override;
   void Deliver(RequestNumber aRequest, AttemptNumber aAttempt) override;
   void Refuse(RequestNumber aRequest, const Refusal& aRefusal) override;
+  void CountKey(const std::string& aService, KeyNumber aKey) override { observer_(aService, aKey); }
   void OnExchangeEnded(AttemptNumber aAttempt, HttpExchange aExchange);
   void Respond(RequestNumber aRequest, HttpResponse aResponse);
 
--- a/Libraries/LibDaemon/GatewayHost.cpp
+++ b/Libraries/LibDaemon/GatewayHost.cpp
@@ -40,13 +40,14 @@
     , store_(aStore)
     , events_(aEvents)
     , member_(settings_.member_, aDecoder, *this, aEvents)
-    , front_(aContext,
-             settings_.desk_,
-             aCodec,
-             member_.Directory(),
-             aEvents,
-             metrics_,
-             [this](const std::string& aServer, KeyNumber aKey) { CountKey(aServer, aKey); })
+    , front_(
+        aContext,
+        settings_.desk_,
+        aCodec,
+        member_.Directory(),
+        aEvents,
+        metrics_,
+        [this](const std::string& aService, KeyNumber aKey) { member_.CountKey(aService, aKey); })
     , orders_(HttpClient::Create(aContext, kMostOrderConnections))
     , peers_(aContext, member_, [this] { return RenderMetrics(); })
     , timer_(aContext)
@@ -115,13 +116,6 @@
         { "servers_listed", static_cast<double>(member_.Directory().All().size()) } });
   }
 
-  void CountKey(const std::string& aServer, KeyNumber aKey)
-  {
-    if (const auto* server = member_.Directory().Find(aServer)) {
-      member_.CountKey(server->service_, aKey);
-    }
-  }
-
   void Step()
   {
     const auto now = MonotonicNow();
--- a/Libraries/LibGateway/RequestDesk.cpp
+++ b/Libraries/LibGateway/RequestDesk.cpp
@@ -111,6 +111,9 @@
   pending.deadline_ = aNow + std::min(timeLeft, route.timeLimit_);
   pending.refuseAt_ = aNow + Part(route.latencyTarget_, kWaitPart);
   StateOf(pending.service_->name_).budget_.OnRequest(aNow);
+  if (pending.service_->isKeyed_ && pending.request_.key_) {
+    actions_.CountKey(pending.service_->name_, *pending.request_.key_);
+  }
   if (!TrySend(aNow, pending)) {
     Wait(aNow, pending);
   }
--- a/Tests/LibGateway/TestRequestDesk.cpp
+++ b/Tests/LibGateway/TestRequestDesk.cpp
@@ -24,11 +24,17 @@
   {
     refused_[aRequest] = aRefusal;
   }
+  void CountKey(const std::string& aService, KeyNumber aKey) override
+  {
+    ++wanted_[{ aService, aKey }];
+  }
 
   std::vector<AttemptOrder> sent_;
   std::vector<AttemptNumber> cancelled_;
   std::vector<RequestNumber> delivered_;
   std::map<RequestNumber, Refusal> refused_;
+  // How often each key was asked for.
+  std::map<std::pair<std::string, KeyNumber>, int> wanted_;
 };
 
 // Routes "/read/" (repeatable, urgent last), "/write/" (not repeatable), both to
@@ -153,6 +159,19 @@
   RequestDesk desk_{ { "hall", { 0.2, 0, seconds(10) }, 1 }, directory_, actions_, events_ };
 };
 
+TEST_F(DeskOfThreeServers, KeyWithoutOwnerOrWithAFullOne_EachRequestCountsOnce)
+{
+  Ask("/key/x", 500);
+  for (int index = 0; index < 40; ++index) {
+    Ask("/key/x", 50);
+  }
+  ASSERT_LT(actions_.sent_.size(), 40U);
+  EXPECT_EQ((actions_.wanted_[{ "keyed", 500 }]), 1);
+  EXPECT_EQ((actions_.wanted_[{ "keyed", 50 }]), 40);
+  Ask("/read/x", 50);
+  EXPECT_EQ(actions_.wanted_.size(), 2U);
+}
+
 TEST_F(DeskOfThreeServers, RequestArrives_IsSentOnceWithTheTimeThatIsLeft)
 {
   const auto request = Ask("/read/1");
