Platform, LibFleet: Ask a lost store by one follower; let the strong place keys

Also each instance asked for the configuration every 4 s beside a placer that names its last change. Now the follower of the configuration alone looks for the store's return, at most every 1.2 s (0.6 s for the placer), and beside a placer it asks for 8 s at a time. What the placer's news said of the configuration had no effect since and goes; its two tests are replaced: a change that was not heard of is asked for, and the answers to reports name it.

The weak waited 0.4 s longer at the most, less than the 0.8 s by which their last report may lie earlier. Reports now say how strong an instance is, answers how strong the strongest, and the weak wait up to 0.9 s longer.

--- a/Libraries/LibDaemon/GatewayHost.cpp
+++ b/Libraries/LibDaemon/GatewayHost.cpp
@@ -210,8 +210,6 @@
     peers_.SendReport(aAddress, aReport);
   }
 
-  void Refresh(FleetTable aTable) override { store_.Refresh(aTable); }
-
   void Follow(Following aHow, const TableVersions& aKnown) override { store_.Follow(aHow, aKnown); }
 
   void SendNews(const std::string& aAddress, const FleetNews& aNews) override
--- a/Libraries/LibFleet/FleetMember.cpp
+++ b/Libraries/LibFleet/FleetMember.cpp
@@ -12,19 +12,6 @@
 constexpr Duration kFetchInterval = milliseconds(500);
 // A placer that answered within this time also tells what changes: two reports.
 constexpr Duration kNewsBound = milliseconds(1800);
-// An instance with this part of a processor has no reason to let others go first
-// when a placer is looked for.
-constexpr double kStrongShare = 0.5;
-
-// 0 for a strong instance up to 1 for a weak one, with some chance so that equal
-// ones differ.
-double
-ClaimSpread(double aProcessorShare, std::minstd_rand& aRandom)
-{
-  constexpr double kChance = 0.4;
-  const double weakness = 1 - std::min(1.0, aProcessorShare / kStrongShare);
-  return weakness * (1 - kChance) + std::uniform_real_distribution<double>(0, kChance)(aRandom);
-}
 
 } // namespace
 
@@ -36,10 +23,10 @@
   , actions_(aActions)
   , events_(aEvents)
   , view_(aDecoder, *this, aEvents)
-  , election_(settings_.self_, 0)
   , random_(settings_.seed_)
+  // How strong the others are is told by the first placer.
+  , election_(settings_.self_, std::uniform_real_distribution<double>(0, 1)(random_), 0)
 {
-  election_ = PlacerElection(settings_.self_, ClaimSpread(settings_.processorShare_, random_));
 }
 
 FleetMember::~FleetMember() = default;
@@ -55,15 +42,13 @@
   if (!election_.IsPlacer() || aView.rows_.empty()) {
     return;
   }
-  FleetNews news;
+  // The configuration is followed by everybody.
   if (aView.table_ == FleetTable::Servers) {
+    FleetNews news;
     news.views_.push_back(aView);
     // The others have heard of the last change, not of the quiet since.
     news.views_.back().base_ = before.at(static_cast<std::size_t>(aView.table_));
     Spread(news);
-  } else if (aView.table_ == FleetTable::Configuration) {
-    news.configurationChange_ = view_.LastChanges().front();
-    Spread(news);
   }
 }
 
@@ -90,9 +75,6 @@
     relay_.OnFailure();
     ChooseFollowing(aNow);
   }
-  if (aNews.configurationChange_ > view_.Versions().front() && following_ == Following::Relayed) {
-    actions_.Refresh(FleetTable::Configuration);
-  }
 }
 
 void
--- a/Libraries/LibFleet/FleetMember.h
+++ b/Libraries/LibFleet/FleetMember.h
@@ -24,8 +24,6 @@
 
   // The answer goes to OnTransactEnded.
   virtual void Transact(const Transaction& aTransaction) = 0;
-  // Reads a table of the store once.
-  virtual void Refresh(FleetTable aTable) = 0;
   // How the store is to be followed from now on.
   virtual void Follow(Following aHow, const TableVersions& aKnown) = 0;
   // The answer goes to OnOrderEnded.
@@ -156,6 +154,7 @@
   FleetActions& actions_;
   EventSink& events_;
   FleetView view_;
+  std::minstd_rand random_;
   PlacerElection election_;
   RelayWatch relay_;
   Following following_ = Following::Alone;
@@ -164,8 +163,14 @@
   std::map<std::string, KeyCounter> counters_;
   // The mean latency of each server over all instances, as the placer knows it.
   std::map<std::string, Duration> latencies_;
-  // When each instance reported here last, by its address.
-  std::map<std::string, Instant> heardInstances_;
+  // What an instance was like when it reported here last.
+  struct HeardInstance
+  {
+    Instant heardAt_{ 0 };
+    double processorShare_ = 0;
+  };
+  // By address.
+  std::map<std::string, HeardInstance> heardInstances_;
   // Addresses of the instances that report to the placer, as it last said.
   std::vector<std::string> instances_;
   // How many other instances reported here while the store was heard.
@@ -181,7 +186,6 @@
   Instant storeHeardAt_{ 0 };
   Instant nextReport_ = Instant::min();
   Instant nextFetch_ = Instant::min();
-  std::minstd_rand random_;
 };
 
 } // namespace latchslip
--- a/Libraries/LibFleet/FleetNews.cpp
+++ b/Libraries/LibFleet/FleetNews.cpp
@@ -95,7 +95,6 @@
                                           { "ownership", SerializeOwnership(news.ownership_) } });
   }
   boost::json::object document{ { "last_for_now", aNews.isLastForNow_ },
-                                { "configuration_change", aNews.configurationChange_ },
                                 { "views", std::move(views) },
                                 { "owners", std::move(owners) } };
   if (!aNews.doubts_.empty()) {
@@ -118,7 +117,6 @@
   BOOST_OUTCOME_TRY(const auto reader, JsonReader::Create(value, ""));
   FleetNews news;
   BOOST_OUTCOME_TRY(news.isLastForNow_, reader.FlagOr("last_for_now", false));
-  BOOST_OUTCOME_TRY(news.configurationChange_, ReadVersion(reader, "configuration_change"));
   BOOST_OUTCOME_TRY(const auto* views, reader.List("views"));
   for (const auto& entry : *views) {
     BOOST_OUTCOME_TRY(auto view, ParseView(entry));
--- a/Libraries/LibFleet/FleetNews.h
+++ b/Libraries/LibFleet/FleetNews.h
@@ -35,9 +35,6 @@
   // The sender is the placer but cannot reach the store: it will not tell what
   // changes from now on.
   bool isLastForNow_ = false;
-  // The configuration has changed at this version; 0 when it has not. It may be
-  // large, so that whoever reaches the store reads it there.
-  RowVersion configurationChange_ = 0;
   // Of the tables that others write.
   std::vector<TableView> views_;
   // The row that names the placer.
--- a/Libraries/LibFleet/FleetReport.cpp
+++ b/Libraries/LibFleet/FleetReport.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr std::uint64_t kMostCount = 1'000'000;
+// No instance has more processors than this.
+constexpr double kMostProcessors = 1024;
 
 FieldResult<std::uint64_t>
 WholeNumber(const boost::json::value& aValue, std::string_view aField, std::uint64_t aMost)
@@ -65,6 +67,7 @@
   }
   return boost::json::serialize(boost::json::object{ { "instance", aReport.instance_ },
                                                      { "address", aReport.address_ },
+                                                     { "processor_share", aReport.processorShare_ },
                                                      { "key_counts", std::move(counts) },
                                                      { "latencies_us", std::move(latencies) } });
 }
@@ -77,6 +80,8 @@
   InstanceReport report;
   BOOST_OUTCOME_TRY(report.instance_, reader.Text("instance"));
   BOOST_OUTCOME_TRY(report.address_, reader.Text("address"));
+  BOOST_OUTCOME_TRY(report.processorShare_,
+                    reader.NumberOr("processor_share", 0, 0, kMostProcessors));
   if (const auto* counts = ObjectAt(value, "key_counts")) {
     for (const auto& entry : *counts) {
       BOOST_OUTCOME_TRY(report.keyCounts_[std::string(entry.key())], ParseCounts(entry.value()));
@@ -98,6 +103,7 @@
 {
   return boost::json::serialize(boost::json::object{
     { "working", aAnswer.isWorking_ },
+    { "strongest_share", aAnswer.strongestShare_ },
     { "versions", VersionsToJson(aAnswer.lastChanges_) },
     { "instances", boost::json::array(aAnswer.instances_.begin(), aAnswer.instances_.end()) } });
 }
@@ -110,6 +116,8 @@
   ReportAnswer answer;
   BOOST_OUTCOME_TRY(answer.isWorking_, reader.FlagOr("working", false));
   BOOST_OUTCOME_TRY(answer.lastChanges_, VersionsFromJson(value.as_object()));
+  BOOST_OUTCOME_TRY(answer.strongestShare_,
+                    reader.NumberOr("strongest_share", 0, 0, kMostProcessors));
   BOOST_OUTCOME_TRY(const auto* instances, reader.List("instances"));
   for (const auto& instance : *instances) {
     if (!instance.is_string()) {
--- a/Libraries/LibFleet/FleetReport.h
+++ b/Libraries/LibFleet/FleetReport.h
@@ -21,6 +21,8 @@
   std::map<std::string, std::vector<KeyCount>> keyCounts_;
   // The mean latency of the servers of keyed services, as this instance sees it.
   std::map<std::string, Duration> latencies_;
+  // What part of a processor this instance has; 0 when it is not told.
+  double processorShare_ = 0;
 };
 
 // What the placer answers.
@@ -32,6 +34,8 @@
   std::vector<std::string> instances_;
   // The last change of each table that it knows.
   TableVersions lastChanges_{};
+  // The largest part of a processor that any of them has; 0 when it is not told.
+  double strongestShare_ = 0;
 };
 
 std::string
--- a/Libraries/LibFleet/FleetStore.h
+++ b/Libraries/LibFleet/FleetStore.h
@@ -22,7 +22,8 @@
 // How closely the tables are followed.
 enum class Following
 {
-  // Another instance tells what changes; the store is not asked.
+  // Another instance tells what changes; the store is asked for the configuration
+  // only.
   Relayed,
   // The store is asked, with long waits.
   Alone,
@@ -45,8 +46,6 @@
 
   // Begins to follow the tables alone, each from what it holds now.
   virtual void Start(FleetStoreListener& aListener) = 0;
-  // Reads a table once, while it is not followed.
-  virtual void Refresh(FleetTable aTable) = 0;
   // Goes on in another way, from the versions that are known by now.
   virtual void Follow(Following aHow, const TableVersions& aKnown) = 0;
   virtual void Stop() = 0;
--- a/Libraries/LibFleet/PlacerDuty.cpp
+++ b/Libraries/LibFleet/PlacerDuty.cpp
@@ -112,7 +112,8 @@
   }
   const auto reporting =
     std::count_if(heardInstances_.begin(), heardInstances_.end(), [&](const auto& aEntry) {
-      return aEntry.first != settings_.self_.address_ && aNow - aEntry.second < kReportingBound;
+      return aEntry.first != settings_.self_.address_ &&
+             aNow - aEntry.second.heardAt_ < kReportingBound;
     });
   return othersWithStore_ == 0 || 2 * static_cast<std::size_t>(reporting) > othersWithStore_;
 }
@@ -322,6 +323,7 @@
   InstanceReport report;
   report.instance_ = settings_.self_.instance_;
   report.address_ = settings_.self_.address_;
+  report.processorShare_ = settings_.processorShare_;
   for (const auto& service : view_.KeyedServices()) {
     report.keyCounts_[service] = counters_[service].Take();
     for (const auto* server : view_.Directory().OfService(service)) {
@@ -352,9 +354,10 @@
 ReportAnswer
 FleetMember::OnReport(Instant aNow, const InstanceReport& aReport)
 {
-  heardInstances_[aReport.address_] = aNow;
-  std::erase_if(heardInstances_,
-                [&](const auto& aEntry) { return aNow - aEntry.second > kInstanceSilence; });
+  heardInstances_[aReport.address_] = { aNow, aReport.processorShare_ };
+  std::erase_if(heardInstances_, [&](const auto& aEntry) {
+    return aNow - aEntry.second.heardAt_ > kInstanceSilence;
+  });
   auto answer = MakeReportAnswer();
   if (aNow - storeHeardAt_ < kStoreLately) {
     othersWithStore_ = heardInstances_.size() - heardInstances_.count(settings_.self_.address_);
@@ -371,8 +374,9 @@
 {
   ReportAnswer answer;
   answer.isWorking_ = election_.IsPlacer() && !isStoreLost_;
-  for (const auto& [address, heardAt] : heardInstances_) {
+  for (const auto& [address, heard] : heardInstances_) {
     answer.instances_.push_back(address);
+    answer.strongestShare_ = std::max(answer.strongestShare_, heard.processorShare_);
   }
   answer.lastChanges_ = view_.LastChanges();
   return answer;
@@ -437,6 +441,10 @@
     instances_ = aAnswer->instances_;
     actions_.OnInstances(instances_.size());
   }
+  if (aAnswer->strongestShare_ > 0) {
+    const auto strength = settings_.processorShare_ / aAnswer->strongestShare_;
+    election_.SetWeakness(1 - std::min(1.0, strength));
+  }
 }
 
 } // namespace latchslip
--- a/Libraries/LibFleet/PlacerElection.cpp
+++ b/Libraries/LibFleet/PlacerElection.cpp
@@ -11,8 +11,11 @@
 // A placer that has not answered for this long is taken for lost. Two reports
 // are sent in it; grants hold several times as long.
 constexpr Duration kSilenceLimit = milliseconds(1800);
-// Instances claim within this time of each other.
-constexpr Duration kSpread = milliseconds(400);
+// Equally strong instances claim within this time of each other.
+constexpr Duration kSpread = milliseconds(160);
+// The weakest wait so much longer: the time between two reports, since one may have
+// missed the placer's last answer by that much earlier than another.
+constexpr Duration kWeakWait = milliseconds(900);
 // After a failed claim the row is read before the next.
 constexpr Duration kClaimPause = milliseconds(500);
 
@@ -37,10 +40,19 @@
   return row;
 }
 
-PlacerElection::PlacerElection(PlacerRow aSelf, double aSpread)
+PlacerElection::PlacerElection(PlacerRow aSelf, double aChance, double aWeakness)
   : self_(std::move(aSelf))
-  , spread_(static_cast<Duration::rep>(static_cast<double>(kSpread.count()) * aSpread))
+  , chance_(aChance)
 {
+  SetWeakness(aWeakness);
+}
+
+void
+PlacerElection::SetWeakness(double aWeakness)
+{
+  spread_ =
+    Duration(static_cast<Duration::rep>(static_cast<double>(kSpread.count()) * chance_ +
+                                        static_cast<double>(kWeakWait.count()) * aWeakness));
 }
 
 void
--- a/Libraries/LibFleet/PlacerElection.h
+++ b/Libraries/LibFleet/PlacerElection.h
@@ -34,9 +34,12 @@
 class PlacerElection
 {
 public:
-  // aSpread, 0 to 1, differs between instances, so that they do not all claim
-  // at the same moment.
-  PlacerElection(PlacerRow aSelf, double aSpread);
+  // aChance, 0 to 1, differs between instances, so that they do not all claim at
+  // the same moment. aWeakness is 0 for an instance that has as much processor as
+  // any, up to 1 for one that has hardly any: the strong claim first.
+  PlacerElection(PlacerRow aSelf, double aChance, double aWeakness);
+
+  void SetWeakness(double aWeakness);
 
   // The row as it stands; nothing when there is none.
   void OnRow(Instant aNow, std::optional<PlacerRow> aRow);
@@ -54,7 +57,9 @@
 
 private:
   PlacerRow self_;
-  Duration spread_;
+  double chance_;
+  // How much longer than the strongest instance could this one waits to claim.
+  Duration spread_{ 0 };
   std::optional<PlacerRow> row_;
   bool isRowKnown_ = false;
   // Since when the row stands as it does.
--- a/Tests/Platform/TestTableFollower.cpp
+++ b/Tests/Platform/TestTableFollower.cpp
@@ -20,8 +20,9 @@
   void Cancel(ExchangeId) override { callback_ = nullptr; }
   bool IsStopped() const override { return false; }
   void OnView(const TableView& aView) override { views_.push_back(aView); }
-  void OnFailure() override { ++failures_; }
-  void OnSuccess() override {}
+  void OnFailure(FleetTable) override { ++failures_; }
+  void OnSuccess(FleetTable) override {}
+  bool IsReturnAwaited(FleetTable) const override { return isReturnAwaited_; }
   void OnMalformed(const FieldError&) override { ++malformed_; }
 
   void Answer(unsigned aStatus, std::string aBody)
@@ -40,6 +41,7 @@
   std::vector<TableView> views_;
   int failures_ = 0;
   int malformed_ = 0;
+  bool isReturnAwaited_ = false;
 };
 
 class FollowerOfServers : public testing::Test
@@ -121,6 +123,28 @@
   follower.Ask();
   follower.Follow(Following::Relayed, 0);
   EXPECT_TRUE(store.callback_);
+  store.Answer(200, R"({"rows":[{"key":"config","value":"YQ==","ver":80}],"ver":90})");
+  while (!store.callback_) {
+    context.restart();
+    context.run_one();
+  }
+  // A long question, since the placer's answers name what it misses.
+  EXPECT_NE(store.targets_.back().find("waitMs=8000"), std::string::npos);
+  follower.Follow(Following::Alone, 80);
+  EXPECT_NE(store.targets_.back().find("after=80&waitMs=4000"), std::string::npos);
+}
+
+TEST_F(FollowerOfServers, StoreFailsAndAnotherAwaitsItsReturn_NothingIsAskedUntilThen)
+{
+  store_.isReturnAwaited_ = true;
+  const auto asked = store_.targets_.size();
+  store_.Answer(503, "");
+  context_.restart();
+  context_.run();
+  EXPECT_EQ(store_.targets_.size(), asked);
+  follower_.OnStoreReturned();
+  EXPECT_EQ(store_.targets_.size(), asked + 1);
+  EXPECT_EQ(LastAfter(), "90");
 }
 
 TEST_F(FollowerOfServers, HistoryIsGone_TableIsReadAgain)
