LibKeys: Take no chance for load; let orders of one server share a connection

(3) A server that refuses and whose machine is then taken away was never taken for gone, since a connection that could not be opened set the count of refusals back. Now differences within three and a half standard deviations are left; the renewals of one server follow each other on one connection that is idle for 150 ms at the most; refusals are counted on. Each has a test that failed first.

--- a/Libraries/LibDaemon/GatewayHost.cpp
+++ b/Libraries/LibDaemon/GatewayHost.cpp
@@ -19,6 +19,10 @@
 // An order to a server that is not answered in this time counts as unanswered.
 constexpr Duration kOrderTimeout = milliseconds(1500);
 constexpr Duration kOrderConnectTimeout = milliseconds(300);
+// A connection for orders carries the next one only within this time, in which a
+// server hardly ever closes it; the orders that renew what one server holds follow
+// each other within a step.
+constexpr Duration kOrderIdle = 3 * kStep;
 // To one server: as many as the placer sends orders to it.
 constexpr std::size_t kMostOrderConnections = 64;
 
@@ -193,7 +197,7 @@
     ExchangeOptions options;
     options.timeout_ = kOrderTimeout;
     options.connectTimeout_ = kOrderConnectTimeout;
-    options.isFreshConnection_ = true;
+    options.mostIdle_ = kOrderIdle;
     orders_->Send(aOrder.address_,
                   codec_.EncodeOrder(aOrder),
                   std::move(options),
--- a/Libraries/LibKeys/KeyBalancer.cpp
+++ b/Libraries/LibKeys/KeyBalancer.cpp
@@ -28,6 +28,12 @@
 // Nothing moves for load while the least busy server has more than this part of
 // the mean and the busiest is within its tolerance.
 constexpr double kLeastPart = 0.75;
+// Loads are told from few requests. Differences of this many standard deviations
+// are taken for chance: among 200 equal servers, the busiest and the least busy
+// differ from the mean by about three.
+constexpr double kChance = 3.5;
+// But a server that has less than this part of what it should have is given more.
+constexpr double kLeastPartAtAll = 0.25;
 
 // A piece of one range.
 struct Piece
@@ -199,9 +205,15 @@
 bool
 IsEven(const ServerShares& aShares, double aTolerance)
 {
-  const auto mean = aShares.MeanLevel();
-  return aShares.Level(aShares.Most()) < aTolerance * mean &&
-         aShares.Level(aShares.Least()) > kLeastPart * mean;
+  const auto most = aShares.Most();
+  const auto least = aShares.Least();
+  const auto mostPart = aShares.PartOf(most);
+  const auto leastPart = aShares.PartOf(least);
+  const auto ceiling = std::max(aTolerance * mostPart, mostPart + kChance * aShares.Noise(most));
+  const auto floor =
+    std::max(std::min(kLeastPart * leastPart, leastPart - kChance * aShares.Noise(least)),
+             kLeastPartAtAll * leastPart);
+  return aShares.LoadOf(most) < ceiling && aShares.LoadOf(least) > floor;
 }
 
 } // namespace
--- a/Libraries/LibKeys/KeyLoad.cpp
+++ b/Libraries/LibKeys/KeyLoad.cpp
@@ -77,6 +77,12 @@
   sums_.back() = sum;
 }
 
+double
+KeyLoad::Counted() const
+{
+  return std::max(0.0, Total() - kIdleLoad * static_cast<double>(loads_.size()));
+}
+
 double
 KeyLoad::Of(KeyNumber aFirst, KeyNumber aLast) const
 {
--- a/Libraries/LibKeys/KeyLoad.h
+++ b/Libraries/LibKeys/KeyLoad.h
@@ -39,6 +39,8 @@
   // The load of neighbouring keys, both ends included, in recent requests.
   double Of(KeyNumber aFirst, KeyNumber aLast) const;
   double Total() const { return Of(0, kLastKey); }
+  // The requests that the loads are told from; without what idle keys count.
+  double Counted() const;
   // To be called before a round of questions.
   void Refresh(Instant aNow);
 
--- a/Libraries/LibKeys/OwnershipPlacer.cpp
+++ b/Libraries/LibKeys/OwnershipPlacer.cpp
@@ -9,6 +9,10 @@
 // Grants are renewed this many times within their hold, so that one lost placer
 // leaves the next at least half of it to take over.
 constexpr int kRenewalsAHold = 3;
+// The renewals of one server follow each other, so that they share a connection;
+// one that has waited for this long goes beside those under way. A small part of
+// what is left of the hold when a renewal is due.
+constexpr Duration kRenewalPatience = milliseconds(500);
 // An order that failed is sent again after this time.
 constexpr Duration kOrderPause = milliseconds(250);
 // Between two rounds of evening out: the load of each key is a mean over seconds.
@@ -291,6 +295,11 @@
   if (!HasRoomFor(isWaiting ? aRange.previous_ : aRange.owner_)) {
     return;
   }
+  const bool isRenewal = aState.isGranted_ && aRange.previous_.empty();
+  if (isRenewal && ordersOf_.contains(aRange.owner_) &&
+      aNow < aState.nextOrder_ + kRenewalPatience) {
+    return;
+  }
   if (isWaiting) {
     ClearFormerOwner(aNow, aRange, aState);
     return;
@@ -431,7 +440,9 @@
   const auto end = aOutcome.end_;
   aState.isCleared_ = end == OrderEnd::Done || end == OrderEnd::OtherLife;
   aState.handover_ = aOutcome.handover_;
-  aState.refusals_ = end == OrderEnd::Refused ? aState.refusals_ + 1 : 0;
+  // A server whose machine is taken away refuses first and is then not reached.
+  const bool isReached = end != OrderEnd::Refused && end != OrderEnd::NotSent;
+  aState.refusals_ = isReached ? 0 : aState.refusals_ + (end == OrderEnd::Refused ? 1 : 0);
   aState.nextOrder_ = aState.isCleared_ ? aNow : aNow + kOrderPause;
 }
 
--- a/Libraries/LibKeys/ServerShares.cpp
+++ b/Libraries/LibKeys/ServerShares.cpp
@@ -1,6 +1,7 @@
 #include "LibKeys/ServerShares.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace latchslip {
 
@@ -16,6 +17,7 @@
 ServerShares::ServerShares(const KeyOwnership& aOwnership,
                            const std::vector<KeyServer>& aServers,
                            const KeyLoad& aLoad)
+  : counted_(aLoad.Counted())
 {
   for (const auto& server : aServers) {
     if (server.isUsable_) {
@@ -74,8 +76,15 @@
 double
 ServerShares::Room(const std::string& aServer, double aMultiple) const
 {
-  const auto& share = shares_.at(aServer);
-  return aMultiple * MeanLevel() * share.weight_ - share.load_;
+  return aMultiple * PartOf(aServer) - LoadOf(aServer);
+}
+
+double
+ServerShares::Noise(const std::string& aServer) const
+{
+  // Of counts that halve with time, the variance is half of the mean.
+  const double mean = counted_ * shares_.at(aServer).weight_ / totalWeight_;
+  return std::sqrt(mean / 2);
 }
 
 std::string
--- a/Libraries/LibKeys/ServerShares.h
+++ b/Libraries/LibKeys/ServerShares.h
@@ -30,6 +30,12 @@
   std::string Most() const;
   // The server with the highest weight.
   std::string Strongest() const;
+  double LoadOf(const std::string& aServer) const { return shares_.at(aServer).load_; }
+  // The load of a server at the mean level.
+  double PartOf(const std::string& aServer) const
+  {
+    return MeanLevel() * shares_.at(aServer).weight_;
+  }
   // The load of a server for each unit of its weight.
   double Level(const std::string& aServer) const;
   // The level of every server if the load were spread evenly.
@@ -37,6 +43,9 @@
   // The load that a server can get before it is at that multiple of the mean level;
   // negative when it is beyond.
   double Room(const std::string& aServer, double aMultiple) const;
+  // By how much the load of a server is uncertain, since it is told from few
+  // requests: one standard deviation at the mean level.
+  double Noise(const std::string& aServer) const;
   // Leaves a server out of Most from now on: nothing can be taken from it.
   void LeaveOut(const std::string& aServer) { leftOut_.insert(aServer); }
   // Whether Most has a server left.
@@ -58,6 +67,8 @@
   std::set<std::string> leftOut_;
   double totalLoad_ = 0;
   double totalWeight_ = 0;
+  // The requests that the loads are told from.
+  double counted_ = 0;
 };
 
 } // namespace latchslip
--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -48,7 +48,7 @@
     if (!pool) {
       pool = std::make_shared<HttpPool>();
     }
-    auto connection = aOptions.isFreshConnection_ ? nullptr : TakeIdle(*pool);
+    auto connection = TakeIdle(*pool);
     if (!connection && pool->open_ >= mostConnections_) {
       Fail(id, std::move(aCallback), "no connection is free");
       return id;
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -41,9 +41,10 @@
   Duration timeout_ = seconds(1);
   // For the opening of a connection; zero means no bound of its own.
   Duration connectTimeout_{ 0 };
-  // Never an open connection of the pool, and none is left behind: a failed
-  // opening then shows that no byte was sent.
-  bool isFreshConnection_ = false;
+  // An open connection is used again only within this time after its last exchange,
+  // and closed after it. Short for exchanges whose end must be known: a server that
+  // has closed in between makes it unknown whether it took the next one.
+  Duration mostIdle_ = Duration::max();
   // The header of the answer that must repeat the one of the request. Other
   // answers belong to earlier requests and are skipped. Empty: not checked.
   std::string echoHeader_;
--- a/Libraries/LibNet/HttpConnection.cpp
+++ b/Libraries/LibNet/HttpConnection.cpp
@@ -73,7 +73,7 @@
                       HttpCallback aCallback)
 {
   callback_ = std::move(aCallback);
-  isFresh_ = aOptions.isFreshConnection_;
+  mostIdle_ = aOptions.mostIdle_;
   isReusable_ = true;
   echoHeader_ = aOptions.echoHeader_;
   echoValue_ = echoHeader_.empty() ? std::string() : std::string(aRequest.Header(echoHeader_));
@@ -109,7 +109,7 @@
   body_ = aRequest.body_ ? aRequest.body_ : std::make_shared<const std::string>();
   request_->body() = { body_->data(), body_->size() };
   request_->prepare_payload();
-  request_->keep_alive(!isFresh_);
+  request_->keep_alive(true);
 }
 
 void
@@ -192,8 +192,9 @@
   auto exchange = ToExchange(message);
   stream_.expires_never();
   // Bytes beyond the answer belong to no request of ours.
-  if (message.keep_alive() && buffer_.size() == 0 && isReusable_ && !isFresh_) {
-    idleUntil_ = MonotonicNow() + IdleTimeOf(message[http::field::keep_alive]);
+  if (message.keep_alive() && buffer_.size() == 0 && isReusable_) {
+    idleUntil_ =
+      MonotonicNow() + std::min(mostIdle_, IdleTimeOf(message[http::field::keep_alive]));
     pool_->idle_.push_back(shared_from_this());
   } else {
     stream_.close();
--- a/Libraries/LibNet/HttpConnection.h
+++ b/Libraries/LibNet/HttpConnection.h
@@ -72,7 +72,8 @@
   Instant end_{ 0 };
   Instant idleUntil_{ 0 };
   bool isConnected_ = false;
-  bool isFresh_ = false;
+  // How long it may lie idle; see ExchangeOptions.
+  Duration mostIdle_ = Duration::max();
   bool isReusable_ = true;
 };
 
--- a/Tests/LibKeys/PlacerWorld.h
+++ b/Tests/LibKeys/PlacerWorld.h
@@ -2,6 +2,7 @@
 
 #include "LibKeys/OwnershipPlacer.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 #include <map>
 #include <memory>
@@ -140,6 +141,8 @@
   OwnershipPlacerSettings settings_;
   std::vector<std::unique_ptr<Placer>> placers_;
   std::size_t changes_ = 0;
+  // Orders that were under way to one server at once, at the most.
+  std::size_t mostTogether_ = 0;
   std::minstd_rand random_;
 
 private:
@@ -217,6 +220,11 @@
       pending_.push_back(lost);
     }
     pending_.push_back(pending);
+    const auto together =
+      std::count_if(pending_.begin(), pending_.end(), [&](const Pending& aEntry) {
+        return aEntry.order_.server_ == aOrder.server_;
+      });
+    mostTogether_ = std::max(mostTogether_, static_cast<std::size_t>(together));
   }
 
   void CarryOut()
--- a/Tests/LibKeys/TestKeyBalancer.cpp
+++ b/Tests/LibKeys/TestKeyBalancer.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 #include <map>
+#include <random>
 
 namespace latchslip {
 
@@ -209,11 +210,11 @@
   KeyLoad load;
   std::vector<KeyCount> counts;
   for (KeyNumber key = 0; key < kLastKey; key += 32) {
-    counts.push_back({ key, 1 });
+    counts.push_back({ key, 10 });
   }
   // As much as a tenth of all the others together, at one server.
   for (KeyNumber key = 0; key < 200; ++key) {
-    counts.push_back({ dealt.ranges_[70].first_ + key, 1 });
+    counts.push_back({ dealt.ranges_[70].first_ + key, 10 });
   }
   load.Add(kNow, counts);
   load.Refresh(kNow);
@@ -230,6 +231,27 @@
   }
 }
 
+TEST(KeysOfManyServers, LoadsDifferByChance_NothingMoves)
+{
+  constexpr std::size_t kServers = 160;
+  std::vector<std::string> ids;
+  for (std::size_t number = 0; number < kServers; ++number) {
+    ids.push_back("s" + std::to_string(1000 + number));
+  }
+  const auto servers = MakeServers(ids);
+  const auto dealt = KeyBalancer::DealAll("rates", 10, servers);
+  KeyLoad load;
+  std::minstd_rand random(7);
+  // Six requests a second to each server on average, over twenty seconds.
+  for (int step = 0; step < 200; ++step) {
+    for (std::size_t request = 0; request < 6 * kServers / 10; ++request) {
+      load.Add(kNow, { { std::uniform_int_distribution<KeyNumber>(0, kLastKey)(random), 1 } });
+    }
+    load.Refresh(kNow + step * Duration(milliseconds(100)));
+  }
+  EXPECT_FALSE(KeyBalancer({}).EvenOut(dealt, servers, load));
+}
+
 TEST_F(KeysOfFourServers, ServerJoins_GetsItsPart)
 {
   servers_ = MakeServers({ "a", "b", "c", "d", "e" });
--- a/Tests/LibKeys/TestOwnershipPlacer.cpp
+++ b/Tests/LibKeys/TestOwnershipPlacer.cpp
@@ -47,6 +47,15 @@
   EXPECT_EQ(world_.changes_, changes);
 }
 
+TEST_F(PlacedKeysOfThreeServers, TimePasses_RenewalsOfOneServerFollowEachOther)
+{
+  world_.Pass(seconds(3));
+  world_.mostTogether_ = 0;
+  world_.Pass(seconds(10));
+  EXPECT_EQ(world_.mostTogether_, 1U);
+  ExpectAllServed();
+}
+
 TEST_F(PlacedKeysOfThreeServers, StoreIsDown_GrantsAreRenewed)
 {
   world_.isStoreDown_ = true;
@@ -112,6 +121,19 @@
   EXPECT_LT(TimeUntilServed(), milliseconds(1500));
 }
 
+TEST_F(PlacedKeysOfThreeServers, ServerThatSaidItLeavesRefusesAndIsThenNotReached_KeysPassOnSoon)
+{
+  auto& left = world_.servers_.at("s1");
+  left.isUp_ = false;
+  left.isLeaving_ = true;
+  world_.Pass(milliseconds(800));
+  left.isCut_ = true;
+  world_.Pass(milliseconds(600));
+  left.isListed_ = false;
+  world_.Pass(milliseconds(100));
+  EXPECT_LT(TimeUntilServed(), milliseconds(500));
+}
+
 TEST_F(PlacedKeysOfThreeServers, OrdersAreTakenLate_LateGrantsMeetHigherFences)
 {
   world_.servers_.at("s1").isLate_ = true;
--- a/Tests/LibNet/TestHttp.cpp
+++ b/Tests/LibNet/TestHttp.cpp
@@ -67,14 +67,19 @@
     }
   }
 
-  HttpExchange Send(const std::string& aTarget, std::string aBody)
+  HttpExchange Send(const std::string& aTarget,
+                    std::string aBody,
+                    Duration aMostIdle = Duration::max())
   {
     std::optional<HttpExchange> result;
     HttpRequest request;
     request.method_ = "POST";
     request.target_ = aTarget;
     request.body_ = std::make_shared<const std::string>(std::move(aBody));
-    client_->Send(address_, request, milliseconds(2000), [&](HttpExchange aExchange) {
+    ExchangeOptions options;
+    options.timeout_ = milliseconds(2000);
+    options.mostIdle_ = aMostIdle;
+    client_->Send(address_, request, std::move(options), [&](HttpExchange aExchange) {
       result = std::move(aExchange);
     });
     while (!result) {
@@ -178,6 +183,19 @@
   EXPECT_EQ(handler_.gone_, 1);
 }
 
+TEST_F(HttpOnLoopback, ConnectionMayLieIdleForAMoment_IsUsedAgainOnlyWithinIt)
+{
+  constexpr Duration kMoment = milliseconds(100);
+  EXPECT_EQ(Send("/echo", "x", kMoment).end_, ExchangeEnd::Complete);
+  EXPECT_EQ(Send("/echo", "y", kMoment).end_, ExchangeEnd::Complete);
+  EXPECT_EQ(client_->OpenConnections(), 1U);
+  EXPECT_EQ(server_->Connections(), 1U);
+  context_.restart();
+  context_.run_for(std::chrono::milliseconds(110));
+  client_->PruneIdle();
+  EXPECT_EQ(client_->OpenConnections(), 0U);
+}
+
 TEST_F(HttpOnLoopback, NothingListens_NotSentAndRefused)
 {
   server_.reset();
