LibGateway: Prefer servers to which a connection lies idle

Now two of the connected servers are drawn beside two of all, and one without a connection counts as 1.5 times as slow: less than twice, so that a second request at a connected server still costs more than the first at another.

--- a/Benchmarks/BenchGateway.cpp
+++ b/Benchmarks/BenchGateway.cpp
@@ -23,6 +23,7 @@
   void Cancel(AttemptNumber) override {}
   void Deliver(RequestNumber, AttemptNumber) override { ++delivered_; }
   void Refuse(RequestNumber, const Refusal&) override {}
+  bool HasConnection(const std::string&) const override { return true; }
   void CountKey(const std::string&, KeyNumber) override {}
 
   AttemptNumber last_ = 0;
--- a/Libraries/LibDaemon/GatewayFront.h
+++ b/Libraries/LibDaemon/GatewayFront.h
@@ -64,6 +64,10 @@
   void Cancel(AttemptNumber aAttempt) override;
   void Deliver(RequestNumber aRequest, AttemptNumber aAttempt) override;
   void Refuse(RequestNumber aRequest, const Refusal& aRefusal) override;
+  bool HasConnection(const std::string& aAddress) const override
+  {
+    return client_->HasIdle(aAddress);
+  }
   void CountKey(const std::string& aService, KeyNumber aKey) override { observer_(aService, aKey); }
   void OnExchangeEnded(AttemptNumber aAttempt, HttpExchange aExchange);
   void Respond(RequestNumber aRequest, HttpResponse aResponse);
--- a/Libraries/LibGateway/Messages.h
+++ b/Libraries/LibGateway/Messages.h
@@ -109,6 +109,9 @@
   // Gives the client the answer of a send. Called from within OnAttemptEnded.
   virtual void Deliver(RequestNumber aRequest, AttemptNumber aAttempt) = 0;
   virtual void Refuse(RequestNumber aRequest, const Refusal& aRefusal) = 0;
+  // Whether an open connection to that address lies idle: one of its own is dear to
+  // open for a single request.
+  virtual bool HasConnection(const std::string& aAddress) const = 0;
   // A client wants this key, whether or not its owner can take the request: keys
   // whose owner is full or not known are the ones that must be spread.
   virtual void CountKey(const std::string& aService, KeyNumber aKey) = 0;
--- a/Libraries/LibGateway/RequestDesk.h
+++ b/Libraries/LibGateway/RequestDesk.h
@@ -95,6 +95,11 @@
   Choice ChooseAny(Instant aNow, const PendingRequest& aPending, ServerCandidate& aChosen);
   // How unwelcome a server is: the expected latency of one more request there.
   double CostOf(Instant aNow, const ServerCandidate& aCandidate, Duration aDefault) const;
+  // The better of the chosen one, if any, and two that are drawn at random.
+  void DrawBetter(Instant aNow,
+                  const std::vector<ServerCandidate>& aServers,
+                  Duration aDefault,
+                  std::optional<ServerCandidate>& aChosen);
   // Queues the request until it can be sent or is refused.
   void Wait(Instant aNow, PendingRequest& aPending);
   void LeaveQueue(const PendingRequest& aPending);
--- a/Libraries/LibGateway/ServerChoice.cpp
+++ b/Libraries/LibGateway/ServerChoice.cpp
@@ -3,6 +3,8 @@
 #include "LibGateway/RequestDesk.h"
 
 #include <algorithm>
+#include <iterator>
+#include <optional>
 
 namespace latchslip {
 
@@ -11,6 +13,10 @@
 // What a server in another data hall costs more than one in the same: bytes
 // between halls are paid for, and the way is longer.
 constexpr double kOtherHallCost = 1.7;
+// What a server costs more that a connection has to be opened to: it is paid for,
+// and may hold one of the server's slots for a moment. Less than twice, so that a
+// second request at a connected server costs more than the first at another.
+constexpr double kNewConnectionCost = 1.5;
 // How much a failing server is avoided: one that fails every request counts as
 // this many times as slow.
 constexpr double kFailureCost = 15;
@@ -246,16 +252,42 @@
   if (available.empty()) {
     return HasServer(servers) ? Choice::NoCapacity : Choice::NoServer;
   }
+  std::vector<ServerCandidate> connected;
+  std::copy_if(available.begin(),
+               available.end(),
+               std::back_inserter(connected),
+               [&](const ServerCandidate& aServer) {
+                 return actions_.HasConnection(aServer.record_->address_);
+               });
   const auto typical = TypicalLatency(servers);
-  // The better of two drawn at random: instances that do not see each other's
-  // load would all run to the one best server.
-  std::uniform_int_distribution<std::size_t> draw(0, available.size() - 1);
-  const auto& first = available[draw(random_)];
-  const auto& second = available[draw(random_)];
-  aChosen = CostOf(aNow, first, typical) <= CostOf(aNow, second, typical) ? first : second;
+  std::optional<ServerCandidate> chosen;
+  DrawBetter(aNow, connected, typical, chosen);
+  DrawBetter(aNow, available, typical, chosen);
+  aChosen = *chosen;
   return Choice::Found;
 }
 
+// Drawn, since instances that do not see each other's load would all run to the one
+// best server.
+void
+RequestDesk::DrawBetter(Instant aNow,
+                        const std::vector<ServerCandidate>& aServers,
+                        Duration aDefault,
+                        std::optional<ServerCandidate>& aChosen)
+{
+  constexpr int kDraws = 2;
+  if (aServers.empty()) {
+    return;
+  }
+  std::uniform_int_distribution<std::size_t> draw(0, aServers.size() - 1);
+  for (int count = 0; count < kDraws; ++count) {
+    const auto& server = aServers[draw(random_)];
+    if (!aChosen || CostOf(aNow, server, aDefault) < CostOf(aNow, *aChosen, aDefault)) {
+      aChosen = server;
+    }
+  }
+}
+
 double
 RequestDesk::CostOf(Instant aNow, const ServerCandidate& aCandidate, Duration aDefault) const
 {
@@ -263,7 +295,9 @@
   const auto latency = static_cast<double>(load.ExpectedLatency(aNow, aDefault).count());
   const auto underWay = static_cast<double>(load.UnderWay() + 1);
   const auto hall = aCandidate.record_->hall_ == settings_.hall_ ? 1.0 : kOtherHallCost;
-  return latency * underWay * hall * (1 + kFailureCost * load.FailureShare());
+  const auto connection =
+    actions_.HasConnection(aCandidate.record_->address_) ? 1.0 : kNewConnectionCost;
+  return latency * underWay * hall * connection * (1 + kFailureCost * load.FailureShare());
 }
 
 } // namespace latchslip
--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -2,6 +2,7 @@
 
 #include "LibNet/Address.h"
 #include "LibNet/HttpConnection.h"
+#include "LibNet/MonotonicClock.h"
 
 #include <boost/asio/post.hpp>
 #include <iterator>
@@ -88,6 +89,13 @@
     }
   }
 
+  bool HasIdle(const std::string& aAddress) const override
+  {
+    const auto pool = pools_.find(aAddress);
+    return pool != pools_.end() && !pool->second->idle_.empty() &&
+           MonotonicNow() < pool->second->idle_.back()->IdleUntil();
+  }
+
   std::size_t OpenConnections() const override
   {
     std::size_t open = 0;
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -80,6 +80,8 @@
   // Closes the idle connections that the server is about to close or has closed.
   virtual void PruneIdle() = 0;
   virtual std::size_t OpenConnections() const = 0;
+  // Whether a connection to that address lies idle, as far as is known here.
+  virtual bool HasIdle(const std::string& aAddress) const = 0;
 };
 
 } // namespace latchslip
--- a/Libraries/LibNet/HttpConnection.h
+++ b/Libraries/LibNet/HttpConnection.h
@@ -42,6 +42,9 @@
   // Ends the exchange without a word to whoever asked for it.
   void Cancel();
 
+  // Until when it may be used again, as far as is known here.
+  Instant IdleUntil() const { return idleUntil_; }
+
   // Whether the server has closed the connection while it was idle, is about to,
   // or has sent bytes that belong to no request.
   bool IsStale();
--- a/Tests/LibGateway/TestRequestDesk.cpp
+++ b/Tests/LibGateway/TestRequestDesk.cpp
@@ -24,6 +24,10 @@
   {
     refused_[aRequest] = aRefusal;
   }
+  bool HasConnection(const std::string& aAddress) const override
+  {
+    return connected_.contains(aAddress);
+  }
   void CountKey(const std::string& aService, KeyNumber aKey) override
   {
     ++wanted_[{ aService, aKey }];
@@ -33,6 +37,8 @@
   std::vector<AttemptNumber> cancelled_;
   std::vector<RequestNumber> delivered_;
   std::map<RequestNumber, Refusal> refused_;
+  // The addresses to which a connection lies idle.
+  std::set<std::string> connected_;
   // How often each key was asked for.
   std::map<std::pair<std::string, KeyNumber>, int> wanted_;
 };
@@ -182,6 +188,24 @@
   EXPECT_EQ(actions_.delivered_, std::vector<RequestNumber>{ request });
 }
 
+TEST_F(DeskOfThreeServers, ConnectionToOneLiesIdle_ItGetsTheRequestUnlessItIsBusy)
+{
+  int elsewhere = 0;
+  for (int index = 0; index < 20; ++index) {
+    actions_.connected_ = { "p2:80" };
+    const auto first = Ask("/read/x");
+    EXPECT_EQ(SendOf(first).server_, "p2");
+    // Its connection is in use now, and one more request would be its second.
+    actions_.connected_.clear();
+    const auto second = Ask("/read/x");
+    elsewhere += SendOf(second).server_ == "p2" ? 0 : 1;
+    Answer(first, 200);
+    Answer(second, 200);
+  }
+  // The better of two drawn: one in nine times both are the busy one.
+  EXPECT_GE(elsewhere, 14);
+}
+
 TEST_F(DeskOfThreeServers, NoRouteMatches_IsRefusedAtOnce)
 {
   EXPECT_TRUE(IsRefused(Ask("/nowhere/"), RefusalReason::NoRoute));
