LibKeys: Let keys that have moved rest, and even out nothing before the first reports

Now a range that moved stays for 1.5 s, told by its fence, and a new placer waits for 1 s, a report interval and a little. Both have tests.

--- a/Libraries/LibKeys/KeyBalancer.cpp
+++ b/Libraries/LibKeys/KeyBalancer.cpp
@@ -66,12 +66,12 @@
   return { aIndex, aRange.first_, low - 1, aLoad.Of(aRange.first_, low - 1) };
 }
 
-// Whether a range may be taken from that server for load: it owns the range, and
-// no former owner has to let go of it first.
+// Whether a range may be taken from that server for load: it owns the range, no
+// former owner has to let go of it first, and it has not moved lately.
 bool
-IsMovable(const KeyRange& aRange, const std::string& aServer)
+IsMovable(const KeyRange& aRange, const std::string& aServer, FenceNumber aRestedFence)
 {
-  return aRange.owner_ == aServer && aRange.previous_.empty();
+  return aRange.owner_ == aServer && aRange.previous_.empty() && aRange.fence_ <= aRestedFence;
 }
 
 // The piece of that server whose load comes closest to aMost from below.
@@ -79,13 +79,14 @@
 BestPiece(const KeyOwnership& aOwnership,
           const std::string& aServer,
           const KeyLoad& aLoad,
+          FenceNumber aRestedFence,
           double aMost,
           bool aMayCut)
 {
   std::optional<Piece> best;
   for (std::size_t index = 0; index < aOwnership.ranges_.size(); ++index) {
     const auto& range = aOwnership.ranges_[index];
-    if (!IsMovable(range, aServer)) {
+    if (!IsMovable(range, aServer, aRestedFence)) {
       continue;
     }
     const auto piece = PieceUpTo(range, index, aLoad, aMost);
@@ -123,12 +124,13 @@
 HottestKey(const KeyOwnership& aOwnership,
            const std::string& aServer,
            const KeyLoad& aLoad,
+           FenceNumber aRestedFence,
            double aMost)
 {
   std::optional<Piece> hottest;
   for (std::size_t index = 0; index < aOwnership.ranges_.size(); ++index) {
     const auto& range = aOwnership.ranges_[index];
-    if (!IsMovable(range, aServer)) {
+    if (!IsMovable(range, aServer, aRestedFence)) {
       continue;
     }
     for (KeyNumber key = range.first_; key <= range.last_; ++key) {
@@ -176,6 +178,7 @@
 ChooseMove(const KeyOwnership& aOwnership,
            const ServerShares& aShares,
            const KeyLoad& aLoad,
+           FenceNumber aRestedFence,
            double aTolerance,
            bool aMayCut)
 {
@@ -185,16 +188,16 @@
   const auto difference = aShares.Difference(from, to);
   const auto leastLoad = kLeastGain * aShares.MeanLevel();
   const auto most = std::min(difference, aShares.Room(to, aTolerance));
-  const auto piece = BestPiece(aOwnership, from, aLoad, most, aMayCut);
+  const auto piece = BestPiece(aOwnership, from, aLoad, aRestedFence, most, aMayCut);
   if (piece && piece->load_ >= leastLoad) {
     return Move{ *piece, to };
   }
-  const auto single = HottestKey(aOwnership, from, aLoad, difference);
+  const auto single = HottestKey(aOwnership, from, aLoad, aRestedFence, difference);
   if (aMayCut && single && single->load_ >= leastLoad) {
     return Move{ *single, to };
   }
   const auto strongest = aShares.Strongest();
-  const auto hottest = HottestKey(aOwnership, from, aLoad, kAnyLoad);
+  const auto hottest = HottestKey(aOwnership, from, aLoad, aRestedFence, kAnyLoad);
   if (hottest && aShares.IsBetterPlace(from, strongest, hottest->load_)) {
     return Move{ *hottest, strongest };
   }
@@ -280,7 +283,8 @@
 std::optional<KeyOwnership>
 KeyBalancer::EvenOut(const KeyOwnership& aOwnership,
                      const std::vector<KeyServer>& aServers,
-                     const KeyLoad& aLoad) const
+                     const KeyLoad& aLoad,
+                     FenceNumber aRestedFence) const
 {
   ServerShares shares(aOwnership, aServers, aLoad);
   if (shares.IsEmpty()) {
@@ -293,8 +297,8 @@
   std::size_t moves = 0;
   while (moves < mostMoves && shares.HasMost() && !IsEven(shares, settings_.tolerance_)) {
     const auto from = shares.Most();
-    const auto move =
-      ChooseMove(next, shares, aLoad, settings_.tolerance_, next.ranges_.size() < mostRanges);
+    const auto move = ChooseMove(
+      next, shares, aLoad, aRestedFence, settings_.tolerance_, next.ranges_.size() < mostRanges);
     if (!move || ++taken[from] > kMostTakenFromOne) {
       // One key may be all its load, or its ranges are on their way already.
       shares.LeaveOut(from);
--- a/Libraries/LibKeys/KeyBalancer.h
+++ b/Libraries/LibKeys/KeyBalancer.h
@@ -36,10 +36,12 @@
                                              const std::vector<KeyServer>& aServers,
                                              const KeyLoad& aLoad);
 
-  // Evens out the load. No value when it is even enough.
+  // Evens out the load. Ranges with fences above aRestedFence have moved lately and
+  // stay. No value when the load is even enough.
   std::optional<KeyOwnership> EvenOut(const KeyOwnership& aOwnership,
                                       const std::vector<KeyServer>& aServers,
-                                      const KeyLoad& aLoad) const;
+                                      const KeyLoad& aLoad,
+                                      FenceNumber aRestedFence) const;
 
 private:
   KeyBalancerSettings settings_;
--- a/Libraries/LibKeys/OwnershipPlacer.cpp
+++ b/Libraries/LibKeys/OwnershipPlacer.cpp
@@ -17,6 +17,13 @@
 constexpr Duration kOrderPause = milliseconds(250);
 // Between two rounds of evening out: the load of each key is a mean over seconds.
 constexpr Duration kRebalanceInterval = milliseconds(500);
+// A new placer evens out nothing for this long: loads come with the reports of the
+// others, which also make it known to whom news of moves must go. A report interval
+// and a little.
+constexpr Duration kLoadSettle = milliseconds(1000);
+// A range that has moved stays for this long: its move cost it an owner for about a
+// second, and the load that it brought shows only then.
+constexpr Duration kMoveRest = milliseconds(1500);
 // How often due orders are looked for.
 constexpr Duration kStep = milliseconds(50);
 // Orders under way at once: each has a connection of its own, and an instance must
@@ -95,6 +102,9 @@
   hasFormerFences_ = aOwnership.has_value();
   nextTime_ = aNow;
   startedAt_ = aNow;
+  nextRebalance_ = aNow + kLoadSettle;
+  fenceTimes_.clear();
+  restedFence_ = aOwnership ? aOwnership->lastFence_ : 0;
   if (!aOwnership) {
     return;
   }
@@ -158,8 +168,13 @@
   if (!writing_) {
     return;
   }
-  hasFormerFences_ = false;
+  const bool isRaised = std::exchange(hasFormerFences_, false);
   Adopt(*std::exchange(writing_, std::nullopt));
+  if (isRaised) {
+    // The same owners under new fences: nothing has moved.
+    restedFence_ = committed_.lastFence_;
+  }
+  fenceTimes_.emplace_back(aNow, committed_.lastFence_);
   events_.Record(Event::OwnershipWritten,
                  "service=" + service_ + " ranges=" + std::to_string(committed_.ranges_.size()) +
                    " last_fence=" + std::to_string(committed_.lastFence_));
@@ -232,7 +247,18 @@
     return std::nullopt;
   }
   nextRebalance_ = aNow + kRebalanceInterval;
-  return balancer_.EvenOut(committed_, servers_, load_);
+  return balancer_.EvenOut(committed_, servers_, load_, RestedFence(aNow));
+}
+
+// Every move raises the fence, so that the fences of ranges tell when they moved.
+FenceNumber
+OwnershipPlacer::RestedFence(Instant aNow)
+{
+  while (!fenceTimes_.empty() && aNow - fenceTimes_.front().first >= kMoveRest) {
+    restedFence_ = fenceTimes_.front().second;
+    fenceTimes_.pop_front();
+  }
+  return restedFence_;
 }
 
 std::optional<KeyOwnership>
--- a/Libraries/LibKeys/OwnershipPlacer.h
+++ b/Libraries/LibKeys/OwnershipPlacer.h
@@ -9,6 +9,7 @@
 #include "LibKeys/KeyServer.h"
 #include "LibKeys/PlacerActions.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -88,6 +89,8 @@
   std::optional<KeyOwnership> Plan(Instant aNow);
   std::optional<KeyOwnership> DealFirst(Instant aNow) const;
   std::optional<KeyOwnership> EvenOut(Instant aNow);
+  // Ranges with higher fences have moved lately.
+  FenceNumber RestedFence(Instant aNow);
   // Drops the former owners that need not be waited for any more.
   std::optional<KeyOwnership> ClearSettled() const;
   // The same owners under fences of this placer.
@@ -144,6 +147,9 @@
   // Since when the count of servers is what it is.
   Instant serversSince_{ 0 };
   Instant nextRebalance_ = Instant::min();
+  // The last fence of each write that may still be a recent one.
+  std::deque<std::pair<Instant, FenceNumber>> fenceTimes_;
+  FenceNumber restedFence_ = 0;
   Instant nextTime_ = Instant::min();
   OrderNumber lastOrder_ = 0;
   // Whether the ranges still stand under fences of a former placer.
--- a/Tests/LibKeys/TestKeyBalancer.cpp
+++ b/Tests/LibKeys/TestKeyBalancer.cpp
@@ -1,6 +1,7 @@
 #include "LibKeys/KeyBalancer.h"
 
 #include <gtest/gtest.h>
+#include <limits>
 #include <map>
 #include <random>
 
@@ -9,6 +10,8 @@
 namespace {
 
 constexpr Instant kNow = seconds(100);
+// No range has moved lately.
+constexpr FenceNumber kAnyFence = std::numeric_limits<FenceNumber>::max();
 
 std::vector<KeyServer>
 MakeServers(const std::vector<std::string>& aIds)
@@ -79,7 +82,7 @@
 
 TEST_F(KeysOfFourServers, LoadIsEven_NothingMoves)
 {
-  EXPECT_FALSE(balancer_.EvenOut(dealt_, servers_, load_));
+  EXPECT_FALSE(balancer_.EvenOut(dealt_, servers_, load_, kAnyFence));
 }
 
 TEST_F(KeysOfFourServers, ServerLeaves_ItsKeysGoToOthersUnderHigherFences)
@@ -121,7 +124,7 @@
   load_.Refresh(kNow);
   auto ownership = dealt_;
   for (int round = 0; round < 4; ++round) {
-    const auto next = balancer_.EvenOut(ownership, servers_, load_);
+    const auto next = balancer_.EvenOut(ownership, servers_, load_, kAnyFence);
     if (!next) {
       break;
     }
@@ -133,6 +136,19 @@
   }
 }
 
+TEST_F(KeysOfFourServers, HotRangeHasMovedLately_ItStays)
+{
+  std::vector<KeyCount> counts;
+  for (KeyNumber key = 200; key < 400; ++key) {
+    counts.push_back({ key, 10 });
+  }
+  load_.Add(kNow, counts);
+  load_.Refresh(kNow);
+  EXPECT_TRUE(balancer_.EvenOut(dealt_, servers_, load_, dealt_.ranges_.front().fence_));
+  const auto lower = dealt_.ranges_.front().fence_ - 1;
+  EXPECT_FALSE(balancer_.EvenOut(dealt_, servers_, load_, lower));
+}
+
 TEST_F(KeysOfFourServers, OneKeyIsTheLoad_ItIsNotMovedBackAndForth)
 {
   load_.Add(kNow, { { 77, 1000 } });
@@ -141,7 +157,7 @@
   std::string owner = ownership.Find(77)->owner_;
   int changes = 0;
   for (int round = 0; round < 20; ++round) {
-    const auto next = balancer_.EvenOut(ownership, servers_, load_);
+    const auto next = balancer_.EvenOut(ownership, servers_, load_, kAnyFence);
     if (!next) {
       break;
     }
@@ -164,7 +180,7 @@
   auto ownership = dealt_;
   ASSERT_NE(ownership.Find(77)->owner_, "c");
   for (int round = 0; round < 8; ++round) {
-    if (const auto next = balancer_.EvenOut(ownership, servers_, load_)) {
+    if (const auto next = balancer_.EvenOut(ownership, servers_, load_, kAnyFence)) {
       ExpectWhole(*next);
       ownership = Settle(*next);
     }
@@ -188,7 +204,7 @@
   load_.Refresh(kNow);
   auto ownership = dealt_;
   for (int round = 0; round < 6; ++round) {
-    if (const auto next = balancer_.EvenOut(ownership, servers_, load_)) {
+    if (const auto next = balancer_.EvenOut(ownership, servers_, load_, kAnyFence)) {
       ownership = Settle(*next);
     }
   }
@@ -218,7 +234,7 @@
   }
   load.Add(kNow, counts);
   load.Refresh(kNow);
-  const auto next = KeyBalancer({}).EvenOut(dealt, servers, load);
+  const auto next = KeyBalancer({}).EvenOut(dealt, servers, load, kAnyFence);
   ASSERT_TRUE(next);
   std::map<std::string, double> loads;
   for (const auto& range : next->ranges_) {
@@ -249,7 +265,7 @@
     }
     load.Refresh(kNow + step * Duration(milliseconds(100)));
   }
-  EXPECT_FALSE(KeyBalancer({}).EvenOut(dealt, servers, load));
+  EXPECT_FALSE(KeyBalancer({}).EvenOut(dealt, servers, load, kAnyFence));
 }
 
 TEST_F(KeysOfFourServers, ServerJoins_GetsItsPart)
@@ -257,7 +273,7 @@
   servers_ = MakeServers({ "a", "b", "c", "d", "e" });
   auto ownership = dealt_;
   for (int round = 0; round < 8; ++round) {
-    if (const auto next = balancer_.EvenOut(ownership, servers_, load_)) {
+    if (const auto next = balancer_.EvenOut(ownership, servers_, load_, kAnyFence)) {
       ownership = Settle(*next);
     }
   }
@@ -275,7 +291,7 @@
     }
     load_.Add(now, counts);
     load_.Refresh(now);
-    if (const auto next = balancer_.EvenOut(ownership, servers_, load_)) {
+    if (const auto next = balancer_.EvenOut(ownership, servers_, load_, kAnyFence)) {
       ExpectWhole(*next);
       ownership = Settle(*next);
     }
--- a/Tests/LibKeys/TestOwnershipPlacer.cpp
+++ b/Tests/LibKeys/TestOwnershipPlacer.cpp
@@ -102,6 +102,19 @@
   EXPECT_GT(3 * passedOn, counts.size());
 }
 
+TEST_F(PlacedKeysOfThreeServers, PlacerTakesOver_LoadIsEvenedOutOnlyAfterTheReportsOfAll)
+{
+  world_.Stop(*placer_);
+  placer_ = &world_.TakeOver();
+  placer_->placer_.OnLoad(world_.now_, { { 5, 1000 }, { 300, 1000 }, { 10, 1000 } });
+  const auto ownerOf = [&](KeyNumber aKey) { return world_.stored_->Find(aKey)->owner_; };
+  const std::vector<std::string> owners{ ownerOf(5), ownerOf(300), ownerOf(10) };
+  world_.Pass(milliseconds(900));
+  EXPECT_EQ(owners, (std::vector{ ownerOf(5), ownerOf(300), ownerOf(10) }));
+  world_.Pass(milliseconds(400));
+  EXPECT_NE(owners, (std::vector{ ownerOf(5), ownerOf(300), ownerOf(10) }));
+}
+
 TEST_F(PlacedKeysOfThreeServers, NewLifeHasTheAddress_KeysPassOnAtOnce)
 {
   world_.servers_.at("s1").isUp_ = false;
