LibFleet: Let news follow on what the others have; log why a placer is left

The log, which now names the reason, says news-missed: when the placer's own reading of its row came between a write and its answer, news began at the write itself, which nobody had yet. Now they begin at what the write followed on. And at the start a weak instance became the placer again, since nobody had told yet how strong the others are: until then, half a processor counts as strong, as before. Ruled out: slow answers (37 of 306 changes, at the start only). Shown by a test that failed first.

--- a/Libraries/LibFleet/FleetMember.cpp
+++ b/Libraries/LibFleet/FleetMember.cpp
@@ -12,6 +12,9 @@
 constexpr Duration kFetchInterval = milliseconds(500);
 // A placer that answered within this time also tells what changes: two reports.
 constexpr Duration kNewsBound = milliseconds(1800);
+// With this part of a processor an instance is strong enough to be the placer of a
+// large fleet: a tenth took seconds to answer the reports of 90 instances.
+constexpr double kStrongShare = 0.5;
 
 } // namespace
 
@@ -24,8 +27,11 @@
   , events_(aEvents)
   , view_(aDecoder, *this, aEvents)
   , random_(settings_.seed_)
-  // How strong the others are is told by the first placer.
-  , election_(settings_.self_, std::uniform_real_distribution<double>(0, 1)(random_), 0)
+  // How strong the others are is told by the first placer; until then, by what is
+  // enough for anything.
+  , election_(settings_.self_,
+              std::uniform_real_distribution<double>(0, 1)(random_),
+              1 - std::min(1.0, settings_.processorShare_ / kStrongShare))
 {
 }
 
@@ -56,7 +62,7 @@
 FleetMember::OnNews(Instant aNow, const FleetNews& aNews)
 {
   if (aNews.isLastForNow_) {
-    relay_.OnFailure();
+    relay_.OnFailure(RelayEnd::Announced);
     ChooseFollowing(aNow);
   }
   for (const auto& doubt : aNews.doubts_) {
@@ -72,7 +78,7 @@
   }
   if (!view_.Take(aNow, aNews, ownRowsOnly)) {
     // Some were missed; the store has them all.
-    relay_.OnFailure();
+    relay_.OnFailure(RelayEnd::NewsMissed);
     ChooseFollowing(aNow);
   }
 }
@@ -88,7 +94,7 @@
 {
   const bool wasPlacer = election_.IsPlacer();
   election_.OnRow(aNow, aPlacer);
-  relay_.OnFailure();
+  relay_.OnFailure(RelayEnd::PlacerChanged);
   nextReport_ = aNow;
   if (wasPlacer && !election_.IsPlacer()) {
     events_.Record(Event::PlacerClaimLost,
@@ -173,7 +179,8 @@
   following_ = following;
   events_.Record(Event::FollowingChanged,
                  "following=" + std::string(kFollowingNames.NameOf(following)) +
-                   " store_heard_ago_us=" + std::to_string((aNow - storeHeardAt_).count()));
+                   " store_heard_ago_us=" + std::to_string((aNow - storeHeardAt_).count()) + " " +
+                   relay_.Describe(aNow, view_.Versions()));
   actions_.Follow(following, view_.Versions());
   if (following == Following::Relayed) {
     OnStoreRegained(aNow);
--- a/Libraries/LibFleet/FleetMember.h
+++ b/Libraries/LibFleet/FleetMember.h
@@ -104,6 +104,8 @@
   {
     // No value for a claim of the placer's row.
     std::optional<KeyOwnership> ownership_;
+    // What it follows on, if anything.
+    std::optional<FleetView::OwnedService> former_;
     Transaction transaction_;
     bool isUnderWay_ = false;
     // This instance is no longer the placer that wanted it.
@@ -129,7 +131,7 @@
   void QueueWrite(const KeyOwnership& aOwnership);
   void SendWrites(Instant aNow);
   void OnClaimed(Instant aNow, const Row& aRow);
-  void OnOwnershipWritten(Instant aNow, RowVersion aVersion, const KeyOwnership& aOwnership);
+  void OnOwnershipWritten(Instant aNow, RowVersion aVersion, const WaitingWrite& aWrite);
   void OnWriteDone(Instant aNow, const WaitingWrite& aWrite, const StoreReply& aReply);
   void OnWriteConflict(Instant aNow, const WaitingWrite& aWrite, const StoreReply& aReply);
   std::vector<KeyServer> KeyServersOf(const std::string& aService) const;
--- a/Libraries/LibFleet/PlacerDuty.cpp
+++ b/Libraries/LibFleet/PlacerDuty.cpp
@@ -176,6 +176,9 @@
   write.ownership_ = aOwnership;
   const auto row = OwnershipKey(aOwnership.service_);
   const auto* owned = view_.OwnersOf(aOwnership.service_);
+  if (owned != nullptr) {
+    write.former_ = *owned;
+  }
   write.transaction_.conditions_ = { { std::string(kPlacerKey), view_.PlacerVersion() },
                                      { row, owned == nullptr ? 0 : owned->version_ } };
   write.transaction_.writes_ = { { row, SerializeOwnership(aOwnership) } };
@@ -236,7 +239,7 @@
   const auto* stored = FindRow(aReply.rows_, written.key_);
   const RowVersion version = stored == nullptr ? 0 : stored->version_;
   if (aWrite.ownership_) {
-    OnOwnershipWritten(aNow, version, *aWrite.ownership_);
+    OnOwnershipWritten(aNow, version, aWrite);
   } else {
     OnClaimed(aNow, { written.key_, version, written.value_ });
   }
@@ -253,20 +256,23 @@
   RunPlacers(aNow);
 }
 
+// What the others have is what the write followed on. This instance may have read
+// its own write from the store before the write was answered.
 void
-FleetMember::OnOwnershipWritten(Instant aNow, RowVersion aVersion, const KeyOwnership& aOwnership)
+FleetMember::OnOwnershipWritten(Instant aNow, RowVersion aVersion, const WaitingWrite& aWrite)
 {
+  const auto& ownership = *aWrite.ownership_;
   FleetNews news;
-  const auto* former = view_.OwnersOf(aOwnership.service_);
-  if (former == nullptr) {
-    news.owners_.push_back({ 0, aVersion, aOwnership });
-  } else {
+  if (aWrite.former_) {
+    const auto& former = *aWrite.former_;
     news.owners_.push_back(
-      { former->version_, aVersion, ChangesBetween(former->ownership_, aOwnership) });
+      { former.version_, aVersion, ChangesBetween(former.ownership_, ownership) });
+  } else {
+    news.owners_.push_back({ 0, aVersion, ownership });
   }
-  view_.TakeOwnership(aVersion, aOwnership);
+  view_.TakeOwnership(aVersion, ownership);
   Spread(news);
-  if (const auto placer = placers_.find(aOwnership.service_); placer != placers_.end()) {
+  if (const auto placer = placers_.find(ownership.service_); placer != placers_.end()) {
     placer->second->placer_.OnWritten(aNow);
   }
 }
@@ -429,11 +435,11 @@
     election_.OnPlacerHeard(aNow);
   }
   if (!aAnswer || !aAnswer->isWorking_) {
-    relay_.OnFailure();
+    relay_.OnFailure(RelayEnd::NoAnswer);
     return;
   }
   if (aRoundTrip > kSlowAnswer) {
-    relay_.OnFailure();
+    relay_.OnFailure(RelayEnd::SlowAnswer);
   } else {
     relay_.OnAnswer(aNow, aAnswer->lastChanges_, view_.Versions());
   }
--- a/Libraries/LibFleet/RelayWatch.cpp
+++ b/Libraries/LibFleet/RelayWatch.cpp
@@ -20,14 +20,16 @@
 {
   const bool wasRelayed = IsRelayed(aNow, aKnown);
   isAnswered_ = true;
+  end_ = RelayEnd::None;
   answeredAt_ = aNow;
   lastChanges_ = aLastChanges;
   isCatchingUp_ = wasRelayed && IsBehind(aKnown, aLastChanges);
 }
 
 void
-RelayWatch::OnFailure()
+RelayWatch::OnFailure(RelayEnd aReason)
 {
+  end_ = aReason;
   isAnswered_ = false;
   isCatchingUp_ = false;
 }
@@ -42,6 +44,21 @@
   return mayCatchUp || !IsBehind(aKnown, lastChanges_);
 }
 
+std::string
+RelayWatch::Describe(Instant aNow, const TableVersions& aKnown) const
+{
+  const auto list = [](const TableVersions& aVersions) {
+    std::string text;
+    for (const auto version : aVersions) {
+      text += (text.empty() ? "" : ",") + std::to_string(version);
+    }
+    return text;
+  };
+  return "relay_end=" + std::string(kRelayEndNames.NameOf(end_)) +
+         " answer_age_us=" + std::to_string((aNow - answeredAt_).count()) +
+         " named=" + list(lastChanges_) + " known=" + list(aKnown);
+}
+
 bool
 RelayWatch::IsBehind(const TableVersions& aKnown, const TableVersions& aLastChanges)
 {
--- a/Tests/LibFleet/TestFleetMember.cpp
+++ b/Tests/LibFleet/TestFleetMember.cpp
@@ -257,6 +257,22 @@
   EXPECT_EQ(fleet_.news_.back().second.views_.front().base_, 3U);
 }
 
+TEST_F(MemberOfAFleet, PlacerReadsItsWriteBeforeTheAnswer_NewsFollowOnWhatTheOthersHave)
+{
+  BecomePlacer();
+  member_.OnReport(now_, { "i2", kOther, {}, {} });
+  Pass(seconds(3));
+  const auto write = fleet_.transactions_.back().writes_.front();
+  Show(FleetTable::Fleet, 11, { { write.key_, 11, write.value_ } });
+  Done(11);
+  ASSERT_FALSE(fleet_.news_.empty());
+  const auto& owners = fleet_.news_.back().second.owners_;
+  ASSERT_EQ(owners.size(), 1U);
+  EXPECT_EQ(owners.front().base_, 0U);
+  EXPECT_EQ(owners.front().version_, 11U);
+  EXPECT_FALSE(owners.front().ownership_.ranges_.empty());
+}
+
 TEST_F(MemberOfAFleet, PlacerLosesTheStore_ItSaysSoAtOnceAndToEveryReport)
 {
   BecomePlacer();
--- a/Tests/LibFleet/TestFleetParts.cpp
+++ b/Tests/LibFleet/TestFleetParts.cpp
@@ -182,7 +182,7 @@
 {
   RelayWatch watch;
   watch.OnAnswer(kNow, { 5, 5, 5 }, { 5, 5, 5 });
-  watch.OnFailure();
+  watch.OnFailure(RelayEnd::NoAnswer);
   EXPECT_FALSE(watch.IsRelayed(kNow, { 5, 5, 5 }));
 }
 
