LibGateway, LibDaemon: Count by route, by server, and the calls to the store

What the on-call engineer of a complaint asks for first and the metrics did not tell: answers by status, refusals by reason and latencies of each route, sends to each server by their end, calls to the store by kind and end. Routes and servers that are gone are dropped, so that the page stays as large as the configuration.

--- a/Libraries/LibDaemon/GatewayHost.cpp
+++ b/Libraries/LibDaemon/GatewayHost.cpp
@@ -113,6 +113,8 @@
   {
     return metrics_.Render(
       events_,
+      front_.Desk().Tally(),
+      store_.Calls(),
       { { "requests_under_way", static_cast<double>(front_.Desk().UnderWay()) },
         { "requests_waiting", static_cast<double>(front_.Desk().Waiting()) },
         { "is_placer", member_.IsPlacer() ? 1 : 0 },
--- a/Libraries/LibDaemon/GatewayMetrics.cpp
+++ b/Libraries/LibDaemon/GatewayMetrics.cpp
@@ -1,49 +1,129 @@
 #include "LibDaemon/GatewayMetrics.h"
 
-#include <algorithm>
 #include <sstream>
 
 namespace latchslip {
 
+namespace {
+
+// The text of metrics is the usual one: a line a value, labels in braces.
+void
+WriteType(std::ostream& aText, std::string_view aName, std::string_view aType)
+{
+  aText << "# TYPE latchslip_" << aName << ' ' << aType << '\n';
+}
+
+// aLabels ends with a comma unless it is empty.
+void
+WriteHistogram(std::ostream& aText,
+               std::string_view aName,
+               const std::string& aLabels,
+               const LatencyHistogram& aLatency)
+{
+  std::uint64_t total = 0;
+  const auto& buckets = aLatency.Buckets();
+  for (std::size_t index = 0; index < LatencyHistogram::kBounds.size(); ++index) {
+    total += buckets.at(index);
+    aText << "latchslip_" << aName << "_bucket{" << aLabels << "le=\""
+          << LatencyHistogram::kBounds.at(index) << "\"} " << total << '\n';
+  }
+  total += buckets.back();
+  const auto labels =
+    aLabels.empty() ? std::string() : "{" + aLabels.substr(0, aLabels.size() - 1) + "}";
+  aText << "latchslip_" << aName << "_bucket{" << aLabels << "le=\"+Inf\"} " << total << '\n'
+        << "latchslip_" << aName << "_sum" << labels << ' ' << aLatency.Sum() << '\n'
+        << "latchslip_" << aName << "_count" << labels << ' ' << total << '\n';
+}
+
+void
+WriteRoutes(std::ostream& aText, const RequestTally& aTally)
+{
+  WriteType(aText, "route_answers_total", "counter");
+  for (const auto& [name, route] : aTally.Routes()) {
+    for (const auto& [status, count] : route.answers_) {
+      aText << "latchslip_route_answers_total{route=\"" << name << "\",status=\"" << status
+            << "\"} " << count << '\n';
+    }
+  }
+  WriteType(aText, "route_refusals_total", "counter");
+  for (const auto& [name, route] : aTally.Routes()) {
+    for (std::size_t reason = 0; reason < route.refusals_.size(); ++reason) {
+      if (route.refusals_.at(reason) > 0) {
+        aText << "latchslip_route_refusals_total{route=\"" << name << "\",reason=\""
+              << kRefusalReasonNames.names_.at(reason) << "\"} " << route.refusals_.at(reason)
+              << '\n';
+      }
+    }
+  }
+  WriteType(aText, "route_latency_ms", "histogram");
+  for (const auto& [name, route] : aTally.Routes()) {
+    WriteHistogram(aText, "route_latency_ms", "route=\"" + name + "\",", route.latency_);
+  }
+}
+
+void
+WriteServers(std::ostream& aText, const RequestTally& aTally)
+{
+  WriteType(aText, "server_sends_total", "counter");
+  for (const auto& [name, server] : aTally.Servers()) {
+    for (std::size_t end = 0; end < server.size(); ++end) {
+      if (server.at(end) > 0) {
+        aText << "latchslip_server_sends_total{server=\"" << name << "\",end=\""
+              << kAttemptEndNames.names_.at(end) << "\"} " << server.at(end) << '\n';
+      }
+    }
+  }
+}
+
+void
+WriteStoreCalls(std::ostream& aText, const StoreCallCounts& aCalls)
+{
+  WriteType(aText, "store_calls_total", "counter");
+  for (std::size_t kind = 0; kind < aCalls.size(); ++kind) {
+    for (std::size_t end = 0; end < aCalls.at(kind).size(); ++end) {
+      aText << "latchslip_store_calls_total{kind=\"" << kStoreCallKindNames.names_.at(kind)
+            << "\",end=\"" << kStoreCallEndNames.names_.at(end) << "\"} " << aCalls.at(kind).at(end)
+            << '\n';
+    }
+  }
+}
+
+} // namespace
+
 void
 GatewayMetrics::OnAnswer(unsigned aStatus, Duration aLatency)
 {
-  constexpr double kMillisecond = 1000;
-  const auto latency = static_cast<double>(aLatency.count()) / kMillisecond;
-  const auto* bucket = std::lower_bound(kBuckets.begin(), kBuckets.end(), latency);
   ++answers_[aStatus];
-  ++latencies_.at(static_cast<std::size_t>(bucket - kBuckets.begin()));
-  latencySum_ += latency;
+  latency_.Add(aLatency);
 }
 
 std::string
-GatewayMetrics::Render(const LineLog& aLog, const std::map<std::string, double>& aGauges) const
+GatewayMetrics::Render(const LineLog& aLog,
+                       const RequestTally& aTally,
+                       const StoreCallCounts& aCalls,
+                       const std::map<std::string, double>& aGauges) const
 {
   std::ostringstream text;
-  text << "# TYPE latchslip_answers_total counter\n";
+  WriteType(text, "answers_total", "counter");
   for (const auto& [status, count] : answers_) {
     text << "latchslip_answers_total{status=\"" << status << "\"} " << count << '\n';
   }
-  text << "# TYPE latchslip_latency_ms histogram\n";
-  std::uint64_t total = 0;
-  for (std::size_t index = 0; index < kBuckets.size(); ++index) {
-    total += latencies_.at(index);
-    text << "latchslip_latency_ms_bucket{le=\"" << kBuckets.at(index) << "\"} " << total << '\n';
-  }
-  total += latencies_.back();
-  text << "latchslip_latency_ms_bucket{le=\"+Inf\"} " << total << '\n';
-  text << "latchslip_latency_ms_sum " << latencySum_ << '\n';
-  text << "latchslip_latency_ms_count " << total << '\n';
-  text << "# TYPE latchslip_events_total counter\n";
+  WriteType(text, "latency_ms", "histogram");
+  WriteHistogram(text, "latency_ms", "", latency_);
+  WriteRoutes(text, aTally);
+  WriteServers(text, aTally);
+  WriteStoreCalls(text, aCalls);
+  WriteType(text, "events_total", "counter");
   for (const auto& entry : AllEvents()) {
     if (const auto count = aLog.CountOf(entry.event_); count > 0) {
       text << "latchslip_events_total{event=\"" << entry.name_ << "\"} " << count << '\n';
     }
   }
-  text << "# TYPE latchslip_log_lines_dropped_total counter\n";
+  WriteType(text, "log_lines_dropped_total", "counter");
   text << "latchslip_log_lines_dropped_total " << aLog.Dropped() << '\n';
   for (const auto& [name, value] : aGauges) {
-    text << "# TYPE latchslip_" << name << " gauge\nlatchslip_" << name << ' ' << value << '\n';
+    WriteType(text, name, "gauge");
+    text << "latchslip_" << name << ' ' << value << '\n';
   }
   return text.str();
 }
--- a/Libraries/LibFleet/FleetStore.h
+++ b/Libraries/LibFleet/FleetStore.h
@@ -3,6 +3,8 @@
 #include "LibFleet/RowMirror.h"
 #include "LibStore/Row.h"
 
+#include <array>
+#include <cstdint>
 #include <functional>
 
 namespace latchslip {
@@ -36,6 +38,34 @@
 // The version of each table that somebody has.
 using TableVersions = std::array<RowVersion, kFleetTables>;
 
+// What the store is asked for.
+enum class StoreCallKind
+{
+  Read,
+  // A question for changes, which waits for some.
+  Follow,
+  Transact,
+};
+
+inline constexpr NameTable<StoreCallKind, 3> kStoreCallKindNames{
+  { "read", "follow", "transact" }
+};
+
+// What came of a call.
+enum class StoreCallEnd
+{
+  Answered,
+  // The store turned the call away, or its conditions did not hold.
+  Refused,
+  // No whole answer came.
+  Lost,
+};
+
+inline constexpr NameTable<StoreCallEnd, 3> kStoreCallEndNames{ { "answered", "refused", "lost" } };
+
+// How many calls of each kind ended how.
+using StoreCallCounts = std::array<std::array<std::uint64_t, 3>, 3>;
+
 // The platform's store, as an instance uses it.
 class FleetStore
 {
@@ -52,6 +82,7 @@
   // Writes rows of FleetTable::Fleet. After a conflict the reply holds the rows
   // of the conditions as they stand.
   virtual void Transact(const Transaction& aTransaction, TransactCallback aCallback) = 0;
+  virtual const StoreCallCounts& Calls() const = 0;
 };
 
 } // namespace latchslip
--- a/Libraries/LibGateway/RequestDesk.cpp
+++ b/Libraries/LibGateway/RequestDesk.cpp
@@ -68,6 +68,13 @@
   return SendResult::Broken;
 }
 
+// How a route is named to people.
+std::string
+NameOf(const Route* aRoute)
+{
+  return aRoute == nullptr ? "-" : aRoute->host_ + aRoute->pathPrefix_;
+}
+
 bool
 MayHaveRun(AttemptEnd aEnd)
 {
@@ -136,6 +143,7 @@
       load->second.Suspend(aNow, kOtherLifePause);
     }
   }
+  tally_.OnAttempt(pending.server_, aOutcome.end_);
   pending.attempt_ = 0;
   pending.runs_ += MayHaveRun(aOutcome.end_) ? 1 : 0;
   if (pending.isGone_) {
@@ -157,12 +165,12 @@
   }
   if (isAnswered) {
     const auto number = aPending.request_.number_;
+    tally_.OnAnswer(NameOf(aPending.route_), aOutcome.status_, aNow - aPending.arrival_);
     events_.Record(
       Event::GatewayAnswer,
-      "request=" + aPending.request_.id_ + " route=" + aPending.route_->host_ +
-        aPending.route_->pathPrefix_ + " service=" + aPending.service_->name_ +
-        " server=" + aPending.server_ + " status=" + std::to_string(aOutcome.status_) +
-        " sends=" + std::to_string(aPending.sends_) +
+      "request=" + aPending.request_.id_ + " route=" + NameOf(aPending.route_) +
+        " service=" + aPending.service_->name_ + " server=" + aPending.server_ + " status=" +
+        std::to_string(aOutcome.status_) + " sends=" + std::to_string(aPending.sends_) +
         " waited_us=" + std::to_string((aPending.sentAt_ - aPending.arrival_).count()) +
         " age_us=" + std::to_string((aNow - aPending.arrival_).count()) +
         " configuration=" + std::to_string(aPending.routes_->Configuration().version_));
@@ -260,6 +268,7 @@
 RequestDesk::GiveUp(Instant aNow, PendingRequest& aPending)
 {
   actions_.Cancel(aPending.attempt_);
+  tally_.OnAttempt(aPending.server_, AttemptEnd::Broken);
   if (const auto load = loads_.find(aPending.server_); load != loads_.end()) {
     load->second.OnEnded(aNow, aPending.attempt_, SendResult::Broken);
   }
@@ -291,6 +300,7 @@
                    " server=" + (aPending.server_.empty() ? "-" : aPending.server_) + " sends=" +
                    std::to_string(aPending.sends_) + " runs=" + std::to_string(aPending.runs_) +
                    " age_us=" + std::to_string((aNow - aPending.arrival_).count()));
+  tally_.OnRefusal(NameOf(aPending.route_), aReason, aNow - aPending.arrival_);
   actions_.Refuse(number, { aReason, aPending.runs_ == 0, RetryAfterOf(aNow, aPending) });
   Finish(number);
 }
--- a/Libraries/LibGateway/RequestDesk.h
+++ b/Libraries/LibGateway/RequestDesk.h
@@ -3,6 +3,7 @@
 #include "LibBase/Event.h"
 #include "LibGateway/Messages.h"
 #include "LibGateway/PendingRequest.h"
+#include "LibGateway/RequestTally.h"
 #include "LibGateway/RoutingTable.h"
 #include "LibGateway/ServerDirectory.h"
 #include "LibGateway/ServiceState.h"
@@ -57,6 +58,7 @@
   // How many instances share the servers.
   void SetInstances(std::size_t aInstances) { instances_ = aInstances; }
 
+  const RequestTally& Tally() const { return tally_; }
   std::size_t UnderWay() const { return pending_.size(); }
   std::size_t Waiting() const;
   // What a server's answers tell of its strength; zero when none was seen.
@@ -138,6 +140,7 @@
   std::set<std::pair<Instant, RequestNumber>> timers_;
   // The credits of each route's targets, by host and prefix.
   std::map<std::string, std::vector<double>, std::less<>> credits_;
+  RequestTally tally_;
   std::minstd_rand random_;
   AttemptNumber lastAttempt_ = 0;
   std::size_t instances_ = 0;
--- /dev/null
+++ b/Libraries/LibGateway/RequestTally.cpp
@@ -0,0 +1,51 @@
+#include "LibGateway/RequestTally.h"
+
+#include <algorithm>
+
+namespace latchslip {
+
+void
+LatencyHistogram::Add(Duration aLatency)
+{
+  constexpr double kMillisecond = 1000;
+  const auto latency = static_cast<double>(aLatency.count()) / kMillisecond;
+  const auto* bucket = std::lower_bound(kBounds.begin(), kBounds.end(), latency);
+  ++buckets_.at(static_cast<std::size_t>(bucket - kBounds.begin()));
+  sum_ += latency;
+}
+
+void
+RequestTally::OnAnswer(const std::string& aRoute, unsigned aStatus, Duration aLatency)
+{
+  auto& route = routes_[aRoute];
+  ++route.answers_[aStatus];
+  route.latency_.Add(aLatency);
+}
+
+void
+RequestTally::OnRefusal(const std::string& aRoute, RefusalReason aReason, Duration aLatency)
+{
+  auto& route = routes_[aRoute];
+  ++route.refusals_.at(static_cast<std::size_t>(aReason));
+  route.latency_.Add(aLatency);
+}
+
+void
+RequestTally::OnAttempt(const std::string& aServer, AttemptEnd aEnd)
+{
+  ++servers_[aServer].at(static_cast<std::size_t>(aEnd));
+}
+
+void
+RequestTally::KeepRoutes(const std::function<bool(const std::string&)>& aIsThere)
+{
+  std::erase_if(routes_, [&](const auto& aEntry) { return !aIsThere(aEntry.first); });
+}
+
+void
+RequestTally::KeepServers(const std::function<bool(const std::string&)>& aIsThere)
+{
+  std::erase_if(servers_, [&](const auto& aEntry) { return !aIsThere(aEntry.first); });
+}
+
+} // namespace latchslip
--- a/Libraries/LibGateway/ServerChoice.cpp
+++ b/Libraries/LibGateway/ServerChoice.cpp
@@ -137,6 +137,7 @@
   std::erase_if(loads_, [&](const auto& aEntry) {
     return directory_.Find(aEntry.first) == nullptr && aEntry.second.UnderWay() == 0;
   });
+  tally_.KeepServers([&](const std::string& aServer) { return loads_.contains(aServer); });
   for (const auto& service : routes_->Configuration().services_) {
     Pump(aNow, service.name_);
   }
@@ -149,6 +150,11 @@
   std::erase_if(services_, [&](const auto& aEntry) {
     return routes_->FindService(aEntry.first) == nullptr && aEntry.second.queue_.empty();
   });
+  std::set<std::string> names{ "-" };
+  for (const auto& route : routes_->Configuration().routes_) {
+    names.insert(route.host_ + route.pathPrefix_);
+  }
+  tally_.KeepRoutes([&](const std::string& aRoute) { return names.contains(aRoute); });
   OnDirectoryChanged(aNow);
 }
 
--- a/Tests/LibDaemon/TestLineLog.cpp
+++ b/Tests/LibDaemon/TestLineLog.cpp
@@ -95,12 +95,28 @@
   metrics.OnAnswer(200, milliseconds(30));
   metrics.OnAnswer(200, milliseconds(90));
   metrics.OnAnswer(503, milliseconds(1));
-  const auto text = metrics.Render(log, { { "requests_waiting", 3 } });
+  RequestTally tally;
+  tally.OnAnswer("a.example/rates/", 200, milliseconds(30));
+  tally.OnRefusal("a.example/rates/", RefusalReason::NoOwner, milliseconds(60));
+  tally.OnAttempt("s1", AttemptEnd::WrongServer);
+  StoreCallCounts calls{};
+  calls[1][2] = 7;
+  const auto text = metrics.Render(log, tally, calls, { { "requests_waiting", 3 } });
   EXPECT_NE(text.find("latchslip_answers_total{status=\"200\"} 2\n"), std::string::npos) << text;
   EXPECT_NE(text.find("latchslip_latency_ms_bucket{le=\"50\"} 2\n"), std::string::npos) << text;
   EXPECT_NE(text.find("latchslip_latency_ms_bucket{le=\"+Inf\"} 3\n"), std::string::npos);
   EXPECT_NE(text.find("latchslip_events_total{event=\"GatewayRefusal\"} 1\n"), std::string::npos);
   EXPECT_NE(text.find("latchslip_requests_waiting 3\n"), std::string::npos);
+  for (const auto* line : {
+         "latchslip_route_answers_total{route=\"a.example/rates/\",status=\"200\"} 1\n",
+         "latchslip_route_refusals_total{route=\"a.example/rates/\",reason=\"no-owner\"} 1\n",
+         "latchslip_route_latency_ms_bucket{route=\"a.example/rates/\",le=\"50\"} 1\n",
+         "latchslip_route_latency_ms_count{route=\"a.example/rates/\"} 2\n",
+         "latchslip_server_sends_total{server=\"s1\",end=\"wrong-server\"} 1\n",
+         "latchslip_store_calls_total{kind=\"follow\",end=\"lost\"} 7\n",
+       }) {
+    EXPECT_NE(text.find(line), std::string::npos) << line << text;
+  }
 }
 
 } // namespace
--- a/Tests/LibGateway/TestRequestDesk.cpp
+++ b/Tests/LibGateway/TestRequestDesk.cpp
@@ -206,6 +206,24 @@
   EXPECT_GE(elsewhere, 14);
 }
 
+TEST_F(DeskOfThreeServers, RequestsEnd_AreCountedByRouteAndServer)
+{
+  const auto answered = Ask("/read/x");
+  const auto server = SendOf(answered).server_;
+  const auto before = desk_.Tally().Servers().at(server).front();
+  Answer(answered, 200);
+  Ask("/nowhere");
+  const auto& routes = desk_.Tally().Routes();
+  EXPECT_EQ(routes.at("a.example/read/").answers_.at(200), 101U);
+  EXPECT_EQ(routes.at("-").refusals_.at(static_cast<std::size_t>(RefusalReason::NoRoute)), 1U);
+  EXPECT_EQ(desk_.Tally().Servers().at(server).front(), before + 1);
+  directory_.Remove(now_, server);
+  now_ += seconds(30);
+  directory_.Expire(now_);
+  desk_.OnDirectoryChanged(now_);
+  EXPECT_FALSE(desk_.Tally().Servers().contains(server));
+}
+
 TEST_F(DeskOfThreeServers, NoRouteMatches_IsRefusedAtOnce)
 {
   EXPECT_TRUE(IsRefused(Ask("/nowhere/"), RefusalReason::NoRoute));
--- a/Tests/Platform/TestTableFollower.cpp
+++ b/Tests/Platform/TestTableFollower.cpp
@@ -11,7 +11,7 @@
 class AskedStore : public StoreQuestions
 {
 public:
-  ExchangeId Send(HttpRequest aRequest, Duration, HttpCallback aCallback) override
+  ExchangeId Send(StoreCallKind, HttpRequest aRequest, Duration, HttpCallback aCallback) override
   {
     targets_.push_back(aRequest.target_);
     callback_ = std::move(aCallback);
