Tests: Add a fault soak of entry instances as processes

Real entry instances as processes before stand-ins of the store and the servers; all links but those between instances go through loopback proxies that delay, reset, cut one way or silence them. While it runs it checks from the clients' and servers' side: own answers, nothing twice, not run means not run, one holder of a key; then, with all faults healed: everything is served, configuration and leaving hold in time, planned stops in series cut nothing, retries stay within their budget.

--- /dev/null
+++ b/Tests/Platform/EntryProcess.cpp
@@ -0,0 +1,89 @@
+#include "EntryProcess.h"
+
+#include <csignal>
+#include <fcntl.h>
+#include <fstream>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+#include <vector>
+
+extern char** environ; // NOLINT(readability-redundant-declaration)
+
+namespace latchslip::platform {
+
+namespace {
+
+// Who may read a log.
+constexpr mode_t kLogMode = 0644;
+
+// A name that no other process has, also not an earlier one of the same instance.
+std::filesystem::path
+NextSettingsFile(const std::string& aName)
+{
+  static int last = 0;
+  return std::filesystem::temp_directory_path() /
+         ("latchslip-" + aName + "-" + std::to_string(getpid()) + "-" + std::to_string(++last) +
+          ".json");
+}
+
+} // namespace
+
+EntryProcess::EntryProcess(const std::string& aProgram,
+                           const std::string& aName,
+                           const std::string& aSettings,
+                           const std::string& aLog)
+  : settingsFile_(NextSettingsFile(aName))
+{
+  std::ofstream(settingsFile_) << aSettings;
+  const auto variable = "LATCHSLIP_CONFIG=" + settingsFile_.string();
+  std::vector<char*> environment;
+  for (char** entry = environ; *entry != nullptr; ++entry) {
+    environment.push_back(*entry);
+  }
+  environment.push_back(const_cast<char*>(variable.c_str()));
+  environment.push_back(nullptr);
+  std::string program = aProgram;
+  std::vector<char*> arguments{ program.data(), nullptr };
+  posix_spawn_file_actions_t actions{};
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, "/dev/null", O_WRONLY, 0);
+  posix_spawn_file_actions_addopen(
+    &actions, STDOUT_FILENO, aLog.c_str(), O_WRONLY | O_CREAT | O_APPEND, kLogMode);
+  posix_spawn(&id_, program.c_str(), &actions, nullptr, arguments.data(), environment.data());
+  posix_spawn_file_actions_destroy(&actions);
+}
+
+EntryProcess::~EntryProcess()
+{
+  Signal(SIGKILL);
+  Wait();
+  std::filesystem::remove(settingsFile_);
+}
+
+void
+EntryProcess::Signal(int aSignal) const
+{
+  if (!hasEnded_) {
+    kill(id_, aSignal);
+  }
+}
+
+bool
+EntryProcess::HasEnded()
+{
+  hasEnded_ = hasEnded_ || waitpid(id_, &status_, WNOHANG) == id_;
+  return hasEnded_;
+}
+
+int
+EntryProcess::Wait()
+{
+  if (!hasEnded_) {
+    waitpid(id_, &status_, 0);
+    hasEnded_ = true;
+  }
+  return status_;
+}
+
+} // namespace latchslip::platform
--- /dev/null
+++ b/Tests/Platform/FleetDocuments.cpp
@@ -0,0 +1,41 @@
+#include "FleetDocuments.h"
+
+namespace latchslip::platform {
+
+std::string
+Loopback(int aPort)
+{
+  return "127.0.0.1:" + std::to_string(aPort);
+}
+
+std::string
+MakeSettings(const std::string& aName,
+             int aPort,
+             const std::string& aSeedAddress,
+             const std::string& aStoreAddress)
+{
+  return R"({"nodeId":")" + aName + R"(","zone":"hall-a","listen":{"front":")" + Loopback(aPort) +
+         R"(","ready":")" + Loopback(aPort + 1) + R"(","control":")" + Loopback(aPort + 2) +
+         R"("},"seeds":[")" + aSeedAddress +
+         R"("],"bounds":["retryBudgetRatio=0.2","budgetExtra=62","budgetWindowS=10","graceS=6",)"
+         R"("holdMaxMs=10000"],"platform":{"address":")" +
+         aStoreAddress + R"("}})";
+}
+
+std::string
+MakeManifest(int aVersion, const std::string& aBookingService)
+{
+  return R"({"version":)" + std::to_string(aVersion) +
+         R"(,"listeners":[{"host":"a.example","rules":[)"
+         R"({"name":"r1","kind":"idempotent","targetLatencyMs":2000,"priority":1,)"
+         R"("match":{"pathPrefix":"/rates/"},)"
+         R"("action":{"service":"rates","timeoutMs":4000,"maxAttempts":2}},)"
+         R"({"name":"r2","kind":"non_idempotent","targetLatencyMs":2000,"priority":0,)"
+         R"("match":{"pathPrefix":"/book/"},"action":{"service":")" +
+         aBookingService +
+         R"(","timeoutMs":4000,"maxAttempts":2}}]}],)"
+         R"("clusters":[{"name":"rates","maxConns":130,"sharded":true},)"
+         R"({"name":"bookings","maxConns":130},{"name":"others","maxConns":130}]})";
+}
+
+} // namespace latchslip::platform
--- /dev/null
+++ b/Tests/Platform/Soak/Promises.cpp
@@ -0,0 +1,116 @@
+#include "Promises.h"
+
+#include <algorithm>
+#include <iostream>
+
+namespace latchslip::platform {
+
+namespace {
+
+// What the settings of the soak's instances allow, see MakeSettings: this part of
+// the requests and so many in ten seconds, for each of the services.
+constexpr double kRetryRatio = 0.2;
+constexpr double kRetryExtra = 62;
+constexpr double kRetryWindow = 10;
+constexpr double kServices = 3;
+
+} // namespace
+
+void
+Promises::Break(const std::string& aWhat)
+{
+  std::cout << "BROKEN " << aWhat << std::endl;
+  broken_.push_back(aWhat);
+}
+
+void
+Promises::OnAsked(const std::string& aRequest, bool aIsBooking)
+{
+  requests_[aRequest].isBooking_ = aIsBooking;
+}
+
+void
+Promises::OnRefused(const std::string& aRequest)
+{
+  auto& request = requests_[aRequest];
+  request.isRefused_ = true;
+  if (request.isBooking_ && request.runs_ > 0) {
+    Break("REFUSED " + aRequest + " was said not to have run, and has");
+  }
+}
+
+void
+Promises::OnSuccess(const std::string& aRequest,
+                    const std::string& aBody,
+                    const std::string& aSignature)
+{
+  if (aBody != "answer to " + aRequest || aSignature != "signed-" + aRequest) {
+    Break("MIXED " + aRequest + " got the answer: " + aBody);
+  }
+}
+
+void
+Promises::OnArrival(const StandInBackend& aBackend, const std::string& aRequest)
+{
+  ++arrivals_[aBackend.Id()];
+  if (!requests_.contains(aRequest)) {
+    Break("UNASKED " + aRequest + " at " + aBackend.Id());
+  }
+  ++requests_[aRequest].arrivals_;
+}
+
+void
+Promises::OnRun(const StandInBackend& aBackend, const std::string& aRequest)
+{
+  auto& request = requests_[aRequest];
+  ++request.runs_;
+  if (!request.isBooking_) {
+    return;
+  }
+  if (request.runs_ > 1) {
+    Break("TWICE " + aRequest + " at " + aBackend.Id());
+  }
+  if (request.isRefused_) {
+    Break("REFUSED " + aRequest + " runs at " + aBackend.Id() + " after its refusal");
+  }
+}
+
+void
+Promises::OnGrant(StandInBackend& aBackend, KeyNumber aFirst, KeyNumber aLast)
+{
+  for (const auto* other : listServers_()) {
+    if (other == &aBackend || !other->IsUp() || other->Service() != aBackend.Service()) {
+      continue;
+    }
+    for (auto key = aFirst; key <= aLast; ++key) {
+      if (other->HoldsByRight(key) && aBackend.HoldsByRight(key)) {
+        Break("OWNER key " + std::to_string(key) + " is held by " + other->Id() + " and " +
+              aBackend.Id());
+        return;
+      }
+    }
+  }
+}
+
+void
+Promises::CheckRetries(double aSeconds)
+{
+  double repeats = 0;
+  for (const auto& [id, request] : requests_) {
+    repeats += std::max(0, request.arrivals_ - 1);
+  }
+  const auto most = kRetryRatio * static_cast<double>(requests_.size()) +
+                    kServices * kRetryExtra * (1 + aSeconds / kRetryWindow);
+  if (repeats > most) {
+    Break("BUDGET " + std::to_string(repeats) + " repeats, " + std::to_string(most) + " allowed");
+  }
+}
+
+std::size_t
+Promises::ArrivalsOf(const std::string& aServer) const
+{
+  const auto found = arrivals_.find(aServer);
+  return found == arrivals_.end() ? 0 : found->second;
+}
+
+} // namespace latchslip::platform
--- /dev/null
+++ b/Tests/Platform/Soak/SoakWorld.cpp
@@ -0,0 +1,259 @@
+#include "SoakWorld.h"
+
+#include "../FleetDocuments.h"
+#include "LibNet/MonotonicClock.h"
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <csignal>
+
+namespace latchslip::platform {
+
+namespace {
+
+// Offsets of ports from the first of the soak.
+constexpr int kStorePort = 0;
+constexpr int kInstancePorts = 10;
+constexpr int kPortsAnInstance = 5;
+constexpr int kServerPorts = 600;
+// A process is looked at, and due requests are sent, this often.
+constexpr Duration kStep = milliseconds(5);
+// How long the client of a request waits, and how much longer the harness does.
+constexpr Duration kClientTime = milliseconds(1500);
+constexpr Duration kClientSlack = seconds(3);
+// Orders that arrive so soon after a link or a process was healed were held up.
+constexpr Duration kHealed = milliseconds(300);
+// Until the fleet serves everything after its start.
+constexpr Duration kStartTime = seconds(20);
+constexpr std::size_t kMostConnections = 64;
+constexpr unsigned kOk = 200;
+constexpr unsigned kUnavailable = 503;
+
+} // namespace
+
+SoakWorld::SoakWorld(SoakSettings aSettings)
+  : settings_(std::move(aSettings))
+  , promises_([this] {
+    std::vector<StandInBackend*> backends;
+    for (const auto& server : servers_) {
+      backends.push_back(server.backend_.get());
+    }
+    return backends;
+  })
+  , client_(HttpClient::Create(context_, kMostConnections))
+{
+}
+
+// The processes go first: they speak through everything else.
+SoakWorld::~SoakWorld()
+{
+  for (auto& instance : instances_) {
+    instance.process_.reset();
+  }
+}
+
+FieldResult<void>
+SoakWorld::Start()
+{
+  const auto storeAddress = Loopback(settings_.firstPort_ + kStorePort);
+  BOOST_OUTCOME_TRY(store_, StandInStore::Create(context_, storeAddress));
+  SetBookingService(bookingService_);
+  int port = settings_.firstPort_ + kServerPorts;
+  for (int number = 0; number < settings_.servers_; ++number, port += 2) {
+    BOOST_OUTCOME_TRY(AddServer("k" + std::to_string(number), "rates", port));
+  }
+  for (int number = 0; number < settings_.servers_; ++number, port += 2) {
+    BOOST_OUTCOME_TRY(AddServer("b" + std::to_string(number), "bookings", port));
+  }
+  for (int number = 0; number < 2; ++number, port += 2) {
+    BOOST_OUTCOME_TRY(AddServer("o" + std::to_string(number), "others", port));
+  }
+  for (int number = 0; number < settings_.instances_; ++number) {
+    Instance instance;
+    instance.name_ = "edge-" + std::to_string(settings_.firstPort_) + "-" + std::to_string(number);
+    instance.port_ = settings_.firstPort_ + kInstancePorts + kPortsAnInstance * number;
+    BOOST_OUTCOME_TRY(instance.storeLink_,
+                      LoopbackProxy::Create(context_, Loopback(instance.port_ + 3), storeAddress));
+    StartInstance(instance);
+    instances_.push_back(std::move(instance));
+  }
+  if (!RunUntil([this] { return IsAllServed(); }, kStartTime)) {
+    return FieldError{ "soak", "the fleet does not serve within its time to start" };
+  }
+  isLoaded_ = true;
+  return outcome::success();
+}
+
+FieldResult<void>
+SoakWorld::AddServer(const std::string& aName, const std::string& aService, int aPort)
+{
+  StandInBackend::Settings settings;
+  settings.id_ = aName + "-1";
+  settings.service_ = aService;
+  settings.address_ = Loopback(aPort);
+  settings.listedAddress_ = Loopback(aPort + 1);
+  settings.isKeyed_ = aService == "rates";
+  settings.observer_ = &promises_;
+  Server server;
+  BOOST_OUTCOME_TRY(server.link_,
+                    LoopbackProxy::Create(context_, settings.listedAddress_, settings.address_));
+  BOOST_OUTCOME_TRY(server.backend_, StandInBackend::Create(context_, settings, *store_));
+  servers_.push_back(std::move(server));
+  return outcome::success();
+}
+
+void
+SoakWorld::StartInstance(Instance& aInstance)
+{
+  const auto seed = Loopback(settings_.firstPort_ + kInstancePorts + 2);
+  const auto log =
+    settings_.logs_.empty() ? "/dev/null" : settings_.logs_ + "/" + aInstance.name_ + ".log";
+  aInstance.process_ = std::make_unique<EntryProcess>(
+    settings_.program_,
+    aInstance.name_,
+    MakeSettings(aInstance.name_, aInstance.port_, seed, Loopback(aInstance.port_ + 3)),
+    log);
+  aInstance.isExpected_ = true;
+  aInstance.isPaused_ = false;
+  ++aInstance.runs_;
+}
+
+void
+SoakWorld::KillInstance(Instance& aInstance)
+{
+  aInstance.isExpected_ = false;
+  aInstance.isPaused_ = false;
+  aInstance.process_->Signal(SIGKILL);
+  aInstance.process_->Wait();
+}
+
+void
+SoakWorld::NoteHealed()
+{
+  healedAt_ = MonotonicNow();
+}
+
+void
+SoakWorld::SetBookingService(const std::string& aService)
+{
+  bookingService_ = aService;
+  configuration_ += 2;
+  store_->Put("op", "config", MakeManifest(configuration_, aService));
+}
+
+void
+SoakWorld::Run(Duration aTime)
+{
+  RunUntil([] { return false; }, aTime);
+}
+
+bool
+SoakWorld::RunUntil(const std::function<bool()>& aIsDone, Duration aMost)
+{
+  const auto end = MonotonicNow() + aMost;
+  while (MonotonicNow() < end) {
+    context_.run_for(kStep);
+    context_.restart();
+    LookAtProcesses();
+    const auto now = MonotonicNow();
+    for (auto& server : servers_) {
+      server.backend_->SetOrdersHeldUp(now - healedAt_ < kHealed);
+    }
+    while (isLoaded_ && nextRequest_ <= now) {
+      nextRequest_ = std::max(nextRequest_ + settings_.pace_, now - kStep);
+      std::uniform_int_distribution<std::size_t> draw(0, instances_.size() - 1);
+      Ask(instances_[draw(random_)], asked_ % 2 == 0);
+    }
+    if (aIsDone()) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void
+SoakWorld::Quiesce()
+{
+  isLoaded_ = false;
+  RunUntil([this] { return ended_ == asked_; }, kClientTime + kClientSlack + seconds(1));
+}
+
+void
+SoakWorld::After(Duration aTime, std::function<void()> aWhat)
+{
+  auto timer = std::make_shared<boost::asio::steady_timer>(context_, aTime);
+  timer->async_wait([timer, what = std::move(aWhat)](boost::system::error_code aError) {
+    if (!aError) {
+      what();
+    }
+  });
+}
+
+void
+SoakWorld::LookAtProcesses()
+{
+  for (auto& instance : instances_) {
+    if (instance.isExpected_ && instance.process_->HasEnded()) {
+      instance.isExpected_ = false;
+      promises_.Break("ENDED " + instance.name_ + " with status " +
+                      std::to_string(instance.process_->Wait()));
+    }
+  }
+}
+
+void
+SoakWorld::Ask(Instance& aInstance, bool aIsBooking, const std::function<void(unsigned)>& aDone)
+{
+  const auto id = "q" + std::to_string(++asked_);
+  HttpRequest request;
+  request.method_ = aIsBooking ? "POST" : "GET";
+  request.target_ = aIsBooking ? "/book/1" : "/rates/1";
+  request.headers_ = {
+    { "Host", "a.example" },
+    { "X-Request-Id", id },
+    { "X-Deadline-Ms", std::to_string(duration_cast<milliseconds>(kClientTime).count()) },
+    { "X-Shard-Key", std::to_string(std::uniform_int_distribution<int>(0, kLastKey)(random_)) }
+  };
+  promises_.OnAsked(id, aIsBooking);
+  client_->Send(Loopback(aInstance.port_),
+                std::move(request),
+                kClientTime + kClientSlack,
+                [this, id, aDone](const HttpExchange& aExchange) {
+                  ++ended_;
+                  const auto& answer = aExchange.response_;
+                  const bool isWhole = aExchange.end_ == ExchangeEnd::Complete;
+                  broken_ += aExchange.end_ == ExchangeEnd::Broken ? 1 : 0;
+                  answered_ += isWhole && answer.status_ == kOk ? 1 : 0;
+                  if (isWhole && answer.status_ == kOk) {
+                    promises_.OnSuccess(
+                      id, *answer.body_, std::string(answer.Header("X-Response-Signature")));
+                  } else if (isWhole && answer.status_ == kUnavailable) {
+                    promises_.OnRefused(id);
+                  }
+                  if (aDone) {
+                    aDone(isWhole ? answer.status_ : 0);
+                  }
+                });
+}
+
+bool
+SoakWorld::IsAllServed()
+{
+  const bool wasLoaded = std::exchange(isLoaded_, false);
+  constexpr int kEach = 6;
+  const auto wanted = instances_.size() * kEach;
+  const auto results = std::make_shared<std::pair<std::size_t, std::size_t>>();
+  for (auto& instance : instances_) {
+    for (int number = 0; number < kEach; ++number) {
+      Ask(instance, number % 2 == 0, [results](unsigned aStatus) {
+        ++results->first;
+        results->second += aStatus == kOk ? 1 : 0;
+      });
+    }
+  }
+  RunUntil([&] { return results->first == wanted; }, kClientTime + kClientSlack);
+  isLoaded_ = wasLoaded;
+  return results->second == wanted;
+}
+
+} // namespace latchslip::platform
--- a/Tests/Platform/TestEntryProcesses.cpp
+++ b/Tests/Platform/TestEntryProcesses.cpp
@@ -1,124 +1,31 @@
 // Entry instances as separate processes, before stand-ins of the platform.
 
+#include "EntryProcess.h"
+#include "FleetDocuments.h"
 #include "LibNet/HttpClient.h"
 #include "LibNet/MonotonicClock.h"
 #include "platform/StandIn/StandInBackend.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
-#include <filesystem>
-#include <fstream>
 #include <functional>
 #include <gtest/gtest.h>
-#include <spawn.h>
 #include <sys/wait.h>
 
-extern char** environ; // NOLINT(readability-redundant-declaration)
-
 namespace latchslip::platform {
 
 namespace {
 
 constexpr int kFirstPort = 24600;
-constexpr const char* kStoreAddress = "127.0.0.1:24600";
-
-std::string
-Loopback(int aPort)
-{
-  return "127.0.0.1:" + std::to_string(aPort);
-}
-
-// One process of the daemon, which ends with this object.
-class EntryProcess
-{
-public:
-  EntryProcess(int aNumber, const std::string& aSettings)
-    : settingsFile_(
-        std::filesystem::temp_directory_path() /
-        ("latchslip-entry-" + std::to_string(getpid()) + "-" + std::to_string(aNumber) + ".json"))
-  {
-    std::ofstream(settingsFile_) << aSettings;
-    const auto variable = "LATCHSLIP_CONFIG=" + settingsFile_.string();
-    std::vector<char*> environment;
-    for (char** entry = environ; *entry != nullptr; ++entry) {
-      environment.push_back(*entry);
-    }
-    environment.push_back(const_cast<char*>(variable.c_str()));
-    environment.push_back(nullptr);
-    std::string program = LATCHSLIP_ENTRY;
-    std::vector<char*> arguments{ program.data(), nullptr };
-    posix_spawn_file_actions_t actions{};
-    posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, "/dev/null", O_WRONLY, 0);
-    posix_spawn(&id_, program.c_str(), &actions, nullptr, arguments.data(), environment.data());
-    posix_spawn_file_actions_destroy(&actions);
-  }
-
-  ~EntryProcess()
-  {
-    Signal(SIGKILL);
-    Wait();
-    std::filesystem::remove(settingsFile_);
-  }
-  EntryProcess(const EntryProcess&) = delete;
-  EntryProcess& operator=(const EntryProcess&) = delete;
-
-  void Signal(int aSignal) const
-  {
-    if (!hasEnded_) {
-      kill(id_, aSignal);
-    }
-  }
-
-  bool HasEnded()
-  {
-    hasEnded_ = hasEnded_ || waitpid(id_, &status_, WNOHANG) == id_;
-    return hasEnded_;
-  }
-
-  int Wait()
-  {
-    if (!hasEnded_) {
-      waitpid(id_, &status_, 0);
-      hasEnded_ = true;
-    }
-    return status_;
-  }
-
-private:
-  std::filesystem::path settingsFile_;
-  pid_t id_ = 0;
-  int status_ = 0;
-  bool hasEnded_ = false;
-};
-
-std::string
-MakeSettings(int aNumber)
-{
-  const auto port = kFirstPort + 10 * aNumber;
-  return R"({"nodeId":"edge-)" + std::to_string(aNumber) +
-         R"(","zone":"hall-a","listen":{"front":")" + Loopback(port) + R"(","ready":")" +
-         Loopback(port + 1) + R"(","control":")" + Loopback(port + 2) + R"("},"seeds":[")" +
-         Loopback(kFirstPort + 12) +
-         R"("],"bounds":["retryBudgetRatio=0.2","budgetExtra=62","budgetWindowS=10","graceS=6",)"
-         R"("holdMaxMs=10000"],"platform":{"address":")" +
-         kStoreAddress + R"("}})";
-}
 
-std::string
-MakeManifest(int aVersion, const std::string& aBookingService)
+std::unique_ptr<EntryProcess>
+StartEntry(int aNumber)
 {
-  return R"({"version":)" + std::to_string(aVersion) +
-         R"(,"listeners":[{"host":"a.example","rules":[)"
-         R"({"name":"r1","kind":"idempotent","targetLatencyMs":2000,"priority":1,)"
-         R"("match":{"pathPrefix":"/rates/"},)"
-         R"("action":{"service":"rates","timeoutMs":4000,"maxAttempts":2}},)"
-         R"({"name":"r2","kind":"non_idempotent","targetLatencyMs":2000,"priority":0,)"
-         R"("match":{"pathPrefix":"/book/"},"action":{"service":")" +
-         aBookingService +
-         R"(","timeoutMs":4000,"maxAttempts":2}}]}],)"
-         R"("clusters":[{"name":"rates","maxConns":130,"sharded":true},)"
-         R"({"name":"bookings","maxConns":130},{"name":"others","maxConns":130}]})";
+  const auto name = "edge-" + std::to_string(aNumber);
+  return std::make_unique<EntryProcess>(
+    LATCHSLIP_ENTRY,
+    name,
+    MakeSettings(name, kFirstPort + 10 * aNumber, Loopback(kFirstPort + 12), Loopback(kFirstPort)));
 }
 
 class FleetOfThreeProcesses : public testing::Test
@@ -126,7 +33,7 @@
 protected:
   void SetUp() override
   {
-    store_ = StandInStore::Create(context_, kStoreAddress).value();
+    store_ = StandInStore::Create(context_, Loopback(kFirstPort)).value();
     store_->Put("op", "config", MakeManifest(3, "bookings"));
     for (int number = 0; number < 3; ++number) {
       Add("k" + std::to_string(number), "rates", 200 + number, true);
@@ -134,7 +41,7 @@
     }
     Add("o0", "others", 220, false);
     for (int number = 1; number <= 3; ++number) {
-      processes_.push_back(std::make_unique<EntryProcess>(number, MakeSettings(number)));
+      processes_.push_back(StartEntry(number));
     }
     ASSERT_TRUE(RunUntil([&] { return Served() == 3; }, seconds(15)));
     // Requests before the instances listened found nobody.
@@ -329,7 +236,7 @@
 
 TEST(EntryProcess, SettingsAreMalformed_EndsWithItsOwnStatus)
 {
-  EntryProcess process(9, R"({"nodeId":"edge-9"})");
+  EntryProcess process(LATCHSLIP_ENTRY, "malformed", R"({"nodeId":"edge-9"})");
   const auto status = process.Wait();
   ASSERT_TRUE(WIFEXITED(status));
   EXPECT_EQ(WEXITSTATUS(status), 2);
