LibGateway: Let a request wait a moment for the first configuration

The refused come back 0.3 s later at the earliest. Now such a request waits for 0.08 of its client's time, less than a quarter of its latency target, and is refused as not run after that. The test that wanted a refusal at once is replaced by one that wants it within 100 ms for a client's second; a new one shows the wait, its end and a client that leaves.

--- a/Libraries/LibGateway/RequestDesk.cpp
+++ b/Libraries/LibGateway/RequestDesk.cpp
@@ -17,6 +17,10 @@
 // Clients come back within a third of the time they have left (the platform's
 // pages); later ones would not come back at all.
 constexpr double kRetryAfterOfTimeLeft = 0.3;
+// A request that comes before any configuration waits for one for this part of the
+// client's time: an instance learns it within some 0.2 s of its start. The part is
+// less than a quarter of the latency targets, which lie above a third of that time.
+constexpr double kUnroutedPart = 0.08;
 // Assumed for the latency target and the time left of a request without a route,
 // of which neither is known.
 constexpr Duration kUnknownTarget = seconds(1);
@@ -102,27 +106,37 @@
   auto& pending = pending_[number];
   pending.request_ = std::move(aRequest);
   pending.arrival_ = aNow;
-  pending.routes_ = routes_;
-  if (!routes_) {
-    Refuse(aNow, pending, RefusalReason::NoConfiguration);
+  if (routes_) {
+    Admit(aNow, pending);
     return;
   }
-  pending.route_ = routes_->Match(pending.request_.host_, pending.request_.path_);
-  if (pending.route_ == nullptr) {
-    Refuse(aNow, pending, RefusalReason::NoRoute);
+  const auto timeLeft = pending.request_.timeLeft_.value_or(kUnknownTarget);
+  pending.deadline_ = aNow + timeLeft;
+  pending.refuseAt_ = aNow + Part(timeLeft, kUnroutedPart);
+  SetTimer(pending, pending.refuseAt_);
+}
+
+// The request may have waited for a configuration.
+void
+RequestDesk::Admit(Instant aNow, PendingRequest& aPending)
+{
+  aPending.routes_ = routes_;
+  aPending.route_ = routes_->Match(aPending.request_.host_, aPending.request_.path_);
+  if (aPending.route_ == nullptr) {
+    Refuse(aNow, aPending, RefusalReason::NoRoute);
     return;
   }
-  const auto& route = *pending.route_;
-  pending.service_ = routes_->FindService(ChooseTarget(route));
-  const auto timeLeft = pending.request_.timeLeft_.value_or(route.timeLimit_);
-  pending.deadline_ = aNow + std::min(timeLeft, route.timeLimit_);
-  pending.refuseAt_ = aNow + Part(route.latencyTarget_, kWaitPart);
-  StateOf(pending.service_->name_).budget_.OnRequest(aNow);
-  if (pending.service_->isKeyed_ && pending.request_.key_) {
-    actions_.CountKey(pending.service_->name_, *pending.request_.key_);
+  const auto& route = *aPending.route_;
+  aPending.service_ = routes_->FindService(ChooseTarget(route));
+  const auto timeLeft = aPending.request_.timeLeft_.value_or(route.timeLimit_);
+  aPending.deadline_ = aPending.arrival_ + std::min(timeLeft, route.timeLimit_);
+  aPending.refuseAt_ = aPending.arrival_ + Part(route.latencyTarget_, kWaitPart);
+  StateOf(aPending.service_->name_).budget_.OnRequest(aNow);
+  if (aPending.service_->isKeyed_ && aPending.request_.key_) {
+    actions_.CountKey(aPending.service_->name_, *aPending.request_.key_);
   }
-  if (!TrySend(aNow, pending)) {
-    Wait(aNow, pending);
+  if (!TrySend(aNow, aPending)) {
+    Wait(aNow, aPending);
   }
 }
 
@@ -222,6 +236,10 @@
     return;
   }
   auto& pending = found->second;
+  if (pending.service_ == nullptr) {
+    Finish(aRequest);
+    return;
+  }
   const auto service = pending.service_->name_;
   if (pending.attempt_ != 0 && !pending.route_->isRepeatable_) {
     pending.isGone_ = true;
@@ -244,6 +262,10 @@
     const auto number = timers_.begin()->second;
     auto& pending = pending_.at(number);
     SetTimer(pending, Instant::max());
+    if (pending.service_ == nullptr) {
+      Refuse(aNow, pending, RefusalReason::NoConfiguration);
+      continue;
+    }
     services.insert(pending.service_->name_);
     if (pending.attempt_ != 0) {
       GiveUp(aNow, pending);
--- a/Libraries/LibGateway/RequestDesk.h
+++ b/Libraries/LibGateway/RequestDesk.h
@@ -78,6 +78,8 @@
   };
 
   static RefusalReason ObstacleOf(Choice aChoice);
+  // Finds what a request is to be sent to, and sends it or lets it wait.
+  void Admit(Instant aNow, PendingRequest& aPending);
   ServiceState& StateOf(const std::string& aService);
   // What is known of a server's load, with the limits that hold now.
   ServerLoad& LoadOf(const ServerRecord& aRecord, const RoutedService& aService);
--- a/Libraries/LibGateway/ServerChoice.cpp
+++ b/Libraries/LibGateway/ServerChoice.cpp
@@ -156,6 +156,15 @@
   }
   tally_.KeepRoutes([&](const std::string& aRoute) { return names.contains(aRoute); });
   OnDirectoryChanged(aNow);
+  std::vector<RequestNumber> unrouted;
+  for (const auto& [number, pending] : pending_) {
+    if (!pending.routes_) {
+      unrouted.push_back(number);
+    }
+  }
+  for (const auto number : unrouted) {
+    Admit(aNow, pending_.at(number));
+  }
 }
 
 void
--- a/Tests/LibGateway/TestRequestDesk.cpp
+++ b/Tests/LibGateway/TestRequestDesk.cpp
@@ -224,6 +224,38 @@
   EXPECT_FALSE(desk_.Tally().Servers().contains(server));
 }
 
+TEST_F(DeskOfThreeServers, RequestComesBeforeAConfiguration_WaitsForItForAMoment)
+{
+  RequestDesk desk({ "hall", {}, 1 }, directory_, actions_, events_);
+  const auto ask = [&](RequestNumber aNumber) {
+    RoutedRequest request;
+    request.number_ = aNumber;
+    request.host_ = "a.example";
+    request.path_ = "/read/x";
+    request.timeLeft_ = milliseconds(1000);
+    desk.OnRequest(now_, std::move(request));
+  };
+  ask(7001);
+  EXPECT_TRUE(actions_.refused_.empty());
+  now_ += milliseconds(80);
+  desk.OnTime(now_);
+  ASSERT_TRUE(actions_.refused_.contains(7001));
+  EXPECT_EQ(actions_.refused_[7001].reason_, RefusalReason::NoConfiguration);
+  EXPECT_TRUE(actions_.refused_[7001].isNotRun_);
+  ask(7002);
+  ask(7003);
+  desk.OnClientGone(now_, 7003);
+  now_ += milliseconds(50);
+  RoutingConfiguration configuration;
+  configuration.version_ = 1;
+  configuration.services_ = { { "plain", 100, false } };
+  configuration.routes_ = { MakeRoute("/read/", true, 2, { { "plain", 1 } }) };
+  desk.SetRoutes(now_,
+                 std::make_shared<const RouteTable>(RouteTable::Create(configuration).value()));
+  EXPECT_EQ(SendsOf(7002), 1U);
+  EXPECT_EQ(SendsOf(7003), 0U);
+}
+
 TEST_F(DeskOfThreeServers, NoRouteMatches_IsRefusedAtOnce)
 {
   EXPECT_TRUE(IsRefused(Ask("/nowhere/"), RefusalReason::NoRoute));
@@ -489,13 +521,16 @@
   EXPECT_LT(sends, 145U);
 }
 
-TEST(RequestDesk, NoConfigurationYet_IsRefusedAsNotRun)
+TEST(RequestDesk, NoConfigurationForAMoment_IsRefusedAsNotRun)
 {
   SilentEvents events;
   RecordedActions actions;
   const ServerDirectory directory;
   RequestDesk desk({ "hall", {}, 1 }, directory, actions, events);
   desk.OnRequest(seconds(1), { 7, "id", "a.example", "/x/", {}, {} });
+  ASSERT_TRUE(desk.NextTime());
+  EXPECT_LE(*desk.NextTime(), seconds(1) + milliseconds(100));
+  desk.OnTime(*desk.NextTime());
   ASSERT_EQ(actions.refused_.count(7), 1U);
   EXPECT_EQ(actions.refused_[7].reason_, RefusalReason::NoConfiguration);
   EXPECT_TRUE(actions.refused_[7].isNotRun_);
