--- a/Tests/Platform/Soak/SoakWorld.h
+++ b/Tests/Platform/Soak/SoakWorld.h
@@ -24,7 +24,7 @@
   // Folder for the logs of the instances; empty for none.
   std::string logs_;
   // The soak listens on about a thousand ports from here on.
-  int firstPort_ = 31000;
+  int firstPort_ = 25000;
   int instances_ = 5;
   // Servers of the keyed service; the bookings have as many, others have two.
   int servers_ = 5;
--- a/Tests/Platform/Soak/main.cpp
+++ b/Tests/Platform/Soak/main.cpp
@@ -16,7 +16,7 @@
 ABSL_FLAG(int, seconds, 8, "How long faults are brought on for each seed.");
 ABSL_FLAG(int, instances, 5, "Entry instances.");
 ABSL_FLAG(int, servers, 5, "Servers of the keyed service, and as many for bookings.");
-ABSL_FLAG(int, port, 31000, "The first of the ports; about a thousand are used.");
+ABSL_FLAG(int, port, 25000, "The first of some thousand ports; below those that the system draws.");
 ABSL_FLAG(std::string, logs, "", "Folder for the logs of the instances; none if empty.");
 
 namespace latchslip::platform {
