LibBase: Give spans of time one way into numbers, and one to be scaled

Microseconds were turned into seconds or milliseconds in eight places, and three files had a function of their own to scale a span, under three names. Time.h has them now: ToSeconds, ToMilliseconds, Scale. The numbers stay what they were.

--- a/Libraries/LibBase/Time.h
+++ b/Libraries/LibBase/Time.h
@@ -16,4 +16,27 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+// In seconds, with fractions.
+constexpr double
+ToSeconds(Duration aTime)
+{
+  constexpr double kMicrosecond = 1e-6;
+  return static_cast<double>(aTime.count()) * kMicrosecond;
+}
+
+// In milliseconds, with fractions.
+constexpr double
+ToMilliseconds(Duration aTime)
+{
+  constexpr double kMillisecond = 1000;
+  return static_cast<double>(aTime.count()) / kMillisecond;
+}
+
+// A span of time that is aFactor times as long, in whole microseconds.
+constexpr Duration
+Scale(Duration aTime, double aFactor)
+{
+  return Duration(static_cast<Duration::rep>(static_cast<double>(aTime.count()) * aFactor));
+}
+
 } // namespace latchslip
--- a/Libraries/LibDaemon/LineLog.cpp
+++ b/Libraries/LibDaemon/LineLog.cpp
@@ -48,8 +48,7 @@
 bool
 LineLog::Allowance::Take(Instant aNow, double aPerSecond)
 {
-  constexpr double kMicrosecond = 1e-6;
-  const auto past = static_cast<double>((aNow - filledAt_).count()) * kMicrosecond;
+  const auto past = ToSeconds(aNow - filledAt_);
   left_ = std::min(aPerSecond, left_ + past * aPerSecond);
   filledAt_ = aNow;
   if (left_ < 1) {
--- a/Libraries/LibFleet/PlacerDuty.cpp
+++ b/Libraries/LibFleet/PlacerDuty.cpp
@@ -412,8 +412,7 @@
   for (const auto& [server, latency] : aLatencies) {
     const auto [entry, isNew] = latencies_.try_emplace(server, latency);
     if (!isNew) {
-      const auto change = static_cast<double>((latency - entry->second).count()) * kLatencyWeight;
-      entry->second += Duration(static_cast<Duration::rep>(change));
+      entry->second += Scale(latency - entry->second, kLatencyWeight);
     }
   }
   std::erase_if(latencies_, [&](const auto& aEntry) {
--- a/Libraries/LibGateway/RequestDesk.cpp
+++ b/Libraries/LibGateway/RequestDesk.cpp
@@ -39,12 +39,6 @@
 // has caught up by then.
 constexpr Duration kOtherLifePause = seconds(3);
 
-Duration
-Part(Duration aTime, double aPart)
-{
-  return Duration(static_cast<Duration::rep>(static_cast<double>(aTime.count()) * aPart));
-}
-
 // Whether the server said that the request failed there.
 bool
 IsServerError(const AttemptOutcome& aOutcome)
@@ -112,7 +106,7 @@
   }
   const auto timeLeft = pending.request_.timeLeft_.value_or(kUnknownTarget);
   pending.deadline_ = aNow + timeLeft;
-  pending.refuseAt_ = aNow + Part(timeLeft, kUnroutedPart);
+  pending.refuseAt_ = aNow + Scale(timeLeft, kUnroutedPart);
   SetTimer(pending, pending.refuseAt_);
 }
 
@@ -130,7 +124,7 @@
   aPending.service_ = routes_->FindService(ChooseTarget(route));
   const auto timeLeft = aPending.request_.timeLeft_.value_or(route.timeLimit_);
   aPending.deadline_ = aPending.arrival_ + std::min(timeLeft, route.timeLimit_);
-  aPending.refuseAt_ = aPending.arrival_ + Part(route.latencyTarget_, kWaitPart);
+  aPending.refuseAt_ = aPending.arrival_ + Scale(route.latencyTarget_, kWaitPart);
   StateOf(aPending.service_->name_).budget_.OnRequest(aNow);
   if (aPending.service_->isKeyed_ && aPending.request_.key_) {
     actions_.CountKey(aPending.service_->name_, *aPending.request_.key_);
@@ -204,7 +198,7 @@
                    " end=" + std::string(kAttemptEndNames.NameOf(aOutcome.end_)) + " status=" +
                    std::to_string(aOutcome.status_) + " sends=" + std::to_string(aPending.sends_));
   aPending.tried_.push_back(aPending.server_);
-  aPending.refuseAt_ = aNow + Part(aPending.route_->latencyTarget_, kWaitPart);
+  aPending.refuseAt_ = aNow + Scale(aPending.route_->latencyTarget_, kWaitPart);
   if (aOutcome.end_ == AttemptEnd::WrongServer && !aOutcome.isOtherLife_) {
     aPending.notBefore_ = aNow + kWrongOwnerPause;
   }
@@ -333,8 +327,8 @@
   const bool hasRoute = aPending.route_ != nullptr;
   const auto target = hasRoute ? aPending.route_->latencyTarget_ : kUnknownTarget;
   const auto left = hasRoute ? Duration(aPending.deadline_ - aNow) : kUnknownTarget;
-  return std::min(std::max(kLeastRetryAfter, Part(target, kRetryAfterPart)),
-                  std::max(Duration(0), Part(left, kRetryAfterOfTimeLeft)));
+  return std::min(std::max(kLeastRetryAfter, Scale(target, kRetryAfterPart)),
+                  std::max(Duration(0), Scale(left, kRetryAfterOfTimeLeft)));
 }
 
 void
--- a/Libraries/LibGateway/RequestTally.cpp
+++ b/Libraries/LibGateway/RequestTally.cpp
@@ -7,8 +7,7 @@
 void
 LatencyHistogram::Add(Duration aLatency)
 {
-  constexpr double kMillisecond = 1000;
-  const auto latency = static_cast<double>(aLatency.count()) / kMillisecond;
+  const auto latency = ToMilliseconds(aLatency);
   const auto* bucket = std::lower_bound(kBounds.begin(), kBounds.end(), latency);
   ++buckets_.at(static_cast<std::size_t>(bucket - kBounds.begin()));
   sum_ += latency;
--- a/Libraries/LibGateway/ServerLoad.cpp
+++ b/Libraries/LibGateway/ServerLoad.cpp
@@ -36,12 +36,6 @@
 constexpr double kOverdueMeans = 6.0;
 constexpr Duration kLeastOverdue = milliseconds(300);
 
-Duration
-Scale(Duration aTime, double aFactor)
-{
-  return Duration(static_cast<Duration::rep>(static_cast<double>(aTime.count()) * aFactor));
-}
-
 } // namespace
 
 ServerLoad::ServerLoad(std::size_t aLimit, std::size_t aMostLimit)
--- a/Libraries/LibKeys/OwnershipPlacer.cpp
+++ b/Libraries/LibKeys/OwnershipPlacer.cpp
@@ -44,12 +44,6 @@
 constexpr Duration kServersSettle = milliseconds(1600);
 constexpr Duration kMostSettle = seconds(5);
 
-Duration
-Stretch(Duration aTime, double aFactor)
-{
-  return Duration(static_cast<Duration::rep>(static_cast<double>(aTime.count()) * aFactor));
-}
-
 std::string
 Describe(const KeyRange& aRange)
 {
@@ -108,8 +102,7 @@
   if (!aOwnership) {
     return;
   }
-  const auto until =
-    aNow + settings_.renewalAlone_ + Stretch(settings_.hold_, settings_.clockRate_);
+  const auto until = aNow + settings_.renewalAlone_ + Scale(settings_.hold_, settings_.clockRate_);
   for (const auto& range : aOwnership->ranges_) {
     formerHoldsUntil_[range.owner_] = until;
     if (!range.previous_.empty()) {
@@ -122,7 +115,7 @@
 void
 OwnershipPlacer::OnFormerPlacerStopped(Instant aNow)
 {
-  const auto latest = aNow + Stretch(settings_.hold_, settings_.clockRate_);
+  const auto latest = aNow + Scale(settings_.hold_, settings_.clockRate_);
   for (auto& [server, until] : formerHoldsUntil_) {
     until = std::min(until, latest);
   }
@@ -497,7 +490,7 @@
 void
 OwnershipPlacer::ExtendHold(Instant aNow, const std::string& aServer, OrderEnd aEnd)
 {
-  const auto hold = Stretch(settings_.hold_, settings_.clockRate_);
+  const auto hold = Scale(settings_.hold_, settings_.clockRate_);
   auto& until = holdsUntil_.try_emplace(aServer, Instant::min()).first->second;
   if (aEnd == OrderEnd::Done || aEnd == OrderEnd::HigherFence) {
     until = std::max(until, aNow + hold);
--- a/Libraries/LibScenario/Script.cpp
+++ b/Libraries/LibScenario/Script.cpp
@@ -198,7 +198,7 @@
   }
   BOOST_OUTCOME_TRY(const auto subject, aReader.Text("what the quantity is of"));
   if (name == "gap-ms") {
-    return static_cast<double>(world_->LongestGap(subject).count()) / 1000;
+    return ToMilliseconds(world_->LongestGap(subject));
   }
   if (name == "imbalance") {
     return world_->Imbalance(subject);
@@ -211,7 +211,7 @@
     return world_->StatusOfConfirm(subject);
   }
   if (name == "confirm-ms") {
-    return static_cast<double>(world_->TimeOfConfirm(subject).count()) / 1000;
+    return ToMilliseconds(world_->TimeOfConfirm(subject));
   }
   if (name == "event") {
     const auto events = AllEvents();
--- a/Utilities/LatchslipLoad/main.cpp
+++ b/Utilities/LatchslipLoad/main.cpp
@@ -87,8 +87,7 @@
     first = first == Instant{ 0 } ? record.startedAt_ : std::min(first, record.startedAt_);
     last = std::max(last, record.endedAt_);
     if (record.outcome_ == RequestOutcome::Answered) {
-      latencies.push_back(static_cast<double>((record.endedAt_ - record.startedAt_).count()) /
-                          1000);
+      latencies.push_back(ToMilliseconds(record.endedAt_ - record.startedAt_));
     }
   }
   for (const auto& [name, count] : outcomes) {
@@ -139,11 +138,11 @@
   if (gaps.empty()) {
     return;
   }
-  const auto inMs = [](Duration aGap) { return static_cast<double>(aGap.count()) / 1000; };
   std::cout << "unavailable time of " << gaps.size()
-            << " probed keys, longest gap between answers, ms: max " << inMs(gaps.front().gap_)
-            << " p99 " << inMs(gaps[gaps.size() / 100].gap_) << " p50 "
-            << inMs(gaps[gaps.size() / 2].gap_) << "; keys over 100 ms: "
+            << " probed keys, longest gap between answers, ms: max "
+            << ToMilliseconds(gaps.front().gap_) << " p99 "
+            << ToMilliseconds(gaps[gaps.size() / 100].gap_) << " p50 "
+            << ToMilliseconds(gaps[gaps.size() / 2].gap_) << "; keys over 100 ms: "
             << std::count_if(gaps.begin(),
                              gaps.end(),
                              [](const KeyGap& aGap) { return aGap.gap_ > milliseconds(100); })
