LibKeys: Take the orders under way and the holds out of the placer

OwnershipPlacer kept two sets of books beside its decisions: which orders are under way and how many more may be (OrderBook), and until when each server may hold keys (HoldBounds).

--- /dev/null
+++ b/Libraries/LibKeys/OrderBook.cpp
@@ -0,0 +1,78 @@
+#include "LibKeys/OrderBook.h"
+
+#include <algorithm>
+
+namespace latchslip {
+
+namespace {
+
+// Orders under way at once: each has a connection of its own, and an instance must
+// keep most of its descriptors (4,100 at the least) for its clients. When many
+// servers leave together their keys have no owner until these orders are done, and
+// each lasts as long as the work that the server still does on the keys.
+constexpr std::size_t kMostOrders = 384;
+// The same to one server, as many as ranges are taken from it in a round.
+constexpr std::size_t kMostOrdersAServer = 64;
+// The same to one that did not answer its last order, so that many of them do not
+// hold up the orders of the others.
+constexpr std::size_t kMostOrdersUnanswered = 2;
+
+} // namespace
+
+void
+OrderBook::Clear()
+{
+  orders_.clear();
+  ordersOf_.clear();
+  silent_.clear();
+}
+
+KeyOrder
+OrderBook::Add(KeyOrder aOrder)
+{
+  aOrder.number_ = ++lastOrder_;
+  ++ordersOf_[aOrder.server_];
+  orders_[aOrder.number_] = aOrder;
+  return aOrder;
+}
+
+std::optional<KeyOrder>
+OrderBook::Take(OrderNumber aOrder, OrderEnd aEnd)
+{
+  const auto found = orders_.find(aOrder);
+  if (found == orders_.end()) {
+    return std::nullopt;
+  }
+  auto order = std::move(found->second);
+  orders_.erase(found);
+  if (--ordersOf_.at(order.server_) == 0) {
+    ordersOf_.erase(order.server_);
+  }
+  if (aEnd == OrderEnd::Unanswered || aEnd == OrderEnd::NotSent) {
+    silent_.insert(order.server_);
+  } else {
+    silent_.erase(order.server_);
+  }
+  return order;
+}
+
+bool
+OrderBook::HasRoomFor(const std::string& aServer) const
+{
+  if (orders_.size() >= kMostOrders) {
+    return false;
+  }
+  const auto count = ordersOf_.find(aServer);
+  const auto most = silent_.contains(aServer) ? kMostOrdersUnanswered : kMostOrdersAServer;
+  return count == ordersOf_.end() || count->second < most;
+}
+
+bool
+OrderBook::HasGrantTo(const std::string& aServer) const
+{
+  return std::any_of(orders_.begin(), orders_.end(), [&](const auto& aEntry) {
+    return aEntry.second.server_ == aServer && !aEntry.second.isRelease_;
+  });
+}
+
+} // namespace latchslip
--- a/Libraries/LibKeys/OwnershipPlacer.cpp
+++ b/Libraries/LibKeys/OwnershipPlacer.cpp
@@ -26,16 +26,6 @@
 constexpr Duration kMoveRest = milliseconds(1500);
 // How often due orders are looked for.
 constexpr Duration kStep = milliseconds(50);
-// Orders under way at once: each has a connection of its own, and an instance must
-// keep most of its descriptors (4,100 at the least) for its clients. When many
-// servers leave together their keys have no owner until these orders are done, and
-// each lasts as long as the work that the server still does on the keys.
-constexpr std::size_t kMostOrders = 384;
-// The same to one server, as many as ranges are taken from it in a round.
-constexpr std::size_t kMostOrdersAServer = 64;
-// The same to one that did not answer its last order, so that many of them do not
-// hold up the orders of the others.
-constexpr std::size_t kMostOrdersUnanswered = 2;
 // Refusals in a row that show, with the other signs, that a server has left.
 constexpr unsigned kProvingRefusals = 3;
 // The first deal waits until no server has come for this long, since each one
@@ -87,12 +77,8 @@
   committed_.service_ = service_;
   states_.clear();
   writing_.reset();
-  orders_.clear();
-  ordersOf_.clear();
-  silent_.clear();
-  holdsUntil_.clear();
-  formerHoldsUntil_.clear();
-  doubts_ = aDoubts;
+  orders_.Clear();
+  holds_.Start(aDoubts);
   hasFormerFences_ = aOwnership.has_value();
   nextTime_ = aNow;
   startedAt_ = aNow;
@@ -104,9 +90,9 @@
   }
   const auto until = aNow + settings_.renewalAlone_ + Scale(settings_.hold_, settings_.clockRate_);
   for (const auto& range : aOwnership->ranges_) {
-    formerHoldsUntil_[range.owner_] = until;
+    holds_.SetFormer(range.owner_, until);
     if (!range.previous_.empty()) {
-      formerHoldsUntil_[range.previous_] = until;
+      holds_.SetFormer(range.previous_, until);
     }
   }
   Adopt(std::move(*aOwnership));
@@ -115,10 +101,7 @@
 void
 OwnershipPlacer::OnFormerPlacerStopped(Instant aNow)
 {
-  const auto latest = aNow + Scale(settings_.hold_, settings_.clockRate_);
-  for (auto& [server, until] : formerHoldsUntil_) {
-    until = std::min(until, latest);
-  }
+  holds_.LimitFormer(aNow + Scale(settings_.hold_, settings_.clockRate_));
 }
 
 void
@@ -299,9 +282,7 @@
       return;
     }
   }
-  formerHoldsUntil_.erase(aServer);
-  // An order that comes late now meets a higher fence.
-  doubts_.erase(aServer);
+  holds_.ForgetFormer(aServer);
 }
 
 void
@@ -311,11 +292,11 @@
     return;
   }
   const bool isWaiting = !aRange.previous_.empty() && !aState.isCleared_;
-  if (!HasRoomFor(isWaiting ? aRange.previous_ : aRange.owner_)) {
+  if (!orders_.HasRoomFor(isWaiting ? aRange.previous_ : aRange.owner_)) {
     return;
   }
   const bool isRenewal = aState.isGranted_ && aRange.previous_.empty();
-  if (isRenewal && ordersOf_.contains(aRange.owner_) &&
+  if (isRenewal && orders_.HasOrderTo(aRange.owner_) &&
       aNow < aState.nextOrder_ + kRenewalPatience) {
     return;
   }
@@ -326,30 +307,11 @@
   SendGrant(aNow, aRange, aState);
 }
 
-bool
-OwnershipPlacer::HasRoomFor(const std::string& aServer) const
-{
-  if (orders_.size() >= kMostOrders) {
-    return false;
-  }
-  const auto count = ordersOf_.find(aServer);
-  const auto most = silent_.contains(aServer) ? kMostOrdersUnanswered : kMostOrdersAServer;
-  return count == ordersOf_.end() || count->second < most;
-}
-
-bool
-OwnershipPlacer::HasGrantUnderWay(const std::string& aServer) const
-{
-  return std::any_of(orders_.begin(), orders_.end(), [&](const auto& aEntry) {
-    return aEntry.second.server_ == aServer && !aEntry.second.isRelease_;
-  });
-}
-
 const char*
 OwnershipPlacer::ReasonToClear(Instant aNow, const KeyRange& aRange, const RangeState& aState) const
 {
   // What a grant under way bounds is known when it ends.
-  if (!HasGrantUnderWay(aRange.previous_) && aNow >= HoldsUntil(aRange.previous_)) {
+  if (!orders_.HasGrantTo(aRange.previous_) && aNow >= holds_.Of(aRange.previous_)) {
     return "expired";
   }
   const auto life = actions_.LifeOf(aRange.previous_);
@@ -400,11 +362,9 @@
 void
 OwnershipPlacer::SendOrder(RangeState& aState, KeyOrder aOrder)
 {
-  aOrder.number_ = ++lastOrder_;
-  aState.order_ = aOrder.number_;
-  orders_[aOrder.number_] = aOrder;
-  ++ordersOf_[aOrder.server_];
-  actions_.Order(aOrder);
+  const auto order = orders_.Add(std::move(aOrder));
+  aState.order_ = order.number_;
+  actions_.Order(order);
 }
 
 OwnershipPlacer::RangeState*
@@ -419,20 +379,11 @@
 void
 OwnershipPlacer::OnOrderEnded(Instant aNow, OrderNumber aOrder, const OrderOutcome& aOutcome)
 {
-  const auto found = orders_.find(aOrder);
-  if (found == orders_.end()) {
+  const auto found = orders_.Take(aOrder, aOutcome.end_);
+  if (!found) {
     return;
   }
-  const auto order = std::move(found->second);
-  orders_.erase(found);
-  if (--ordersOf_.at(order.server_) == 0) {
-    ordersOf_.erase(order.server_);
-  }
-  if (aOutcome.end_ == OrderEnd::Unanswered || aOutcome.end_ == OrderEnd::NotSent) {
-    silent_.insert(order.server_);
-  } else {
-    silent_.erase(order.server_);
-  }
+  const auto& order = *found;
   if (!order.isRelease_) {
     ExtendHold(aNow, order.server_, aOutcome.end_);
   }
@@ -491,25 +442,12 @@
 OwnershipPlacer::ExtendHold(Instant aNow, const std::string& aServer, OrderEnd aEnd)
 {
   const auto hold = Scale(settings_.hold_, settings_.clockRate_);
-  auto& until = holdsUntil_.try_emplace(aServer, Instant::min()).first->second;
   if (aEnd == OrderEnd::Done || aEnd == OrderEnd::HigherFence) {
-    until = std::max(until, aNow + hold);
+    holds_.Extend(aServer, aNow + hold);
   } else if (aEnd == OrderEnd::Unanswered) {
-    until = std::max(until, aNow + settings_.lateOrders_ + hold);
+    holds_.Extend(aServer, aNow + settings_.lateOrders_ + hold);
     actions_.Doubt(aServer, settings_.lateOrders_ + hold);
   }
 }
 
-Instant
-OwnershipPlacer::HoldsUntil(const std::string& aServer) const
-{
-  auto until = Instant::min();
-  for (const auto* bounds : { &holdsUntil_, &formerHoldsUntil_, &doubts_ }) {
-    if (const auto bound = bounds->find(aServer); bound != bounds->end()) {
-      until = std::max(until, bound->second);
-    }
-  }
-  return until;
-}
-
 } // namespace latchslip
--- a/Libraries/LibKeys/OwnershipPlacer.h
+++ b/Libraries/LibKeys/OwnershipPlacer.h
@@ -2,17 +2,18 @@
 
 #include "LibBase/Event.h"
 #include "LibBase/Time.h"
+#include "LibKeys/HoldBounds.h"
 #include "LibKeys/KeyBalancer.h"
 #include "LibKeys/KeyLoad.h"
 #include "LibKeys/KeyOrder.h"
 #include "LibKeys/KeyOwnership.h"
 #include "LibKeys/KeyServer.h"
+#include "LibKeys/OrderBook.h"
 #include "LibKeys/PlacerActions.h"
 
 #include <deque>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -99,9 +100,6 @@
   void ForgetFormerHold(const std::string& aServer);
   // Sends the next order of a range when it is due.
   void Advance(Instant aNow, const KeyRange& aRange, RangeState& aState);
-  // Whether one more order may go to that server now.
-  bool HasRoomFor(const std::string& aServer) const;
-  bool HasGrantUnderWay(const std::string& aServer) const;
   // Why the former owner of a range certainly does not hold it; null if it may.
   const char* ReasonToClear(Instant aNow, const KeyRange& aRange, const RangeState& aState) const;
   void ClearFormerOwner(Instant aNow, const KeyRange& aRange, RangeState& aState);
@@ -110,8 +108,6 @@
   static void OnReleaseEnded(Instant aNow, RangeState& aState, const OrderOutcome& aOutcome);
   void OnGrantEnded(Instant aNow, RangeState& aState, OrderEnd aEnd) const;
   void RecordOrderEnd(const KeyOrder& aOrder, OrderEnd aEnd);
-  // Until when a server may hold keys by any order.
-  Instant HoldsUntil(const std::string& aServer) const;
   // Notes until when a grant that ended so may hold.
   void ExtendHold(Instant aNow, const std::string& aServer, OrderEnd aEnd);
   // A range that waits for that order, or nothing.
@@ -130,19 +126,8 @@
   std::vector<RangeState> states_;
   // What is being written.
   std::optional<KeyOwnership> writing_;
-  // The orders under way.
-  std::map<OrderNumber, KeyOrder> orders_;
-  // How many of them go to each server.
-  std::map<std::string, std::size_t> ordersOf_;
-  // Servers that did not answer the order that ended last.
-  std::set<std::string> silent_;
-  // Until when each server that was granted keys may hold them.
-  std::map<std::string, Instant> holdsUntil_;
-  // The same by orders of former placers, until the server has acknowledged a
-  // higher fence on all it owns.
-  std::map<std::string, Instant> formerHoldsUntil_;
-  // The same by orders that were not answered.
-  std::map<std::string, Instant> doubts_;
+  OrderBook orders_;
+  HoldBounds holds_;
   Instant startedAt_{ 0 };
   // Since when the count of servers is what it is.
   Instant serversSince_{ 0 };
@@ -151,7 +136,6 @@
   std::deque<std::pair<Instant, FenceNumber>> fenceTimes_;
   FenceNumber restedFence_ = 0;
   Instant nextTime_ = Instant::min();
-  OrderNumber lastOrder_ = 0;
   // Whether the ranges still stand under fences of a former placer.
   bool hasFormerFences_ = false;
 };
--- /dev/null
+++ b/Tests/LibKeys/TestOrderBook.cpp
@@ -0,0 +1,93 @@
+#include "LibKeys/OrderBook.h"
+
+#include <gtest/gtest.h>
+
+namespace latchslip {
+
+namespace {
+
+KeyOrder
+OrderTo(const std::string& aServer, bool aIsRelease = false)
+{
+  KeyOrder order;
+  order.server_ = aServer;
+  order.isRelease_ = aIsRelease;
+  return order;
+}
+
+// Adds grants until there is room for no more; how many.
+std::size_t
+Fill(OrderBook& aBook, const std::string& aServer)
+{
+  std::size_t count = 0;
+  for (; aBook.HasRoomFor(aServer); ++count) {
+    aBook.Add(OrderTo(aServer));
+  }
+  return count;
+}
+
+TEST(OrderBook, OrdersAreNumberedAndTakenOutOnce)
+{
+  OrderBook book;
+  const auto first = book.Add(OrderTo("s1"));
+  const auto second = book.Add(OrderTo("s2"));
+  EXPECT_NE(first.number_, second.number_);
+  EXPECT_EQ(book.Take(second.number_, OrderEnd::Done)->server_, "s2");
+  EXPECT_FALSE(book.Take(second.number_, OrderEnd::Done));
+  EXPECT_TRUE(book.HasOrderTo("s1"));
+  EXPECT_FALSE(book.HasOrderTo("s2"));
+}
+
+TEST(OrderBook, ReleaseUnderWay_IsNoGrant)
+{
+  OrderBook book;
+  book.Add(OrderTo("s1", true));
+  EXPECT_TRUE(book.HasOrderTo("s1"));
+  EXPECT_FALSE(book.HasGrantTo("s1"));
+  book.Add(OrderTo("s1"));
+  EXPECT_TRUE(book.HasGrantTo("s1"));
+}
+
+TEST(OrderBook, ServerHasAsManyAsItMay_OthersHaveRoom)
+{
+  OrderBook book;
+  EXPECT_EQ(Fill(book, "s1"), 64U);
+  EXPECT_TRUE(book.HasRoomFor("s2"));
+}
+
+TEST(OrderBook, AsManyAsThereMayBeInAll_NobodyHasRoom)
+{
+  OrderBook book;
+  std::size_t count = 0;
+  for (int server = 0; server < 10; ++server) {
+    count += Fill(book, "s" + std::to_string(server));
+  }
+  EXPECT_EQ(count, 384U);
+  EXPECT_FALSE(book.HasRoomFor("another"));
+}
+
+TEST(OrderBook, ServerDidNotAnswer_GetsTwoUntilItDoes)
+{
+  OrderBook book;
+  const auto unanswered = book.Add(OrderTo("s1"));
+  book.Take(unanswered.number_, OrderEnd::Unanswered);
+  EXPECT_EQ(Fill(book, "s1"), 2U);
+  const auto other = book.Add(OrderTo("s1"));
+  book.Take(other.number_, OrderEnd::Refused);
+  EXPECT_TRUE(book.HasRoomFor("s1"));
+}
+
+TEST(OrderBook, Cleared_NumbersGoOn)
+{
+  OrderBook book;
+  const auto old = book.Add(OrderTo("s1"));
+  book.Clear();
+  EXPECT_FALSE(book.HasOrderTo("s1"));
+  const auto next = book.Add(OrderTo("s1"));
+  EXPECT_NE(next.number_, old.number_);
+  EXPECT_FALSE(book.Take(old.number_, OrderEnd::Done));
+}
+
+} // namespace
+
+} // namespace latchslip
