LibFleet: Give the reports a file; name the weakness of an instance once

PlacerDuty.cpp held what a placer does and what every instance does to report to it; the latter is in ReportDuty.cpp now. How weak an instance is was computed in two places. The comment on RelayWatch's answer stood at the wrong member, and the counts of calls had their sizes as bare numbers.

--- a/Libraries/LibFleet/FleetMember.cpp
+++ b/Libraries/LibFleet/FleetMember.cpp
@@ -31,7 +31,7 @@
   // enough for anything.
   , election_(settings_.self_,
               std::uniform_real_distribution<double>(0, 1)(random_),
-              1 - std::min(1.0, settings_.processorShare_ / kStrongShare))
+              WeaknessBeside(settings_.processorShare_, kStrongShare))
 {
 }
 
--- a/Libraries/LibFleet/FleetMember.h
+++ b/Libraries/LibFleet/FleetMember.h
@@ -123,7 +123,7 @@
   void NoteStaleness(Instant aNow);
   void FetchFromPeers(Instant aNow);
 
-  // The placer's part.
+  // The placer's part, in PlacerDuty.cpp.
   void Claim();
   void StartPlacers(Instant aNow);
   void StopPlacers();
@@ -139,19 +139,23 @@
   std::optional<Duration> TypicalLatencyOf(const std::string& aService) const;
   // How fast a server is compared with the typical one.
   double SpeedOf(const std::string& aServer, Duration aTypical) const;
-  void LearnLatencies(const std::map<std::string, Duration>& aLatencies);
-  ReportAnswer MakeReportAnswer() const;
-  // What the placer learns from a report.
-  void TakeIn(Instant aNow, const InstanceReport& aReport);
-  // What this instance has seen since it last reported.
-  InstanceReport TakeReport();
-  void Report(Instant aNow);
   // Tells the others at once what this placer has learnt or written.
   void Spread(const FleetNews& aNews);
   void SpreadDoubt(const std::string& aServer, Duration aHolds);
   // Whether this placer may still give orders, as far as it can know.
   bool MayOrder(Instant aNow) const;
 
+  // The part of the reports, in ReportDuty.cpp.
+  // What this instance has seen since it last reported.
+  InstanceReport TakeReport();
+  void Report(Instant aNow);
+  // What the placer's answer tells of the other instances.
+  void LearnInstances(const ReportAnswer& aAnswer);
+  ReportAnswer MakeReportAnswer() const;
+  // What the placer learns from a report.
+  void TakeIn(Instant aNow, const InstanceReport& aReport);
+  void LearnLatencies(const std::map<std::string, Duration>& aLatencies);
+
   FleetMemberSettings settings_;
   FleetActions& actions_;
   EventSink& events_;
--- a/Libraries/LibFleet/FleetStore.h
+++ b/Libraries/LibFleet/FleetStore.h
@@ -64,7 +64,8 @@
 inline constexpr NameTable<StoreCallEnd, 3> kStoreCallEndNames{ { "answered", "refused", "lost" } };
 
 // How many calls of each kind ended how.
-using StoreCallCounts = std::array<std::array<std::uint64_t, 3>, 3>;
+using StoreCallCounts = std::array<std::array<std::uint64_t, kStoreCallEndNames.names_.size()>,
+                                   kStoreCallKindNames.names_.size()>;
 
 // The platform's store, as an instance uses it.
 class FleetStore
--- a/Libraries/LibFleet/PlacerElection.cpp
+++ b/Libraries/LibFleet/PlacerElection.cpp
@@ -40,6 +40,12 @@
   return row;
 }
 
+double
+WeaknessBeside(double aShare, double aStrongestShare)
+{
+  return 1 - std::min(1.0, aShare / aStrongestShare);
+}
+
 PlacerElection::PlacerElection(PlacerRow aSelf, double aChance, double aWeakness)
   : self_(std::move(aSelf))
   , chance_(aChance)
--- a/Libraries/LibFleet/PlacerElection.h
+++ b/Libraries/LibFleet/PlacerElection.h
@@ -28,6 +28,11 @@
 FieldResult<PlacerRow>
 ParsePlacerRow(std::string_view aText);
 
+// How weak an instance is beside the strongest, by their parts of a processor: 0 for
+// one that has as much, up to 1 for one that has hardly any.
+double
+WeaknessBeside(double aShare, double aStrongestShare);
+
 // Decides when this instance should make itself the placer. The placer is
 // whoever the row names; every write of a placer is conditional on that row, so
 // that two that believe it cannot both write. It does no I/O.
@@ -39,6 +44,7 @@
   // any, up to 1 for one that has hardly any: the strong claim first.
   PlacerElection(PlacerRow aSelf, double aChance, double aWeakness);
 
+  // The same, once more is known of the others.
   void SetWeakness(double aWeakness);
 
   // The row as it stands; nothing when there is none.
--- a/Libraries/LibFleet/RelayWatch.h
+++ b/Libraries/LibFleet/RelayWatch.h
@@ -50,8 +50,9 @@
   // Whether any table of aKnown is older than its last change.
   static bool IsBehind(const TableVersions& aKnown, const TableVersions& aLastChanges);
 
-  // The last report was answered by a placer that reaches the store.
+  // For the log; None while isAnswered_.
   RelayEnd end_ = RelayEnd::NoAnswer;
+  // The last report was answered by a placer that reaches the store.
   bool isAnswered_ = false;
   // The news had not all arrived at the last answer, though they had before.
   bool isCatchingUp_ = false;
--- /dev/null
+++ b/Libraries/LibFleet/ReportDuty.cpp
@@ -0,0 +1,164 @@
+// The part of FleetMember that reports to the placer, and takes reports as one.
+
+#include "LibFleet/FleetMember.h"
+#include "LibFleet/ServicePlacer.h"
+
+#include <algorithm>
+
+namespace latchslip {
+
+namespace {
+
+// Between two reports to the placer: two fit into the time after which a silent
+// placer is replaced, and load is evened out from means over seconds.
+constexpr Duration kReportInterval = milliseconds(800);
+// A placer that takes longer to answer is slowed itself: it hears of changes in
+// many steps, and each takes as long. Well above the way there and back within a
+// region with a busy processor.
+constexpr Duration kSlowAnswer = milliseconds(150);
+// The store was heard lately: it answers a placer more often than this. Less than
+// the time after which silent instances are forgotten, so that whoever is cut off
+// from all at once still knows how many they were.
+constexpr Duration kStoreLately = milliseconds(1500);
+// An instance that has not reported for this long is not counted any more.
+constexpr Duration kInstanceSilence = seconds(4);
+// Weight of a report in a server's mean latency over all instances.
+constexpr double kLatencyWeight = 0.2;
+
+} // namespace
+
+InstanceReport
+FleetMember::TakeReport()
+{
+  InstanceReport report;
+  report.instance_ = settings_.self_.instance_;
+  report.address_ = settings_.self_.address_;
+  report.processorShare_ = settings_.processorShare_;
+  for (const auto& service : view_.KeyedServices()) {
+    report.keyCounts_[service] = counters_[service].Take();
+    for (const auto* server : view_.Directory().OfService(service)) {
+      if (const auto latency = actions_.LatencyOf(server->id_); latency > Duration(0)) {
+        report.latencies_[server->id_] = latency;
+      }
+    }
+  }
+  return report;
+}
+
+void
+FleetMember::Report(Instant aNow)
+{
+  nextReport_ = aNow + kReportInterval;
+  if (!election_.Current()) {
+    return;
+  }
+  const auto report = TakeReport();
+  if (election_.IsPlacer()) {
+    OnReport(aNow, report);
+    actions_.OnInstances(instances_.size());
+    return;
+  }
+  actions_.SendReport(election_.Current()->address_, report);
+}
+
+ReportAnswer
+FleetMember::OnReport(Instant aNow, const InstanceReport& aReport)
+{
+  heardInstances_[aReport.address_] = { aNow, aReport.processorShare_ };
+  std::erase_if(heardInstances_, [&](const auto& aEntry) {
+    return aNow - aEntry.second.heardAt_ > kInstanceSilence;
+  });
+  auto answer = MakeReportAnswer();
+  if (aNow - storeHeardAt_ < kStoreLately) {
+    othersWithStore_ = heardInstances_.size() - heardInstances_.count(settings_.self_.address_);
+  }
+  if (election_.IsPlacer()) {
+    instances_ = answer.instances_;
+    TakeIn(aNow, aReport);
+  }
+  return answer;
+}
+
+ReportAnswer
+FleetMember::MakeReportAnswer() const
+{
+  ReportAnswer answer;
+  answer.isWorking_ = election_.IsPlacer() && !isStoreLost_;
+  for (const auto& [address, heard] : heardInstances_) {
+    answer.instances_.push_back(address);
+    answer.strongestShare_ = std::max(answer.strongestShare_, heard.processorShare_);
+  }
+  answer.lastChanges_ = view_.LastChanges();
+  return answer;
+}
+
+void
+FleetMember::TakeIn(Instant aNow, const InstanceReport& aReport)
+{
+  if (aReport.instance_ == formerPlacer_) {
+    // Whoever reports here knows that it is the placer no more.
+    for (const auto& [service, placer] : placers_) {
+      placer->placer_.OnFormerPlacerStopped(aNow);
+    }
+    formerPlacer_.clear();
+  }
+  for (const auto& [service, counts] : aReport.keyCounts_) {
+    if (const auto placer = placers_.find(service); placer != placers_.end()) {
+      placer->second->placer_.OnLoad(aNow, counts);
+    }
+  }
+  LearnLatencies(aReport.latencies_);
+}
+
+void
+FleetMember::LearnLatencies(const std::map<std::string, Duration>& aLatencies)
+{
+  for (const auto& [server, latency] : aLatencies) {
+    const auto [entry, isNew] = latencies_.try_emplace(server, latency);
+    if (!isNew) {
+      entry->second += Scale(latency - entry->second, kLatencyWeight);
+    }
+  }
+  std::erase_if(latencies_, [&](const auto& aEntry) {
+    return view_.Directory().Find(aEntry.first) == nullptr;
+  });
+}
+
+void
+FleetMember::OnReportAnswered(Instant aNow,
+                              const std::optional<ReportAnswer>& aAnswer,
+                              Duration aRoundTrip)
+{
+  if (aAnswer) {
+    placerHeardAt_ = aNow;
+  }
+  // A placer without the store is as good as any other while the store is away
+  // from here as well; to replace it at the store's return would help nobody.
+  if (aAnswer && (aAnswer->isWorking_ || isStoreLost_)) {
+    election_.OnPlacerHeard(aNow);
+  }
+  if (!aAnswer || !aAnswer->isWorking_) {
+    relay_.OnFailure(RelayEnd::NoAnswer);
+    return;
+  }
+  if (aRoundTrip > kSlowAnswer) {
+    relay_.OnFailure(RelayEnd::SlowAnswer);
+  } else {
+    relay_.OnAnswer(aNow, aAnswer->lastChanges_, view_.Versions());
+  }
+  LearnInstances(*aAnswer);
+}
+
+void
+FleetMember::LearnInstances(const ReportAnswer& aAnswer)
+{
+  if (!aAnswer.instances_.empty()) {
+    instances_ = aAnswer.instances_;
+    actions_.OnInstances(instances_.size());
+  }
+  if (aAnswer.strongestShare_ > 0) {
+    election_.SetWeakness(WeaknessBeside(settings_.processorShare_, aAnswer.strongestShare_));
+  }
+}
+
+} // namespace latchslip
