LibGateway: Name a route in one place; split SetRoutes

A route's name was put together in four places, and "-" for no route stood in three. SetRoutes did three things; they have names now. LatencyHistogram gets a file of its own, as each class has.

--- a/Libraries/LibGateway/RequestDesk.cpp
+++ b/Libraries/LibGateway/RequestDesk.cpp
@@ -66,11 +66,11 @@
   return SendResult::Broken;
 }
 
-// How a route is named to people.
+// How a request's route is named to people, if it has one.
 std::string
 NameOf(const Route* aRoute)
 {
-  return aRoute == nullptr ? "-" : aRoute->host_ + aRoute->pathPrefix_;
+  return aRoute == nullptr ? kNoRoute : aRoute->Name();
 }
 
 bool
--- a/Libraries/LibGateway/RequestDesk.h
+++ b/Libraries/LibGateway/RequestDesk.h
@@ -80,6 +80,10 @@
   static RefusalReason ObstacleOf(Choice aChoice);
   // Finds what a request is to be sent to, and sends it or lets it wait.
   void Admit(Instant aNow, PendingRequest& aPending);
+  // Admits what came before any configuration.
+  void AdmitUnrouted(Instant aNow);
+  // Drops the counts of routes that are there no more.
+  void KeepTallyOfRoutes();
   ServiceState& StateOf(const std::string& aService);
   // What is known of a server's load, with the limits that hold now.
   ServerLoad& LoadOf(const ServerRecord& aRecord, const RoutedService& aService);
--- a/Libraries/LibGateway/RequestTally.h
+++ b/Libraries/LibGateway/RequestTally.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibBase/Time.h"
+#include "LibGateway/LatencyHistogram.h"
 #include "LibGateway/Messages.h"
 
 #include <array>
@@ -11,27 +12,6 @@
 
 namespace latchslip {
 
-// How often something took how long.
-class LatencyHistogram
-{
-public:
-  // Upper bounds of the buckets in milliseconds: from a quick refusal to the longest
-  // time limits of our users.
-  static constexpr std::array<double, 10> kBounds{
-    5, 20, 50, 100, 200, 400, 800, 1600, 4000, 15000
-  };
-
-  void Add(Duration aLatency);
-  // One more than there are bounds, for what is beyond the last.
-  const std::array<std::uint64_t, kBounds.size() + 1>& Buckets() const { return buckets_; }
-  // In milliseconds.
-  double Sum() const { return sum_; }
-
-private:
-  std::array<std::uint64_t, kBounds.size() + 1> buckets_{};
-  double sum_ = 0;
-};
-
 // What came of the requests of one route.
 struct RouteTally
 {
@@ -46,12 +26,15 @@
 // What came of the sends to one server, by their end.
 using ServerTally = std::array<std::uint64_t, kAttemptEndNames.names_.size()>;
 
+// Stands for the route of requests that match none.
+inline constexpr auto kNoRoute = "-";
+
 // Counts what one instance did, by route and by server, for its metrics. Routes and
 // servers that are there no more are dropped, so that it stays as small as they are.
 class RequestTally
 {
 public:
-  // aRoute is a route's host and path prefix; "-" where none matched.
+  // aRoute is the name of a route, or kNoRoute.
   void OnAnswer(const std::string& aRoute, unsigned aStatus, Duration aLatency);
   void OnRefusal(const std::string& aRoute, RefusalReason aReason, Duration aLatency);
   void OnAttempt(const std::string& aServer, AttemptEnd aEnd);
--- a/Libraries/LibGateway/RoutingTable.cpp
+++ b/Libraries/LibGateway/RoutingTable.cpp
@@ -30,7 +30,7 @@
   }
   for (std::size_t index = 0; index < configuration.routes_.size(); ++index) {
     const auto& route = configuration.routes_[index];
-    const auto name = "route " + route.host_ + route.pathPrefix_;
+    const auto name = "route " + route.Name();
     if (route.targets_.empty()) {
       return FieldError{ name, "has no service" };
     }
--- a/Libraries/LibGateway/RoutingTable.h
+++ b/Libraries/LibGateway/RoutingTable.h
@@ -37,6 +37,9 @@
   // How many servers one request may be sent to.
   unsigned mostAttempts_ = 1;
   std::vector<RouteTarget> targets_;
+
+  // What it is called in logs and metrics.
+  std::string Name() const { return host_ + pathPrefix_; }
 };
 
 struct RoutedService
--- a/Libraries/LibGateway/ServerChoice.cpp
+++ b/Libraries/LibGateway/ServerChoice.cpp
@@ -150,12 +150,24 @@
   std::erase_if(services_, [&](const auto& aEntry) {
     return routes_->FindService(aEntry.first) == nullptr && aEntry.second.queue_.empty();
   });
-  std::set<std::string> names{ "-" };
+  KeepTallyOfRoutes();
+  OnDirectoryChanged(aNow);
+  AdmitUnrouted(aNow);
+}
+
+void
+RequestDesk::KeepTallyOfRoutes()
+{
+  std::set<std::string> names{ kNoRoute };
   for (const auto& route : routes_->Configuration().routes_) {
-    names.insert(route.host_ + route.pathPrefix_);
+    names.insert(route.Name());
   }
   tally_.KeepRoutes([&](const std::string& aRoute) { return names.contains(aRoute); });
-  OnDirectoryChanged(aNow);
+}
+
+void
+RequestDesk::AdmitUnrouted(Instant aNow)
+{
   std::vector<RequestNumber> unrouted;
   for (const auto& [number, pending] : pending_) {
     if (!pending.routes_) {
@@ -211,7 +223,7 @@
     return targets.front().service_;
   }
   // Smooth weighted round robin keeps the shares exact over short spans too.
-  auto& credits = credits_[aRoute.host_ + aRoute.pathPrefix_];
+  auto& credits = credits_[aRoute.Name()];
   credits.resize(targets.size(), 0);
   double total = 0;
   for (std::size_t index = 0; index < targets.size(); ++index) {
