--- a/Tests/Platform/EntryProcess.cpp
+++ b/Tests/Platform/EntryProcess.cpp
@@ -27,31 +27,46 @@
           ".json");
 }
 
-} // namespace
-
-EntryProcess::EntryProcess(const std::string& aProgram,
-                           const std::string& aName,
-                           const std::string& aSettings,
-                           const std::string& aLog)
-  : settingsFile_(NextSettingsFile(aName))
+// This process's own environment and one variable more, as a system call takes it.
+std::vector<char*>
+EnvironmentWith(std::string& aVariable)
 {
-  std::ofstream(settingsFile_) << aSettings;
-  const auto variable = "LATCHSLIP_CONFIG=" + settingsFile_.string();
   std::vector<char*> environment;
   for (char** entry = environ; *entry != nullptr; ++entry) {
     environment.push_back(*entry);
   }
-  environment.push_back(const_cast<char*>(variable.c_str()));
+  environment.push_back(aVariable.data());
   environment.push_back(nullptr);
-  std::string program = aProgram;
-  std::vector<char*> arguments{ program.data(), nullptr };
+  return environment;
+}
+
+// Starts a program whose log goes to aLog.
+pid_t
+Spawn(std::string aProgram, std::string aVariable, const std::string& aLog)
+{
+  std::vector<char*> arguments{ aProgram.data(), nullptr };
+  const auto environment = EnvironmentWith(aVariable);
   posix_spawn_file_actions_t actions{};
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, "/dev/null", O_WRONLY, 0);
   posix_spawn_file_actions_addopen(
     &actions, STDOUT_FILENO, aLog.c_str(), O_WRONLY | O_CREAT | O_APPEND, kLogMode);
-  posix_spawn(&id_, program.c_str(), &actions, nullptr, arguments.data(), environment.data());
+  pid_t id = 0;
+  posix_spawn(&id, aProgram.c_str(), &actions, nullptr, arguments.data(), environment.data());
   posix_spawn_file_actions_destroy(&actions);
+  return id;
+}
+
+} // namespace
+
+EntryProcess::EntryProcess(const std::string& aProgram,
+                           const std::string& aName,
+                           const std::string& aSettings,
+                           const std::string& aLog)
+  : settingsFile_(NextSettingsFile(aName))
+{
+  std::ofstream(settingsFile_) << aSettings;
+  id_ = Spawn(aProgram, "LATCHSLIP_CONFIG=" + settingsFile_.string(), aLog);
 }
 
 EntryProcess::~EntryProcess()
