Tests: Give each fault of the soak a function, and the calm checks a class

FaultPlan::Inject was one switch of a hundred lines, and main.cpp held the checks that follow the faults; those are CalmChecks now. The draws from the seed come in the same order. SoakWorld's start and its requests are split, its services and ports have names, and it switches the bookings' service itself, which two callers did. Built, not run here.

--- /dev/null
+++ b/Tests/Platform/Soak/CalmChecks.cpp
@@ -0,0 +1,113 @@
+#include "CalmChecks.h"
+
+#include <algorithm>
+#include <csignal>
+
+namespace latchslip::platform {
+
+namespace {
+
+// Until everything is served again after all faults; a grant that was taken late by
+// a server that fell silent may hold for long.
+constexpr Duration kRecovery = seconds(20);
+// A change of the configuration, or of a server that leaves, holds everywhere then.
+constexpr Duration kInForce = milliseconds(2500);
+// For so long nothing may come that no longer should.
+constexpr Duration kWatched = seconds(1);
+// A planned stop is over then, the grace included.
+constexpr Duration kStopped = seconds(6);
+// Between two planned stops, of which there are so many.
+constexpr Duration kStopGap = seconds(1);
+constexpr std::size_t kStops = 2;
+
+} // namespace
+
+void
+CalmChecks::Run()
+{
+  CheckRecovery();
+  CheckConfiguration();
+  CheckDrain();
+  CheckStops();
+}
+
+void
+CalmChecks::CheckRecovery()
+{
+  if (!world_.RunUntil([this] { return world_.IsAllServed(); }, kRecovery)) {
+    world_.Kept().Break("RECOVER not everything is served after all faults");
+  }
+}
+
+void
+CalmChecks::CheckConfiguration()
+{
+  const auto former = world_.BookingService();
+  world_.SwitchBookingService();
+  world_.Run(kInForce);
+  const auto before = ArrivalsAt(former);
+  world_.Run(kWatched);
+  if (ArrivalsAt(former) != before) {
+    world_.Kept().Break("CONFIG the former service still gets requests");
+  }
+}
+
+void
+CalmChecks::CheckDrain()
+{
+  auto& server = *world_.Servers().front().backend_;
+  server.Leave();
+  world_.Run(kInForce);
+  const auto before = world_.Kept().ArrivalsOf(server.Id());
+  world_.Run(kWatched);
+  if (world_.Kept().ArrivalsOf(server.Id()) != before) {
+    world_.Kept().Break("DRAIN " + server.Id() + " still gets requests");
+  }
+  server.Relist();
+}
+
+void
+CalmChecks::CheckStops()
+{
+  const auto before = world_.Broken();
+  auto& instances = world_.Instances();
+  const auto stops = std::min(kStops, instances.size());
+  for (std::size_t index = 0; index < stops; ++index) {
+    instances[index].isExpected_ = false;
+    instances[index].process_->Signal(SIGTERM);
+    world_.Run(kStopGap);
+  }
+  for (std::size_t index = 0; index < stops; ++index) {
+    CheckStop(instances[index]);
+  }
+  if (world_.Broken() != before) {
+    world_.Kept().Break("LOST " + std::to_string(world_.Broken() - before) +
+                        " requests were cut by planned stops");
+  }
+}
+
+void
+CalmChecks::CheckStop(SoakWorld::Instance& aInstance)
+{
+  auto& process = *aInstance.process_;
+  if (!world_.RunUntil([&] { return process.HasEnded(); }, kStopped)) {
+    world_.Kept().Break("STOP " + aInstance.name_ + " still runs after its grace");
+    process.Signal(SIGKILL);
+  } else if (process.Wait() != 0) {
+    world_.Kept().Break("STOP " + aInstance.name_ + " ended with a failure");
+  }
+}
+
+std::size_t
+CalmChecks::ArrivalsAt(const std::string& aService)
+{
+  std::size_t arrivals = 0;
+  for (auto& server : world_.Servers()) {
+    if (server.backend_->Service() == aService) {
+      arrivals += world_.Kept().ArrivalsOf(server.backend_->Id());
+    }
+  }
+  return arrivals;
+}
+
+} // namespace latchslip::platform
--- a/Tests/Platform/Soak/FaultPlan.cpp
+++ b/Tests/Platform/Soak/FaultPlan.cpp
@@ -77,10 +77,10 @@
   std::snprintf(line,
                 sizeof line,
                 "%8.3f s  %s %s %.3f s\n",
-                static_cast<double>((MonotonicNow() - startedAt_).count()) * 1e-6,
+                ToSeconds(MonotonicNow() - startedAt_),
                 std::string(kSoakFaultNames.NameOf(aFault)).c_str(),
                 aWhat.c_str(),
-                static_cast<double>(aTime.count()) * 1e-6);
+                ToSeconds(aTime));
   story_ += line;
 }
 
@@ -90,88 +90,53 @@
   const auto time = Draw(kLeastTime, kMostTime);
   auto& instance = DrawInstance();
   auto& server = DrawServer();
-  auto& store = world_.Store();
   switch (aFault) {
     case SoakFault::KillInstance:
-      Note(aFault, instance.name_, time / 4);
-      Kill(instance, time / 4);
-      return;
+      return KillInstance(instance, time / 4);
     case SoakFault::StopInstance:
-      for (std::size_t count = 1 + DrawIndex(kMostSeries); count > 0; --count) {
-        auto& next = DrawInstance();
-        Note(aFault, next.name_, Duration(0));
-        Stop(next);
-        world_.Run(time / 8);
-      }
-      return;
+      return StopSeries(time / 8);
     case SoakFault::PauseInstance:
-      Note(aFault, instance.name_, time);
-      Pause(instance, time);
-      return;
+      return PauseInstance(instance, time);
     case SoakFault::SettingsSignal:
-      Note(aFault, instance.name_, Duration(0));
-      if (instance.isExpected_) {
-        instance.process_->Signal(SIGHUP);
-      }
-      return;
+      return SignalSettings(instance);
     case SoakFault::KillAll:
-      Note(aFault, "", time / 4);
-      for (auto& each : world_.Instances()) {
-        Kill(each, time / 4);
-      }
-      return;
+      return KillAll(time / 4);
     case SoakFault::StoreLink:
-      HarmLink(*instance.storeLink_, aFault, instance.name_);
-      return;
+      return HarmLink(*instance.storeLink_, aFault, instance.name_);
     case SoakFault::ServerLink:
-      HarmLink(*server.link_, aFault, server.backend_->Id());
-      return;
+      return HarmLink(*server.link_, aFault, server.backend_->Id());
     case SoakFault::StoreDown:
-      Note(aFault, "", time);
-      store.SetDown(true);
-      world_.After(time, [&store] { store.SetDown(false); });
-      return;
+      return TakeStoreDown(time);
     case SoakFault::StoreSlow:
-      Note(aFault, "", time);
-      store.SetDelay(Draw(Duration(0), kMostDelay));
-      world_.After(time, [&store] { store.SetDelay(Duration(0)); });
-      return;
+      return SlowStore(time);
     case SoakFault::StoreLosesAnswers:
-      Note(aFault, "", Duration(0));
-      store.LoseAnswers(static_cast<int>(1 + DrawIndex(kMostLost)));
-      return;
+      return LoseStoreAnswers();
     case SoakFault::StoreForgets:
-      Note(aFault, "", Duration(0));
-      store.ForgetHistory();
-      return;
+      return ForgetStoreHistory();
     case SoakFault::ServerCrash:
-      Note(aFault, server.backend_->Id(), time);
-      server.backend_->Crash();
-      server.link_->SetFault(LinkFault::Reset);
-      world_.After(kRecordStays, [&server, id = server.backend_->Id()] {
-        if (server.backend_->Id() == id && !server.backend_->IsUp()) {
-          server.backend_->Unlist();
-        }
-      });
-      world_.After(time, [this, &server] { BeginLife(server); });
-      return;
+      return CrashServer(server, time);
     case SoakFault::ServerLeaves:
-      Note(aFault, server.backend_->Id(), kServesOn);
-      LetServerLeave(server);
-      return;
+      return LetServerLeave(server);
     case SoakFault::ServerUnlisted:
-      Note(aFault, server.backend_->Id(), time);
-      server.backend_->Unlist();
-      world_.After(time, [&server, id = server.backend_->Id()] {
-        if (server.backend_->Id() == id && server.backend_->IsUp()) {
-          server.backend_->Relist();
-        }
-      });
-      return;
+      return UnlistServer(server, time);
     case SoakFault::ConfigurationChange:
-      Note(aFault, "", Duration(0));
-      world_.SetBookingService(world_.BookingService() == "bookings" ? "others" : "bookings");
-      return;
+      return ChangeConfiguration();
+  }
+}
+
+void
+FaultPlan::KillInstance(SoakWorld::Instance& aInstance, Duration aDown)
+{
+  Note(SoakFault::KillInstance, aInstance.name_, aDown);
+  Kill(aInstance, aDown);
+}
+
+void
+FaultPlan::KillAll(Duration aDown)
+{
+  Note(SoakFault::KillAll, "", aDown);
+  for (auto& instance : world_.Instances()) {
+    Kill(instance, aDown);
   }
 }
 
@@ -189,6 +154,17 @@
   });
 }
 
+void
+FaultPlan::StopSeries(Duration aGap)
+{
+  for (std::size_t count = 1 + DrawIndex(kMostSeries); count > 0; --count) {
+    auto& instance = DrawInstance();
+    Note(SoakFault::StopInstance, instance.name_, Duration(0));
+    Stop(instance);
+    world_.Run(aGap);
+  }
+}
+
 void
 FaultPlan::Stop(SoakWorld::Instance& aInstance)
 {
@@ -208,8 +184,9 @@
 }
 
 void
-FaultPlan::Pause(SoakWorld::Instance& aInstance, Duration aTime)
+FaultPlan::PauseInstance(SoakWorld::Instance& aInstance, Duration aTime)
 {
+  Note(SoakFault::PauseInstance, aInstance.name_, aTime);
   if (!aInstance.isExpected_ || aInstance.isPaused_) {
     return;
   }
@@ -224,6 +201,15 @@
   });
 }
 
+void
+FaultPlan::SignalSettings(const SoakWorld::Instance& aInstance)
+{
+  Note(SoakFault::SettingsSignal, aInstance.name_, Duration(0));
+  if (aInstance.isExpected_) {
+    aInstance.process_->Signal(SIGHUP);
+  }
+}
+
 void
 FaultPlan::HarmLink(LoopbackProxy& aLink, SoakFault aFault, const std::string& aWhat)
 {
@@ -242,6 +228,58 @@
   });
 }
 
+void
+FaultPlan::TakeStoreDown(Duration aTime)
+{
+  Note(SoakFault::StoreDown, "", aTime);
+  auto& store = world_.Store();
+  store.SetDown(true);
+  world_.After(aTime, [&store] { store.SetDown(false); });
+}
+
+void
+FaultPlan::SlowStore(Duration aTime)
+{
+  Note(SoakFault::StoreSlow, "", aTime);
+  auto& store = world_.Store();
+  store.SetDelay(Draw(Duration(0), kMostDelay));
+  world_.After(aTime, [&store] { store.SetDelay(Duration(0)); });
+}
+
+void
+FaultPlan::LoseStoreAnswers()
+{
+  Note(SoakFault::StoreLosesAnswers, "", Duration(0));
+  world_.Store().LoseAnswers(static_cast<int>(1 + DrawIndex(kMostLost)));
+}
+
+void
+FaultPlan::ForgetStoreHistory()
+{
+  Note(SoakFault::StoreForgets, "", Duration(0));
+  world_.Store().ForgetHistory();
+}
+
+void
+FaultPlan::CrashServer(SoakWorld::Server& aServer, Duration aDown)
+{
+  Note(SoakFault::ServerCrash, aServer.backend_->Id(), aDown);
+  Crash(aServer);
+  world_.After(kRecordStays, [&aServer, id = aServer.backend_->Id()] {
+    if (aServer.backend_->Id() == id && !aServer.backend_->IsUp()) {
+      aServer.backend_->Unlist();
+    }
+  });
+  world_.After(aDown, [this, &aServer] { BeginLife(aServer); });
+}
+
+void
+FaultPlan::Crash(SoakWorld::Server& aServer)
+{
+  aServer.backend_->Crash();
+  aServer.link_->SetFault(LinkFault::Reset);
+}
+
 void
 FaultPlan::BeginLife(SoakWorld::Server& aServer)
 {
@@ -257,47 +295,84 @@
 void
 FaultPlan::LetServerLeave(SoakWorld::Server& aServer)
 {
+  Note(SoakFault::ServerLeaves, aServer.backend_->Id(), kServesOn);
   if (!aServer.backend_->IsUp()) {
     return;
   }
   aServer.backend_->Leave();
   world_.After(kServesOn, [this, &aServer, id = aServer.backend_->Id()] {
     if (aServer.backend_->Id() == id && aServer.backend_->IsUp()) {
-      aServer.backend_->Crash();
-      aServer.link_->SetFault(LinkFault::Reset);
+      Crash(aServer);
       aServer.backend_->Unlist();
       world_.After(kServesOn, [this, &aServer] { BeginLife(aServer); });
     }
   });
 }
 
+void
+FaultPlan::UnlistServer(SoakWorld::Server& aServer, Duration aTime)
+{
+  Note(SoakFault::ServerUnlisted, aServer.backend_->Id(), aTime);
+  aServer.backend_->Unlist();
+  world_.After(aTime, [&aServer, id = aServer.backend_->Id()] {
+    if (aServer.backend_->Id() == id && aServer.backend_->IsUp()) {
+      aServer.backend_->Relist();
+    }
+  });
+}
+
+void
+FaultPlan::ChangeConfiguration()
+{
+  Note(SoakFault::ConfigurationChange, "", Duration(0));
+  world_.SwitchBookingService();
+}
+
 void
 FaultPlan::HealAll()
+{
+  HealStore();
+  for (auto& instance : world_.Instances()) {
+    Heal(instance);
+  }
+  for (auto& server : world_.Servers()) {
+    Heal(server);
+  }
+  world_.NoteHealed();
+}
+
+void
+FaultPlan::HealStore()
 {
   auto& store = world_.Store();
   store.SetDown(false);
   store.SetDelay(Duration(0));
   store.LoseAnswers(0);
-  for (auto& instance : world_.Instances()) {
-    instance.storeLink_->SetFault(LinkFault::None);
-    if (instance.isPaused_) {
-      instance.isPaused_ = false;
-      instance.process_->Signal(SIGCONT);
-    }
-    if (!instance.isExpected_) {
-      world_.KillInstance(instance);
-      world_.StartInstance(instance);
-    }
+}
+
+void
+FaultPlan::Heal(SoakWorld::Instance& aInstance)
+{
+  aInstance.storeLink_->SetFault(LinkFault::None);
+  if (aInstance.isPaused_) {
+    aInstance.isPaused_ = false;
+    aInstance.process_->Signal(SIGCONT);
   }
-  for (auto& server : world_.Servers()) {
-    server.link_->SetFault(LinkFault::None);
-    if (server.backend_->IsUp()) {
-      server.backend_->Relist();
-    } else {
-      BeginLife(server);
-    }
+  if (!aInstance.isExpected_) {
+    world_.KillInstance(aInstance);
+    world_.StartInstance(aInstance);
+  }
+}
+
+void
+FaultPlan::Heal(SoakWorld::Server& aServer)
+{
+  aServer.link_->SetFault(LinkFault::None);
+  if (aServer.backend_->IsUp()) {
+    aServer.backend_->Relist();
+  } else {
+    BeginLife(aServer);
   }
-  world_.NoteHealed();
 }
 
 } // namespace latchslip::platform
--- a/Tests/Platform/Soak/FaultPlan.h
+++ b/Tests/Platform/Soak/FaultPlan.h
@@ -61,6 +61,7 @@
 
 private:
   void Inject(SoakFault aFault);
+  // Writes a line of the story.
   void Note(SoakFault aFault, const std::string& aWhat, Duration aTime);
   // A time between the two, drawn.
   Duration Draw(Duration aLeast, Duration aMost);
@@ -68,12 +69,34 @@
   SoakWorld::Instance& DrawInstance();
   SoakWorld::Server& DrawServer();
 
+  // One for each fault. Times are how long it lasts or, with aDown, until what was
+  // ended is started again.
+  void KillInstance(SoakWorld::Instance& aInstance, Duration aDown);
+  // Stops instances as an operator does, one after the other.
+  void StopSeries(Duration aGap);
+  void PauseInstance(SoakWorld::Instance& aInstance, Duration aTime);
+  void SignalSettings(const SoakWorld::Instance& aInstance);
+  void KillAll(Duration aDown);
+  // Of any kind that a link has.
+  void HarmLink(LoopbackProxy& aLink, SoakFault aFault, const std::string& aWhat);
+  void TakeStoreDown(Duration aTime);
+  void SlowStore(Duration aTime);
+  void LoseStoreAnswers();
+  void ForgetStoreHistory();
+  void CrashServer(SoakWorld::Server& aServer, Duration aDown);
+  void LetServerLeave(SoakWorld::Server& aServer);
+  void UnlistServer(SoakWorld::Server& aServer, Duration aTime);
+  void ChangeConfiguration();
+
   void Kill(SoakWorld::Instance& aInstance, Duration aDown);
   void Stop(SoakWorld::Instance& aInstance);
-  void Pause(SoakWorld::Instance& aInstance, Duration aTime);
-  void HarmLink(LoopbackProxy& aLink, SoakFault aFault, const std::string& aWhat);
+  // Ends the server at once; connections to it are reset from then on.
+  static void Crash(SoakWorld::Server& aServer);
+  // Starts the server again under the next name, unless it runs.
   void BeginLife(SoakWorld::Server& aServer);
-  void LetServerLeave(SoakWorld::Server& aServer);
+  void HealStore();
+  void Heal(SoakWorld::Instance& aInstance);
+  void Heal(SoakWorld::Server& aServer);
 
   SoakWorld& world_;
   std::minstd_rand random_;
--- a/Tests/Platform/Soak/SoakWorld.cpp
+++ b/Tests/Platform/Soak/SoakWorld.cpp
@@ -16,6 +16,17 @@
 constexpr int kInstancePorts = 10;
 constexpr int kPortsAnInstance = 5;
 constexpr int kServerPorts = 600;
+// One for the server itself and one for the link to it.
+constexpr int kPortsAServer = 2;
+// Offsets from an instance's own ports: where the other instances reach it, see
+// MakeSettings, and of its link to the store.
+constexpr int kControlPort = 2;
+constexpr int kStoreLinkPort = 3;
+// The services of the configuration, see MakeManifest.
+constexpr auto kRates = "rates";
+constexpr auto kBookings = "bookings";
+constexpr auto kOthers = "others";
+constexpr int kOtherServers = 2;
 // A process is looked at, and due requests are sent, this often.
 constexpr Duration kStep = milliseconds(5);
 // How long the client of a request waits, and how much longer the harness does.
@@ -57,25 +68,10 @@
 {
   const auto storeAddress = Loopback(settings_.firstPort_ + kStorePort);
   BOOST_OUTCOME_TRY(store_, StandInStore::Create(context_, storeAddress));
-  SetBookingService(bookingService_);
-  int port = settings_.firstPort_ + kServerPorts;
-  for (int number = 0; number < settings_.servers_; ++number, port += 2) {
-    BOOST_OUTCOME_TRY(AddServer("k" + std::to_string(number), "rates", port));
-  }
-  for (int number = 0; number < settings_.servers_; ++number, port += 2) {
-    BOOST_OUTCOME_TRY(AddServer("b" + std::to_string(number), "bookings", port));
-  }
-  for (int number = 0; number < 2; ++number, port += 2) {
-    BOOST_OUTCOME_TRY(AddServer("o" + std::to_string(number), "others", port));
-  }
+  PutConfiguration();
+  BOOST_OUTCOME_TRY(AddServers());
   for (int number = 0; number < settings_.instances_; ++number) {
-    Instance instance;
-    instance.name_ = "edge-" + std::to_string(settings_.firstPort_) + "-" + std::to_string(number);
-    instance.port_ = settings_.firstPort_ + kInstancePorts + kPortsAnInstance * number;
-    BOOST_OUTCOME_TRY(instance.storeLink_,
-                      LoopbackProxy::Create(context_, Loopback(instance.port_ + 3), storeAddress));
-    StartInstance(instance);
-    instances_.push_back(std::move(instance));
+    BOOST_OUTCOME_TRY(AddInstance(number));
   }
   if (!RunUntil([this] { return IsAllServed(); }, kStartTime)) {
     return FieldError{ "soak", "the fleet does not serve within its time to start" };
@@ -84,6 +80,22 @@
   return outcome::success();
 }
 
+FieldResult<void>
+SoakWorld::AddServers()
+{
+  int port = settings_.firstPort_ + kServerPorts;
+  for (int number = 0; number < settings_.servers_; ++number, port += kPortsAServer) {
+    BOOST_OUTCOME_TRY(AddServer("k" + std::to_string(number), kRates, port));
+  }
+  for (int number = 0; number < settings_.servers_; ++number, port += kPortsAServer) {
+    BOOST_OUTCOME_TRY(AddServer("b" + std::to_string(number), kBookings, port));
+  }
+  for (int number = 0; number < kOtherServers; ++number, port += kPortsAServer) {
+    BOOST_OUTCOME_TRY(AddServer("o" + std::to_string(number), kOthers, port));
+  }
+  return outcome::success();
+}
+
 FieldResult<void>
 SoakWorld::AddServer(const std::string& aName, const std::string& aService, int aPort)
 {
@@ -92,7 +104,7 @@
   settings.service_ = aService;
   settings.address_ = Loopback(aPort);
   settings.listedAddress_ = Loopback(aPort + 1);
-  settings.isKeyed_ = aService == "rates";
+  settings.isKeyed_ = aService == kRates;
   settings.observer_ = &promises_;
   Server server;
   BOOST_OUTCOME_TRY(server.link_,
@@ -102,16 +114,32 @@
   return outcome::success();
 }
 
+FieldResult<void>
+SoakWorld::AddInstance(int aNumber)
+{
+  Instance instance;
+  instance.name_ = "edge-" + std::to_string(settings_.firstPort_) + "-" + std::to_string(aNumber);
+  instance.port_ = settings_.firstPort_ + kInstancePorts + kPortsAnInstance * aNumber;
+  BOOST_OUTCOME_TRY(instance.storeLink_,
+                    LoopbackProxy::Create(context_,
+                                          Loopback(instance.port_ + kStoreLinkPort),
+                                          Loopback(settings_.firstPort_ + kStorePort)));
+  StartInstance(instance);
+  instances_.push_back(std::move(instance));
+  return outcome::success();
+}
+
 void
 SoakWorld::StartInstance(Instance& aInstance)
 {
-  const auto seed = Loopback(settings_.firstPort_ + kInstancePorts + 2);
+  const auto seed = Loopback(settings_.firstPort_ + kInstancePorts + kControlPort);
   const auto log =
     settings_.logs_.empty() ? "/dev/null" : settings_.logs_ + "/" + aInstance.name_ + ".log";
   aInstance.process_ = std::make_unique<EntryProcess>(
     settings_.program_,
     aInstance.name_,
-    MakeSettings(aInstance.name_, aInstance.port_, seed, Loopback(aInstance.port_ + 3)),
+    MakeSettings(
+      aInstance.name_, aInstance.port_, seed, Loopback(aInstance.port_ + kStoreLinkPort)),
     log);
   aInstance.isExpected_ = true;
   aInstance.isPaused_ = false;
@@ -134,11 +162,17 @@
 }
 
 void
-SoakWorld::SetBookingService(const std::string& aService)
+SoakWorld::SwitchBookingService()
+{
+  bookingService_ = bookingService_ == kBookings ? kOthers : kBookings;
+  PutConfiguration();
+}
+
+void
+SoakWorld::PutConfiguration()
 {
-  bookingService_ = aService;
   configuration_ += 2;
-  store_->Put("op", "config", MakeManifest(configuration_, aService));
+  store_->Put("op", "config", MakeManifest(configuration_, bookingService_));
 }
 
 void
@@ -159,11 +193,7 @@
     for (auto& server : servers_) {
       server.backend_->SetOrdersHeldUp(now - healedAt_ < kHealed);
     }
-    while (isLoaded_ && nextRequest_ <= now) {
-      nextRequest_ = std::max(nextRequest_ + settings_.pace_, now - kStep);
-      std::uniform_int_distribution<std::size_t> draw(0, instances_.size() - 1);
-      Ask(instances_[draw(random_)], asked_ % 2 == 0);
-    }
+    SendDue(now);
     if (aIsDone()) {
       return true;
     }
@@ -171,6 +201,16 @@
   return false;
 }
 
+void
+SoakWorld::SendDue(Instant aNow)
+{
+  while (isLoaded_ && nextRequest_ <= aNow) {
+    nextRequest_ = std::max(nextRequest_ + settings_.pace_, aNow - kStep);
+    std::uniform_int_distribution<std::size_t> draw(0, instances_.size() - 1);
+    Ask(instances_[draw(random_)], asked_ % 2 == 0);
+  }
+}
+
 void
 SoakWorld::Quiesce()
 {
@@ -219,23 +259,32 @@
                 std::move(request),
                 kClientTime + kClientSlack,
                 [this, id, aDone](const HttpExchange& aExchange) {
-                  ++ended_;
-                  const auto& answer = aExchange.response_;
-                  const bool isWhole = aExchange.end_ == ExchangeEnd::Complete;
-                  broken_ += aExchange.end_ == ExchangeEnd::Broken ? 1 : 0;
-                  answered_ += isWhole && answer.status_ == kOk ? 1 : 0;
-                  if (isWhole && answer.status_ == kOk) {
-                    promises_.OnSuccess(
-                      id, *answer.body_, std::string(answer.Header("X-Response-Signature")));
-                  } else if (isWhole && answer.status_ == kUnavailable) {
-                    promises_.OnRefused(id);
-                  }
+                  const auto status = OnAnswered(id, aExchange);
                   if (aDone) {
-                    aDone(isWhole ? answer.status_ : 0);
+                    aDone(status);
                   }
                 });
 }
 
+unsigned
+SoakWorld::OnAnswered(const std::string& aRequest, const HttpExchange& aExchange)
+{
+  ++ended_;
+  broken_ += aExchange.end_ == ExchangeEnd::Broken ? 1 : 0;
+  if (aExchange.end_ != ExchangeEnd::Complete) {
+    return 0;
+  }
+  const auto& answer = aExchange.response_;
+  if (answer.status_ == kOk) {
+    ++answered_;
+    promises_.OnSuccess(
+      aRequest, *answer.body_, std::string(answer.Header("X-Response-Signature")));
+  } else if (answer.status_ == kUnavailable) {
+    promises_.OnRefused(aRequest);
+  }
+  return answer.status_;
+}
+
 bool
 SoakWorld::IsAllServed()
 {
--- a/Tests/Platform/Soak/SoakWorld.h
+++ b/Tests/Platform/Soak/SoakWorld.h
@@ -79,7 +79,8 @@
   void KillInstance(Instance& aInstance);
   // A link or a process works again: what was held up on it arrives now.
   void NoteHealed();
-  void SetBookingService(const std::string& aService);
+  // From now on the other of two services takes the bookings.
+  void SwitchBookingService();
   const std::string& BookingService() const { return bookingService_; }
 
   std::vector<Instance>& Instances() { return instances_; }
@@ -94,8 +95,18 @@
   std::size_t Answered() const { return answered_; }
 
 private:
+  FieldResult<void> AddServers();
   FieldResult<void> AddServer(const std::string& aName, const std::string& aService, int aPort);
+  FieldResult<void> AddInstance(int aNumber);
+  // Writes the configuration under its next version.
+  void PutConfiguration();
+  // Sends the requests of the load that are due.
+  void SendDue(Instant aNow);
+  // aDone is told the status of the answer; 0 when there is no whole one.
   void Ask(Instance& aInstance, bool aIsBooking, const std::function<void(unsigned)>& aDone = {});
+  // Counts what came of a request and returns the status, as above.
+  unsigned OnAnswered(const std::string& aRequest, const HttpExchange& aExchange);
+  // An instance that ends by itself breaks a promise.
   void LookAtProcesses();
 
   SoakSettings settings_;
