--- a/Libraries/LibNet/HttpConnection.cpp
+++ b/Libraries/LibNet/HttpConnection.cpp
@@ -193,8 +193,7 @@
   stream_.expires_never();
   // Bytes beyond the answer belong to no request of ours.
   if (message.keep_alive() && buffer_.size() == 0 && isReusable_) {
-    idleUntil_ =
-      MonotonicNow() + std::min(mostIdle_, IdleTimeOf(message[http::field::keep_alive]));
+    idleUntil_ = MonotonicNow() + std::min(mostIdle_, IdleTimeOf(message[http::field::keep_alive]));
     pool_->idle_.push_back(shared_from_this());
   } else {
     stream_.close();
--- a/Utilities/LatchslipLoad/LoadRun.cpp
+++ b/Utilities/LatchslipLoad/LoadRun.cpp
@@ -167,23 +167,21 @@
               TargetChoice aTarget,
               std::function<void()> aDone)
   {
-    client_->Send(settings_.targets_[aTarget.index_],
-                  aRequest,
-                  settings_.deadline_ + kTimeoutSlack,
-                  [this, aRequest, aRecord, aExpected, aTarget, done = std::move(aDone)](
-                    const HttpExchange& aExchange) mutable {
-                    if (aExchange.end_ == ExchangeEnd::NotSent && aTarget.left_ > 1) {
-                      const auto next = (aTarget.index_ + 1) % settings_.targets_.size();
-                      SendTo(std::move(aRequest),
-                             aRecord,
-                             aExpected,
-                             { next, aTarget.left_ - 1 },
-                             std::move(done));
-                      return;
-                    }
-                    Keep(aRecord, aExpected, aExchange);
-                    done();
-                  });
+    client_->Send(
+      settings_.targets_[aTarget.index_],
+      aRequest,
+      settings_.deadline_ + kTimeoutSlack,
+      [this, aRequest, aRecord, aExpected, aTarget, done = std::move(aDone)](
+        const HttpExchange& aExchange) mutable {
+        if (aExchange.end_ == ExchangeEnd::NotSent && aTarget.left_ > 1) {
+          const auto next = (aTarget.index_ + 1) % settings_.targets_.size();
+          SendTo(
+            std::move(aRequest), aRecord, aExpected, { next, aTarget.left_ - 1 }, std::move(done));
+          return;
+        }
+        Keep(aRecord, aExpected, aExchange);
+        done();
+      });
   }
 
   void Keep(CallerRecord aRecord, const std::string& aExpected, const HttpExchange& aExchange)
