LibKeys: Count a share's level in one place; share the many servers of two tests

ServerShares::Level had no caller while two functions computed the same; two tests of the balancer set up the same 160 servers. Their checks are as they were.

--- a/Libraries/LibKeys/ServerShares.cpp
+++ b/Libraries/LibKeys/ServerShares.cpp
@@ -48,13 +48,6 @@
   return std::max_element(shares_.begin(), shares_.end(), weaker)->first;
 }
 
-double
-ServerShares::Level(const std::string& aServer) const
-{
-  const auto& share = shares_.at(aServer);
-  return share.load_ / share.weight_;
-}
-
 double
 ServerShares::Difference(const std::string& aFrom, const std::string& aTo) const
 {
@@ -91,7 +84,7 @@
 ServerShares::Least() const
 {
   const auto lower = [](const auto& aLeft, const auto& aRight) {
-    return aLeft.second.load_ / aLeft.second.weight_ < aRight.second.load_ / aRight.second.weight_;
+    return aLeft.second.Level() < aRight.second.Level();
   };
   return std::min_element(shares_.begin(), shares_.end(), lower)->first;
 }
@@ -102,7 +95,7 @@
   const std::string* most = nullptr;
   double highest = 0;
   for (const auto& [server, share] : shares_) {
-    const double level = share.load_ / share.weight_;
+    const double level = share.Level();
     if (!leftOut_.contains(server) && (most == nullptr || level > highest)) {
       most = &server;
       highest = level;
--- a/Libraries/LibKeys/ServerShares.h
+++ b/Libraries/LibKeys/ServerShares.h
@@ -36,8 +36,6 @@
   {
     return MeanLevel() * shares_.at(aServer).weight_;
   }
-  // The load of a server for each unit of its weight.
-  double Level(const std::string& aServer) const;
   // The level of every server if the load were spread evenly.
   double MeanLevel() const { return totalLoad_ / totalWeight_; }
   // The load that a server can get before it is at that multiple of the mean level;
@@ -61,6 +59,9 @@
   {
     double load_ = 0;
     double weight_ = 1;
+
+    // The load for each unit of the weight.
+    double Level() const { return load_ / weight_; }
   };
 
   std::map<std::string, Share> shares_;
--- a/Tests/LibKeys/TestKeyBalancer.cpp
+++ b/Tests/LibKeys/TestKeyBalancer.cpp
@@ -214,58 +214,61 @@
   EXPECT_GT(loads.at("d"), 140);
 }
 
-TEST(KeysOfManyServers, NeighbouringKeysGetHot_OneRoundSpreadsThem)
+class KeysOfManyServers : public testing::Test
 {
-  constexpr std::size_t kServers = 160;
-  std::vector<std::string> ids;
-  for (std::size_t number = 0; number < kServers; ++number) {
-    ids.push_back("s" + std::to_string(1000 + number));
+protected:
+  static constexpr std::size_t kServers = 160;
+
+  static std::vector<KeyServer> MakeMany()
+  {
+    std::vector<std::string> ids;
+    for (std::size_t number = 0; number < kServers; ++number) {
+      ids.push_back("s" + std::to_string(1000 + number));
+    }
+    return MakeServers(ids);
   }
-  const auto servers = MakeServers(ids);
-  const auto dealt = KeyBalancer::DealAll("rates", 10, servers);
-  KeyLoad load;
+
+  std::vector<KeyServer> servers_ = MakeMany();
+  KeyOwnership dealt_ = KeyBalancer::DealAll("rates", 10, servers_);
+  KeyLoad load_;
+};
+
+TEST_F(KeysOfManyServers, NeighbouringKeysGetHot_OneRoundSpreadsThem)
+{
   std::vector<KeyCount> counts;
   for (KeyNumber key = 0; key < kLastKey; key += 32) {
     counts.push_back({ key, 10 });
   }
   // As much as a tenth of all the others together, at one server.
   for (KeyNumber key = 0; key < 200; ++key) {
-    counts.push_back({ dealt.ranges_[70].first_ + key, 10 });
+    counts.push_back({ dealt_.ranges_[70].first_ + key, 10 });
   }
-  load.Add(kNow, counts);
-  load.Refresh(kNow);
-  const auto next = KeyBalancer({}).EvenOut(dealt, servers, load, kAnyFence);
+  load_.Add(kNow, counts);
+  load_.Refresh(kNow);
+  const auto next = KeyBalancer({}).EvenOut(dealt_, servers_, load_, kAnyFence);
   ASSERT_TRUE(next);
   std::map<std::string, double> loads;
   for (const auto& range : next->ranges_) {
-    loads[range.owner_] += load.Of(range.first_, range.last_);
+    loads[range.owner_] += load_.Of(range.first_, range.last_);
   }
-  const double mean = load.Total() / kServers;
+  const double mean = load_.Total() / kServers;
   // The busiest had 16 times the mean.
   for (const auto& [server, share] : loads) {
     EXPECT_LT(share, 1.5 * mean) << server;
   }
 }
 
-TEST(KeysOfManyServers, LoadsDifferByChance_NothingMoves)
+TEST_F(KeysOfManyServers, LoadsDifferByChance_NothingMoves)
 {
-  constexpr std::size_t kServers = 160;
-  std::vector<std::string> ids;
-  for (std::size_t number = 0; number < kServers; ++number) {
-    ids.push_back("s" + std::to_string(1000 + number));
-  }
-  const auto servers = MakeServers(ids);
-  const auto dealt = KeyBalancer::DealAll("rates", 10, servers);
-  KeyLoad load;
   std::minstd_rand random(7);
   // Six requests a second to each server on average, over twenty seconds.
   for (int step = 0; step < 200; ++step) {
     for (std::size_t request = 0; request < 6 * kServers / 10; ++request) {
-      load.Add(kNow, { { std::uniform_int_distribution<KeyNumber>(0, kLastKey)(random), 1 } });
+      load_.Add(kNow, { { std::uniform_int_distribution<KeyNumber>(0, kLastKey)(random), 1 } });
     }
-    load.Refresh(kNow + step * Duration(milliseconds(100)));
+    load_.Refresh(kNow + step * Duration(milliseconds(100)));
   }
-  EXPECT_FALSE(KeyBalancer({}).EvenOut(dealt, servers, load, kAnyFence));
+  EXPECT_FALSE(KeyBalancer({}).EvenOut(dealt_, servers_, load_, kAnyFence));
 }
 
 TEST_F(KeysOfFourServers, ServerJoins_GetsItsPart)
