--- a/Tests/Platform/Soak/LoopbackProxy.h
+++ b/Tests/Platform/Soak/LoopbackProxy.h
@@ -48,15 +48,15 @@
   // aDelay holds for LinkFault::Delayed, each way.
   void SetFault(LinkFault aFault, Duration aDelay = Duration(0));
   LinkFault Fault() const { return fault_; }
+  Duration Delay() const { return delay_; }
+  // That link has ended.
+  void Forget(const ProxyLink* aLink);
 
 private:
-  friend class ProxyLink;
-
   LoopbackProxy(boost::asio::io_context& aContext,
                 boost::asio::ip::tcp::acceptor aAcceptor,
                 boost::asio::ip::tcp::endpoint aTarget);
   void Accept();
-  void Forget(const ProxyLink* aLink);
 
   boost::asio::io_context& context_;
   boost::asio::ip::tcp::acceptor acceptor_;
