--- a/Libraries/LibGateway/RequestTally.cpp
+++ b/Libraries/LibGateway/RequestTally.cpp
@@ -1,19 +1,7 @@
 #include "LibGateway/RequestTally.h"
 
-#include <algorithm>
-
 namespace latchslip {
 
-void
-LatencyHistogram::Add(Duration aLatency)
-{
-  constexpr double kMillisecond = 1000;
-  const auto latency = static_cast<double>(aLatency.count()) / kMillisecond;
-  const auto* bucket = std::lower_bound(kBounds.begin(), kBounds.end(), latency);
-  ++buckets_.at(static_cast<std::size_t>(bucket - kBounds.begin()));
-  sum_ += latency;
-}
-
 void
 RequestTally::OnAnswer(const std::string& aRoute, unsigned aStatus, Duration aLatency)
 {
