--- a/Tests/Platform/Soak/CalmChecks.cpp
+++ b/Tests/Platform/Soak/CalmChecks.cpp
@@ -69,7 +69,7 @@
 void
 CalmChecks::CheckStops()
 {
-  const auto before = world_.Broken();
+  const auto before = world_.Broken().size();
   auto& instances = world_.Instances();
   const auto stops = std::min(kStops, instances.size());
   for (std::size_t index = 0; index < stops; ++index) {
@@ -80,9 +80,8 @@
   for (std::size_t index = 0; index < stops; ++index) {
     CheckStop(instances[index]);
   }
-  if (world_.Broken() != before) {
-    world_.Kept().Break("LOST " + std::to_string(world_.Broken() - before) +
-                        " requests were cut by planned stops");
+  for (std::size_t index = before; index < world_.Broken().size(); ++index) {
+    world_.Kept().Break("LOST by a planned stop: " + world_.Broken()[index]);
   }
 }
 
--- a/Tests/Platform/Soak/SoakWorld.cpp
+++ b/Tests/Platform/Soak/SoakWorld.cpp
@@ -258,8 +258,8 @@
   client_->Send(Loopback(aInstance.port_),
                 std::move(request),
                 kClientTime + kClientSlack,
-                [this, id, aDone](const HttpExchange& aExchange) {
-                  const auto status = OnAnswered(id, aExchange);
+                [this, id, aDone, name = aInstance.name_](const HttpExchange& aExchange) {
+                  const auto status = OnAnswered(id, name, aExchange);
                   if (aDone) {
                     aDone(status);
                   }
@@ -267,10 +267,14 @@
 }
 
 unsigned
-SoakWorld::OnAnswered(const std::string& aRequest, const HttpExchange& aExchange)
+SoakWorld::OnAnswered(const std::string& aRequest,
+                      const std::string& aInstance,
+                      const HttpExchange& aExchange)
 {
   ++ended_;
-  broken_ += aExchange.end_ == ExchangeEnd::Broken ? 1 : 0;
+  if (aExchange.end_ == ExchangeEnd::Broken) {
+    broken_.push_back(aRequest + " at " + aInstance + ": " + aExchange.problem_);
+  }
   if (aExchange.end_ != ExchangeEnd::Complete) {
     return 0;
   }
--- a/Tests/Platform/Soak/SoakWorld.h
+++ b/Tests/Platform/Soak/SoakWorld.h
@@ -87,8 +87,9 @@
   std::vector<Server>& Servers() { return servers_; }
   StandInStore& Store() { return *store_; }
   Promises& Kept() { return promises_; }
-  // Requests that ended without a whole answer, so far.
-  std::size_t Broken() const { return broken_; }
+  // Requests that were sent and ended without a whole answer, so far: who had them
+  // and how they ended.
+  const std::vector<std::string>& Broken() const { return broken_; }
   // Whether each instance serves a keyed request and a booking now.
   bool IsAllServed();
   std::size_t Asked() const { return asked_; }
@@ -105,7 +106,9 @@
   // aDone is told the status of the answer; 0 when there is no whole one.
   void Ask(Instance& aInstance, bool aIsBooking, const std::function<void(unsigned)>& aDone = {});
   // Counts what came of a request and returns the status, as above.
-  unsigned OnAnswered(const std::string& aRequest, const HttpExchange& aExchange);
+  unsigned OnAnswered(const std::string& aRequest,
+                      const std::string& aInstance,
+                      const HttpExchange& aExchange);
   // An instance that ends by itself breaks a promise.
   void LookAtProcesses();
 
@@ -121,7 +124,7 @@
   int configuration_ = 1;
   std::size_t asked_ = 0;
   std::size_t ended_ = 0;
-  std::size_t broken_ = 0;
+  std::vector<std::string> broken_;
   std::size_t answered_ = 0;
   bool isLoaded_ = false;
   Instant healedAt_{ 0 };
