--- a/Tests/LibGateway/TestRequestDesk.cpp
+++ b/Tests/LibGateway/TestRequestDesk.cpp
@@ -474,6 +474,30 @@
   EXPECT_EQ(others, 5U);
 }
 
+TEST_F(DeskOfThreeServers, OnePartOfASplitRouteIsFull_WhatDoesNotFitIsRefusedAndNotMoved)
+{
+  // The part with a tenth of the weight answers nothing; the other has room.
+  constexpr int kAsked = 200;
+  int toPlain = 0;
+  for (int index = 0; index < kAsked; ++index) {
+    const auto request = Ask("/split/x");
+    if (SendsOf(request) == 1 && SendOf(request).server_ != "o1") {
+      ++toPlain;
+      Answer(request, 200);
+    }
+  }
+  EXPECT_EQ(toPlain, kAsked * 9 / 10);
+  const auto sent = actions_.sent_.size();
+  ASSERT_LT(sent, static_cast<std::size_t>(kAsked));
+  now_ += milliseconds(100);
+  desk_.OnTime(now_);
+  EXPECT_EQ(actions_.sent_.size(), sent);
+  EXPECT_EQ(actions_.refused_.size(), kAsked - sent);
+  for (const auto& [request, refusal] : actions_.refused_) {
+    EXPECT_TRUE(refusal.isNotRun_) << request;
+  }
+}
+
 TEST_F(DeskOfThreeServers, AnotherLifeAnswers_AddressIsLeftAlone)
 {
   const auto request = Ask("/read/1");
--- a/Tests/Platform/EntryProcess.cpp
+++ b/Tests/Platform/EntryProcess.cpp
@@ -1,8 +1,10 @@
 #include "EntryProcess.h"
 
 #include <csignal>
+#include <cstring>
 #include <fcntl.h>
 #include <fstream>
+#include <iostream>
 #include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -14,6 +16,8 @@
 
 namespace {
 
+// The status of a process that could not be started, as waitpid would have it.
+constexpr int kNotStarted = 127 << 8;
 // Who may read a log.
 constexpr mode_t kLogMode = 0644;
 
@@ -40,7 +44,7 @@
   return environment;
 }
 
-// Starts a program whose log goes to aLog.
+// Starts a program whose log goes to aLog; 0 when it cannot be started.
 pid_t
 Spawn(std::string aProgram, std::string aVariable, const std::string& aLog)
 {
@@ -52,8 +56,13 @@
   posix_spawn_file_actions_addopen(
     &actions, STDOUT_FILENO, aLog.c_str(), O_WRONLY | O_CREAT | O_APPEND, kLogMode);
   pid_t id = 0;
-  posix_spawn(&id, aProgram.c_str(), &actions, nullptr, arguments.data(), environment.data());
+  const int error =
+    posix_spawn(&id, aProgram.c_str(), &actions, nullptr, arguments.data(), environment.data());
   posix_spawn_file_actions_destroy(&actions);
+  if (error != 0) {
+    std::cerr << "cannot start " << aProgram << ": " << std::strerror(error) << '\n';
+    return 0;
+  }
   return id;
 }
 
@@ -67,6 +76,11 @@
 {
   std::ofstream(settingsFile_) << aSettings;
   id_ = Spawn(aProgram, "LATCHSLIP_CONFIG=" + settingsFile_.string(), aLog);
+  if (id_ == 0) {
+    // No process: 0 would name this one's own group to kill and waitpid.
+    hasEnded_ = true;
+    status_ = kNotStarted;
+  }
 }
 
 EntryProcess::~EntryProcess()
