LibNet: Make room for new connections by closing the longest idle one

Cause: a listener took 1,024 connections and reset every further one. Ruled out: stopped processes (no E100 to E102 in those seconds), descriptors (1,175 of 4,100 in use).

The test of idle connections failed before.

--- a/Libraries/LibDaemon/GatewayHost.cpp
+++ b/Libraries/LibDaemon/GatewayHost.cpp
@@ -64,8 +64,10 @@
                       HttpServer::Create(aContext, settings_.readyAddress_, {}, ready_));
     BOOST_OUTCOME_TRY(peerServer_,
                       HttpServer::Create(aContext, settings_.peerAddress_, {}, peers_));
+    HttpLimits limits;
+    limits.connections_ = settings_.clientConnections_;
     BOOST_OUTCOME_TRY(clientServer_,
-                      HttpServer::Create(aContext, settings_.clientAddress_, {}, front_));
+                      HttpServer::Create(aContext, settings_.clientAddress_, limits, front_));
     store_.Start(*this);
     Step();
     return outcome::success();
@@ -177,6 +179,7 @@
   void ApplyLimits(const ClientLimits& aLimits)
   {
     HttpLimits http;
+    http.connections_ = settings_.clientConnections_;
     http.headerBytes_ = aLimits.headerBytes_;
     http.bodyBytes_ = aLimits.bodyBytes_;
     http.transfer_ = std::max<Duration>(http.transfer_, aLimits.headerTime_);
--- a/Libraries/LibDaemon/GatewayHost.h
+++ b/Libraries/LibDaemon/GatewayHost.h
@@ -19,6 +19,9 @@
   std::string readyAddress_;
   // Where other instances and operators reach this one.
   std::string peerAddress_;
+  // Connections of clients at once; beyond them the one that has been idle the longest
+  // is closed.
+  std::size_t clientConnections_ = 1024;
   // How long a stopping instance may run on.
   Duration stopGrace_ = seconds(6);
   RequestDeskSettings desk_;
--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -25,7 +25,7 @@
   BeastHttpServer(tcp::acceptor aAcceptor, HttpLimits aLimits, HttpHandler& aHandler)
     : acceptor_(std::move(aAcceptor))
     , idleTimer_(acceptor_.get_executor())
-    , listener_(std::make_shared<HttpListener>(HttpListener{ aLimits, aHandler, false, {}, 0 }))
+    , listener_(std::make_shared<HttpListener>(HttpListener{ aLimits, aHandler, false, {}, {}, 0 }))
   {
     Accept();
   }
@@ -68,7 +68,7 @@
   void Serve(tcp::socket aSocket)
   {
     // Beyond the limit a connection is closed at once rather than kept waiting.
-    if (listener_->sessions_.size() >= listener_->limits_.connections_) {
+    if (listener_->sessions_.size() >= listener_->limits_.connections_ && !CloseLongestIdle()) {
       return;
     }
     error_code ignored;
@@ -77,6 +77,21 @@
     ArmIdleTimer();
   }
 
+  // Makes room for a new connection; false when all carry requests. Clients that are
+  // refused come back on new connections and leave the former ones idle, so that new
+  // ones would be the ones that are closed.
+  bool CloseLongestIdle()
+  {
+    const auto& idle = listener_->idle_;
+    for (auto next = idle.begin(); next != idle.end();) {
+      // Advanced first, since a session that closes leaves the set.
+      if ((next++)->second->CloseIfIdle()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   // Looks for connections that were idle too long, as long as there are any.
   void ArmIdleTimer()
   {
@@ -90,17 +105,19 @@
         return;
       }
       isIdleTimerArmed_ = false;
-      const auto now = MonotonicNow();
-      const auto sessions = listener_->sessions_;
-      for (auto* session : sessions) {
-        if (session->IdleUntil() <= now) {
-          session->CloseIfIdle();
-        }
-      }
+      CloseIdleUntil(MonotonicNow());
       ArmIdleTimer();
     });
   }
 
+  void CloseIdleUntil(Instant aTime)
+  {
+    const auto& idle = listener_->idle_;
+    for (auto next = idle.begin(); next != idle.end() && next->first <= aTime;) {
+      (next++)->second->CloseIfIdle();
+    }
+  }
+
   // Takes the connections that the kernel has opened already: closing the
   // listener would reset them together with the requests they carry.
   void AcceptBacklog()
--- a/Libraries/LibNet/HttpSession.cpp
+++ b/Libraries/LibNet/HttpSession.cpp
@@ -69,13 +69,12 @@
   parser_.emplace();
   parser_->header_limit(static_cast<std::uint32_t>(listener_->limits_.headerBytes_));
   parser_->body_limit(listener_->limits_.bodyBytes_);
-  isIdle_ = buffer_.size() == 0;
-  if (!isIdle_) {
+  if (buffer_.size() > 0) {
     ReadHeader();
     return;
   }
+  BeginIdle();
   stream_.expires_never();
-  idleUntil_ = MonotonicNow() + listener_->limits_.idle_;
   // NOTE: The first byte is waited for, not read: what was read already but not
   // yet handled could not be told from an idle connection when that is closed.
   beast::get_lowest_layer(stream_).socket().async_wait(
@@ -84,11 +83,28 @@
 }
 
 void
+HttpSession::BeginIdle()
+{
+  isIdle_ = true;
+  idleUntil_ = MonotonicNow() + listener_->limits_.idle_;
+  listener_->idle_.insert({ idleUntil_, this });
+}
+
+void
+HttpSession::EndIdle()
+{
+  isIdle_ = false;
+  listener_->idle_.erase({ idleUntil_, this });
+}
+
+bool
 HttpSession::CloseIfIdle()
 {
-  if (isIdle_ && !HasUnreadBytes()) {
-    Close();
+  if (!isIdle_ || HasUnreadBytes()) {
+    return false;
   }
+  Close();
+  return true;
 }
 
 void
@@ -98,7 +114,7 @@
     Close();
     return;
   }
-  isIdle_ = false;
+  EndIdle();
   ReadHeader();
 }
 
@@ -239,6 +255,7 @@
 void
 HttpSession::Close()
 {
+  EndIdle();
   error_code ignored;
   stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
   stream_.close();
--- a/Libraries/LibNet/HttpSession.h
+++ b/Libraries/LibNet/HttpSession.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 
 namespace latchslip {
 
@@ -24,6 +25,9 @@
   // Each connection is closed after its next answer.
   bool isDraining_ = false;
   std::set<HttpSession*> sessions_;
+  // Those that carry no request, with the time until which each may stay so: the one
+  // that has been idle the longest is the first.
+  std::set<std::pair<Instant, HttpSession*>> idle_;
   std::uint64_t lastId_ = 0;
 };
 
@@ -33,20 +37,25 @@
 public:
   HttpSession(boost::asio::ip::tcp::socket aSocket, std::shared_ptr<HttpListener> aListener);
 
-  ~HttpSession() { listener_->sessions_.erase(this); }
+  ~HttpSession()
+  {
+    EndIdle();
+    listener_->sessions_.erase(this);
+  }
   HttpSession(const HttpSession&) = delete;
   HttpSession& operator=(const HttpSession&) = delete;
 
   // Waits for the next request.
   void ReadNext();
 
-  // When an idle connection is to be closed.
-  Instant IdleUntil() const { return isIdle_ ? idleUntil_ : Instant::max(); }
-
-  // Closes the connection if it carries no request now and none lies unread.
-  void CloseIfIdle();
+  // Closes the connection if it carries no request now and none lies unread; whether
+  // it did.
+  bool CloseIfIdle();
 
 private:
+  // The connection carries no request from now on.
+  void BeginIdle();
+  void EndIdle();
   void OnReadable(boost::system::error_code aError);
   void ReadHeader();
   void OnRead(boost::system::error_code aError);
@@ -71,9 +80,10 @@
   std::uint64_t id_ = 0;
   bool keepAlive_ = false;
   // No byte of a request was read since the last answer.
-  bool isIdle_ = true;
+  bool isIdle_ = false;
   // The request has no answer yet.
   bool isWaiting_ = false;
+  // When it is to be closed, while it is idle.
   Instant idleUntil_{ 0 };
 };
 
--- a/Tests/LibNet/TestHttp.cpp
+++ b/Tests/LibNet/TestHttp.cpp
@@ -248,6 +248,38 @@
   EXPECT_NE(answer.find("200 OK"), std::string::npos) << answer;
 }
 
+// Refused clients come back on new connections and leave the former ones open.
+TEST_F(HttpOnLoopback, IdleConnectionsReachTheLimit_NewOneIsServed)
+{
+  std::vector<tcp::socket> idle;
+  for (std::size_t count = 0; count < limits_.connections_; ++count) {
+    idle.push_back(Connect());
+  }
+  context_.run_for(std::chrono::milliseconds(20));
+  context_.restart();
+  ASSERT_EQ(server_->Connections(), limits_.connections_);
+  EXPECT_EQ(Send("/echo", "late").end_, ExchangeEnd::Complete);
+  // The one that was idle the longest has made room.
+  EXPECT_EQ(ReadToEnd(idle.front()), "");
+  EXPECT_LE(server_->Connections(), limits_.connections_);
+}
+
+TEST_F(HttpOnLoopback, BusyConnectionsReachTheLimit_NewOneIsClosed)
+{
+  std::vector<tcp::socket> busy;
+  for (std::size_t count = 0; count < limits_.connections_; ++count) {
+    busy.push_back(Connect());
+    boost::asio::write(
+      busy.back(), boost::asio::buffer(std::string("GET /never HTTP/1.1\r\nHost: a\r\n\r\n")));
+  }
+  context_.run_for(std::chrono::milliseconds(20));
+  context_.restart();
+  ASSERT_EQ(handler_.requests_, static_cast<int>(limits_.connections_));
+  auto late = Connect();
+  EXPECT_EQ(ReadToEnd(late), "");
+  EXPECT_EQ(handler_.gone_, 0);
+}
+
 } // namespace
 
 } // namespace latchslip
