--- a/Libraries/LibGateway/RequestDesk.cpp
+++ b/Libraries/LibGateway/RequestDesk.cpp
@@ -18,6 +18,9 @@
 // client's time: an instance learns it within some 0.2 s of its start. The part is
 // less than a quarter of the latency targets, which lie above a third of that time.
 constexpr double kUnroutedPart = 0.08;
+// Within this time of its first configuration an instance also learns of the servers and
+// of the owners of keys: about as long as it takes to read a table of the store.
+constexpr Duration kLearnTime = milliseconds(200);
 // Assumed for the latency target and the time left of a request without a route,
 // of which neither is known.
 constexpr Duration kUnknownTarget = seconds(1);
@@ -442,7 +445,7 @@
 RequestDesk::ExpectedWait(Instant aNow, const PendingRequest& aPending)
 {
   const auto wait = aPending.service_->isKeyed_ ? ExpectedWaitForOwner(aNow, aPending)
-                                                : ExpectedWaitForAny(aPending);
+                                                : ExpectedWaitForAny(aNow, aPending);
   if (!wait || aNow >= aPending.notBefore_) {
     return wait;
   }
@@ -454,10 +457,11 @@
 {
   const auto& service = aPending.service_->name_;
   const auto ownership = ownership_.find(service);
-  if (ownership == ownership_.end() || !aPending.request_.key_) {
-    return std::nullopt;
+  if (ownership == ownership_.end()) {
+    return ExpectedLearning(aNow);
   }
-  const auto* range = ownership->second.Find(*aPending.request_.key_);
+  const auto* range =
+    aPending.request_.key_ ? ownership->second.Find(*aPending.request_.key_) : nullptr;
   if (range == nullptr) {
     return std::nullopt;
   }
@@ -472,10 +476,14 @@
 }
 
 std::optional<Duration>
-RequestDesk::ExpectedWaitForAny(const PendingRequest& aPending)
+RequestDesk::ExpectedWaitForAny(Instant aNow, const PendingRequest& aPending)
 {
+  const auto& servers = StateOf(aPending.service_->name_).servers_;
+  if (servers.empty()) {
+    return ExpectedLearning(aNow);
+  }
   std::size_t limits = 0;
-  for (const auto& server : StateOf(aPending.service_->name_).servers_) {
+  for (const auto& server : servers) {
     limits += server.record_->isLeaving_ ? 0 : server.load_->Limit();
   }
   if (limits == 0) {
@@ -485,6 +493,13 @@
   return Scale(ExpectedLatency(aPending), ahead / static_cast<double>(limits));
 }
 
+std::optional<Duration>
+RequestDesk::ExpectedLearning(Instant aNow) const
+{
+  const auto until = firstRoutesAt_ + kLearnTime;
+  return aNow < until ? std::optional(Duration(until - aNow)) : std::nullopt;
+}
+
 Duration
 RequestDesk::ExpectedLatency(const PendingRequest& aPending)
 {
--- a/Libraries/LibGateway/RequestDesk.h
+++ b/Libraries/LibGateway/RequestDesk.h
@@ -85,8 +85,8 @@
   void Admit(Instant aNow, PendingRequest& aPending);
   // Admits what came before any configuration.
   void AdmitUnrouted(Instant aNow);
-  // Drops the counts of routes that are there no more.
-  void KeepTallyOfRoutes();
+  // Drops what was learnt of routes that are there no more.
+  void ForgetFormerRoutes();
   ServiceState& StateOf(const std::string& aService);
   // What is known of a server's load, with the limits that hold now.
   ServerLoad& LoadOf(const ServerRecord& aRecord, const RoutedService& aService);
@@ -121,7 +121,10 @@
   // nothing tells.
   std::optional<Duration> ExpectedWait(Instant aNow, const PendingRequest& aPending);
   std::optional<Duration> ExpectedWaitForOwner(Instant aNow, const PendingRequest& aPending);
-  std::optional<Duration> ExpectedWaitForAny(const PendingRequest& aPending);
+  std::optional<Duration> ExpectedWaitForAny(Instant aNow, const PendingRequest& aPending);
+  // How long it takes to hear of servers and owners of which nothing is known yet; no
+  // value when they would have been heard of by now.
+  std::optional<Duration> ExpectedLearning(Instant aNow) const;
   // What a server takes from the send to its answer.
   Duration ExpectedLatency(const PendingRequest& aPending);
   // Requests that wait for the same server, or service without keys, and go first.
@@ -152,6 +155,8 @@
   RequestActions& actions_;
   EventSink& events_;
   std::shared_ptr<const RouteTable> routes_;
+  // When the first configuration came.
+  Instant firstRoutesAt_{ 0 };
   std::map<std::string, KeyOwnership, std::less<>> ownership_;
   // Since when each range that is moving was known to, by service and fence.
   std::map<std::pair<std::string, FenceNumber>, Instant> movingSince_;
--- a/Libraries/LibGateway/ServerChoice.cpp
+++ b/Libraries/LibGateway/ServerChoice.cpp
@@ -119,6 +119,9 @@
   std::erase_if(loads_, [&](const auto& aEntry) {
     return directory_.Find(aEntry.first) == nullptr && aEntry.second.UnderWay() == 0;
   });
+  std::erase_if(spells_, [&](const auto& aEntry) {
+    return !loads_.contains(aEntry.first) && routes_->FindService(aEntry.first) == nullptr;
+  });
   tally_.KeepServers([&](const std::string& aServer) { return loads_.contains(aServer); });
   for (const auto& service : routes_->Configuration().services_) {
     Pump(aNow, service.name_);
@@ -128,23 +131,29 @@
 void
 RequestDesk::SetRoutes(Instant aNow, std::shared_ptr<const RouteTable> aRoutes)
 {
+  if (!routes_) {
+    firstRoutesAt_ = aNow;
+  }
   routes_ = std::move(aRoutes);
   std::erase_if(services_, [&](const auto& aEntry) {
     return routes_->FindService(aEntry.first) == nullptr && aEntry.second.queue_.empty();
   });
-  KeepTallyOfRoutes();
+  ForgetFormerRoutes();
   OnDirectoryChanged(aNow);
   AdmitUnrouted(aNow);
 }
 
 void
-RequestDesk::KeepTallyOfRoutes()
+RequestDesk::ForgetFormerRoutes()
 {
   std::set<std::string> names{ kNoRoute };
   for (const auto& route : routes_->Configuration().routes_) {
     names.insert(route.Name());
   }
   tally_.KeepRoutes([&](const std::string& aRoute) { return names.contains(aRoute); });
+  std::erase_if(patience_, [&](const auto& aEntry) { return !names.contains(aEntry.first); });
+  std::erase_if(moveTimes_,
+                [&](const auto& aEntry) { return routes_->FindService(aEntry.first) == nullptr; });
 }
 
 void
--- a/Tests/LibGateway/TestRequestDesk.cpp
+++ b/Tests/LibGateway/TestRequestDesk.cpp
@@ -258,6 +258,45 @@
   EXPECT_EQ(SendsOf(7003), 0U);
 }
 
+TEST_F(DeskOfThreeServers, OwnersAreNotKnownYet_WaitsForThemOnlyAfterAStart)
+{
+  RequestDesk desk({ "hall", {}, 1 }, directory_, actions_, events_);
+  RoutingConfiguration configuration;
+  configuration.version_ = 1;
+  configuration.services_ = { { "keyed", 100, true } };
+  configuration.routes_ = { MakeRoute("/key/", true, 1, { { "keyed", 1 } }) };
+  configuration.routes_.front().latencyTarget_ = milliseconds(400);
+  desk.SetRoutes(now_,
+                 std::make_shared<const RouteTable>(RouteTable::Create(configuration).value()));
+  const auto ask = [&](RequestNumber aNumber) {
+    RoutedRequest request;
+    request.number_ = aNumber;
+    request.host_ = "a.example";
+    request.path_ = "/key/x";
+    request.key_ = 5;
+    request.timeLeft_ = milliseconds(1000);
+    desk.OnRequest(now_, std::move(request));
+  };
+  ask(7001);
+  now_ += milliseconds(50);
+  desk.OnTime(now_);
+  EXPECT_TRUE(actions_.refused_.empty());
+  desk.SetOwnership(now_, { "keyed", 1, { { 0, 99, "k1", 1, "" } } });
+  EXPECT_EQ(SendsOf(7001), 1U);
+  RequestDesk another({ "hall", {}, 1 }, directory_, actions_, events_);
+  another.SetRoutes(now_,
+                    std::make_shared<const RouteTable>(RouteTable::Create(configuration).value()));
+  now_ += seconds(1);
+  RoutedRequest request;
+  request.number_ = 7002;
+  request.host_ = "a.example";
+  request.path_ = "/key/x";
+  request.key_ = 5;
+  request.timeLeft_ = milliseconds(1000);
+  another.OnRequest(now_, std::move(request));
+  EXPECT_TRUE(IsRefused(7002, RefusalReason::NoOwner));
+}
+
 TEST_F(DeskOfThreeServers, NoRouteMatches_IsRefusedAtOnce)
 {
   EXPECT_TRUE(IsRefused(Ask("/nowhere/"), RefusalReason::NoRoute));
