--- a/Libraries/LibGateway/RequestDesk.cpp
+++ b/Libraries/LibGateway/RequestDesk.cpp
@@ -8,6 +8,11 @@
 
 // The least that is worth waiting for.
 constexpr Duration kLeastRetryAfter = milliseconds(50);
+// Clients that were refused together come back between these multiples of the time that
+// was found for them: as widely as they can be spread around it evenly without any that
+// comes at once.
+constexpr double kLeastSpread = 0.5;
+constexpr double kMostSpread = 1.5;
 // A request that cannot be in time any more waits no longer than its client would to
 // come back.
 constexpr Duration kLateWait = kLeastRetryAfter;
@@ -350,8 +355,7 @@
   }
   auto& spell = spells_[aPending.owner_.empty() ? aPending.service_->name_ : aPending.owner_];
   const auto lasting = spell.OnRefusal(aNow);
-  // Drawn, so that those who were refused together do not come back together.
-  std::uniform_real_distribution<double> draw(0.5, 1.5);
+  std::uniform_real_distribution<double> draw(kLeastSpread, kMostSpread);
   return std::min(most, std::max(kLeastRetryAfter, Scale(std::max(*wait, lasting), draw(random_))));
 }
 
--- a/Libraries/LibGateway/ServerLoad.cpp
+++ b/Libraries/LibGateway/ServerLoad.cpp
@@ -18,6 +18,9 @@
 // limit by multiples of an idle server's latency had 42 (answers in the log, one run each).
 constexpr double kGrowth = 0.05;
 constexpr double kLateShrink = 0.8;
+// A request that is overdue ends within this part of the time between two ends, on
+// average.
+constexpr double kOverduePart = 0.5;
 // When no answer was late for this long, the limit grows by one with each full round:
 // what made answers late has gone.
 constexpr Duration kCalm = milliseconds(1000);
@@ -158,7 +161,7 @@
   auto first = interval;
   if (!underWay_.empty()) {
     const Duration past = aNow - underWay_.begin()->second.sentAt_;
-    first = std::max(aLatency - past, Scale(interval, 0.5));
+    first = std::max(aLatency - past, Scale(interval, kOverduePart));
   }
   const auto pause = suspendedUntil_ > aNow ? Duration(suspendedUntil_ - aNow) : Duration(0);
   return std::max(first, pause) + interval * static_cast<Duration::rep>(aAhead);
--- a/Libraries/LibGateway/ServerLoad.h
+++ b/Libraries/LibGateway/ServerLoad.h
@@ -32,7 +32,7 @@
 
 // What one instance has seen of one server: its latency, its failures, and how
 // much the instance may have under way there. Instances do not see each other's
-// load, so that the limit is learnt from latency and from shed requests.
+// load, so that the limit is learnt from late answers and from shed requests.
 class ServerLoad
 {
 public:
