--- a/Tests/LibNet/TestHttp.cpp
+++ b/Tests/LibNet/TestHttp.cpp
@@ -269,8 +269,8 @@
   std::vector<tcp::socket> busy;
   for (std::size_t count = 0; count < limits_.connections_; ++count) {
     busy.push_back(Connect());
-    boost::asio::write(
-      busy.back(), boost::asio::buffer(std::string("GET /never HTTP/1.1\r\nHost: a\r\n\r\n")));
+    boost::asio::write(busy.back(),
+                       boost::asio::buffer(std::string("GET /never HTTP/1.1\r\nHost: a\r\n\r\n")));
   }
   context_.run_for(std::chrono::milliseconds(20));
   context_.restart();
