LibGateway, LibNet: Keep the last durations in one class; close idle ones in one loop

CallerPatience and MoveTimes each kept a ring of durations and told one by its rank: RecentDurations does it for both, with the same ranks. HttpServer::BeginClose went over a copy of all sessions to close the idle ones, which CloseIdleUntil does by now. One test built the same request twice. No change of behaviour, and no assertion changed.

--- a/Libraries/LibGateway/CallerPatience.cpp
+++ b/Libraries/LibGateway/CallerPatience.cpp
@@ -17,24 +17,21 @@
 
 } // namespace
 
+CallerPatience::CallerPatience()
+  : recent_(kRecent)
+{
+}
+
 void
 CallerPatience::OnRequest(Duration aTimeLeft)
 {
-  if (recent_.size() < kRecent) {
-    recent_.push_back(aTimeLeft);
-  } else {
-    recent_[next_] = aTimeLeft;
-    next_ = (next_ + 1) % kRecent;
-  }
+  recent_.Add(aTimeLeft);
   if (whole_ > Duration(0) && ++sinceLearnt_ < kLearnEvery) {
     return;
   }
   sinceLearnt_ = 0;
-  auto times = recent_;
-  const auto at =
-    times.begin() + static_cast<std::ptrdiff_t>(kQuantile * static_cast<double>(times.size() - 1));
-  std::nth_element(times.begin(), at, times.end());
-  whole_ = *at;
+  const double rank = kQuantile * static_cast<double>(recent_.Count() - 1);
+  whole_ = recent_.Ranked(static_cast<std::size_t>(rank));
 }
 
 Duration
--- a/Libraries/LibGateway/CallerPatience.h
+++ b/Libraries/LibGateway/CallerPatience.h
@@ -1,9 +1,8 @@
 #pragma once
 
-#include "LibBase/Time.h"
+#include "LibGateway/RecentDurations.h"
 
 #include <cstddef>
-#include <vector>
 
 namespace latchslip {
 
@@ -13,14 +12,15 @@
 class CallerPatience
 {
 public:
+  CallerPatience();
+
   void OnRequest(Duration aTimeLeft);
   // How long ago the caller of a request with that much time left first tried.
   Duration AgeOf(Duration aTimeLeft) const;
 
 private:
-  // The times of the last requests, the oldest overwritten first.
-  std::vector<Duration> recent_;
-  std::size_t next_ = 0;
+  // The times of the last requests.
+  RecentDurations recent_;
   std::size_t sinceLearnt_ = 0;
   // What callers have left at their first try.
   Duration whole_{ 0 };
--- a/Libraries/LibGateway/MoveTimes.cpp
+++ b/Libraries/LibGateway/MoveTimes.cpp
@@ -1,7 +1,5 @@
 #include "LibGateway/MoveTimes.h"
 
-#include <algorithm>
-
 namespace latchslip {
 
 namespace {
@@ -11,19 +9,16 @@
 
 } // namespace
 
+MoveTimes::MoveTimes()
+  : recent_(kRecent)
+{
+}
+
 void
 MoveTimes::OnMoved(Duration aTime)
 {
-  if (recent_.size() < kRecent) {
-    recent_.push_back(aTime);
-  } else {
-    recent_[next_] = aTime;
-    next_ = (next_ + 1) % kRecent;
-  }
-  auto times = recent_;
-  const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
-  std::nth_element(times.begin(), middle, times.end());
-  usual_ = *middle;
+  recent_.Add(aTime);
+  usual_ = recent_.Ranked(recent_.Count() / 2);
 }
 
 Duration
--- a/Libraries/LibGateway/MoveTimes.h
+++ b/Libraries/LibGateway/MoveTimes.h
@@ -1,9 +1,6 @@
 #pragma once
 
-#include "LibBase/Time.h"
-
-#include <cstddef>
-#include <vector>
+#include "LibGateway/RecentDurations.h"
 
 namespace latchslip {
 
@@ -12,6 +9,8 @@
 class MoveTimes
 {
 public:
+  MoveTimes();
+
   // A move came to its end aTime after it was first heard of.
   void OnMoved(Duration aTime);
   // How much longer a move is expected to take that was heard of aPast ago. One that has
@@ -20,9 +19,8 @@
   Duration Remaining(Duration aPast) const;
 
 private:
-  // The last moves, the oldest overwritten first.
-  std::vector<Duration> recent_;
-  std::size_t next_ = 0;
+  // The last moves.
+  RecentDurations recent_;
   // Their median: few wait for a silent server, but those last as long as many others.
   // Until the first is seen: the work under way on the keys, a few tens of milliseconds
   // on most servers, and three steps of the placer.
--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -41,10 +41,7 @@
     idleTimer_.cancel();
     error_code ignored;
     acceptor_.close(ignored);
-    const auto sessions = listener_->sessions_;
-    for (auto* session : sessions) {
-      session->CloseIfIdle();
-    }
+    CloseIdleUntil(Instant::max());
   }
 
   std::size_t Connections() const override { return listener_->sessions_.size(); }
--- a/Tests/LibGateway/TestRequestDesk.cpp
+++ b/Tests/LibGateway/TestRequestDesk.cpp
@@ -268,16 +268,16 @@
   configuration.routes_.front().latencyTarget_ = milliseconds(400);
   desk.SetRoutes(now_,
                  std::make_shared<const RouteTable>(RouteTable::Create(configuration).value()));
-  const auto ask = [&](RequestNumber aNumber) {
+  const auto ask = [&](RequestDesk& aDesk, RequestNumber aNumber) {
     RoutedRequest request;
     request.number_ = aNumber;
     request.host_ = "a.example";
     request.path_ = "/key/x";
     request.key_ = 5;
     request.timeLeft_ = milliseconds(1000);
-    desk.OnRequest(now_, std::move(request));
+    aDesk.OnRequest(now_, std::move(request));
   };
-  ask(7001);
+  ask(desk, 7001);
   now_ += milliseconds(50);
   desk.OnTime(now_);
   EXPECT_TRUE(actions_.refused_.empty());
@@ -287,13 +287,7 @@
   another.SetRoutes(now_,
                     std::make_shared<const RouteTable>(RouteTable::Create(configuration).value()));
   now_ += seconds(1);
-  RoutedRequest request;
-  request.number_ = 7002;
-  request.host_ = "a.example";
-  request.path_ = "/key/x";
-  request.key_ = 5;
-  request.timeLeft_ = milliseconds(1000);
-  another.OnRequest(now_, std::move(request));
+  ask(another, 7002);
   EXPECT_TRUE(IsRefused(7002, RefusalReason::NoOwner));
 }
 
