LibKeys: Remember what a server holds while its release has not gone out

Cause: a new placer counts on it that a server may hold, by the former placer's grants, what it owned then. It forgot that as soon as the server acknowledged new fences on all that it owns now, though keys that it is to let go of were still waiting for their release: with more ranges than orders may be under way (384), or a release that found no way at first, that is the usual order of things. The keys then passed as 'expired' to their next owner, up to five seconds before the former one's grants ran out.

Ruled out by a walk over placers lost among overlapping moves, merges and slow releases: cuts of ranges, merged neighbours, and orders of the former placer taken late.

--- a/Libraries/LibKeys/HoldBounds.h
+++ b/Libraries/LibKeys/HoldBounds.h
@@ -27,8 +27,9 @@
   void SetFormer(const std::string& aServer, Instant aUntil);
   // Orders of former placers certainly bind no server after aLatest.
   void LimitFormer(Instant aLatest);
-  // The server has acknowledged fences of this placer on all that it owns, so that
-  // earlier orders bind it no more and late ones meet a higher fence.
+  // The server has acknowledged fences of this placer on all that it owns and all that
+  // it was to let go of, so that earlier orders bind it no more and late ones meet a
+  // higher fence.
   void ForgetFormer(const std::string& aServer);
 
   // The latest of all that concern any of these keys; the beginning of time when there
--- a/Libraries/LibKeys/OwnershipPlacer.cpp
+++ b/Libraries/LibKeys/OwnershipPlacer.cpp
@@ -278,7 +278,12 @@
   }
   for (std::size_t index = 0; index < committed_.ranges_.size(); ++index) {
     const auto& range = committed_.ranges_[index];
-    if (range.owner_ == aServer && !states_[index].isGranted_) {
+    const auto& state = states_[index];
+    const bool isUnconfirmed = range.owner_ == aServer && !state.isGranted_;
+    // What it is to let go of it still holds by the former placer's grants. With more
+    // ranges than orders may be under way, some releases go out after all its grants.
+    const bool isUnreleased = range.previous_ == aServer && !state.isCleared_;
+    if (isUnconfirmed || isUnreleased) {
       return;
     }
   }
--- a/Libraries/LibKeys/OwnershipPlacer.h
+++ b/Libraries/LibKeys/OwnershipPlacer.h
@@ -96,7 +96,8 @@
   std::optional<KeyOwnership> ClearSettled() const;
   // The same owners under fences of this placer.
   KeyOwnership RaiseFences() const;
-  // Once a server has acknowledged fences of this placer on all it owns.
+  // Once a server has acknowledged fences of this placer on all that it owns and all
+  // that it was to let go of.
   void ForgetFormerHold(const std::string& aServer);
   // Sends the next order of a range when it is due.
   void Advance(Instant aNow, const KeyRange& aRange, RangeState& aState);
--- a/Tests/LibKeys/PlacerWorld.h
+++ b/Tests/LibKeys/PlacerWorld.h
@@ -143,6 +143,8 @@
   std::size_t changes_ = 0;
   // Orders that were, or will be, taken late.
   std::size_t lateOrders_ = 0;
+  // Until when releases find no way to their servers.
+  Instant releasesUnsentUntil_ = Instant::min();
   // Orders that were under way to one server at once, at the most.
   std::size_t mostTogether_ = 0;
   std::minstd_rand random_;
@@ -208,7 +210,8 @@
     const auto found = servers_.find(aOrder.server_);
     const bool isReached = found != servers_.end() && !found->second.isCut_;
     Pending pending{ now_ + kWay, &aPlacer, aOrder, true, true, {} };
-    if (!isReached) {
+    const bool isUnsent = aOrder.isRelease_ && now_ < releasesUnsentUntil_;
+    if (!isReached || isUnsent) {
       pending.isArrival_ = false;
       pending.outcome_.end_ = OrderEnd::NotSent;
     } else if (!found->second.isUp_) {
--- a/Tests/LibKeys/TestOwnershipPlacer.cpp
+++ b/Tests/LibKeys/TestOwnershipPlacer.cpp
@@ -280,6 +280,26 @@
   ExpectAllServed();
 }
 
+// A server acknowledges what it still owns while the keys that it is to let go of wait
+// for their first order: so many orders are due at a takeover that not all go out at once.
+TEST_F(PlacedKeysOfThreeServers, PlacerIsLostWithinAMoveAndReleasesMustWait_KeysWaitForThem)
+{
+  auto ownership = *world_.stored_;
+  for (auto& range : ownership.ranges_) {
+    if (range.owner_ == "s1" && range.first_ % 2048 == 0) {
+      range.previous_ = std::exchange(range.owner_, "s2");
+      range.fence_ = ++ownership.lastFence_;
+    }
+  }
+  world_.Stop(*placer_);
+  world_.stored_ = ownership;
+  // The first releases are not sent; by the time of the next its grants have been answered.
+  world_.releasesUnsentUntil_ = world_.now_ + milliseconds(100);
+  world_.TakeOver();
+  world_.Pass(seconds(2));
+  ExpectAllServed();
+}
+
 TEST_F(PlacedKeysOfThreeServers, NewOwnerIsLostWithinAMove_KeysGoOnToAnother)
 {
   world_.servers_.at("s1").isLeaving_ = true;
@@ -419,6 +439,62 @@
   EXPECT_EQ(world_.ServedKeys(), PlacerWorld::kBlocks);
 }
 
+// Placers lost one after the other, each with moves under way that its successor finds half
+// done: hot keys that wander cause them, neighbours merge, and servers take a while to let go.
+class WalkOfLostPlacers : public testing::TestWithParam<std::uint32_t>
+{
+protected:
+  static constexpr int kServers = 48;
+
+  WalkOfLostPlacers()
+  {
+    for (int number = 0; number < kServers; ++number) {
+      const auto id = "s" + std::to_string(100 + number);
+      auto& server = world_.AddServer(id, id + ":80");
+      server.workTime_ = milliseconds(world_.random_() % 400);
+    }
+    placer_ = &world_.TakeOver();
+    world_.Pass(seconds(4));
+  }
+
+  // Some neighbouring keys get most of the load.
+  void HeatUp()
+  {
+    std::vector<KeyCount> counts;
+    const auto first = static_cast<KeyNumber>(world_.random_() % (kLastKey - 4096));
+    for (KeyNumber key = 0; key <= kLastKey; key += 64) {
+      const bool isHot = key >= first && key < first + 4096;
+      counts.push_back({ key, isHot ? 400U : 4U });
+    }
+    placer_->placer_.OnLoad(world_.now_, counts);
+  }
+
+  void LosePlacer()
+  {
+    world_.Stop(*placer_);
+    placer_ = &world_.TakeOver();
+  }
+
+  PlacerWorld world_{ GetParam() };
+  PlacerWorld::Placer* placer_ = nullptr;
+};
+
+TEST_P(WalkOfLostPlacers, MovesOverlap_NoKeyHasTwoHolders)
+{
+  for (int step = 0; step < 40 && !HasFailure(); ++step) {
+    HeatUp();
+    world_.Pass(milliseconds(10 * (1 + world_.random_() % 60)));
+    if (world_.random_() % 3 == 0) {
+      world_.releasesUnsentUntil_ = world_.now_ + milliseconds(world_.random_() % 300);
+      LosePlacer();
+    }
+  }
+  world_.Pass(seconds(20));
+  EXPECT_EQ(world_.ServedKeys(), PlacerWorld::kBlocks);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, WalkOfLostPlacers, testing::Range(1U, 13U));
+
 INSTANTIATE_TEST_SUITE_P(Seeds, WalkOfFaults, testing::Range(1U, 41U));
 
 } // namespace
