--- a/Libraries/LibDaemon/GatewayHost.cpp
+++ b/Libraries/LibDaemon/GatewayHost.cpp
@@ -221,9 +221,9 @@
 
   void Follow(Following aHow, const TableVersions& aKnown) override { store_.Follow(aHow, aKnown); }
 
-  void SendNews(const std::string& aAddress, const FleetNews& aNews) override
+  void SendNews(const std::vector<NewsBranch>& aBranches, const FleetNews& aNews) override
   {
-    peers_.SendNews(aAddress, aNews);
+    peers_.SendNews(aBranches, aNews);
   }
 
   void FetchNews(const std::string& aAddress, const TableVersions& aVersions) override
--- a/Libraries/LibDaemon/PeerCalls.cpp
+++ b/Libraries/LibDaemon/PeerCalls.cpp
@@ -15,6 +15,10 @@
 // A peer that does not answer in this time is not heard: many times the way
 // there and back within a region, and less than the interval of reports.
 constexpr Duration kPeerTimeout = milliseconds(600);
+// News that are longer are the tables for an instance that has started; they may take as
+// long as weak links need for several of them at once.
+constexpr std::size_t kBulkBytes = 16UL * 1024;
+constexpr Duration kBulkTimeout = seconds(4);
 constexpr std::size_t kMostConnections = 4;
 constexpr unsigned kOk = 200;
 constexpr unsigned kBadRequest = 400;
@@ -64,11 +68,29 @@
 }
 
 void
-PeerCalls::SendNews(const std::string& aAddress, const FleetNews& aNews)
+PeerCalls::SendNews(const std::vector<NewsBranch>& aBranches, const FleetNews& aNews)
 {
-  // Whoever misses this learns from the next report's answer that it did.
-  client_->Send(
-    aAddress, MakePost(kNewsPath, SerializeNews(aNews)), kPeerTimeout, [](const HttpExchange&) {});
+  if (!aBranches.empty()) {
+    PassOn(aBranches, std::make_shared<const std::string>(SerializeNews(aNews)));
+  }
+}
+
+// Whoever misses them learns from the next report's answer that it did.
+void
+PeerCalls::PassOn(const std::vector<NewsBranch>& aBranches,
+                  const std::shared_ptr<const std::string>& aNews)
+{
+  const auto timeout = aNews->size() > kBulkBytes ? kBulkTimeout : kPeerTimeout;
+  for (const auto& branch : aBranches) {
+    client_->Send(branch.to_,
+                  MakePost(kNewsPath, EncodeNewsMessage(branch.onward_, *aNews)),
+                  timeout,
+                  [this, onward = branch.onward_, aNews](const HttpExchange& aExchange) {
+                    if (!IsOk(aExchange)) {
+                      PassOn(SplitOnward(onward), aNews);
+                    }
+                  });
+  }
 }
 
 void
@@ -78,12 +100,13 @@
                 MakePost(kSincePath, SerializeVersions(aVersions)),
                 kPeerTimeout,
                 [this](const HttpExchange& aExchange) {
-                  if (!IsOk(aExchange)) {
-                    return;
-                  }
-                  if (const auto news = ParseNews(*aExchange.response_.body_)) {
-                    member_.OnNews(MonotonicNow(), news.value());
+                  std::optional<FleetNews> news;
+                  if (IsOk(aExchange)) {
+                    if (auto parsed = ParseNews(*aExchange.response_.body_)) {
+                      news = std::move(parsed).value();
+                    }
                   }
+                  member_.OnNewsFetched(MonotonicNow(), news);
                 });
 }
 
@@ -119,7 +142,14 @@
 HttpResponse
 PeerCalls::TakeNews(const HttpRequest& aRequest)
 {
-  const auto news = ParseNews(*aRequest.body_);
+  auto message = DecodeNewsMessage(*aRequest.body_);
+  if (!message) {
+    return MakeHttpResponse(kBadRequest, message.error().Describe());
+  }
+  const auto text = std::make_shared<const std::string>(std::move(message.value().news_));
+  // Passed on before they are read, which takes a weak instance longer.
+  PassOn(SplitOnward(message.value().onward_), text);
+  const auto news = ParseNews(*text);
   if (!news) {
     return MakeHttpResponse(kBadRequest, news.error().Describe());
   }
--- a/Libraries/LibDaemon/PeerCalls.h
+++ b/Libraries/LibDaemon/PeerCalls.h
@@ -6,6 +6,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace latchslip {
 
@@ -20,13 +21,16 @@
   PeerCalls(boost::asio::io_context& aContext, FleetMember& aMember, MetricsPage aMetrics);
 
   void SendReport(const std::string& aAddress, const InstanceReport& aReport);
-  void SendNews(const std::string& aAddress, const FleetNews& aNews);
+  void SendNews(const std::vector<NewsBranch>& aBranches, const FleetNews& aNews);
   void FetchNews(const std::string& aAddress, const TableVersions& aVersions);
 
   void OnRequest(std::uint64_t aId, HttpRequest aRequest, HttpResponder aRespond) override;
   void OnGone(std::uint64_t) override {}
 
 private:
+  // Sends news that are written down along these branches.
+  void PassOn(const std::vector<NewsBranch>& aBranches,
+              const std::shared_ptr<const std::string>& aNews);
   HttpResponse AnswerReport(const HttpRequest& aRequest);
   HttpResponse TakeNews(const HttpRequest& aRequest);
   HttpResponse AnswerNews(const HttpRequest& aRequest) const;
--- a/Libraries/LibFleet/FleetMember.cpp
+++ b/Libraries/LibFleet/FleetMember.cpp
@@ -12,6 +12,8 @@
 constexpr Duration kFetchInterval = milliseconds(500);
 // A placer that answered within this time also tells what changes: two reports.
 constexpr Duration kNewsBound = milliseconds(1800);
+// The instances of a fleet are all known to its placer two reports after the first.
+constexpr Duration kRosterSettle = milliseconds(1600);
 // With this part of a processor an instance is strong enough to be the placer of a
 // large fleet: a tenth took seconds to answer the reports of 90 instances.
 constexpr double kStrongShare = 0.5;
@@ -41,21 +43,53 @@
 FleetMember::OnView(Instant aNow, const TableView& aView)
 {
   storeHeardAt_ = aNow;
-  const auto before = view_.LastChanges();
-  if (!view_.Take(aNow, aView)) {
+  const auto table = static_cast<std::size_t>(aView.table_);
+  const auto version = view_.Versions().at(table);
+  const auto lastChange = view_.LastChanges().at(table);
+  if (!view_.Take(aNow, aView) || aView.table_ == FleetTable::Fleet || version == 0) {
     return;
   }
-  if (!election_.IsPlacer() || aView.rows_.empty()) {
+  auto changes = view_.ChangesSince(aView.table_, version);
+  // In a small fleet the configuration is followed by everybody.
+  const bool isFollowedByAll = aView.table_ == FleetTable::Configuration && !roster_.HasReaders();
+  if (changes.rows_.empty() || isFollowedByAll) {
     return;
   }
-  // The configuration is followed by everybody.
-  if (aView.table_ == FleetTable::Servers) {
-    FleetNews news;
-    news.views_.push_back(aView);
-    // The others have heard of the last change, not of the quiet since.
-    news.views_.back().base_ = before.at(static_cast<std::size_t>(aView.table_));
+  FleetNews news;
+  news.views_.push_back(std::move(changes));
+  // The others have heard of the last change, not of the quiet since.
+  news.views_.back().base_ = lastChange;
+  if (election_.IsPlacer()) {
     Spread(news);
+  } else if (roster_.IsReader(settings_.self_.address_)) {
+    TellHall(news);
+  }
+}
+
+FleetNews
+FleetMember::NewsSince(const TableVersions& aVersions) const
+{
+  auto news = view_.NewsSince(aVersions);
+  const bool isFollowing = following_ != Following::Told && following_ != Following::Starting;
+  if (isFollowing) {
+    news.sight_ = isStoreLost_ ? StoreSight::Lost : StoreSight::Heard;
+  }
+  return news;
+}
+
+void
+FleetMember::OnNewsFetched(Instant aNow, const std::optional<FleetNews>& aNews)
+{
+  guide_.OnAnswer(aNow, aNews && aNews->sight_ != StoreSight::None);
+  if (!aNews) {
+    return;
   }
+  if (following_ == Following::Told && aNews->sight_ == StoreSight::Lost) {
+    OnStoreLost(aNow);
+  } else if (following_ == Following::Told && aNews->sight_ == StoreSight::Heard) {
+    OnStoreRegained(aNow);
+  }
+  OnNews(aNow, *aNews);
 }
 
 void
@@ -70,7 +104,8 @@
     until = std::max(until, aNow + doubt.holds_);
   }
   // What the store itself tells goes first on the tables that others write.
-  const bool ownRowsOnly = following_ != Following::Relayed && !isStoreLost_;
+  const bool isFollowing = following_ == Following::Alone || following_ == Following::Closely;
+  const bool ownRowsOnly = isFollowing && !isStoreLost_;
   if (!aNews.views_.empty() && !ownRowsOnly) {
     events_.Record(Event::ViewFromPeer,
                    "tables=" + std::to_string(aNews.views_.size()) +
@@ -94,6 +129,7 @@
 {
   const bool wasPlacer = election_.IsPlacer();
   election_.OnRow(aNow, aPlacer);
+  start_.OnFleetRead(aNow, aPlacer.has_value());
   relay_.OnFailure(RelayEnd::PlacerChanged);
   nextReport_ = aNow;
   if (wasPlacer && !election_.IsPlacer()) {
@@ -142,16 +178,18 @@
 void
 FleetMember::OnTime(Instant aNow)
 {
+  start_.OnStart(aNow);
   if (view_.Directory().Expire(aNow)) {
     events_.Record(Event::ServerUnlisted,
                    "servers=" + std::to_string(view_.Directory().All().size()));
     actions_.OnDirectoryChanged();
   }
-  if (!isStoreLost_ && view_.Routes() && writes_.empty() && election_.ShouldClaim(aNow)) {
+  if (!isStoreLost_ && writes_.empty() && election_.ShouldClaim(aNow)) {
     Claim();
   }
   if (election_.IsPlacer()) {
     RunPlacers(aNow);
+    SpreadTables(aNow);
   }
   SendWrites(aNow);
   if (aNow >= nextReport_) {
@@ -159,19 +197,87 @@
   }
   ChooseFollowing(aNow);
   NoteStaleness(aNow);
-  if (isStoreLost_ && aNow >= nextFetch_) {
+  AskReaders(aNow);
+  // Readers alone are asked by those that they guide: two that are told by others would
+  // keep each other from the store.
+  if (isStoreLost_ && following_ != Following::Told && aNow >= nextFetch_) {
     FetchFromPeers(aNow);
   }
 }
 
+Following
+FleetMember::HowToFollow(Instant aNow)
+{
+  if (election_.IsPlacer()) {
+    return Following::Closely;
+  }
+  if (!IsReady()) {
+    const bool isWaiting = following_ == Following::Starting && !start_.IsOver(aNow);
+    return isWaiting ? Following::Starting : Following::Alone;
+  }
+  if (relay_.IsRelayed(aNow, view_.Versions())) {
+    guide_.OnRelayed();
+    return IsReading(aNow) ? Following::Relayed : Following::Told;
+  }
+  if (IsReadFor()) {
+    guide_.OnRelayEnded(aNow);
+    return guide_.IsGuided(aNow) ? Following::Told : Following::Alone;
+  }
+  return Following::Alone;
+}
+
+bool
+FleetMember::IsReading(Instant aNow) const
+{
+  if (roster_.HasReaders()) {
+    return roster_.IsReader(settings_.self_.address_);
+  }
+  // The first answers of a placer name only those that it has heard so far.
+  return rosterSince_ && aNow - *rosterSince_ >= kRosterSettle;
+}
+
+bool
+FleetMember::IsReadFor() const
+{
+  return roster_.HasReaders() && !roster_.IsReader(settings_.self_.address_);
+}
+
+FleetPeer
+FleetMember::SelfAsPeer() const
+{
+  return { settings_.self_.address_, settings_.hall_, settings_.processorShare_ };
+}
+
+void
+FleetMember::TellHall(const FleetNews& aNews)
+{
+  std::vector<FleetPeer> receivers;
+  for (const auto& [address, peer] : roster_.Peers()) {
+    if (peer.hall_ == settings_.hall_) {
+      receivers.push_back(peer);
+    }
+  }
+  actions_.SendNews(PlanNewsTree(std::move(receivers), SelfAsPeer()), aNews);
+}
+
+void
+FleetMember::AskReaders(Instant aNow)
+{
+  if (!IsReadFor() || !guide_.IsDue(aNow)) {
+    return;
+  }
+  const auto readers = roster_.ReadersFrom(settings_.hall_);
+  if (const auto address = guide_.Next(aNow, readers, random_)) {
+    actions_.FetchNews(*address, view_.Versions());
+  }
+}
+
 void
 FleetMember::ChooseFollowing(Instant aNow)
 {
-  auto following = Following::Alone;
-  if (election_.IsPlacer()) {
-    following = Following::Closely;
-  } else if (IsReady() && relay_.IsRelayed(aNow, view_.Versions())) {
-    following = Following::Relayed;
+  const auto following = HowToFollow(aNow);
+  if (following == Following::Told && relay_.IsRelayed(aNow, view_.Versions())) {
+    OnStoreRegained(aNow);
   }
   if (following == following_) {
     return;
@@ -202,8 +308,10 @@
 FleetMember::FetchFromPeers(Instant aNow)
 {
   nextFetch_ = aNow + kFetchInterval;
-  auto addresses = instances_;
-  addresses.insert(addresses.end(), settings_.seeds_.begin(), settings_.seeds_.end());
+  auto addresses = settings_.seeds_;
+  for (const auto& [address, peer] : roster_.Peers()) {
+    addresses.push_back(address);
+  }
   std::erase(addresses, settings_.self_.address_);
   if (addresses.empty()) {
     return;
--- a/Libraries/LibFleet/FleetMember.h
+++ b/Libraries/LibFleet/FleetMember.h
@@ -4,14 +4,17 @@
 #include "LibFleet/FleetReport.h"
 #include "LibFleet/FleetView.h"
 #include "LibFleet/PlacerElection.h"
+#include "LibFleet/ReaderGuide.h"
 #include "LibFleet/RelayWatch.h"
 #include "LibFleet/ServerSpeeds.h"
+#include "LibFleet/StartWait.h"
 #include "LibKeys/OwnershipPlacer.h"
 
 #include <map>
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -31,9 +34,9 @@
   virtual void Order(const std::string& aService, const KeyOrder& aOrder) = 0;
   // The answer goes to OnReportAnswered.
   virtual void SendReport(const std::string& aAddress, const InstanceReport& aReport) = 0;
-  // Tells another instance what it has not asked for.
-  virtual void SendNews(const std::string& aAddress, const FleetNews& aNews) = 0;
-  // The answer, if any, goes to OnNews.
+  // Tells other instances what they have not asked for.
+  virtual void SendNews(const std::vector<NewsBranch>& aBranches, const FleetNews& aNews) = 0;
+  // The answer goes to OnNewsFetched.
   virtual void FetchNews(const std::string& aAddress, const TableVersions& aVersions) = 0;
 
   virtual void OnRoutes(std::shared_ptr<const RouteTable> aRoutes) = 0;
@@ -57,11 +60,14 @@
   double processorShare_ = 1;
   OwnershipPlacerSettings placer_;
   std::uint32_t seed_ = 1;
+  // The data hall of this instance.
+  std::string hall_;
 };
 
 // One instance's part in the fleet. The placer follows the store's tables and
 // tells the others what changes; the others report to it, and follow the store
-// themselves only while no placer tells them. Whoever the row names is the
+// themselves only while no placer tells them. In a large fleet a few of each data hall,
+// its readers, do that for the others of their hall. Whoever the row names is the
 // placer. It does no I/O.
 class FleetMember : private FleetViewListener
 {
@@ -86,9 +92,11 @@
                         const std::optional<ReportAnswer>& aAnswer,
                         Duration aRoundTrip = Duration(0));
   // What another instance is told that has these versions.
-  FleetNews NewsSince(const TableVersions& aVersions) const { return view_.NewsSince(aVersions); }
-  // News from another instance, asked for or not.
+  FleetNews NewsSince(const TableVersions& aVersions) const;
+  // News from another instance that were not asked for.
   void OnNews(Instant aNow, const FleetNews& aNews);
+  // News that were asked for; no value when none came.
+  void OnNewsFetched(Instant aNow, const std::optional<FleetNews>& aNews);
   void CountKey(const std::string& aService, KeyNumber aKey);
   void OnTime(Instant aNow);
 
@@ -121,6 +129,16 @@
   void OnPlacer(Instant aNow, const std::optional<PlacerRow>& aPlacer) override;
 
   void ChooseFollowing(Instant aNow);
+  Following HowToFollow(Instant aNow);
+  // Whether this instance follows the store for others as well, or for itself in a fleet
+  // that is too small to share that.
+  bool IsReading(Instant aNow) const;
+  // Whether others follow the store for this instance.
+  bool IsReadFor() const;
+  FleetPeer SelfAsPeer() const;
+  // What those of its hall learn from a reader.
+  void TellHall(const FleetNews& aNews);
+  void AskReaders(Instant aNow);
   void NoteStaleness(Instant aNow);
   void FetchFromPeers(Instant aNow);
 
@@ -143,6 +161,8 @@
   // Tells the others at once what this placer has learnt or written.
   void Spread(const FleetNews& aNews);
   void SpreadDoubt(const std::string& aServer, Duration aHolds);
+  // Tells the tables to instances that have started.
+  void SpreadTables(Instant aNow);
   // Whether this placer may still give orders, as far as it can know.
   bool MayOrder(Instant aNow) const;
 
@@ -151,8 +171,11 @@
   InstanceReport TakeReport();
   void Report(Instant aNow);
   // What the placer's answer tells of the other instances.
-  void LearnInstances(const ReportAnswer& aAnswer);
-  ReportAnswer MakeReportAnswer() const;
+  void LearnInstances(Instant aNow, const ReportAnswer& aAnswer);
+  ReportAnswer MakeReportAnswer(const InstanceReport& aReport) const;
+  void NoteInstances(Instant aNow, const InstanceReport& aReport);
+  // Drops the instances that have not reported for long.
+  void ForgetSilent(Instant aNow);
   // What the placer learns from a report.
   void TakeIn(Instant aNow, const InstanceReport& aReport);
   void LearnSpeeds(Instant aNow, const std::map<std::string, ServerWork>& aWork);
@@ -164,7 +187,9 @@
   std::minstd_rand random_;
   PlacerElection election_;
   RelayWatch relay_;
-  Following following_ = Following::Alone;
+  ReaderGuide guide_;
+  StartWait start_;
+  Following following_ = Following::Starting;
   std::map<std::string, std::unique_ptr<ServicePlacer>> placers_;
   std::vector<WaitingWrite> writes_;
   std::map<std::string, KeyCounter> counters_;
@@ -175,11 +200,20 @@
   {
     Instant heardAt_{ 0 };
     double processorShare_ = 0;
+    // When it was told the tables.
+    Instant tablesToldAt_ = Instant::min();
   };
   // By address.
   std::map<std::string, HeardInstance> heardInstances_;
-  // Addresses of the instances that report to the placer, as it last said.
-  std::vector<std::string> instances_;
+  // The largest part of a processor that any of them has.
+  double strongestShare_ = 0;
+  Instant nextForget_ = Instant::min();
+  // The instances that report to the placer, as it last said.
+  FleetRoster roster_;
+  // Since when any are known.
+  std::optional<Instant> rosterSince_;
+  // Addresses of instances that report to this placer and lack the tables.
+  std::set<std::string> lacking_;
   // How many other instances reported here while the store was heard.
   std::size_t othersWithStore_ = 0;
   // Until when servers may hold keys by orders that they take late.
--- a/Libraries/LibFleet/FleetNews.cpp
+++ b/Libraries/LibFleet/FleetNews.cpp
@@ -95,6 +95,7 @@
                                           { "ownership", SerializeOwnership(news.ownership_) } });
   }
   boost::json::object document{ { "last_for_now", aNews.isLastForNow_ },
+                                { "store", kStoreSightNames.NameOf(aNews.sight_) },
                                 { "views", std::move(views) },
                                 { "owners", std::move(owners) } };
   if (!aNews.doubts_.empty()) {
@@ -117,6 +118,12 @@
   BOOST_OUTCOME_TRY(const auto reader, JsonReader::Create(value, ""));
   FleetNews news;
   BOOST_OUTCOME_TRY(news.isLastForNow_, reader.FlagOr("last_for_now", false));
+  BOOST_OUTCOME_TRY(const auto sight, reader.TextOr("store", "none"));
+  const auto known = kStoreSightNames.ValueOf(sight);
+  if (!known) {
+    return FieldError{ "store", "must be none, lost or heard" };
+  }
+  news.sight_ = *known;
   BOOST_OUTCOME_TRY(const auto* views, reader.List("views"));
   for (const auto& entry : *views) {
     BOOST_OUTCOME_TRY(auto view, ParseView(entry));
--- a/Libraries/LibFleet/FleetNews.h
+++ b/Libraries/LibFleet/FleetNews.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibBase/NameTable.h"
 #include "LibBase/Result.h"
 #include "LibBase/Time.h"
 #include "LibFleet/FleetStore.h"
@@ -29,12 +30,26 @@
   Duration holds_{ 0 };
 };
 
+// What the sender of news sees of the store itself.
+enum class StoreSight
+{
+  // Others tell it what changes.
+  None,
+  // It follows the store, but cannot reach it.
+  Lost,
+  Heard,
+};
+
+inline constexpr NameTable<StoreSight, 3> kStoreSightNames{ { "none", "lost", "heard" } };
+
 // What one instance tells another of the store's tables.
 struct FleetNews
 {
   // The sender is the placer but cannot reach the store: it will not tell what
   // changes from now on.
   bool isLastForNow_ = false;
+  // Only told to those who ask.
+  StoreSight sight_ = StoreSight::None;
   // Of the tables that others write.
   std::vector<TableView> views_;
   // The row that names the placer.
--- a/Libraries/LibFleet/FleetReport.cpp
+++ b/Libraries/LibFleet/FleetReport.cpp
@@ -3,6 +3,8 @@
 #include "LibConfig/JsonReader.h"
 #include "LibFleet/FleetNews.h"
 
+#include <charconv>
+
 namespace latchslip {
 
 namespace {
@@ -23,6 +25,67 @@
   return number;
 }
 
+// Digests take all bits, more than a JSON number is sure to keep.
+FieldResult<std::uint64_t>
+ParseDigest(const JsonReader& aReader)
+{
+  BOOST_OUTCOME_TRY(const auto text, aReader.TextOr("roster", "0"));
+  std::uint64_t digest = 0;
+  const auto* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, digest);
+  if (parsed.ec != std::errc() || parsed.ptr != end) {
+    return FieldError{ "roster", "must be a whole number" };
+  }
+  return digest;
+}
+
+// An instance is listed as its address, its hall and its part of a processor.
+boost::json::array
+PeerToJson(const FleetPeer& aPeer)
+{
+  return { aPeer.address_, aPeer.hall_, aPeer.processorShare_ };
+}
+
+FieldResult<FleetPeer>
+ParsePeer(const boost::json::value& aValue)
+{
+  constexpr std::size_t kMembers = 3;
+  const FieldError malformed{ "joined", "must be lists of an address, a hall and a number" };
+  const auto* list = aValue.if_array();
+  if (list == nullptr || list->size() != kMembers || !(*list)[0].is_string() ||
+      !(*list)[1].is_string()) {
+    return malformed;
+  }
+  boost::system::error_code error;
+  const auto share = (*list)[2].to_number<double>(error);
+  if (error || share < 0 || share > kMostProcessors) {
+    return malformed;
+  }
+  return FleetPeer{ std::string((*list)[0].as_string()),
+                    std::string((*list)[1].as_string()),
+                    share };
+}
+
+FieldResult<RosterChange>
+ParseRoster(const JsonReader& aReader)
+{
+  RosterChange change;
+  BOOST_OUTCOME_TRY(change.isWhole_, aReader.FlagOr("whole_roster", false));
+  BOOST_OUTCOME_TRY(const auto* joined, aReader.List("joined"));
+  for (const auto& entry : *joined) {
+    BOOST_OUTCOME_TRY(auto peer, ParsePeer(entry));
+    change.joined_.push_back(std::move(peer));
+  }
+  BOOST_OUTCOME_TRY(const auto* left, aReader.List("left"));
+  for (const auto& entry : *left) {
+    if (!entry.is_string()) {
+      return FieldError{ "left", "must be a list of addresses" };
+    }
+    change.left_.emplace_back(entry.as_string());
+  }
+  return change;
+}
+
 // Counts are listed flat: key, count, key, count.
 FieldResult<std::vector<KeyCount>>
 ParseCounts(const boost::json::value& aValue)
@@ -80,11 +143,15 @@
   for (const auto& [server, work] : aReport.work_) {
     works[server] = boost::json::array{ work.answers_, work.busy_.count() };
   }
-  return boost::json::serialize(boost::json::object{ { "instance", aReport.instance_ },
-                                                     { "address", aReport.address_ },
-                                                     { "processor_share", aReport.processorShare_ },
-                                                     { "key_counts", std::move(counts) },
-                                                     { "work", std::move(works) } });
+  return boost::json::serialize(
+    boost::json::object{ { "instance", aReport.instance_ },
+                         { "address", aReport.address_ },
+                         { "processor_share", aReport.processorShare_ },
+                         { "hall", aReport.hall_ },
+                         { "roster", std::to_string(aReport.rosterDigest_) },
+                         { "lacks_tables", aReport.lacksTables_ },
+                         { "key_counts", std::move(counts) },
+                         { "work", std::move(works) } });
 }
 
 FieldResult<InstanceReport>
@@ -97,6 +164,9 @@
   BOOST_OUTCOME_TRY(report.address_, reader.Text("address"));
   BOOST_OUTCOME_TRY(report.processorShare_,
                     reader.NumberOr("processor_share", 0, 0, kMostProcessors));
+  BOOST_OUTCOME_TRY(report.hall_, reader.TextOr("hall", ""));
+  BOOST_OUTCOME_TRY(report.rosterDigest_, ParseDigest(reader));
+  BOOST_OUTCOME_TRY(report.lacksTables_, reader.FlagOr("lacks_tables", false));
   if (const auto* counts = ObjectAt(value, "key_counts")) {
     for (const auto& entry : *counts) {
       BOOST_OUTCOME_TRY(report.keyCounts_[std::string(entry.key())], ParseCounts(entry.value()));
@@ -113,11 +183,18 @@
 std::string
 SerializeReportAnswer(const ReportAnswer& aAnswer)
 {
-  return boost::json::serialize(boost::json::object{
-    { "working", aAnswer.isWorking_ },
-    { "strongest_share", aAnswer.strongestShare_ },
-    { "versions", VersionsToJson(aAnswer.lastChanges_) },
-    { "instances", boost::json::array(aAnswer.instances_.begin(), aAnswer.instances_.end()) } });
+  boost::json::array joined;
+  for (const auto& peer : aAnswer.roster_.joined_) {
+    joined.push_back(PeerToJson(peer));
+  }
+  const auto& left = aAnswer.roster_.left_;
+  return boost::json::serialize(
+    boost::json::object{ { "working", aAnswer.isWorking_ },
+                         { "strongest_share", aAnswer.strongestShare_ },
+                         { "versions", VersionsToJson(aAnswer.lastChanges_) },
+                         { "whole_roster", aAnswer.roster_.isWhole_ },
+                         { "joined", std::move(joined) },
+                         { "left", boost::json::array(left.begin(), left.end()) } });
 }
 
 FieldResult<ReportAnswer>
@@ -130,13 +207,7 @@
   BOOST_OUTCOME_TRY(answer.lastChanges_, VersionsFromJson(value.as_object()));
   BOOST_OUTCOME_TRY(answer.strongestShare_,
                     reader.NumberOr("strongest_share", 0, 0, kMostProcessors));
-  BOOST_OUTCOME_TRY(const auto* instances, reader.List("instances"));
-  for (const auto& instance : *instances) {
-    if (!instance.is_string()) {
-      return FieldError{ "instances", "must be a list of addresses" };
-    }
-    answer.instances_.emplace_back(instance.as_string());
-  }
+  BOOST_OUTCOME_TRY(answer.roster_, ParseRoster(reader));
   return answer;
 }
 
--- a/Libraries/LibFleet/FleetReport.h
+++ b/Libraries/LibFleet/FleetReport.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibBase/Result.h"
+#include "LibFleet/FleetRoster.h"
 #include "LibFleet/FleetStore.h"
 #include "LibGateway/ServerWork.h"
 #include "LibKeys/KeyLoad.h"
@@ -24,6 +25,12 @@
   std::map<std::string, ServerWork> work_;
   // What part of a processor this instance has; 0 when it is not told.
   double processorShare_ = 0;
+  // Its data hall.
+  std::string hall_;
+  // Which instances it knows of, by the digest of its roster.
+  std::uint64_t rosterDigest_ = 0;
+  // It has started and must be told the configuration and the servers.
+  bool lacksTables_ = false;
 };
 
 // What the placer answers.
@@ -31,8 +38,9 @@
 {
   // Whether it is the placer and reaches the store.
   bool isWorking_ = false;
-  // Where the instances are reached that it has heard lately, itself included.
-  std::vector<std::string> instances_;
+  // Of the instances that it has heard lately, itself included, those that the reporter
+  // does not know of.
+  RosterChange roster_;
   // The last change of each table that it knows.
   TableVersions lastChanges_{};
   // The largest part of a processor that any of them has; 0 when it is not told.
--- /dev/null
+++ b/Libraries/LibFleet/FleetRoster.cpp
@@ -0,0 +1,184 @@
+#include "LibFleet/FleetRoster.h"
+
+#include "LibBase/KeyHash.h"
+
+#include <algorithm>
+
+namespace latchslip {
+
+namespace {
+
+// Readers of each data hall: one may be cut off or slowed without the hall noticing.
+constexpr std::size_t kReadersAHall = 2;
+// Up to this many instances each reads the store itself. A question of each in 8 s is
+// 2 a second, and none depends on another then.
+constexpr std::size_t kFewInstances = 16;
+// Changes that are remembered: twice as many as instances join when a large fleet starts.
+constexpr std::size_t kMostSteps = 1024;
+
+} // namespace
+
+void
+FleetRoster::Put(FleetPeer aPeer)
+{
+  if (Add(std::move(aPeer))) {
+    ChooseReaders();
+  }
+}
+
+void
+FleetRoster::Remove(const std::string& aAddress)
+{
+  if (Drop(aAddress)) {
+    ChooseReaders();
+  }
+}
+
+bool
+FleetRoster::Add(FleetPeer aPeer)
+{
+  const auto known = peers_.find(aPeer.address_);
+  if (known != peers_.end() && known->second == aPeer) {
+    return false;
+  }
+  if (known == peers_.end()) {
+    Note(aPeer, false);
+  }
+  const auto address = aPeer.address_;
+  peers_[address] = std::move(aPeer);
+  return true;
+}
+
+bool
+FleetRoster::Drop(const std::string& aAddress)
+{
+  const auto known = peers_.find(aAddress);
+  if (known == peers_.end()) {
+    return false;
+  }
+  Note(known->second, true);
+  peers_.erase(known);
+  return true;
+}
+
+// Changes are undone by the same word, so that the order in which instances came and went
+// does not matter.
+void
+FleetRoster::Note(const FleetPeer& aPeer, bool aHasLeft)
+{
+  steps_.push_back({ digest_, aPeer, aHasLeft });
+  if (steps_.size() > kMostSteps) {
+    steps_.pop_front();
+  }
+  digest_ ^= HashKey(aPeer.address_);
+}
+
+void
+FleetRoster::Apply(const RosterChange& aChange)
+{
+  if (aChange.isWhole_) {
+    std::set<std::string> present;
+    for (const auto& peer : aChange.joined_) {
+      present.insert(peer.address_);
+    }
+    std::vector<std::string> gone;
+    for (const auto& [address, peer] : peers_) {
+      if (!present.contains(address)) {
+        gone.push_back(address);
+      }
+    }
+    for (const auto& address : gone) {
+      Drop(address);
+    }
+  }
+  for (const auto& peer : aChange.joined_) {
+    Add(peer);
+  }
+  for (const auto& address : aChange.left_) {
+    Drop(address);
+  }
+  ChooseReaders();
+}
+
+RosterChange
+FleetRoster::ChangesSince(std::uint64_t aDigest) const
+{
+  RosterChange change;
+  if (aDigest == digest_) {
+    return change;
+  }
+  const auto from = std::find_if(
+    steps_.rbegin(), steps_.rend(), [&](const Step& aStep) { return aStep.before_ == aDigest; });
+  if (from == steps_.rend()) {
+    change.isWhole_ = true;
+    for (const auto& [address, peer] : peers_) {
+      change.joined_.push_back(peer);
+    }
+    return change;
+  }
+  std::set<std::string> touched;
+  for (auto step = std::prev(from.base()); step != steps_.end(); ++step) {
+    touched.insert(step->peer_.address_);
+  }
+  for (const auto& address : touched) {
+    const auto peer = peers_.find(address);
+    if (peer == peers_.end()) {
+      change.left_.push_back(address);
+    } else {
+      change.joined_.push_back(peer->second);
+    }
+  }
+  return change;
+}
+
+bool
+FleetRoster::HasReaders() const
+{
+  return peers_.size() > kFewInstances;
+}
+
+bool
+FleetRoster::IsReader(const std::string& aAddress) const
+{
+  return readers_.contains(aAddress);
+}
+
+std::vector<FleetPeer>
+FleetRoster::ReadersFrom(const std::string& aHall) const
+{
+  std::vector<FleetPeer> readers;
+  for (const auto& address : readers_) {
+    readers.push_back(peers_.at(address));
+  }
+  std::stable_partition(
+    readers.begin(), readers.end(), [&](const FleetPeer& aPeer) { return aPeer.hall_ == aHall; });
+  return readers;
+}
+
+// The strongest of each hall; of equal ones, those that all rosters order alike.
+void
+FleetRoster::ChooseReaders()
+{
+  readers_.clear();
+  if (!HasReaders()) {
+    return;
+  }
+  std::map<std::string, std::vector<const FleetPeer*>> halls;
+  for (const auto& [address, peer] : peers_) {
+    halls[peer.hall_].push_back(&peer);
+  }
+  for (auto& [hall, peers] : halls) {
+    const auto count = std::min(kReadersAHall, peers.size());
+    std::partial_sort(peers.begin(),
+                      peers.begin() + static_cast<std::ptrdiff_t>(count),
+                      peers.end(),
+                      [](const FleetPeer* aLeft, const FleetPeer* aRight) {
+                        return StrongerFirst(*aLeft, *aRight);
+                      });
+    for (std::size_t index = 0; index < count; ++index) {
+      readers_.insert(peers[index]->address_);
+    }
+  }
+}
+
+} // namespace latchslip
--- a/Libraries/LibFleet/FleetStore.h
+++ b/Libraries/LibFleet/FleetStore.h
@@ -24,6 +24,11 @@
 // How closely the tables are followed.
 enum class Following
 {
+  // This instance has just started: the store is asked for the fleet's own rows only,
+  // which name the placer that will tell the rest.
+  Starting,
+  // Other instances tell all that changes; the store is asked for nothing.
+  Told,
   // Another instance tells what changes; the store is asked for the configuration
   // only.
   Relayed,
@@ -33,7 +38,9 @@
   Closely,
 };
 
-inline constexpr NameTable<Following, 3> kFollowingNames{ { "relayed", "alone", "closely" } };
+inline constexpr NameTable<Following, 5> kFollowingNames{
+  { "starting", "told", "relayed", "alone", "closely" }
+};
 
 // The version of each table that somebody has.
 using TableVersions = std::array<RowVersion, kFleetTables>;
@@ -75,9 +82,10 @@
 
   virtual ~FleetStore() = default;
 
-  // Begins to follow the tables alone, each from what it holds now.
+  // Begins as Following::Starting.
   virtual void Start(FleetStoreListener& aListener) = 0;
-  // Goes on in another way, from the versions that are known by now.
+  // Goes on in another way, from the versions that are known by now; tables that are
+  // not known are read.
   virtual void Follow(Following aHow, const TableVersions& aKnown) = 0;
   virtual void Stop() = 0;
   // Writes rows of FleetTable::Fleet. After a conflict the reply holds the rows
--- a/Libraries/LibFleet/FleetView.cpp
+++ b/Libraries/LibFleet/FleetView.cpp
@@ -191,11 +191,11 @@
 FleetView::NewsSince(const TableVersions& aVersions) const
 {
   FleetNews news;
-  const auto versions = Versions();
   for (const auto table : { FleetTable::Configuration, FleetTable::Servers }) {
     const auto index = static_cast<std::size_t>(table);
-    if (mirror_.IsKnown(table) && versions.at(index) > aVersions.at(index)) {
-      news.views_.push_back(mirror_.Whole(table));
+    const auto has = aVersions.at(index);
+    if (mirror_.IsKnown(table) && (has == 0 || mirror_.LastChangeOf(table) > has)) {
+      news.views_.push_back(mirror_.Since(table, has));
     }
   }
   const auto known = aVersions.at(static_cast<std::size_t>(FleetTable::Fleet));
@@ -239,6 +239,16 @@
   return owned == owners_.end() ? nullptr : &owned->second;
 }
 
+std::vector<std::string>
+FleetView::OwnedServices() const
+{
+  std::vector<std::string> services;
+  for (const auto& [service, owned] : owners_) {
+    services.push_back(service);
+  }
+  return services;
+}
+
 std::vector<std::string>
 FleetView::KeyedServices() const
 {
--- a/Libraries/LibFleet/FleetView.h
+++ b/Libraries/LibFleet/FleetView.h
@@ -72,6 +72,11 @@
   void TakeFleetRow(Instant aNow, const Row& aRow);
   // What this instance has written itself.
   void TakeOwnership(RowVersion aVersion, const KeyOwnership& aOwnership);
+  // What of a table somebody lacks who has it as of that version.
+  TableView ChangesSince(FleetTable aTable, RowVersion aVersion) const
+  {
+    return mirror_.Since(aTable, aVersion);
+  }
   // All that somebody who has these versions lacks.
   FleetNews NewsSince(const TableVersions& aVersions) const;
 
@@ -89,6 +94,8 @@
   RowVersion PlacerVersion() const { return placer_ ? placer_->version_ : 0; }
   // The services of the configuration that are divided by key.
   std::vector<std::string> KeyedServices() const;
+  // The services of whose keys somebody was ever named owner.
+  std::vector<std::string> OwnedServices() const;
 
 private:
   void OnConfigurationRow(const RowChange& aChange);
--- /dev/null
+++ b/Libraries/LibFleet/NewsTree.cpp
@@ -0,0 +1,117 @@
+#include "LibFleet/NewsTree.h"
+
+#include <algorithm>
+#include <map>
+
+namespace latchslip {
+
+namespace {
+
+// Up to this many are told at once, as a tree would only delay them.
+constexpr std::size_t kFewReceivers = 16;
+// To how many an instance passes news on: a hall of 60 is reached in two steps, and one
+// of the weakest links (20 Mbit/s) carries eight messages of 1 KB in 3 ms.
+constexpr std::size_t kFanOut = 8;
+// Ends the list of those to whom a message is passed on.
+constexpr char kListEnd = '\n';
+constexpr char kSeparator = ',';
+
+std::vector<std::string>
+AddressesOf(const std::vector<FleetPeer>& aPeers)
+{
+  std::vector<std::string> addresses;
+  addresses.reserve(aPeers.size());
+  for (const auto& peer : aPeers) {
+    addresses.push_back(peer.address_);
+  }
+  return addresses;
+}
+
+} // namespace
+
+bool
+StrongerFirst(const FleetPeer& aLeft, const FleetPeer& aRight)
+{
+  if (aLeft.processorShare_ != aRight.processorShare_) {
+    return aLeft.processorShare_ > aRight.processorShare_;
+  }
+  return aLeft.address_ < aRight.address_;
+}
+
+std::vector<NewsBranch>
+PlanNewsTree(std::vector<FleetPeer> aReceivers, const FleetPeer& aSelf)
+{
+  std::erase_if(aReceivers,
+                [&](const FleetPeer& aPeer) { return aPeer.address_ == aSelf.address_; });
+  std::sort(aReceivers.begin(), aReceivers.end(), StrongerFirst);
+  std::vector<NewsBranch> branches;
+  if (aReceivers.size() <= kFewReceivers) {
+    for (const auto& peer : aReceivers) {
+      branches.push_back({ peer.address_, {} });
+    }
+    return branches;
+  }
+  std::map<std::string, std::vector<FleetPeer>> halls;
+  for (auto& peer : aReceivers) {
+    halls[peer.hall_].push_back(std::move(peer));
+  }
+  for (const auto& [hall, peers] : halls) {
+    auto addresses = AddressesOf(peers);
+    if (hall == aSelf.hall_) {
+      const auto own = SplitOnward(addresses);
+      branches.insert(branches.end(), own.begin(), own.end());
+      continue;
+    }
+    branches.push_back({ addresses.front(), { addresses.begin() + 1, addresses.end() } });
+  }
+  return branches;
+}
+
+std::vector<NewsBranch>
+SplitOnward(const std::vector<std::string>& aOnward)
+{
+  std::vector<NewsBranch> branches;
+  for (std::size_t index = 0; index < aOnward.size(); ++index) {
+    if (index < kFanOut) {
+      branches.push_back({ aOnward[index], {} });
+    } else {
+      branches[index % kFanOut].onward_.push_back(aOnward[index]);
+    }
+  }
+  return branches;
+}
+
+std::string
+EncodeNewsMessage(const std::vector<std::string>& aOnward, std::string_view aNews)
+{
+  std::string text;
+  for (const auto& address : aOnward) {
+    if (!text.empty()) {
+      text += kSeparator;
+    }
+    text += address;
+  }
+  text += kListEnd;
+  text += aNews;
+  return text;
+}
+
+FieldResult<NewsMessage>
+DecodeNewsMessage(std::string_view aText)
+{
+  const auto end = aText.find(kListEnd);
+  if (end == std::string_view::npos) {
+    return FieldError{ "news", "must begin with a line of those to whom they are passed on" };
+  }
+  NewsMessage message;
+  message.news_ = std::string(aText.substr(end + 1));
+  auto list = aText.substr(0, end);
+  while (!list.empty()) {
+    const auto next = std::min(list.find(kSeparator), list.size());
+    message.onward_.emplace_back(list.substr(0, next));
+    list.remove_prefix(std::min(next + 1, list.size()));
+  }
+  return message;
+}
+
+} // namespace latchslip
--- a/Libraries/LibFleet/PlacerDuty.cpp
+++ b/Libraries/LibFleet/PlacerDuty.cpp
@@ -11,6 +11,9 @@
 
 // An instance that reported within this time takes the receiver for the placer.
 constexpr Duration kReportingBound = seconds(2);
+// Tables that were told are not told again for so long: whoever starts reads them itself
+// before.
+constexpr Duration kTablesAgain = seconds(2);
 // A write that failed is sent again after this time.
 constexpr Duration kWritePause = milliseconds(200);
 // Servers are taken to differ in speed by this factor from the typical at most,
@@ -28,7 +31,12 @@
   auto& conditions = write.transaction_.conditions_;
   const std::string key(kPlacerKey);
   conditions.push_back({ key, view_.PlacerVersion() });
-  for (const auto& service : view_.KeyedServices()) {
+  // The configuration may not be known yet: it is read by the placer first.
+  std::set<std::string> services;
+  for (const auto& names : { view_.KeyedServices(), view_.OwnedServices() }) {
+    services.insert(names.begin(), names.end());
+  }
+  for (const auto& service : services) {
     const auto* owned = view_.OwnersOf(service);
     conditions.push_back({ OwnershipKey(service), owned == nullptr ? 0 : owned->version_ });
   }
@@ -238,6 +246,10 @@
 {
   events_.Record(Event::PlacerClaimed, "row_version=" + std::to_string(aRow.version_));
   view_.TakeFleetRow(aNow, aRow);
+  // Those that reported to the former placer will report here.
+  for (const auto& [address, peer] : roster_.Peers()) {
+    heardInstances_.try_emplace(address, HeardInstance{ aNow, peer.processorShare_ });
+  }
   FleetNews news;
   news.placer_ = aRow;
   Spread(news);
@@ -293,11 +305,35 @@
 void
 FleetMember::Spread(const FleetNews& aNews)
 {
-  for (const auto& address : instances_) {
-    if (address != settings_.self_.address_) {
-      actions_.SendNews(address, aNews);
+  std::vector<FleetPeer> receivers;
+  for (const auto& [address, peer] : roster_.Peers()) {
+    receivers.push_back(peer);
+  }
+  actions_.SendNews(PlanNewsTree(std::move(receivers), SelfAsPeer()), aNews);
+}
+
+void
+FleetMember::SpreadTables(Instant aNow)
+{
+  if (!IsReady() || lacking_.empty()) {
+    return;
+  }
+  std::vector<FleetPeer> receivers;
+  for (const auto& address : std::exchange(lacking_, {})) {
+    const auto peer = roster_.Peers().find(address);
+    const auto heard = heardInstances_.find(address);
+    if (peer == roster_.Peers().end() || heard == heardInstances_.end()) {
+      continue;
+    }
+    auto& toldAt = heard->second.tablesToldAt_;
+    if (aNow >= toldAt + kTablesAgain) {
+      toldAt = aNow;
+      receivers.push_back(peer->second);
     }
   }
+  if (!receivers.empty()) {
+    actions_.SendNews(PlanNewsTree(std::move(receivers), SelfAsPeer()), view_.NewsSince({}));
+  }
 }
 
 void
--- a/Libraries/LibFleet/ReportDuty.cpp
+++ b/Libraries/LibFleet/ReportDuty.cpp
@@ -12,6 +12,8 @@
 // Between two reports to the placer: two fit into the time after which a silent
 // placer is replaced, and load is evened out from means over seconds.
 constexpr Duration kReportInterval = milliseconds(800);
+// The same for an instance that has started, until a placer answers: it serves nobody.
+constexpr Duration kStartReportInterval = milliseconds(100);
 // A placer that takes longer to answer is slowed itself: it hears of changes in
 // many steps, and each takes as long. Well above the way there and back within a
 // region with a busy processor.
@@ -22,6 +24,9 @@
 constexpr Duration kStoreLately = milliseconds(1500);
 // An instance that has not reported for this long is not counted any more.
 constexpr Duration kInstanceSilence = seconds(4);
+// Between two looks for such instances: one at each report would cost a placer of 295
+// instances as many steps as their count squared every 0.8 s.
+constexpr Duration kForgetInterval = milliseconds(200);
 
 } // namespace
 
@@ -32,6 +37,9 @@
   report.instance_ = settings_.self_.instance_;
   report.address_ = settings_.self_.address_;
   report.processorShare_ = settings_.processorShare_;
+  report.hall_ = settings_.hall_;
+  report.rosterDigest_ = roster_.Digest();
+  report.lacksTables_ = !IsReady();
   for (const auto& service : view_.KeyedServices()) {
     report.keyCounts_[service] = counters_[service].Take();
     for (const auto* server : view_.Directory().OfService(service)) {
@@ -53,7 +61,7 @@
   const auto report = TakeReport();
   if (election_.IsPlacer()) {
     OnReport(aNow, report);
-    actions_.OnInstances(instances_.size());
+    actions_.OnInstances(roster_.Size());
     return;
   }
   actions_.SendReport(election_.Current()->address_, report);
@@ -62,30 +70,68 @@
 ReportAnswer
 FleetMember::OnReport(Instant aNow, const InstanceReport& aReport)
 {
-  heardInstances_[aReport.address_] = { aNow, aReport.processorShare_ };
-  std::erase_if(heardInstances_, [&](const auto& aEntry) {
-    return aNow - aEntry.second.heardAt_ > kInstanceSilence;
-  });
-  auto answer = MakeReportAnswer();
+  NoteInstances(aNow, aReport);
   if (aNow - storeHeardAt_ < kStoreLately) {
     othersWithStore_ = heardInstances_.size() - heardInstances_.count(settings_.self_.address_);
   }
   if (election_.IsPlacer()) {
-    instances_ = answer.instances_;
     TakeIn(aNow, aReport);
   }
-  return answer;
+  return MakeReportAnswer(aReport);
+}
+
+void
+FleetMember::NoteInstances(Instant aNow, const InstanceReport& aReport)
+{
+  auto& heard = heardInstances_[aReport.address_];
+  heard.heardAt_ = aNow;
+  heard.processorShare_ = aReport.processorShare_;
+  strongestShare_ = std::max(strongestShare_, aReport.processorShare_);
+  if (election_.IsPlacer()) {
+    roster_.Put({ aReport.address_, aReport.hall_, aReport.processorShare_ });
+    if (aReport.lacksTables_) {
+      lacking_.insert(aReport.address_);
+    }
+  }
+  if (aNow >= nextForget_) {
+    nextForget_ = aNow + kForgetInterval;
+    ForgetSilent(aNow);
+  }
+}
+
+void
+FleetMember::ForgetSilent(Instant aNow)
+{
+  std::erase_if(heardInstances_, [&](const auto& aEntry) {
+    return aNow - aEntry.second.heardAt_ > kInstanceSilence;
+  });
+  strongestShare_ = 0;
+  for (const auto& [address, heard] : heardInstances_) {
+    strongestShare_ = std::max(strongestShare_, heard.processorShare_);
+  }
+  if (!election_.IsPlacer()) {
+    return;
+  }
+  std::vector<std::string> silent;
+  for (const auto& [address, peer] : roster_.Peers()) {
+    if (!heardInstances_.contains(address)) {
+      silent.push_back(address);
+    }
+  }
+  for (const auto& address : silent) {
+    roster_.Remove(address);
+  }
 }
 
 ReportAnswer
-FleetMember::MakeReportAnswer() const
+FleetMember::MakeReportAnswer(const InstanceReport& aReport) const
 {
   ReportAnswer answer;
   answer.isWorking_ = election_.IsPlacer() && !isStoreLost_;
-  for (const auto& [address, heard] : heardInstances_) {
-    answer.instances_.push_back(address);
-    answer.strongestShare_ = std::max(answer.strongestShare_, heard.processorShare_);
+  if (election_.IsPlacer()) {
+    answer.roster_ = roster_.ChangesSince(aReport.rosterDigest_);
   }
+  answer.strongestShare_ = strongestShare_;
   answer.lastChanges_ = view_.LastChanges();
   return answer;
 }
@@ -133,22 +179,28 @@
   }
   if (!aAnswer || !aAnswer->isWorking_) {
     relay_.OnFailure(RelayEnd::NoAnswer);
+    if (!IsReady()) {
+      nextReport_ = std::min(nextReport_, aNow + kStartReportInterval);
+    }
     return;
   }
-  if (aRoundTrip > kSlowAnswer) {
+  start_.OnPlacerAnswered(aNow);
+  LearnInstances(aNow, *aAnswer);
+  // In a large fleet its readers see what a slowed placer sees late.
+  if (aRoundTrip > kSlowAnswer && !IsReadFor()) {
     relay_.OnFailure(RelayEnd::SlowAnswer);
   } else {
     relay_.OnAnswer(aNow, aAnswer->lastChanges_, view_.Versions());
   }
-  LearnInstances(*aAnswer);
 }
 
 void
-FleetMember::LearnInstances(const ReportAnswer& aAnswer)
+FleetMember::LearnInstances(Instant aNow, const ReportAnswer& aAnswer)
 {
-  if (!aAnswer.instances_.empty()) {
-    instances_ = aAnswer.instances_;
-    actions_.OnInstances(instances_.size());
+  if (!aAnswer.roster_.IsEmpty()) {
+    rosterSince_ = rosterSince_.value_or(aNow);
+    roster_.Apply(aAnswer.roster_);
+    actions_.OnInstances(roster_.Size());
   }
   if (aAnswer.strongestShare_ > 0) {
     election_.SetWeakness(WeaknessBeside(settings_.processorShare_, aAnswer.strongestShare_));
--- a/Libraries/LibFleet/RowMirror.cpp
+++ b/Libraries/LibFleet/RowMirror.cpp
@@ -5,6 +5,13 @@
 
 namespace latchslip {
 
+namespace {
+
+// Changes that are remembered: as when each server of a large fleet writes itself in.
+constexpr std::size_t kMostChanges = 1024;
+
+} // namespace
+
 std::optional<std::vector<RowChange>>
 RowMirror::Apply(const TableView& aView)
 {
@@ -32,6 +39,11 @@
       changes.push_back(change);
     }
   }
+  if (table.isKnown_) {
+    Remember(table, changes);
+  } else {
+    table.changesFrom_ = aView.version_;
+  }
   for (const auto& change : changes) {
     table.lastChange_ = std::max(table.lastChange_, change.row_.version_);
   }
@@ -57,11 +69,39 @@
       ++row;
       continue;
     }
+    // When it went is not known; it has by now.
     aChanges.push_back({ row->second, true });
+    aChanges.back().row_.version_ = aView.version_;
     row = aTable.rows_.erase(row);
   }
 }
 
+void
+RowMirror::Remember(Table& aTable, const std::vector<RowChange>& aChanges)
+{
+  aTable.changes_.insert(aTable.changes_.end(), aChanges.begin(), aChanges.end());
+  while (aTable.changes_.size() > kMostChanges) {
+    aTable.changesFrom_ = std::max(aTable.changesFrom_, aTable.changes_.front().row_.version_);
+    aTable.changes_.pop_front();
+  }
+}
+
+TableView
+RowMirror::Since(FleetTable aTable, RowVersion aVersion) const
+{
+  const auto& table = Of(aTable);
+  if (aVersion == 0 || aVersion < table.changesFrom_) {
+    return Whole(aTable);
+  }
+  TableView view{ aTable, table.version_, false, aVersion, {} };
+  for (const auto& change : table.changes_) {
+    if (change.row_.version_ > aVersion) {
+      view.rows_.push_back(change);
+    }
+  }
+  return view;
+}
+
 const Row*
 RowMirror::Find(FleetTable aTable, const std::string& aKey) const
 {
--- a/Libraries/LibFleet/RowMirror.h
+++ b/Libraries/LibFleet/RowMirror.h
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -65,8 +66,9 @@
   bool IsKnown(FleetTable aTable) const { return Of(aTable).isKnown_; }
   // The row of that key; null when there is none.
   const Row* Find(FleetTable aTable, const std::string& aKey) const;
-  // The whole table, to be given to another instance.
-  TableView Whole(FleetTable aTable) const;
+  // What somebody lacks who has the table as of that version, to be given to another
+  // instance: the changes, or the whole table when they are not remembered.
+  TableView Since(FleetTable aTable, RowVersion aVersion) const;
 
 private:
   struct Table
@@ -75,9 +77,14 @@
     RowVersion lastChange_ = 0;
     bool isKnown_ = false;
     std::map<std::string, Row> rows_;
+    // The latest changes, as they came, and the version after which none is lacking.
+    std::deque<RowChange> changes_;
+    RowVersion changesFrom_ = 0;
   };
 
   const Table& Of(FleetTable aTable) const { return tables_.at(static_cast<std::size_t>(aTable)); }
+  static void Remember(Table& aTable, const std::vector<RowChange>& aChanges);
+  TableView Whole(FleetTable aTable) const;
   static void ApplyWhole(Table& aTable, const TableView& aView, std::vector<RowChange>& aChanges);
 
   std::array<Table, kFleetTables> tables_;
--- a/Tests/LibFleet/TestFleetMember.cpp
+++ b/Tests/LibFleet/TestFleetMember.cpp
@@ -46,16 +46,24 @@
   void Follow(Following aHow, const TableVersions& aKnown) override
   {
     following_ = aHow;
+    hasFollowed_ = true;
+    hasFollowedAlone_ = hasFollowedAlone_ || aHow == Following::Alone;
     followFrom_ = aKnown;
   }
   void Order(const std::string&, const KeyOrder& aOrder) override { orders_.push_back(aOrder); }
-  void SendReport(const std::string& aAddress, const InstanceReport&) override
+  void SendReport(const std::string& aAddress, const InstanceReport& aReport) override
   {
     reports_.push_back(aAddress);
+    lastReport_ = aReport;
   }
-  void SendNews(const std::string& aAddress, const FleetNews& aNews) override
+  void SendNews(const std::vector<NewsBranch>& aBranches, const FleetNews& aNews) override
   {
-    news_.emplace_back(aAddress, aNews);
+    for (const auto& branch : aBranches) {
+      news_.emplace_back(branch.to_, aNews);
+      for (const auto& address : branch.onward_) {
+        news_.emplace_back(address, aNews);
+      }
+    }
   }
   void FetchNews(const std::string& aAddress, const TableVersions&) override
   {
@@ -76,6 +84,9 @@
   TableVersions followFrom_{};
   std::vector<KeyOrder> orders_;
   std::vector<std::string> reports_;
+  InstanceReport lastReport_;
+  bool hasFollowed_ = false;
+  bool hasFollowedAlone_ = false;
   std::vector<std::pair<std::string, FleetNews>> news_;
   std::vector<std::string> fetches_;
   std::vector<std::uint64_t> versions_;
@@ -87,6 +98,17 @@
 
 constexpr const char* kSelf = "10.0.0.1:9";
 constexpr const char* kOther = "10.0.0.2:9";
+const RosterChange kBoth{ true, { { kSelf, "hall", 1 }, { kOther, "hall", 1 } }, {} };
+
+InstanceReport
+ReportOf(const std::string& aInstance, const std::string& aAddress)
+{
+  InstanceReport report;
+  report.instance_ = aInstance;
+  report.address_ = aAddress;
+  report.hall_ = "hall";
+  return report;
+}
 
 class MemberOfAFleet : public testing::Test
 {
@@ -127,7 +149,7 @@
       const auto sent = fleet_.reports_.size();
       Pass(milliseconds(50));
       if (fleet_.reports_.size() > sent) {
-        member_.OnReportAnswered(now_, ReportAnswer{ true, { kSelf, kOther }, aVersions });
+        member_.OnReportAnswered(now_, ReportAnswer{ true, kBoth, aVersions });
       }
     }
   }
@@ -154,7 +176,7 @@
   SilentEvents events_;
   PlainDecoder decoder_;
   RecordedFleet fleet_;
-  FleetMember member_{ { { "i1", "run2", kSelf }, { "10.0.0.3:9" }, 1, {}, 1 },
+  FleetMember member_{ { { "i1", "run2", kSelf }, { "10.0.0.3:9" }, 1, {}, 1, "hall" },
                        decoder_,
                        fleet_,
                        events_ };
@@ -238,7 +260,7 @@
 TEST_F(MemberOfAFleet, PlacerLearnsOfAChange_ItTellsThoseThatReport)
 {
   BecomePlacer();
-  member_.OnReport(now_, { "i2", kOther, {}, {} });
+  member_.OnReport(now_, ReportOf("i2", kOther));
   member_.OnView(now_,
                  { FleetTable::Servers, 20, false, 6, { { { "s1", 20, "leaving" }, false } } });
   ASSERT_FALSE(fleet_.news_.empty());
@@ -249,7 +271,7 @@
 TEST_F(MemberOfAFleet, PlacerLearnsOfAChangeAfterAQuietTime_ItTellsFromTheLastChangeOn)
 {
   BecomePlacer();
-  member_.OnReport(now_, { "i2", kOther, {}, {} });
+  member_.OnReport(now_, ReportOf("i2", kOther));
   member_.OnView(now_, { FleetTable::Servers, 50, false, 6, {} });
   member_.OnView(now_,
                  { FleetTable::Servers, 60, false, 50, { { { "s1", 60, "leaving" }, false } } });
@@ -260,7 +282,7 @@
 TEST_F(MemberOfAFleet, PlacerReadsItsWriteBeforeTheAnswer_NewsFollowOnWhatTheOthersHave)
 {
   BecomePlacer();
-  member_.OnReport(now_, { "i2", kOther, {}, {} });
+  member_.OnReport(now_, ReportOf("i2", kOther));
   Pass(seconds(3));
   const auto write = fleet_.transactions_.back().writes_.front();
   Show(FleetTable::Fleet, 11, { { write.key_, 11, write.value_ } });
@@ -276,10 +298,10 @@
 TEST_F(MemberOfAFleet, PlacerLosesTheStore_ItSaysSoAtOnceAndToEveryReport)
 {
   BecomePlacer();
-  member_.OnReport(now_, { "i2", kOther, {}, {} });
+  member_.OnReport(now_, ReportOf("i2", kOther));
   member_.OnStoreLost(now_);
   EXPECT_TRUE(fleet_.news_.back().second.isLastForNow_);
-  EXPECT_FALSE(member_.OnReport(now_, { "i2", kOther, {}, {} }).isWorking_);
+  EXPECT_FALSE(member_.OnReport(now_, ReportOf("i2", kOther)).isWorking_);
 }
 
 TEST_F(MemberOfAFleet, AnotherClaimsItsPlace_ItGivesNoMoreOrders)
@@ -302,7 +324,7 @@
   BecomePlacer();
   Pass(seconds(3));
   Done(11);
-  member_.OnReport(now_, { "i2", kOther, {}, {} });
+  member_.OnReport(now_, ReportOf("i2", kOther));
   Pass(seconds(1));
   member_.OnStoreLost(now_);
   std::size_t answered = 0;
@@ -331,7 +353,7 @@
   member_.OnStoreLost(now_);
   std::size_t answered = 0;
   for (int round = 0; round < 400; ++round) {
-    member_.OnReport(now_, { "i2", kOther, {}, {} });
+    member_.OnReport(now_, ReportOf("i2", kOther));
     Pass(milliseconds(50));
     for (; answered < fleet_.orders_.size(); ++answered) {
       member_.OnOrderEnded(now_, "rates", fleet_.orders_[answered].number_, { OrderEnd::Done, "" });
@@ -361,8 +383,8 @@
 TEST_F(MemberOfAFleet, PlacerHearsNeitherStoreNorInstances_ItGivesNoMoreOrders)
 {
   BecomePlacer();
-  member_.OnReport(now_, { "i2", kOther, {}, {} });
-  member_.OnReport(now_, { "i3", "10.0.0.3:9", {}, {} });
+  member_.OnReport(now_, ReportOf("i2", kOther));
+  member_.OnReport(now_, ReportOf("i3", "10.0.0.3:9"));
   Pass(seconds(3));
   Done(11);
   member_.OnStoreLost(now_);
@@ -395,7 +417,7 @@
   Show(FleetTable::Fleet, 7, { { "placer", 7, Placer("i2", kOther) } });
   AnswerReports(seconds(2), { 5, 6, 7 });
   ASSERT_EQ(fleet_.following_, Following::Relayed);
-  member_.OnReportAnswered(now_, ReportAnswer{ true, { kSelf, kOther }, { 30, 6, 7 } });
+  member_.OnReportAnswered(now_, ReportAnswer{ true, kBoth, { 30, 6, 7 } });
   Pass(milliseconds(600));
   EXPECT_EQ(fleet_.following_, Following::Alone);
   EXPECT_EQ(fleet_.followFrom_, (TableVersions{ 5, 6, 7 }));
@@ -404,11 +426,11 @@
 TEST_F(MemberOfAFleet, PlacerSeesAConfiguration_ItSendsNothingAndNamesTheChangeInAnswers)
 {
   BecomePlacer();
-  member_.OnReport(now_, { "i2", kOther, {}, {} });
+  member_.OnReport(now_, ReportOf("i2", kOther));
   const auto sent = fleet_.news_.size();
   Show(FleetTable::Configuration, 30, { { "config", 29, "2" } });
   EXPECT_EQ(fleet_.news_.size(), sent);
-  EXPECT_EQ(member_.OnReport(now_, { "i2", kOther, {}, {} }).lastChanges_.front(), 29U);
+  EXPECT_EQ(member_.OnReport(now_, ReportOf("i2", kOther)).lastChanges_.front(), 29U);
 }
 
 TEST_F(MemberOfAFleet, PlacerFallsSilent_StoreIsFollowedFromWhatIsKnownAndThenClaimed)
@@ -429,7 +451,7 @@
   ShowTables();
   Show(FleetTable::Fleet, 7, { { "placer", 7, Placer("i2", kOther) } });
   AnswerReports(seconds(2), { 5, 6, 7 });
-  member_.OnReportAnswered(now_, ReportAnswer{ true, { kSelf, kOther }, { 5, 6, 7 }, 10 });
+  member_.OnReportAnswered(now_, ReportAnswer{ true, kBoth, { 5, 6, 7 }, 10 });
   // Later than an equal one would by more than the time between two reports.
   Pass(milliseconds(2550));
   EXPECT_TRUE(fleet_.transactions_.empty());
@@ -445,7 +467,7 @@
   member_.OnStoreLost(now_);
   for (int round = 0; round < 100; ++round) {
     Pass(milliseconds(50));
-    member_.OnReportAnswered(now_, ReportAnswer{ false, { kSelf, kOther }, {} });
+    member_.OnReportAnswered(now_, ReportAnswer{ false, kBoth, {} });
   }
   member_.OnStoreRegained(now_);
   Pass(seconds(1));
@@ -459,8 +481,7 @@
   member_.OnStoreLost(now_);
   for (int round = 0; round < 60; ++round) {
     Pass(milliseconds(50));
-    member_.OnReportAnswered(
-      now_, ReportAnswer{ true, { kSelf, kOther }, { 5, 6, 7 } }, milliseconds(250));
+    member_.OnReportAnswered(now_, ReportAnswer{ true, kBoth, { 5, 6, 7 } }, milliseconds(250));
   }
   EXPECT_FALSE(fleet_.isStale_);
   Pass(seconds(3));
@@ -474,7 +495,7 @@
   AnswerReports(seconds(2), { 5, 6, 7 });
   for (int round = 0; round < 60; ++round) {
     Pass(milliseconds(50));
-    member_.OnReportAnswered(now_, ReportAnswer{ false, { kSelf, kOther }, {} });
+    member_.OnReportAnswered(now_, ReportAnswer{ false, kBoth, {} });
   }
   EXPECT_EQ(fleet_.transactions_.size(), 1U);
 }
@@ -487,8 +508,7 @@
   ASSERT_EQ(fleet_.following_, Following::Relayed);
   for (int round = 0; round < 100; ++round) {
     Pass(milliseconds(50));
-    member_.OnReportAnswered(
-      now_, ReportAnswer{ true, { kSelf, kOther }, { 5, 6, 7 } }, milliseconds(250));
+    member_.OnReportAnswered(now_, ReportAnswer{ true, kBoth, { 5, 6, 7 } }, milliseconds(250));
   }
   EXPECT_EQ(fleet_.following_, Following::Alone);
   EXPECT_TRUE(fleet_.transactions_.empty());
@@ -516,6 +536,235 @@
   EXPECT_EQ(fleet_.following_, Following::Alone);
 }
 
+TEST_F(MemberOfAFleet, HasJustStarted_OnlyTheFleetsRowsAreReadUntilThePlacerTells)
+{
+  Show(FleetTable::Fleet, 7, { { "placer", 7, Placer("i2", kOther) } });
+  Pass(milliseconds(50));
+  ASSERT_EQ(fleet_.reports_.size(), 1U);
+  EXPECT_TRUE(fleet_.lastReport_.lacksTables_);
+  member_.OnReportAnswered(now_, ReportAnswer{ true, kBoth, { 5, 6, 7 } });
+  Pass(milliseconds(1000));
+  EXPECT_FALSE(fleet_.hasFollowed_);
+  FleetNews news;
+  news.views_.push_back(
+    { FleetTable::Configuration, 5, true, 0, { { { "config", 5, "1" }, false } } });
+  news.views_.push_back({ FleetTable::Servers, 6, true, 0, { { { "s1", 2, "ready" }, false } } });
+  member_.OnNews(now_, news);
+  member_.OnReportAnswered(now_, ReportAnswer{ true, kBoth, { 5, 6, 7 } });
+  Pass(milliseconds(50));
+  EXPECT_TRUE(member_.IsReady());
+  EXPECT_EQ(fleet_.following_, Following::Told);
+}
+
+TEST_F(MemberOfAFleet, HasJustStartedAndThePlacerIsGone_TablesAreRead)
+{
+  Show(FleetTable::Fleet, 7, { { "placer", 7, Placer("i2", kOther) } });
+  Pass(milliseconds(350));
+  EXPECT_FALSE(fleet_.hasFollowed_);
+  Pass(milliseconds(100));
+  EXPECT_EQ(fleet_.following_, Following::Alone);
+}
+
+TEST_F(MemberOfAFleet, HasJustStartedAndItsPlacerIsNotOneYet_ItIsAskedAgainSoon)
+{
+  Show(FleetTable::Fleet, 7, { { "placer", 7, Placer("i2", kOther) } });
+  Pass(milliseconds(50));
+  member_.OnReportAnswered(now_, ReportAnswer{ false, {}, {} });
+  Pass(milliseconds(100));
+  EXPECT_EQ(fleet_.reports_.size(), 2U);
+}
+
+TEST_F(MemberOfAFleet, InstancesHaveStarted_PlacerTellsThemTheTablesOnce)
+{
+  BecomePlacer();
+  auto report = ReportOf("i2", kOther);
+  report.lacksTables_ = true;
+  member_.OnReport(now_, report);
+  const auto sent = fleet_.news_.size();
+  Pass(milliseconds(50));
+  ASSERT_EQ(fleet_.news_.size(), sent + 1);
+  EXPECT_EQ(fleet_.news_.back().first, kOther);
+  ASSERT_EQ(fleet_.news_.back().second.views_.size(), 2U);
+  EXPECT_TRUE(fleet_.news_.back().second.views_[1].isWhole_);
+  member_.OnReport(now_, report);
+  Pass(milliseconds(200));
+  EXPECT_EQ(fleet_.news_.size(), sent + 1);
+}
+
+TEST_F(MemberOfAFleet, NoConfigurationYet_ThePlacerIsFoundAlready)
+{
+  Show(FleetTable::Fleet, 7, {});
+  Pass(milliseconds(600));
+  ASSERT_EQ(fleet_.transactions_.size(), 1U);
+  Done(10);
+  EXPECT_TRUE(member_.IsPlacer());
+  Pass(milliseconds(50));
+  EXPECT_EQ(fleet_.following_, Following::Closely);
+}
+
+// An instance of a large fleet in two halls. The two strongest of each read the store.
+class MemberOfALargeFleet : public MemberOfAFleet
+{
+protected:
+  static constexpr int kOthers = 24;
+
+  static std::string AddressOf(int aNumber) { return "10.0.1." + std::to_string(aNumber) + ":9"; }
+
+  static FleetPeer PeerOf(int aNumber)
+  {
+    return { AddressOf(aNumber), aNumber % 2 == 0 ? "hall" : "other", aNumber < 4 ? 2.0 : 0.5 };
+  }
+
+  // Instances 0 and 2 are the readers of this one's hall, unless it is so itself.
+  explicit MemberOfALargeFleet(double aOwnShare = 1)
+  {
+    roster_.isWhole_ = true;
+    roster_.joined_.push_back({ kSelf, "hall", aOwnShare });
+    for (int number = 0; number < kOthers; ++number) {
+      roster_.joined_.push_back(PeerOf(number));
+    }
+    ShowTables();
+    Show(FleetTable::Fleet, 7, { { "placer", 7, Placer("i2", AddressOf(5)) } });
+    Pass(milliseconds(50));
+    Answer({ 5, 6, 7 });
+    Pass(milliseconds(50));
+    fleet_.hasFollowedAlone_ = false;
+  }
+
+  void Answer(const TableVersions& aVersions)
+  {
+    member_.OnReportAnswered(now_, ReportAnswer{ true, roster_, aVersions });
+  }
+
+  // The readers that are asked from now on say this.
+  void AnswerFetches(Duration aTime, StoreSight aSight)
+  {
+    FleetNews news;
+    news.sight_ = aSight;
+    const auto end = now_ + aTime;
+    while (now_ < end) {
+      const auto asked = fleet_.fetches_.size();
+      Pass(milliseconds(50));
+      if (fleet_.fetches_.size() > asked) {
+        member_.OnNewsFetched(now_, news);
+      }
+    }
+  }
+
+  RosterChange roster_;
+};
+
+class ReaderOfALargeFleet : public MemberOfALargeFleet
+{
+protected:
+  ReaderOfALargeFleet()
+    : MemberOfALargeFleet(4)
+  {
+  }
+};
+
+TEST_F(MemberOfALargeFleet, PlacerTellsWhatChanges_StoreIsAskedForNothing)
+{
+  EXPECT_EQ(fleet_.following_, Following::Told);
+}
+
+TEST_F(MemberOfALargeFleet, PlacerAnswersSlowly_ReadersSeeToTheStore)
+{
+  for (int round = 0; round < 20; ++round) {
+    Pass(milliseconds(500));
+    member_.OnReportAnswered(now_, ReportAnswer{ true, {}, { 5, 6, 7 } }, milliseconds(250));
+  }
+  EXPECT_EQ(fleet_.following_, Following::Told);
+}
+
+TEST_F(MemberOfALargeFleet, PlacerFallsSilentAndReadersAnswer_StoreIsAskedForNothing)
+{
+  member_.OnReportAnswered(now_, std::nullopt);
+  AnswerFetches(milliseconds(1500), StoreSight::Heard);
+  EXPECT_EQ(fleet_.following_, Following::Told);
+  ASSERT_GE(fleet_.fetches_.size(), 3U);
+  for (const auto& address : fleet_.fetches_) {
+    EXPECT_TRUE(address == AddressOf(0) || address == AddressOf(2)) << address;
+  }
+}
+
+TEST_F(MemberOfALargeFleet, PlacerAndReadersFallSilent_StoreIsFollowed)
+{
+  member_.OnReportAnswered(now_, std::nullopt);
+  Pass(milliseconds(600));
+  EXPECT_EQ(fleet_.following_, Following::Told);
+  Pass(milliseconds(200));
+  EXPECT_EQ(fleet_.following_, Following::Alone);
+  EXPECT_EQ(fleet_.followFrom_, (TableVersions{ 5, 6, 7 }));
+}
+
+TEST_F(MemberOfALargeFleet, StoreIsAwayFromAll_NobodyButReadersAsksIt)
+{
+  FleetNews news;
+  news.isLastForNow_ = true;
+  member_.OnNews(now_, news);
+  AnswerFetches(seconds(5), StoreSight::Lost);
+  EXPECT_EQ(fleet_.following_, Following::Told);
+  EXPECT_TRUE(fleet_.transactions_.empty());
+  EXPECT_TRUE(fleet_.isStale_);
+  AnswerFetches(milliseconds(600), StoreSight::Heard);
+  EXPECT_FALSE(fleet_.isStale_);
+}
+
+TEST_F(MemberOfALargeFleet, AskedOneIsToldByOthersItself_ItsWordIsNotRelied)
+{
+  member_.OnReportAnswered(now_, std::nullopt);
+  AnswerFetches(milliseconds(800), StoreSight::None);
+  EXPECT_EQ(fleet_.following_, Following::Alone);
+}
+
+TEST_F(MemberOfALargeFleet, IsAskedByAnother_SaysThatItDoesNotSeeTheStore)
+{
+  EXPECT_EQ(member_.NewsSince({ 5, 6, 7 }).sight_, StoreSight::None);
+  EXPECT_TRUE(member_.NewsSince({ 5, 6, 7 }).views_.empty());
+}
+
+TEST_F(MemberOfALargeFleet, NewsWereMissed_ReadersTellThem)
+{
+  Answer({ 5, 9, 7 });
+  Pass(milliseconds(500));
+  ASSERT_FALSE(fleet_.fetches_.empty());
+  FleetNews news;
+  news.sight_ = StoreSight::Heard;
+  news.views_.push_back({ FleetTable::Servers, 9, false, 6, { { { "s3", 9, "ready" }, false } } });
+  member_.OnNewsFetched(now_, news);
+  EXPECT_NE(member_.Directory().Find("s3"), nullptr);
+  Pass(milliseconds(50));
+  EXPECT_EQ(fleet_.following_, Following::Told);
+  EXPECT_FALSE(fleet_.hasFollowedAlone_);
+}
+
+TEST_F(ReaderOfALargeFleet, PlacerTellsWhatChanges_ConfigurationIsFollowed)
+{
+  EXPECT_EQ(fleet_.following_, Following::Relayed);
+  EXPECT_EQ(member_.NewsSince({ 5, 6, 7 }).sight_, StoreSight::Heard);
+}
+
+TEST_F(ReaderOfALargeFleet, ConfigurationChanges_ItsHallIsTold)
+{
+  Show(FleetTable::Configuration, 30, { { "config", 29, "2" } });
+  std::set<std::string> told;
+  for (const auto& [address, news] : fleet_.news_) {
+    told.insert(address);
+    EXPECT_EQ(news.views_.front().base_, 5U);
+  }
+  // Half of the others.
+  EXPECT_EQ(told.size(), static_cast<std::size_t>(kOthers / 2));
+  EXPECT_TRUE(told.contains(AddressOf(4)));
+}
+
+TEST_F(ReaderOfALargeFleet, PlacerAnswersSlowly_StoreIsFollowed)
+{
+  member_.OnReportAnswered(now_, ReportAnswer{ true, {}, { 5, 6, 7 } }, milliseconds(250));
+  Pass(milliseconds(50));
+  EXPECT_EQ(fleet_.following_, Following::Alone);
+}
+
 TEST_F(MemberOfAFleet, StartsWithoutTheStore_LearnsFromASeed)
 {
   member_.OnStoreLost(now_);
--- a/Tests/LibFleet/TestFleetParts.cpp
+++ b/Tests/LibFleet/TestFleetParts.cpp
@@ -81,6 +81,43 @@
   EXPECT_EQ(ValueOf("b"), "");
 }
 
+TEST_F(MirrorOfTwoRows, SomebodyLacksTheLatestChanges_GetsOnlyThese)
+{
+  mirror_.Apply(MakeView(12, false, 10, { { { "a", 12, "new" }, false } }));
+  mirror_.Apply(MakeView(14, false, 12, { { { "b", 14, "" }, true } }));
+  const auto changes = mirror_.Since(FleetTable::Servers, 12);
+  EXPECT_FALSE(changes.isWhole_);
+  EXPECT_EQ(changes.base_, 12U);
+  EXPECT_EQ(changes.version_, 14U);
+  ASSERT_EQ(changes.rows_.size(), 1U);
+  EXPECT_TRUE(changes.rows_.front().isRemoved_);
+}
+
+TEST_F(MirrorOfTwoRows, SomebodyHasAnOlderTable_GetsItWhole)
+{
+  mirror_.Apply(MakeView(12, false, 10, { { { "a", 12, "new" }, false } }));
+  EXPECT_TRUE(mirror_.Since(FleetTable::Servers, 9).isWhole_);
+  EXPECT_TRUE(mirror_.Since(FleetTable::Servers, 0).isWhole_);
+}
+
+TEST_F(MirrorOfTwoRows, TableIsReadAnew_WhatItChangedIsToldToOthers)
+{
+  mirror_.Apply(MakeView(20, true, 0, { { { "a", 18, "new" }, false } }));
+  const auto changes = mirror_.Since(FleetTable::Servers, 10);
+  EXPECT_FALSE(changes.isWhole_);
+  EXPECT_EQ(changes.rows_.size(), 2U);
+  EXPECT_EQ(mirror_.LastChangeOf(FleetTable::Servers), 20U);
+}
+
+TEST_F(MirrorOfTwoRows, ManyChangesFollow_TheOldestAreForgotten)
+{
+  for (RowVersion version = 11; version < 3000; ++version) {
+    mirror_.Apply(MakeView(version, false, version - 1, { { { "a", version, "x" }, false } }));
+  }
+  EXPECT_FALSE(mirror_.Since(FleetTable::Servers, 2500).isWhole_);
+  EXPECT_TRUE(mirror_.Since(FleetTable::Servers, 20).isWhole_);
+}
+
 TEST(RowMirror, ChangesComeBeforeTheTable_AreRefused)
 {
   RowMirror mirror;
@@ -223,11 +260,18 @@
   report.keyCounts_["rates"] = { { 5, 2 }, { 700, 1 } };
   report.work_["s1"] = { 3, milliseconds(40) };
   report.processorShare_ = 0.2;
+  report.hall_ = "north";
+  report.rosterDigest_ = 0xfedcba9876543210;
+  report.lacksTables_ = true;
   const auto read = ParseReport(SerializeReport(report)).value();
   EXPECT_EQ(read.instance_, "i1");
   EXPECT_EQ(read.keyCounts_, report.keyCounts_);
   EXPECT_EQ(read.work_, report.work_);
   EXPECT_EQ(read.processorShare_, 0.2);
+  EXPECT_EQ(read.hall_, "north");
+  EXPECT_EQ(read.rosterDigest_, report.rosterDigest_);
+  EXPECT_TRUE(read.lacksTables_);
+  EXPECT_FALSE(ParseReport(R"({"instance":"i","address":"a","roster":"x1"})"));
   EXPECT_FALSE(ParseReport(R"({"instance":"i","address":"a","key_counts":{"s":[1]}})"));
   EXPECT_FALSE(ParseReport(R"({"instance":"i","address":"a","key_counts":{"s":[70000,1]}})"));
   EXPECT_FALSE(ParseReport(R"({"instance":"i","address":"a","work":{"s":[1]}})"));
@@ -236,13 +280,18 @@
 
 TEST(ReportAnswer, WrittenAndRead_IsTheSame)
 {
-  const ReportAnswer answer{ true, { "10.0.0.1:1", "10.0.0.2:1" }, { 3, 4, 5 }, 0.5 };
+  const RosterChange roster{ false, { { "10.0.0.1:1", "north", 0.5 } }, { "10.0.0.2:1" } };
+  const ReportAnswer answer{ true, roster, { 3, 4, 5 }, 0.5 };
   const auto read = ParseReportAnswer(SerializeReportAnswer(answer)).value();
   EXPECT_TRUE(read.isWorking_);
-  EXPECT_EQ(read.instances_, answer.instances_);
+  EXPECT_EQ(read.roster_, answer.roster_);
   EXPECT_EQ(read.lastChanges_, answer.lastChanges_);
   EXPECT_EQ(read.strongestShare_, 0.5);
-  EXPECT_FALSE(ParseReportAnswer(R"({"working":true,"versions":[1,2,3],"instances":[7]})"));
+  EXPECT_TRUE(ParseReportAnswer(R"({"versions":[1,2,3],"joined":[],"left":[]})"));
+  EXPECT_FALSE(ParseReportAnswer(R"({"versions":[1,2,3],"joined":[7],"left":[]})"));
+  EXPECT_FALSE(ParseReportAnswer(R"({"versions":[1,2,3],"joined":[["a","b",-1]],"left":[]})"));
+  EXPECT_FALSE(ParseReportAnswer(R"({"versions":[1,2,3],"joined":[["a","b"]],"left":[]})"));
+  EXPECT_FALSE(ParseReportAnswer(R"({"versions":[1,2,3],"joined":[],"left":[7]})"));
 }
 
 } // namespace
--- /dev/null
+++ b/Tests/LibFleet/TestNewsTree.cpp
@@ -0,0 +1,121 @@
+#include "LibFleet/NewsTree.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <map>
+#include <set>
+
+namespace latchslip {
+
+namespace {
+
+// News of a placer on their way through a fleet of several hundred instances in five
+// halls, some of which take nothing.
+class NewsInALargeFleet : public testing::Test
+{
+protected:
+  static constexpr int kInstances = 295;
+
+  NewsInALargeFleet()
+  {
+    for (int number = 0; number < kInstances; ++number) {
+      peers_.push_back({ "10.0.0." + std::to_string(number) + ":9",
+                         "hall-" + std::to_string(number % 5),
+                         number % 7 == 0 ? 0.5 : 0.1 });
+    }
+  }
+
+  // Delivers a message, and what comes of it. A sender whose message is not taken sends it
+  // to those that it should have been passed on to.
+  void Deliver(const std::string& aFrom, const NewsBranch& aBranch, int aDepth)
+  {
+    ++sent_[aFrom];
+    crossings_ += HallOf(aFrom) == HallOf(aBranch.to_) ? 0 : 1;
+    const bool isTaken = !silent_.contains(aBranch.to_);
+    if (isTaken) {
+      ++reached_[aBranch.to_];
+      depth_ = std::max(depth_, aDepth);
+    }
+    for (const auto& onward : SplitOnward(aBranch.onward_)) {
+      Deliver(isTaken ? aBranch.to_ : aFrom, onward, aDepth + 1);
+    }
+  }
+
+  void Spread()
+  {
+    for (const auto& branch : PlanNewsTree(peers_, peers_.front())) {
+      Deliver(peers_.front().address_, branch, 1);
+    }
+  }
+
+  std::string HallOf(const std::string& aAddress) const
+  {
+    const auto peer = std::find_if(peers_.begin(), peers_.end(), [&](const FleetPeer& aPeer) {
+      return aPeer.address_ == aAddress;
+    });
+    return peer->hall_;
+  }
+
+  std::vector<FleetPeer> peers_;
+  std::set<std::string> silent_;
+  std::map<std::string, int> sent_;
+  std::map<std::string, int> reached_;
+  int crossings_ = 0;
+  int depth_ = 0;
+};
+
+TEST_F(NewsInALargeFleet, AllTakeThem_EachGetsThemOnceAndNobodySendsMany)
+{
+  Spread();
+  EXPECT_EQ(reached_.size(), static_cast<std::size_t>(kInstances - 1));
+  for (const auto& [address, times] : reached_) {
+    EXPECT_EQ(times, 1) << address;
+  }
+  for (const auto& [address, count] : sent_) {
+    EXPECT_LE(count, 12) << address;
+  }
+  EXPECT_EQ(crossings_, 4);
+  EXPECT_LE(depth_, 3);
+}
+
+TEST_F(NewsInALargeFleet, SomeTakeNothing_AllOthersGetThem)
+{
+  for (int number = 7; number < kInstances; number += 3) {
+    silent_.insert(peers_[static_cast<std::size_t>(number)].address_);
+  }
+  Spread();
+  EXPECT_EQ(reached_.size(), kInstances - 1 - silent_.size());
+  EXPECT_LE(depth_, 6);
+}
+
+TEST_F(NewsInALargeFleet, OnlySomeAreToGetThem_NobodyElseDoes)
+{
+  const std::vector<FleetPeer> some(peers_.begin() + 100, peers_.begin() + 140);
+  for (const auto& branch : PlanNewsTree(some, peers_.front())) {
+    Deliver(peers_.front().address_, branch, 1);
+  }
+  EXPECT_EQ(reached_.size(), some.size());
+  for (const auto& peer : some) {
+    EXPECT_EQ(reached_[peer.address_], 1);
+  }
+}
+
+TEST(NewsTree, FleetIsSmall_EachIsToldDirectly)
+{
+  const std::vector<FleetPeer> peers{ { "a:1", "x", 1 }, { "b:1", "y", 1 }, { "c:1", "y", 1 } };
+  EXPECT_EQ(PlanNewsTree(peers, peers[0]),
+            (std::vector<NewsBranch>{ { "b:1", {} }, { "c:1", {} } }));
+}
+
+TEST(NewsMessage, WrittenAndRead_IsTheSame)
+{
+  const auto read = DecodeNewsMessage(EncodeNewsMessage({ "a:1", "b:2" }, "{\n}")).value();
+  EXPECT_EQ(read.onward_, (std::vector<std::string>{ "a:1", "b:2" }));
+  EXPECT_EQ(read.news_, "{\n}");
+  EXPECT_TRUE(DecodeNewsMessage(EncodeNewsMessage({}, "{}")).value().onward_.empty());
+  EXPECT_FALSE(DecodeNewsMessage("{}"));
+}
+
+} // namespace
+
+} // namespace latchslip
--- /dev/null
+++ b/Tests/LibFleet/TestReaderGuide.cpp
@@ -0,0 +1,121 @@
+#include "LibFleet/ReaderGuide.h"
+#include "LibFleet/StartWait.h"
+
+#include <gtest/gtest.h>
+#include <map>
+
+namespace latchslip {
+
+namespace {
+
+// An instance of a large fleet that has lost its placer, and the readers of two halls.
+class GuideByFourReaders : public testing::Test
+{
+protected:
+  // Asks whoever is due for some time; a reader answers at once or not at all.
+  void Pass(Duration aTime, bool aIsAnswered)
+  {
+    for (const auto end = now_ + aTime; now_ < end; now_ += milliseconds(50)) {
+      if (const auto address = guide_.Next(now_, readers_, random_)) {
+        ++asked_[*address];
+        guide_.OnAnswer(now_, aIsAnswered);
+      }
+    }
+  }
+
+  Instant now_ = seconds(100);
+  const std::vector<FleetPeer> readers_{ { "a:1", "own", 1 },
+                                         { "b:1", "own", 1 },
+                                         { "c:1", "other", 1 },
+                                         { "d:1", "other", 1 } };
+  std::minstd_rand random_{ 1 };
+  ReaderGuide guide_;
+  std::map<std::string, int> asked_;
+};
+
+TEST_F(GuideByFourReaders, PlacerIsReliedOn_NobodyIsAsked)
+{
+  EXPECT_FALSE(guide_.Next(now_, readers_, random_));
+  EXPECT_FALSE(guide_.IsGuided(now_));
+}
+
+TEST_F(GuideByFourReaders, ReadersAnswer_TheStoreIsNotNeededAndTheOwnHallIsAsked)
+{
+  guide_.OnRelayEnded(now_);
+  Pass(seconds(10), true);
+  EXPECT_TRUE(guide_.IsGuided(now_));
+  EXPECT_EQ(asked_["a:1"] + asked_["b:1"], 20);
+  EXPECT_EQ(asked_["c:1"] + asked_["d:1"], 0);
+}
+
+TEST_F(GuideByFourReaders, NobodyAnswers_OtherHallsAreAskedAndThenTheStore)
+{
+  guide_.OnRelayEnded(now_);
+  Pass(milliseconds(650), false);
+  EXPECT_TRUE(guide_.IsGuided(now_));
+  EXPECT_GE(asked_["a:1"] + asked_["b:1"] + asked_["c:1"] + asked_["d:1"], 3);
+  Pass(milliseconds(100), false);
+  EXPECT_FALSE(guide_.IsGuided(now_));
+  Pass(seconds(10), false);
+  EXPECT_GT(asked_["c:1"] + asked_["d:1"], 10);
+  EXPECT_FALSE(guide_.IsGuided(now_));
+}
+
+TEST_F(GuideByFourReaders, OneAnswersAgain_TheStoreIsNotNeeded)
+{
+  guide_.OnRelayEnded(now_);
+  Pass(seconds(3), false);
+  Pass(milliseconds(300), true);
+  EXPECT_TRUE(guide_.IsGuided(now_));
+}
+
+TEST_F(GuideByFourReaders, PlacerIsReliedOnAgain_AskingEnds)
+{
+  guide_.OnRelayEnded(now_);
+  guide_.OnRelayed();
+  EXPECT_FALSE(guide_.Next(now_, readers_, random_));
+}
+
+// An instance that has started at 100 s.
+class WaitOfAStart : public testing::Test
+{
+protected:
+  WaitOfAStart() { wait_.OnStart(now_); }
+
+  Instant now_ = seconds(100);
+  StartWait wait_;
+};
+
+TEST_F(WaitOfAStart, StoreDoesNotAnswer_TablesAreReadAfterAWhile)
+{
+  EXPECT_FALSE(wait_.IsOver(now_ + milliseconds(900)));
+  EXPECT_TRUE(wait_.IsOver(now_ + milliseconds(1000)));
+}
+
+TEST_F(WaitOfAStart, NamedPlacerDoesNotAnswer_TablesAreReadSoon)
+{
+  wait_.OnFleetRead(now_, true);
+  EXPECT_TRUE(wait_.IsOver(now_ + milliseconds(400)));
+}
+
+TEST_F(WaitOfAStart, FleetNeverHadAPlacer_FirstOneIsWaitedFor)
+{
+  wait_.OnFleetRead(now_, false);
+  EXPECT_FALSE(wait_.IsOver(now_ + milliseconds(2900)));
+  wait_.OnFleetRead(now_ + milliseconds(500), true);
+  EXPECT_FALSE(wait_.IsOver(now_ + milliseconds(800)));
+  EXPECT_TRUE(wait_.IsOver(now_ + milliseconds(900)));
+}
+
+TEST_F(WaitOfAStart, PlacerAnswers_ItsTablesAreWaitedForOnce)
+{
+  wait_.OnFleetRead(now_, true);
+  wait_.OnPlacerAnswered(now_ + milliseconds(100));
+  wait_.OnPlacerAnswered(now_ + milliseconds(900));
+  EXPECT_FALSE(wait_.IsOver(now_ + milliseconds(1500)));
+  EXPECT_TRUE(wait_.IsOver(now_ + milliseconds(1600)));
+}
+
+} // namespace
+
+} // namespace latchslip
--- a/Tests/Platform/TestTableFollower.cpp
+++ b/Tests/Platform/TestTableFollower.cpp
@@ -49,7 +49,7 @@
 protected:
   FollowerOfServers()
   {
-    follower_.Ask();
+    follower_.Follow(Following::Alone, 0);
     store_.Answer(200, R"({"rows":[{"key":"s1","value":"YQ==","ver":80}],"ver":90})");
     RunUntilAsked();
   }
@@ -120,7 +120,7 @@
   boost::asio::io_context context;
   AskedStore store;
   TableFollower follower(context, store, FleetTable::Configuration);
-  follower.Ask();
+  follower.Follow(Following::Alone, 0);
   follower.Follow(Following::Relayed, 0);
   EXPECT_TRUE(store.callback_);
   store.Answer(200, R"({"rows":[{"key":"config","value":"YQ==","ver":80}],"ver":90})");
