LibNet, LibDaemon: Deflate news of a kilobyte and more

Cause: the tables of 1,081 servers are some 250 KB of rows that are much alike.

zlib carries it; a test holds a table of a thousand servers to a sixth of its bytes.

--- a/Libraries/LibDaemon/PeerCalls.cpp
+++ b/Libraries/LibDaemon/PeerCalls.cpp
@@ -1,5 +1,6 @@
 #include "LibDaemon/PeerCalls.h"
 
+#include "LibNet/Deflate.h"
 #include "LibNet/MonotonicClock.h"
 
 namespace latchslip {
@@ -19,11 +20,34 @@
 // long as weak links need for several of them at once.
 constexpr std::size_t kBulkBytes = 16UL * 1024;
 constexpr Duration kBulkTimeout = seconds(4);
+// News of this many bytes are deflated. Shorter ones are a change or two, and fit into one
+// packet.
+constexpr std::size_t kLeastDeflated = 1024;
+// What news may come to; the tables of 10,000 servers are some 3 MB.
+constexpr std::size_t kMostNewsBytes = 64UL * 1024 * 1024;
 constexpr std::size_t kMostConnections = 4;
 constexpr unsigned kOk = 200;
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kNotFound = 404;
 
+// News are deflated when they are long. What is not begins with a brace.
+std::string
+PackNews(const FleetNews& aNews)
+{
+  auto text = SerializeNews(aNews);
+  return text.size() < kLeastDeflated ? text : Deflate(text);
+}
+
+FieldResult<FleetNews>
+UnpackNews(std::string_view aBytes)
+{
+  if (aBytes.starts_with('{')) {
+    return ParseNews(aBytes);
+  }
+  BOOST_OUTCOME_TRY(const auto text, Inflate(aBytes, kMostNewsBytes));
+  return ParseNews(text);
+}
+
 HttpRequest
 MakePost(std::string_view aPath, std::string aBody)
 {
@@ -71,7 +95,7 @@
 PeerCalls::SendNews(const std::vector<NewsBranch>& aBranches, const FleetNews& aNews)
 {
   if (!aBranches.empty()) {
-    PassOn(aBranches, std::make_shared<const std::string>(SerializeNews(aNews)));
+    PassOn(aBranches, std::make_shared<const std::string>(PackNews(aNews)));
   }
 }
 
@@ -102,7 +126,7 @@
                 [this](const HttpExchange& aExchange) {
                   std::optional<FleetNews> news;
                   if (IsOk(aExchange)) {
-                    if (auto parsed = ParseNews(*aExchange.response_.body_)) {
+                    if (auto parsed = UnpackNews(*aExchange.response_.body_)) {
                       news = std::move(parsed).value();
                     }
                   }
@@ -149,7 +173,7 @@
   const auto text = std::make_shared<const std::string>(std::move(message.value().news_));
   // Passed on before they are read, which takes a weak instance longer.
   PassOn(SplitOnward(message.value().onward_), text);
-  const auto news = ParseNews(*text);
+  const auto news = UnpackNews(*text);
   if (!news) {
     return MakeHttpResponse(kBadRequest, news.error().Describe());
   }
@@ -164,7 +188,7 @@
   if (!versions) {
     return MakeHttpResponse(kBadRequest, versions.error().Describe());
   }
-  return MakeHttpResponse(kOk, SerializeNews(member_.NewsSince(versions.value())));
+  return MakeHttpResponse(kOk, PackNews(member_.NewsSince(versions.value())));
 }
 
 } // namespace latchslip
--- a/Meta/latchslip.sh
+++ b/Meta/latchslip.sh
@@ -6,7 +6,7 @@
 
 packages="g++ cmake ninja-build libboost1.81-dev libboost-json1.81-dev libabsl-dev
   libgoogle-glog-dev libcapnp-dev capnproto libgtest-dev libgmock-dev libbenchmark-dev
-  libxxhash-dev libssl-dev clang-format clang-tidy"
+  libxxhash-dev libssl-dev zlib1g-dev clang-format clang-tidy"
 
 install_missing() {
   local package missing=""
--- /dev/null
+++ b/Tests/LibNet/TestDeflate.cpp
@@ -0,0 +1,53 @@
+#include "LibNet/Deflate.h"
+
+#include <gtest/gtest.h>
+
+namespace latchslip {
+
+namespace {
+
+// The rows of a table of a thousand servers, as instances tell them to each other.
+std::string
+MakeRows()
+{
+  std::string rows;
+  for (int number = 0; number < 1000; ++number) {
+    const auto id = std::to_string(number * 7919 % 1000003);
+    rows += R"({"key":"i-)" + id + R"(","version":)" + std::to_string(number) +
+            R"(,"value":"{\"service\":\"rates\",\"address\":\"10.3.0.)" +
+            std::to_string(number % 250) + R"(:8641\",\"state\":\"ready\"}"},)";
+  }
+  return rows;
+}
+
+constexpr std::size_t kMost = 1024UL * 1024;
+
+TEST(Deflate, TableOfAThousandServers_IsASixthAndComesBackWhole)
+{
+  const auto rows = MakeRows();
+  const auto bytes = Deflate(rows);
+  EXPECT_LT(6 * bytes.size(), rows.size());
+  EXPECT_EQ(Inflate(bytes, kMost).value(), rows);
+}
+
+TEST(Deflate, TextIsEmpty_ComesBackEmpty)
+{
+  EXPECT_EQ(Inflate(Deflate(""), kMost).value(), "");
+}
+
+TEST(Deflate, BytesAreCutOffOrWrong_IsRefused)
+{
+  const auto bytes = Deflate(MakeRows());
+  EXPECT_FALSE(Inflate(std::string_view(bytes).substr(0, bytes.size() / 2), kMost));
+  EXPECT_FALSE(Inflate("not deflated", kMost));
+  EXPECT_FALSE(Inflate("", kMost));
+}
+
+TEST(Deflate, TextIsLongerThanAllowed_IsRefused)
+{
+  EXPECT_FALSE(Inflate(Deflate(std::string(kMost, 'x')), kMost / 2));
+}
+
+} // namespace
+
+} // namespace latchslip
