LibFleet: Write down whether the fleet is small, so that its instances start at once

With 11 instances their own reads cost next to nothing.

Change: the placer writes one row that says how large the fleet is, once it differs. Whoever starts reads that row with the placer's; in a small fleet it reads the tables at once and reads on for itself, as before.

--- a/Libraries/LibFleet/FleetMember.cpp
+++ b/Libraries/LibFleet/FleetMember.cpp
@@ -46,7 +46,13 @@
   const auto table = static_cast<std::size_t>(aView.table_);
   const auto version = view_.Versions().at(table);
   const auto lastChange = view_.LastChanges().at(table);
-  if (!view_.Take(aNow, aView) || aView.table_ == FleetTable::Fleet || version == 0) {
+  if (!view_.Take(aNow, aView)) {
+    return;
+  }
+  if (following_ == Following::Starting) {
+    ChooseFollowing(aNow);
+  }
+  if (aView.table_ == FleetTable::Fleet || version == 0) {
     return;
   }
   auto changes = view_.ChangesSince(aView.table_, version);
@@ -190,6 +196,7 @@
   if (election_.IsPlacer()) {
     RunPlacers(aNow);
     SpreadTables(aNow);
+    NoteFleetSize(aNow);
   }
   SendWrites(aNow);
   if (aNow >= nextReport_) {
@@ -212,7 +219,8 @@
     return Following::Closely;
   }
   if (!IsReady()) {
-    const bool isWaiting = following_ == Following::Starting && !start_.IsOver(aNow);
+    const bool isWaiting =
+      following_ == Following::Starting && view_.Size() != FleetSize::Small && !start_.IsOver(aNow);
     return isWaiting ? Following::Starting : Following::Alone;
   }
   if (relay_.IsRelayed(aNow, view_.Versions())) {
@@ -233,7 +241,8 @@
     return roster_.IsReader(settings_.self_.address_);
   }
   // The first answers of a placer name only those that it has heard so far.
-  return rosterSince_ && aNow - *rosterSince_ >= kRosterSettle;
+  const bool isSettled = rosterSince_ && aNow - *rosterSince_ >= kRosterSettle;
+  return isSettled || view_.Size() == FleetSize::Small;
 }
 
 bool
--- a/Libraries/LibFleet/FleetMember.h
+++ b/Libraries/LibFleet/FleetMember.h
@@ -111,7 +111,7 @@
   // A write of the placer; they go to the store one after the other.
   struct WaitingWrite
   {
-    // No value for a claim of the placer's row.
+    // What it says, when it is about the owners of keys.
     std::optional<KeyOwnership> ownership_;
     // What it follows on, if anything.
     std::optional<FleetView::OwnedService> former_;
@@ -120,6 +120,8 @@
     // This instance is no longer the placer that wanted it.
     bool isAbandoned_ = false;
     Instant retryAt_ = Instant::min();
+
+    const std::string& Key() const { return transaction_.writes_.front().key_; }
   };
 
   // What the view hears.
@@ -148,6 +150,8 @@
   void StopPlacers();
   void RunPlacers(Instant aNow);
   void QueueWrite(const KeyOwnership& aOwnership);
+  // Writes down how large the fleet is, once that is known and differs.
+  void NoteFleetSize(Instant aNow);
   void SendWrites(Instant aNow);
   void OnClaimed(Instant aNow, const Row& aRow);
   void OnOwnershipWritten(Instant aNow, RowVersion aVersion, const WaitingWrite& aWrite);
--- a/Libraries/LibFleet/FleetView.cpp
+++ b/Libraries/LibFleet/FleetView.cpp
@@ -104,6 +104,8 @@
 {
   if (aRow.key_ == kPlacerKey) {
     OnPlacerRow(aNow, aRow);
+  } else if (aRow.key_ == kSizeKey) {
+    size_ = aRow.version_ > SizeVersion() ? aRow : size_;
   } else if (aRow.key_.starts_with(kOwnershipPrefix)) {
     OnOwnershipRow(aRow);
   }
@@ -239,6 +241,12 @@
   return owned == owners_.end() ? nullptr : &owned->second;
 }
 
+std::optional<FleetSize>
+FleetView::Size() const
+{
+  return size_ ? kFleetSizeNames.ValueOf(size_->value_) : std::nullopt;
+}
+
 std::vector<std::string>
 FleetView::OwnedServices() const
 {
--- a/Libraries/LibFleet/FleetView.h
+++ b/Libraries/LibFleet/FleetView.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibBase/Event.h"
+#include "LibBase/NameTable.h"
 #include "LibFleet/FleetNews.h"
 #include "LibFleet/PlacerElection.h"
 #include "LibFleet/RowMirror.h"
@@ -17,9 +18,22 @@
 
 // The key of the row that names the placer.
 inline constexpr std::string_view kPlacerKey = "placer";
+// The key of the row that says how large the fleet is.
+inline constexpr std::string_view kSizeKey = "size";
 // The keys of the rows that say who owns the keys of a service begin so.
 inline constexpr std::string_view kOwnershipPrefix = "ownership/";
 
+// How large a fleet is, for whoever starts and knows nobody yet.
+enum class FleetSize
+{
+  // Each instance reads the store itself.
+  Small,
+  // A few read it for all.
+  Large,
+};
+
+inline constexpr NameTable<FleetSize, 2> kFleetSizeNames{ { "small", "large" } };
+
 // The key of the row that says who owns the keys of a service.
 std::string
 OwnershipKey(const std::string& aService);
@@ -92,6 +106,10 @@
   const OwnedService* OwnersOf(const std::string& aService) const;
   // The version of the row that names the placer; 0 when there is none.
   RowVersion PlacerVersion() const { return placer_ ? placer_->version_ : 0; }
+  // No value when it does not stand in the store.
+  std::optional<FleetSize> Size() const;
+  // The version of the row that says it; 0 when there is none.
+  RowVersion SizeVersion() const { return size_ ? size_->version_ : 0; }
   // The services of the configuration that are divided by key.
   std::vector<std::string> KeyedServices() const;
   // The services of whose keys somebody was ever named owner.
@@ -112,6 +130,7 @@
   ServerDirectory directory_;
   std::shared_ptr<const RouteTable> routes_;
   std::optional<Row> placer_;
+  std::optional<Row> size_;
   std::map<std::string, OwnedService> owners_;
 };
 
--- a/Libraries/LibFleet/PlacerDuty.cpp
+++ b/Libraries/LibFleet/PlacerDuty.cpp
@@ -16,6 +16,8 @@
 constexpr Duration kTablesAgain = seconds(2);
 // A write that failed is sent again after this time.
 constexpr Duration kWritePause = milliseconds(200);
+// All instances of a fleet report to its placer within this time.
+constexpr Duration kSizeSettle = seconds(2);
 // Servers are taken to differ in speed by this factor from the typical at most,
 // so that a noisy mean cannot empty or flood one. Keys that a server has to load first
 // take it several times as long.
@@ -181,6 +183,26 @@
   writes_.push_back(std::move(write));
 }
 
+// Whoever starts in a small fleet reads the tables at once, as each instance does there;
+// in a large one it waits to be told.
+void
+FleetMember::NoteFleetSize(Instant aNow)
+{
+  if (!writes_.empty() || isStoreLost_ || !rosterSince_ || aNow < *rosterSince_ + kSizeSettle) {
+    return;
+  }
+  const auto size = roster_.HasReaders() ? FleetSize::Large : FleetSize::Small;
+  if (view_.Size() == size) {
+    return;
+  }
+  WaitingWrite write;
+  const std::string key(kSizeKey);
+  write.transaction_.conditions_ = { { std::string(kPlacerKey), view_.PlacerVersion() },
+                                     { key, view_.SizeVersion() } };
+  write.transaction_.writes_ = { { key, std::string(kFleetSizeNames.NameOf(size)) } };
+  writes_.push_back(std::move(write));
+}
+
 void
 FleetMember::SendWrites(Instant aNow)
 {
@@ -236,8 +258,10 @@
   const RowVersion version = stored == nullptr ? 0 : stored->version_;
   if (aWrite.ownership_) {
     OnOwnershipWritten(aNow, version, aWrite);
-  } else {
+  } else if (aWrite.Key() == kPlacerKey) {
     OnClaimed(aNow, { written.key_, version, written.value_ });
+  } else {
+    view_.TakeFleetRow(aNow, { written.key_, version, written.value_ });
   }
 }
 
@@ -246,6 +270,7 @@
 {
   events_.Record(Event::PlacerClaimed, "row_version=" + std::to_string(aRow.version_));
   view_.TakeFleetRow(aNow, aRow);
+  rosterSince_ = aNow;
   // Those that reported to the former placer will report here.
   for (const auto& [address, peer] : roster_.Peers()) {
     heardInstances_.try_emplace(address, HeardInstance{ aNow, peer.processorShare_ });
@@ -283,8 +308,10 @@
   for (const auto& row : aReply.rows_) {
     view_.TakeFleetRow(aNow, row);
   }
-  if (!aWrite.ownership_) {
+  if (aWrite.Key() == kPlacerKey) {
     election_.OnClaimFailed(aNow);
+  }
+  if (!aWrite.ownership_) {
     return;
   }
   const auto& service = aWrite.ownership_->service_;
--- a/Tests/LibFleet/TestFleetMember.cpp
+++ b/Tests/LibFleet/TestFleetMember.cpp
@@ -556,6 +556,40 @@
   EXPECT_EQ(fleet_.following_, Following::Told);
 }
 
+TEST_F(MemberOfAFleet, HasJustStartedInASmallFleet_TablesAreReadAtOnce)
+{
+  Show(FleetTable::Fleet, 8, { { "placer", 7, Placer("i2", kOther) }, { "size", 8, "small" } });
+  EXPECT_EQ(fleet_.following_, Following::Alone);
+  EXPECT_TRUE(fleet_.hasFollowed_);
+}
+
+TEST_F(MemberOfAFleet, HasJustStartedInALargeFleet_TablesAreWaitedFor)
+{
+  Show(FleetTable::Fleet, 8, { { "placer", 7, Placer("i2", kOther) }, { "size", 8, "large" } });
+  Pass(milliseconds(100));
+  EXPECT_FALSE(fleet_.hasFollowed_);
+}
+
+TEST_F(MemberOfAFleet, FleetIsSmall_PlacerWritesItDownOnce)
+{
+  BecomePlacer();
+  Pass(seconds(3));
+  const auto isSize = [](const Transaction& aTransaction) {
+    return aTransaction.writes_.front().key_ == "size";
+  };
+  ASSERT_EQ(fleet_.transactions_.back().writes_.front().key_, "ownership/rates");
+  Done(11);
+  Pass(milliseconds(100));
+  ASSERT_TRUE(isSize(fleet_.transactions_.back()));
+  EXPECT_EQ(fleet_.transactions_.back().writes_.front().value_, "small");
+  EXPECT_EQ(fleet_.transactions_.back().conditions_,
+            (std::vector<RowStamp>{ { "placer", 10 }, { "size", 0 } }));
+  Done(12);
+  Pass(seconds(3));
+  EXPECT_EQ(std::count_if(fleet_.transactions_.begin(), fleet_.transactions_.end(), isSize), 1);
+  EXPECT_TRUE(member_.IsPlacer());
+}
+
 TEST_F(MemberOfAFleet, HasJustStartedAndThePlacerIsGone_TablesAreRead)
 {
   Show(FleetTable::Fleet, 7, { { "placer", 7, Placer("i2", kOther) } });
