LibDaemon, LibFleet: Pass news around an instance that took none lately

Cause, by reading: an instance that is frozen or cut off takes no message, and whoever sent to it gives up after 0.6 s and only then sends to those behind it, up to 58 in a hall of the large deployment, for each change anew until the placer forgets it after 4 s.

Change: for 2 s after a message that was not taken, news go to that instance alone and to those behind it directly. Tests without network for the memory; twenty processes on loopback start, lose six of them while a route moves, and start anew together.

--- a/Libraries/LibDaemon/PeerCalls.cpp
+++ b/Libraries/LibDaemon/PeerCalls.cpp
@@ -104,19 +104,32 @@
 PeerCalls::PassOn(const std::vector<NewsBranch>& aBranches,
                   const std::shared_ptr<const std::string>& aNews)
 {
-  const auto timeout = aNews->size() > kBulkBytes ? kBulkTimeout : kPeerTimeout;
   for (const auto& branch : aBranches) {
-    client_->Send(branch.to_,
-                  MakePost(kNewsPath, EncodeNewsMessage(branch.onward_, *aNews)),
-                  timeout,
-                  [this, onward = branch.onward_, aNews](const HttpExchange& aExchange) {
-                    if (!IsOk(aExchange)) {
-                      PassOn(SplitOnward(onward), aNews);
-                    }
-                  });
+    if (silent_.IsSilent(MonotonicNow(), branch.to_)) {
+      PassOnTo({ branch.to_, {} }, aNews);
+      PassOn(SplitOnward(branch.onward_), aNews);
+    } else {
+      PassOnTo(branch, aNews);
+    }
   }
 }
 
+void
+PeerCalls::PassOnTo(const NewsBranch& aBranch, const std::shared_ptr<const std::string>& aNews)
+{
+  const auto timeout = aNews->size() > kBulkBytes ? kBulkTimeout : kPeerTimeout;
+  client_->Send(aBranch.to_,
+                MakePost(kNewsPath, EncodeNewsMessage(aBranch.onward_, *aNews)),
+                timeout,
+                [this, aBranch, aNews](const HttpExchange& aExchange) {
+                  const bool isTaken = IsOk(aExchange);
+                  silent_.OnSent(MonotonicNow(), aBranch.to_, isTaken);
+                  if (!isTaken) {
+                    PassOn(SplitOnward(aBranch.onward_), aNews);
+                  }
+                });
+}
+
 void
 PeerCalls::FetchNews(const std::string& aAddress, const TableVersions& aVersions)
 {
--- a/Libraries/LibDaemon/PeerCalls.h
+++ b/Libraries/LibDaemon/PeerCalls.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibFleet/FleetMember.h"
+#include "LibFleet/SilentPeers.h"
 #include "LibNet/HttpClient.h"
 #include "LibNet/HttpServer.h"
 
@@ -31,6 +32,7 @@
   // Sends news that are written down along these branches.
   void PassOn(const std::vector<NewsBranch>& aBranches,
               const std::shared_ptr<const std::string>& aNews);
+  void PassOnTo(const NewsBranch& aBranch, const std::shared_ptr<const std::string>& aNews);
   HttpResponse AnswerReport(const HttpRequest& aRequest);
   HttpResponse TakeNews(const HttpRequest& aRequest);
   HttpResponse AnswerNews(const HttpRequest& aRequest) const;
@@ -38,6 +40,7 @@
   FleetMember& member_;
   MetricsPage metrics_;
   std::unique_ptr<HttpClient> client_;
+  SilentPeers silent_;
 };
 
 } // namespace latchslip
--- a/Tests/LibFleet/TestNewsTree.cpp
+++ b/Tests/LibFleet/TestNewsTree.cpp
@@ -1,4 +1,5 @@
 #include "LibFleet/NewsTree.h"
+#include "LibFleet/SilentPeers.h"
 
 #include <algorithm>
 #include <gtest/gtest.h>
@@ -107,6 +108,25 @@
             (std::vector<NewsBranch>{ { "b:1", {} }, { "c:1", {} } }));
 }
 
+TEST(SilentPeers, OneTakesNoMessage_IsPassedAroundForAWhile)
+{
+  const Instant now = seconds(100);
+  SilentPeers peers;
+  peers.OnSent(now, "a:1", false);
+  EXPECT_TRUE(peers.IsSilent(now + milliseconds(1900), "a:1"));
+  EXPECT_FALSE(peers.IsSilent(now, "b:1"));
+  EXPECT_FALSE(peers.IsSilent(now + milliseconds(2000), "a:1"));
+}
+
+TEST(SilentPeers, OneTakesMessagesAgain_IsUsedAtOnce)
+{
+  const Instant now = seconds(100);
+  SilentPeers peers;
+  peers.OnSent(now, "a:1", false);
+  peers.OnSent(now + milliseconds(700), "a:1", true);
+  EXPECT_FALSE(peers.IsSilent(now + milliseconds(700), "a:1"));
+}
+
 TEST(NewsMessage, WrittenAndRead_IsTheSame)
 {
   const auto read = DecodeNewsMessage(EncodeNewsMessage({ "a:1", "b:2" }, "{\n}")).value();
--- a/Tests/Platform/TestEntryProcesses.cpp
+++ b/Tests/Platform/TestEntryProcesses.cpp
@@ -28,22 +28,27 @@
     MakeSettings(name, kFirstPort + 10 * aNumber, Loopback(kFirstPort + 12), Loopback(kFirstPort)));
 }
 
-class FleetOfThreeProcesses : public testing::Test
+class EntryFleet : public testing::Test
 {
 protected:
+  explicit EntryFleet(int aInstances)
+    : instances_(aInstances)
+  {
+  }
+
   void SetUp() override
   {
     store_ = StandInStore::Create(context_, Loopback(kFirstPort)).value();
     store_->Put("op", "config", MakeManifest(3, "bookings"));
     for (int number = 0; number < 3; ++number) {
-      Add("k" + std::to_string(number), "rates", 200 + number, true);
-      Add("b" + std::to_string(number), "bookings", 210 + number, false);
+      Add("k" + std::to_string(number), "rates", 300 + number, true);
+      Add("b" + std::to_string(number), "bookings", 310 + number, false);
     }
-    Add("o0", "others", 220, false);
-    for (int number = 1; number <= 3; ++number) {
+    Add("o0", "others", 320, false);
+    for (int number = 1; number <= instances_; ++number) {
       processes_.push_back(StartEntry(number));
     }
-    ASSERT_TRUE(RunUntil([&] { return Served() == 3; }, seconds(15)));
+    ASSERT_TRUE(RunUntil([&] { return Served() == instances_; }, seconds(15)));
     // Requests before the instances listened found nobody.
     broken_ = 0;
   }
@@ -95,10 +100,11 @@
   {
     statuses_.clear();
     const auto before = ended_;
-    for (int instance = 1; instance <= 3; ++instance) {
+    for (int instance = 1; instance <= instances_; ++instance) {
       Ask(instance, false);
     }
-    RunUntil([&] { return ended_ == before + 3; }, seconds(6));
+    const auto expected = before + static_cast<std::size_t>(instances_);
+    RunUntil([&] { return ended_ == expected; }, seconds(6));
     return statuses_[200];
   }
 
@@ -138,6 +144,7 @@
     }
   }
 
+  const int instances_;
   boost::asio::io_context context_{ 1 };
   std::unique_ptr<StandInStore> store_;
   std::map<std::string, std::unique_ptr<StandInBackend>> backends_;
@@ -149,6 +156,34 @@
   std::map<unsigned, int> statuses_;
 };
 
+class FleetOfThreeProcesses : public EntryFleet
+{
+protected:
+  FleetOfThreeProcesses()
+    : EntryFleet(3)
+  {
+  }
+};
+
+// Enough instances that two of them read the store for the others.
+class FleetOfTwentyProcesses : public EntryFleet
+{
+protected:
+  FleetOfTwentyProcesses()
+    : EntryFleet(20)
+  {
+  }
+
+  std::vector<int> AllButTheFirst(int aCount) const
+  {
+    std::vector<int> instances;
+    for (int number = aCount + 1; number <= instances_; ++number) {
+      instances.push_back(number);
+    }
+    return instances;
+  }
+};
+
 TEST_F(FleetOfThreeProcesses, SteadyLoad_EveryRequestGetsItsOwnWholeAnswer)
 {
   statuses_.clear();
@@ -234,6 +269,46 @@
   EXPECT_EQ(statuses_.size(), 1U);
 }
 
+// The rows of the fleet twice each, and the tables and changes of one placer.
+TEST_F(FleetOfTwentyProcesses, AllStart_FewOfThemReadTheTables)
+{
+  EXPECT_LT(store_->Calls(), 100U);
+}
+
+TEST_F(FleetOfTwentyProcesses, SomeAreKilledAndARouteMoves_AllOthersKnowInTwoSeconds)
+{
+  RunUntil([] { return false; }, seconds(2));
+  for (int number = 0; number < 6; ++number) {
+    processes_[static_cast<std::size_t>(number)]->Signal(SIGKILL);
+  }
+  const auto others = AllButTheFirst(6);
+  Load(seconds(5), others);
+  store_->Put("op", "config", MakeManifest(5, "others"));
+  Load(seconds(2), others);
+  const auto before = backends_["o0"]->Runs().size();
+  statuses_.clear();
+  Load(seconds(2), others);
+  EXPECT_EQ(statuses_.size(), 1U);
+  // Half of all requests.
+  EXPECT_GT(3 * (backends_["o0"]->Runs().size() - before),
+            static_cast<std::size_t>(statuses_[200]));
+  ExpectNothingRanTwice();
+}
+
+TEST_F(FleetOfTwentyProcesses, AllAreKilledAndStartAgain_AllServe)
+{
+  RunUntil([] { return false; }, seconds(3));
+  for (const auto& process : processes_) {
+    process->Signal(SIGKILL);
+  }
+  RunUntil([&] { return processes_.back()->HasEnded(); }, seconds(2));
+  processes_.clear();
+  for (int number = 1; number <= instances_; ++number) {
+    processes_.push_back(StartEntry(number));
+  }
+  EXPECT_TRUE(RunUntil([&] { return Served() == instances_; }, seconds(10)));
+}
+
 TEST(EntryProcess, SettingsAreMalformed_EndsWithItsOwnStatus)
 {
   EntryProcess process(LATCHSLIP_ENTRY, "malformed", R"({"nodeId":"edge-9"})");
