--- /dev/null
+++ b/Tests/LibFleet/FleetMemberFixture.h
@@ -0,0 +1,189 @@
+#pragma once
+
+#include "LibFleet/FleetMember.h"
+
+#include <gtest/gtest.h>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace latchslip {
+
+class SilentEvents : public EventSink
+{
+public:
+  void Record(Event, std::string_view) override {}
+};
+
+// Rows in the simplest text: "version" for a configuration with one keyed
+// service, "leaving" or "ready" for a server.
+class PlainDecoder : public RowDecoder
+{
+public:
+  FieldResult<std::optional<RoutingConfiguration>> DecodeConfiguration(
+    const Row& aRow) const override
+  {
+    if (aRow.value_ == "broken") {
+      return FieldError{ "configuration", "is broken" };
+    }
+    RoutingConfiguration configuration;
+    configuration.version_ = std::stoull(aRow.value_);
+    configuration.services_ = { { "rates", 100, true } };
+    return std::optional(configuration);
+  }
+
+  FieldResult<ServerRecord> DecodeServer(const Row& aRow) const override
+  {
+    return ServerRecord{ aRow.key_,    "rates", aRow.key_ + ":80",
+                         "hall",       4,       aRow.value_ == "leaving",
+                         aRow.version_ };
+  }
+};
+
+// Writes down what a member decides.
+class RecordedFleet : public FleetActions
+{
+public:
+  void Transact(const Transaction& aTransaction) override { transactions_.push_back(aTransaction); }
+  void Follow(Following aHow, const TableVersions& aKnown) override
+  {
+    following_ = aHow;
+    hasFollowed_ = true;
+    hasFollowedAlone_ = hasFollowedAlone_ || aHow == Following::Alone;
+    followFrom_ = aKnown;
+  }
+  void Order(const std::string&, const KeyOrder& aOrder) override { orders_.push_back(aOrder); }
+  void SendReport(const std::string& aAddress, const InstanceReport& aReport) override
+  {
+    reports_.push_back(aAddress);
+    lastReport_ = aReport;
+  }
+  void SendNews(const std::vector<NewsBranch>& aBranches, const FleetNews& aNews) override
+  {
+    for (const auto& branch : aBranches) {
+      news_.emplace_back(branch.to_, aNews);
+      for (const auto& address : branch.onward_) {
+        news_.emplace_back(address, aNews);
+      }
+    }
+  }
+  void FetchNews(const std::string& aAddress, const TableVersions&) override
+  {
+    fetches_.push_back(aAddress);
+  }
+  void OnRoutes(std::shared_ptr<const RouteTable> aRoutes) override
+  {
+    versions_.push_back(aRoutes->Configuration().version_);
+  }
+  void OnDirectoryChanged() override { ++directoryChanges_; }
+  void OnOwnership(const KeyOwnership& aOwnership) override { ownership_ = aOwnership; }
+  void OnNewsStale(bool aIsStale) override { isStale_ = aIsStale; }
+  void OnInstances(std::size_t aCount) override { instances_ = aCount; }
+  ServerWork TakeWorkOf(const std::string&) override { return { 1, milliseconds(20) }; }
+
+  std::vector<Transaction> transactions_;
+  Following following_ = Following::Alone;
+  TableVersions followFrom_{};
+  std::vector<KeyOrder> orders_;
+  std::vector<std::string> reports_;
+  InstanceReport lastReport_;
+  bool hasFollowed_ = false;
+  bool hasFollowedAlone_ = false;
+  std::vector<std::pair<std::string, FleetNews>> news_;
+  std::vector<std::string> fetches_;
+  std::vector<std::uint64_t> versions_;
+  int directoryChanges_ = 0;
+  std::optional<KeyOwnership> ownership_;
+  std::size_t instances_ = 0;
+  bool isStale_ = false;
+};
+
+inline constexpr const char* kSelf = "10.0.0.1:9";
+inline constexpr const char* kOther = "10.0.0.2:9";
+inline const RosterChange kBoth{ true, { { kSelf, "hall", 1 }, { kOther, "hall", 1 } }, {} };
+
+inline InstanceReport
+ReportOf(const std::string& aInstance, const std::string& aAddress)
+{
+  InstanceReport report;
+  report.instance_ = aInstance;
+  report.address_ = aAddress;
+  report.hall_ = "hall";
+  return report;
+}
+
+// One member of a fleet on a hand-turned clock: the test shows it the store's tables, and
+// what it decides is written down.
+class MemberOfAFleet : public testing::Test
+{
+protected:
+  void Show(FleetTable aTable, RowVersion aVersion, std::vector<Row> aRows)
+  {
+    TableView view{ aTable, aVersion, true, 0, {} };
+    for (auto& row : aRows) {
+      view.rows_.push_back({ std::move(row), false });
+    }
+    member_.OnView(now_, view);
+  }
+
+  void ShowTables()
+  {
+    Show(FleetTable::Configuration, 5, { { "config", 5, "1" } });
+    Show(FleetTable::Servers, 6, { { "s1", 2, "ready" }, { "s2", 3, "ready" } });
+  }
+
+  static std::string Placer(const std::string& aInstance, const std::string& aAddress)
+  {
+    return SerializePlacerRow({ aInstance, "run1", aAddress });
+  }
+
+  void Pass(Duration aTime)
+  {
+    const auto end = now_ + aTime;
+    while (now_ < end) {
+      now_ += milliseconds(50);
+      member_.OnTime(now_);
+    }
+  }
+
+  void AnswerReports(Duration aTime, const TableVersions& aVersions)
+  {
+    const auto end = now_ + aTime;
+    while (now_ < end) {
+      const auto sent = fleet_.reports_.size();
+      Pass(milliseconds(50));
+      if (fleet_.reports_.size() > sent) {
+        member_.OnReportAnswered(now_, ReportAnswer{ true, kBoth, aVersions });
+      }
+    }
+  }
+
+  void BecomePlacer()
+  {
+    ShowTables();
+    Show(FleetTable::Fleet, 7, {});
+    Pass(milliseconds(600));
+    ASSERT_EQ(fleet_.transactions_.size(), 1U);
+    Done(10);
+    ASSERT_TRUE(member_.IsPlacer());
+  }
+
+  // The store carried out the last transaction.
+  void Done(RowVersion aVersion)
+  {
+    const auto& write = fleet_.transactions_.back().writes_.front();
+    member_.OnTransactEnded(now_,
+                            { StoreStatus::Done, { { write.key_, aVersion, write.value_ } } });
+  }
+
+  Instant now_ = seconds(100);
+  SilentEvents events_;
+  PlainDecoder decoder_;
+  RecordedFleet fleet_;
+  FleetMember member_{ { { "i1", "run2", kSelf }, { "10.0.0.3:9" }, 1, {}, 1, "hall" },
+                       decoder_,
+                       fleet_,
+                       events_ };
+};
+
+} // namespace latchslip
--- /dev/null
+++ b/Tests/LibFleet/TestLargeFleetMember.cpp
@@ -0,0 +1,174 @@
+#include "FleetMemberFixture.h"
+
+#include <set>
+
+namespace latchslip {
+
+namespace {
+
+// An instance of a large fleet in two halls. The two strongest of each read the store.
+class MemberOfALargeFleet : public MemberOfAFleet
+{
+protected:
+  static constexpr int kOthers = 24;
+
+  static std::string AddressOf(int aNumber) { return "10.0.1." + std::to_string(aNumber) + ":9"; }
+
+  static FleetPeer PeerOf(int aNumber)
+  {
+    return { AddressOf(aNumber), aNumber % 2 == 0 ? "hall" : "other", aNumber < 4 ? 2.0 : 0.5 };
+  }
+
+  // Instances 0 and 2 are the readers of this one's hall, unless it is so itself.
+  explicit MemberOfALargeFleet(double aOwnShare = 1)
+  {
+    roster_.isWhole_ = true;
+    roster_.joined_.push_back({ kSelf, "hall", aOwnShare });
+    for (int number = 0; number < kOthers; ++number) {
+      roster_.joined_.push_back(PeerOf(number));
+    }
+    ShowTables();
+    Show(FleetTable::Fleet, 7, { { "placer", 7, Placer("i2", AddressOf(5)) } });
+    Pass(milliseconds(50));
+    Answer({ 5, 6, 7 });
+    Pass(milliseconds(50));
+    fleet_.hasFollowedAlone_ = false;
+  }
+
+  void Answer(const TableVersions& aVersions)
+  {
+    member_.OnReportAnswered(now_, ReportAnswer{ true, roster_, aVersions });
+  }
+
+  // The readers that are asked from now on say this.
+  void AnswerFetches(Duration aTime, StoreSight aSight)
+  {
+    FleetNews news;
+    news.sight_ = aSight;
+    const auto end = now_ + aTime;
+    while (now_ < end) {
+      const auto asked = fleet_.fetches_.size();
+      Pass(milliseconds(50));
+      if (fleet_.fetches_.size() > asked) {
+        member_.OnNewsFetched(now_, news);
+      }
+    }
+  }
+
+  RosterChange roster_;
+};
+
+class ReaderOfALargeFleet : public MemberOfALargeFleet
+{
+protected:
+  ReaderOfALargeFleet()
+    : MemberOfALargeFleet(4)
+  {
+  }
+};
+
+TEST_F(MemberOfALargeFleet, PlacerTellsWhatChanges_StoreIsAskedForNothing)
+{
+  EXPECT_EQ(fleet_.following_, Following::Told);
+}
+
+TEST_F(MemberOfALargeFleet, PlacerAnswersSlowly_ReadersSeeToTheStore)
+{
+  for (int round = 0; round < 20; ++round) {
+    Pass(milliseconds(500));
+    member_.OnReportAnswered(now_, ReportAnswer{ true, {}, { 5, 6, 7 } }, milliseconds(250));
+  }
+  EXPECT_EQ(fleet_.following_, Following::Told);
+}
+
+TEST_F(MemberOfALargeFleet, PlacerFallsSilentAndReadersAnswer_StoreIsAskedForNothing)
+{
+  member_.OnReportAnswered(now_, std::nullopt);
+  AnswerFetches(milliseconds(1500), StoreSight::Heard);
+  EXPECT_EQ(fleet_.following_, Following::Told);
+  ASSERT_GE(fleet_.fetches_.size(), 3U);
+  for (const auto& address : fleet_.fetches_) {
+    EXPECT_TRUE(address == AddressOf(0) || address == AddressOf(2)) << address;
+  }
+}
+
+TEST_F(MemberOfALargeFleet, PlacerAndReadersFallSilent_StoreIsFollowed)
+{
+  member_.OnReportAnswered(now_, std::nullopt);
+  Pass(milliseconds(600));
+  EXPECT_EQ(fleet_.following_, Following::Told);
+  Pass(milliseconds(200));
+  EXPECT_EQ(fleet_.following_, Following::Alone);
+  EXPECT_EQ(fleet_.followFrom_, (TableVersions{ 5, 6, 7 }));
+}
+
+TEST_F(MemberOfALargeFleet, StoreIsAwayFromAll_NobodyButReadersAsksIt)
+{
+  FleetNews news;
+  news.isLastForNow_ = true;
+  member_.OnNews(now_, news);
+  AnswerFetches(seconds(5), StoreSight::Lost);
+  EXPECT_EQ(fleet_.following_, Following::Told);
+  EXPECT_TRUE(fleet_.transactions_.empty());
+  EXPECT_TRUE(fleet_.isStale_);
+  AnswerFetches(milliseconds(600), StoreSight::Heard);
+  EXPECT_FALSE(fleet_.isStale_);
+}
+
+TEST_F(MemberOfALargeFleet, AskedOneIsToldByOthersItself_ItsWordIsNotRelied)
+{
+  member_.OnReportAnswered(now_, std::nullopt);
+  AnswerFetches(milliseconds(800), StoreSight::None);
+  EXPECT_EQ(fleet_.following_, Following::Alone);
+}
+
+TEST_F(MemberOfALargeFleet, IsAskedByAnother_SaysThatItDoesNotSeeTheStore)
+{
+  EXPECT_EQ(member_.NewsSince({ 5, 6, 7 }).sight_, StoreSight::None);
+  EXPECT_TRUE(member_.NewsSince({ 5, 6, 7 }).views_.empty());
+}
+
+TEST_F(MemberOfALargeFleet, NewsWereMissed_ReadersTellThem)
+{
+  Answer({ 5, 9, 7 });
+  Pass(milliseconds(500));
+  ASSERT_FALSE(fleet_.fetches_.empty());
+  FleetNews news;
+  news.sight_ = StoreSight::Heard;
+  news.views_.push_back({ FleetTable::Servers, 9, false, 6, { { { "s3", 9, "ready" }, false } } });
+  member_.OnNewsFetched(now_, news);
+  EXPECT_NE(member_.Directory().Find("s3"), nullptr);
+  Pass(milliseconds(50));
+  EXPECT_EQ(fleet_.following_, Following::Told);
+  EXPECT_FALSE(fleet_.hasFollowedAlone_);
+}
+
+TEST_F(ReaderOfALargeFleet, PlacerTellsWhatChanges_ConfigurationIsFollowed)
+{
+  EXPECT_EQ(fleet_.following_, Following::Relayed);
+  EXPECT_EQ(member_.NewsSince({ 5, 6, 7 }).sight_, StoreSight::Heard);
+}
+
+TEST_F(ReaderOfALargeFleet, ConfigurationChanges_ItsHallIsTold)
+{
+  Show(FleetTable::Configuration, 30, { { "config", 29, "2" } });
+  std::set<std::string> told;
+  for (const auto& [address, news] : fleet_.news_) {
+    told.insert(address);
+    EXPECT_EQ(news.views_.front().base_, 5U);
+  }
+  // Half of the others.
+  EXPECT_EQ(told.size(), static_cast<std::size_t>(kOthers / 2));
+  EXPECT_TRUE(told.contains(AddressOf(4)));
+}
+
+TEST_F(ReaderOfALargeFleet, PlacerAnswersSlowly_StoreIsFollowed)
+{
+  member_.OnReportAnswered(now_, ReportAnswer{ true, {}, { 5, 6, 7 } }, milliseconds(250));
+  Pass(milliseconds(50));
+  EXPECT_EQ(fleet_.following_, Following::Alone);
+}
+
+} // namespace
+
+} // namespace latchslip
