--- a/Libraries/LibDaemon/PeerCalls.cpp
+++ b/Libraries/LibDaemon/PeerCalls.cpp
@@ -23,7 +23,7 @@
 // News of this many bytes are deflated. Shorter ones are a change or two, and fit into one
 // packet.
 constexpr std::size_t kLeastDeflated = 1024;
-// What news may come to; the tables of 10,000 servers are some 3 MB.
+// What news may come to; the tables of 10,000 servers are some 3 MB (estimate).
 constexpr std::size_t kMostNewsBytes = 64UL * 1024 * 1024;
 constexpr std::size_t kMostConnections = 4;
 constexpr unsigned kOk = 200;
--- a/Libraries/LibFleet/FleetRoster.h
+++ b/Libraries/LibFleet/FleetRoster.h
@@ -26,8 +26,9 @@
 
 // The instances of a fleet, as its placer hears them and the others are told. Two rosters
 // of the same instances have the same digest, so that whoever reports gets only what
-// changed since its own: at 295 instances the whole list in each answer was 17 Mbit a
-// second from the placer alone. It does no I/O.
+// changed since its own: at 295 instances the whole list in each answer comes to some 17
+// Mbit a second from the placer alone (estimate: 20 bytes an address, 370 answers a second).
+// It does no I/O.
 class FleetRoster
 {
 public:
--- a/Libraries/LibFleet/StartWait.cpp
+++ b/Libraries/LibFleet/StartWait.cpp
@@ -14,8 +14,8 @@
 constexpr Duration kPlacerTime = milliseconds(400);
 // For a first placer: nobody was ever served, and the strong claim within a second.
 constexpr Duration kFirstPlacerTime = seconds(3);
-// For the tables, once the placer has answered: they are some 250 KB for 1,081 servers,
-// and the weakest links carry that to eight others in 0.8 s.
+// For the tables, once the placer has answered: some 250 KB for 1,081 servers before they are
+// deflated, which the weakest links (20 Mbit/s) carry to eight others in 0.8 s (estimates).
 constexpr Duration kTablesTime = milliseconds(1500);
 
 } // namespace
