LibGateway, LibFleet, platform: Drain halls; start servers slowly; read what they tell

Cause: of the shifted deployment nothing of its new wire was read.

Now rows of the configuration's table name the halls that are drained: their servers count as leaving, so that keys go by release with hand-over as from any server that leaves. When the hall is restored its servers are taken to start slowly until they say otherwise. An instance sends to a server in its slow start only its equal part of the rate, saved up from a random beginning. Load and pace in answers are decoded; nothing uses them yet. Ruled out: sends of instances out of touch (the part needs no talk).

--- a/Libraries/LibBase/Event.cpp
+++ b/Libraries/LibBase/Event.cpp
@@ -62,6 +62,8 @@
   EventName{ Event::RecordRejected, "RecordRejected" },
   EventName{ Event::ViewFromPeer, "ViewFromPeer" },
   EventName{ Event::FollowingChanged, "FollowingChanged" },
+  EventName{ Event::HallDrained, "HallDrained" },
+  EventName{ Event::HallRestored, "HallRestored" },
   EventName{ Event::OwnershipSeen, "OwnershipSeen" },
   EventName{ Event::OwnershipWritten, "OwnershipWritten" },
   EventName{ Event::KeysCleared, "KeysCleared" },
--- a/Libraries/LibBase/Event.h
+++ b/Libraries/LibBase/Event.h
@@ -64,6 +64,8 @@
   RecordRejected = 614,
   ViewFromPeer = 615,
   FollowingChanged = 616,
+  HallDrained = 617,
+  HallRestored = 618,
   OwnershipSeen = 620,
   OwnershipWritten = 621,
   KeysCleared = 622,
--- a/Libraries/LibFleet/FleetView.cpp
+++ b/Libraries/LibFleet/FleetView.cpp
@@ -28,7 +28,7 @@
   for (const auto& change : *changes) {
     switch (aView.table_) {
       case FleetTable::Configuration:
-        OnConfigurationRow(change);
+        OnConfigurationRow(aNow, change);
         break;
       case FleetTable::Servers:
         OnServerRow(aNow, change);
@@ -112,8 +112,12 @@
 }
 
 void
-FleetView::OnConfigurationRow(const RowChange& aChange)
+FleetView::OnConfigurationRow(Instant aNow, const RowChange& aChange)
 {
+  if (const auto hall = decoder_.DecodeDrainedHall(aChange.row_.key_)) {
+    OnHallDrain(aNow, *hall, aChange.isRemoved_);
+    return;
+  }
   if (aChange.isRemoved_) {
     return;
   }
@@ -138,6 +142,18 @@
   listener_.OnRoutes(routes_);
 }
 
+void
+FleetView::OnHallDrain(Instant aNow, const std::string& aHall, bool aIsOver)
+{
+  events_.Record(aIsOver ? Event::HallRestored : Event::HallDrained, "hall=" + aHall);
+  if (aIsOver) {
+    directory_.RestoreHall(aNow, aHall);
+  } else {
+    directory_.DrainHall(aHall);
+  }
+  listener_.OnDirectoryChanged();
+}
+
 void
 FleetView::OnServerRow(Instant aNow, const RowChange& aChange)
 {
@@ -154,7 +170,8 @@
   const auto& server = record.value();
   events_.Record(Event::ServerListed,
                  "server=" + server.id_ + " service=" + server.service_ + " address=" +
-                   server.address_ + " leaving=" + (server.isLeaving_ ? "true" : "false"));
+                   server.address_ + " leaving=" + (server.isLeaving_ ? "true" : "false") +
+                   " slow_start_left_us=" + std::to_string(server.slowStartLeft_.count()));
   directory_.Put(aNow, std::move(record).value());
 }
 
--- a/Libraries/LibFleet/FleetView.h
+++ b/Libraries/LibFleet/FleetView.h
@@ -48,6 +48,9 @@
   virtual FieldResult<std::optional<RoutingConfiguration>> DecodeConfiguration(
     const Row& aRow) const = 0;
   virtual FieldResult<ServerRecord> DecodeServer(const Row& aRow) const = 0;
+  // The data hall that is being drained while a row of that key stands in the table of
+  // the configuration; no value for other keys.
+  virtual std::optional<std::string> DecodeDrainedHall(std::string_view aKey) const = 0;
 };
 
 // Hears what changes in a view.
@@ -116,7 +119,8 @@
   std::vector<std::string> OwnedServices() const;
 
 private:
-  void OnConfigurationRow(const RowChange& aChange);
+  void OnConfigurationRow(Instant aNow, const RowChange& aChange);
+  void OnHallDrain(Instant aNow, const std::string& aHall, bool aIsOver);
   void OnServerRow(Instant aNow, const RowChange& aChange);
   void OnPlacerRow(Instant aNow, const Row& aRow);
   void OnOwnershipRow(const Row& aRow);
--- a/Libraries/LibFleet/PlacerDuty.cpp
+++ b/Libraries/LibFleet/PlacerDuty.cpp
@@ -126,7 +126,7 @@
     KeyServer server;
     server.id_ = id;
     server.address_ = record.address_;
-    server.isUsable_ = !record.isLeaving_ && !view_.Directory().HasEnded(id);
+    server.isUsable_ = record.TakesWork() && !view_.Directory().HasEnded(id);
     if (typical) {
       server.weight_ = record.slots_ * SpeedOf(record, *typical);
     }
--- a/Libraries/LibGateway/Messages.h
+++ b/Libraries/LibGateway/Messages.h
@@ -60,12 +60,26 @@
   { "answered", "not-run", "wrong-server", "not-sent", "broken" }
 };
 
+// What a server told of itself with an answer.
+struct ServerStatus
+{
+  unsigned running_ = 0;
+  unsigned waiting_ = 0;
+  unsigned slots_ = 0;
+  // How long work takes there at the moment, as a multiple of its usual time.
+  double pace_ = 1;
+
+  bool operator==(const ServerStatus&) const = default;
+};
+
 struct AttemptOutcome
 {
   AttemptEnd end_ = AttemptEnd::Broken;
   unsigned status_ = 0;
   // A WrongServer that names another life: the one that was meant has ended.
   bool isOtherLife_ = false;
+  // No value when the server told nothing, or nothing that makes sense.
+  std::optional<ServerStatus> server_;
 };
 
 // Why a request gets an answer of our own.
--- a/Libraries/LibGateway/RequestDesk.cpp
+++ b/Libraries/LibGateway/RequestDesk.cpp
@@ -470,7 +470,7 @@
     return std::nullopt;
   }
   const auto* record = directory_.Find(range->owner_);
-  if (!range->previous_.empty() || record == nullptr || record->isLeaving_) {
+  if (!range->previous_.empty() || record == nullptr || !record->TakesWork()) {
     const auto since = movingSince_.find({ service, range->fence_ });
     const auto past = since == movingSince_.end() ? Duration(0) : Duration(aNow - since->second);
     return moveTimes_[service].Remaining(past);
@@ -488,7 +488,7 @@
   }
   std::size_t limits = 0;
   for (const auto& server : servers) {
-    limits += server.record_->isLeaving_ ? 0 : server.load_->Limit();
+    limits += server.record_->TakesWork() ? server.load_->Limit() : 0;
   }
   if (limits == 0) {
     return std::nullopt;
--- a/Libraries/LibGateway/RequestDesk.h
+++ b/Libraries/LibGateway/RequestDesk.h
@@ -148,7 +148,12 @@
   // Instant::max() for no timer.
   void SetTimer(PendingRequest& aPending, Instant aTime);
   // Reads anew from the directory which servers a service has.
-  void RefreshServers(ServiceState& aState, const RoutedService& aService);
+  void RefreshServers(Instant aNow, ServiceState& aState, const RoutedService& aService);
+  // Holds the sends of this instance to its part of what a server takes that starts slowly.
+  void BoundSlowStart(Instant aNow,
+                      const ServerRecord& aRecord,
+                      const RoutedService& aService,
+                      ServerLoad& aLoad);
 
   RequestDeskSettings settings_;
   const ServerDirectory& directory_;
--- a/Libraries/LibGateway/RoutingTable.h
+++ b/Libraries/LibGateway/RoutingTable.h
@@ -49,6 +49,9 @@
   std::size_t mostConnections_ = 0;
   // Whether each key has one owner among its servers.
   bool isKeyed_ = false;
+  // Requests a second that a server in its slow start takes from all instances together;
+  // 0 when it takes as many as ever.
+  double slowStartRate_ = 0;
 };
 
 // What a client's connection may use.
--- a/Libraries/LibGateway/ServerChoice.cpp
+++ b/Libraries/LibGateway/ServerChoice.cpp
@@ -38,7 +38,7 @@
 HasServer(const std::vector<ServerCandidate>& aServers)
 {
   return std::any_of(aServers.begin(), aServers.end(), [](const ServerCandidate& aServer) {
-    return !aServer.record_->isLeaving_;
+    return aServer.record_->TakesWork();
   });
 }
 
@@ -52,7 +52,7 @@
   std::vector<ServerCandidate> fresh;
   std::vector<ServerCandidate> again;
   for (const auto& server : aServers) {
-    if (server.record_->isLeaving_ || !server.load_->HasRoom(aNow)) {
+    if (!server.record_->TakesWork() || !server.load_->HasRoom(aNow)) {
       continue;
     }
     const bool isTried =
@@ -71,11 +71,7 @@
   if (found != services_.end()) {
     return found->second;
   }
-  auto& state = services_.emplace(aService, ServiceState(settings_.retries_)).first->second;
-  if (const auto* service = routes_ ? routes_->FindService(aService) : nullptr) {
-    RefreshServers(state, *service);
-  }
-  return state;
+  return services_.emplace(aService, ServiceState(settings_.retries_)).first->second;
 }
 
 ServerLoad&
@@ -93,12 +89,31 @@
 }
 
 void
-RequestDesk::RefreshServers(ServiceState& aState, const RoutedService& aService)
+RequestDesk::RefreshServers(Instant aNow, ServiceState& aState, const RoutedService& aService)
 {
   aState.servers_.clear();
   for (const auto* record : directory_.OfService(aService.name_)) {
-    aState.servers_.push_back({ record, &LoadOf(*record, aService) });
+    auto& load = LoadOf(*record, aService);
+    BoundSlowStart(aNow, *record, aService, load);
+    aState.servers_.push_back({ record, &load });
+  }
+}
+
+void
+RequestDesk::BoundSlowStart(Instant aNow,
+                            const ServerRecord& aRecord,
+                            const RoutedService& aService,
+                            ServerLoad& aLoad)
+{
+  if (aService.slowStartRate_ <= 0 || !aRecord.IsInSlowStart(aNow)) {
+    return;
   }
+  const auto instances = instances_ == 0 ? kUnknownInstances : instances_;
+  std::uniform_real_distribution<double> draw(0, 1);
+  aLoad.SlowStart().Begin(aNow,
+                          aRecord.slowStartUntil_,
+                          aService.slowStartRate_ / static_cast<double>(instances),
+                          draw(random_));
 }
 
 void
@@ -108,7 +123,7 @@
     return;
   }
   for (const auto& service : routes_->Configuration().services_) {
-    RefreshServers(StateOf(service.name_), service);
+    RefreshServers(aNow, StateOf(service.name_), service);
   }
   // Requests may still wait for a service that left the configuration.
   for (auto& [name, state] : services_) {
@@ -268,7 +283,7 @@
     return Choice::NoOwner;
   }
   const auto* record = directory_.Find(range->owner_);
-  if (record == nullptr || record->isLeaving_) {
+  if (record == nullptr || !record->TakesWork()) {
     return Choice::NoOwner;
   }
   aPending.owner_ = range->owner_;
--- a/Libraries/LibGateway/ServerDirectory.cpp
+++ b/Libraries/LibGateway/ServerDirectory.cpp
@@ -16,12 +16,19 @@
 // Dropped records that are remembered: more than a fleet's servers are replaced
 // in a minute, and few enough to be nothing in memory.
 constexpr std::size_t kMostFormer = 1024;
+// Servers of a hall that was drained tell within this time that they start slowly, if
+// they do: two heartbeats of a second and a little for the way here.
+constexpr Duration kRestoreSlowStart = milliseconds(2300);
 
 } // namespace
 
 void
-ServerDirectory::Put(Instant, ServerRecord aRecord)
+ServerDirectory::Put(Instant aNow, ServerRecord aRecord)
 {
+  aRecord.isHallDrained_ = drainedHalls_.contains(aRecord.hall_);
+  if (aRecord.slowStartLeft_ > Duration(0)) {
+    aRecord.slowStartUntil_ = aNow + aRecord.slowStartLeft_;
+  }
   removals_.erase(aRecord.id_);
   auto id = aRecord.id_;
   records_.insert_or_assign(std::move(id), std::move(aRecord));
@@ -50,6 +57,29 @@
   }
 }
 
+void
+ServerDirectory::DrainHall(const std::string& aHall)
+{
+  drainedHalls_.insert(aHall);
+  for (auto& [id, record] : records_) {
+    record.isHallDrained_ = record.isHallDrained_ || record.hall_ == aHall;
+  }
+}
+
+void
+ServerDirectory::RestoreHall(Instant aNow, const std::string& aHall)
+{
+  if (drainedHalls_.erase(aHall) == 0) {
+    return;
+  }
+  for (auto& [id, record] : records_) {
+    if (record.hall_ == aHall) {
+      record.isHallDrained_ = false;
+      record.slowStartUntil_ = std::max(record.slowStartUntil_, aNow + kRestoreSlowStart);
+    }
+  }
+}
+
 void
 ServerDirectory::OnStoreLost(Instant)
 {
--- a/Libraries/LibGateway/ServerDirectory.h
+++ b/Libraries/LibGateway/ServerDirectory.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -25,7 +26,16 @@
   // Rises with each change of any record, so that of two lives at one address
   // the one with the higher revision is the later.
   std::uint64_t revision_ = 0;
+  // How much longer it took only a few requests a second when it wrote the record.
+  Duration slowStartLeft_{ 0 };
+  // Until when that is so; set by the directory.
+  Instant slowStartUntil_ = Instant::min();
+  // Its data hall is being drained; set by the directory.
+  bool isHallDrained_ = false;
 
+  // Whether it may get new work.
+  bool TakesWork() const { return !isLeaving_ && !isHallDrained_; }
+  bool IsInSlowStart(Instant aNow) const { return aNow < slowStartUntil_; }
   bool operator==(const ServerRecord&) const = default;
 };
 
@@ -42,6 +52,11 @@
   // Takes the whole list; servers that it lacks have disappeared.
   void Replace(Instant aNow, std::vector<ServerRecord> aRecords);
 
+  // Nothing may be sent to the servers of that hall until it is restored.
+  void DrainHall(const std::string& aHall);
+  // Its servers may have lost what they held in memory meanwhile.
+  void RestoreHall(Instant aNow, const std::string& aHall);
+
   void OnStoreLost(Instant aNow);
   void OnStoreRegained(Instant aNow);
 
@@ -67,6 +82,7 @@
   std::map<std::string, ServerRecord, std::less<>> records_;
   // Records that were dropped, the latest of them.
   std::map<std::string, ServerRecord, std::less<>> former_;
+  std::set<std::string> drainedHalls_;
   // When each record that has disappeared is dropped.
   std::map<std::string, Instant, std::less<>> removals_;
   bool isStoreLost_ = false;
--- a/Libraries/LibGateway/ServerLoad.cpp
+++ b/Libraries/LibGateway/ServerLoad.cpp
@@ -51,6 +51,7 @@
 ServerLoad::OnSent(Instant aNow, AttemptNumber aAttempt, Duration aTarget)
 {
   underWay_.emplace(aAttempt, Attempt{ aNow, aTarget });
+  slowStart_.OnSent(aNow);
 }
 
 void
@@ -128,7 +129,7 @@
 bool
 ServerLoad::HasRoom(Instant aNow) const
 {
-  if (aNow < suspendedUntil_) {
+  if (aNow < suspendedUntil_ || !slowStart_.HasRoom(aNow)) {
     return false;
   }
   return underWay_.size() < Limit() && !IsOverdue(aNow);
--- a/Libraries/LibGateway/ServerLoad.h
+++ b/Libraries/LibGateway/ServerLoad.h
@@ -2,6 +2,7 @@
 
 #include "LibBase/Time.h"
 #include "LibGateway/ServerWork.h"
+#include "LibGateway/SlowStartShare.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -50,6 +51,8 @@
   void Suspend(Instant aNow, Duration aTime);
   void SetMostLimit(std::size_t aMostLimit);
 
+  SlowStartShare& SlowStart() { return slowStart_; }
+
   // Whether one more request may be sent now.
   bool HasRoom(Instant aNow) const;
   // The latency to count with, longer while answers are overdue; aDefault when
@@ -93,6 +96,7 @@
   Instant lateAt_ = Instant::min();
   double limit_;
   double mostLimit_;
+  SlowStartShare slowStart_;
   unsigned unreached_ = 0;
   Instant suspendedUntil_ = Instant::min();
   Instant shrunkAt_ = Instant::min();
--- a/Tests/LibFleet/FleetMemberFixture.h
+++ b/Tests/LibFleet/FleetMemberFixture.h
@@ -38,6 +38,13 @@
                          "hall",       4,       aRow.value_ == "leaving",
                          aRow.version_ };
   }
+
+  std::optional<std::string> DecodeDrainedHall(std::string_view aKey) const override
+  {
+    constexpr std::string_view kPrefix = "drain/";
+    return aKey.starts_with(kPrefix) ? std::optional<std::string>(aKey.substr(kPrefix.size()))
+                                     : std::nullopt;
+  }
 };
 
 // Writes down what a member decides.
--- a/Tests/LibGateway/TestRequestDesk.cpp
+++ b/Tests/LibGateway/TestRequestDesk.cpp
@@ -134,7 +134,8 @@
 
   void End(RequestNumber aRequest, AttemptEnd aEnd, unsigned aStatus = 0, bool aIsOtherLife = false)
   {
-    desk_.OnAttemptEnded(now_, SendOf(aRequest).number_, { aEnd, aStatus, aIsOtherLife });
+    desk_.OnAttemptEnded(
+      now_, SendOf(aRequest).number_, { aEnd, aStatus, aIsOtherLife, std::nullopt });
   }
 
   void Answer(RequestNumber aRequest, unsigned aStatus)
@@ -662,6 +663,52 @@
   EXPECT_TRUE(actions.refused_[7].isNotRun_);
 }
 
+TEST_F(DeskOfThreeServers, HallIsDrained_NothingIsSentOrSentAgainToItsServers)
+{
+  auto elsewhere = *directory_.Find("p1");
+  elsewhere.hall_ = "other-hall";
+  directory_.Put(now_, elsewhere);
+  directory_.DrainHall("hall");
+  desk_.OnDirectoryChanged(now_);
+  for (int index = 0; index < 20; ++index) {
+    const auto request = Ask("/read/x");
+    EXPECT_EQ(SendOf(request).server_, "p1");
+    End(request, AttemptEnd::NotRun, 503);
+    EXPECT_EQ(SendOf(request).server_, "p1");
+    now_ += milliseconds(100);
+  }
+  const auto keyed = Ask("/key/x", 50);
+  EXPECT_EQ(SendsOf(keyed), 0U);
+}
+
+TEST_F(DeskOfThreeServers, ServersStartSlowly_EachGetsThisInstancesPartOfTheRate)
+{
+  RoutingConfiguration configuration;
+  configuration.version_ = 2;
+  configuration.services_ = { { "plain", 100, false, 5 } };
+  configuration.routes_ = { MakeRoute("/read/", true, 2, { { "plain", 1 } }) };
+  desk_.SetInstances(10);
+  for (const auto* id : { "p1", "p2" }) {
+    auto record = *directory_.Find(id);
+    record.slowStartLeft_ = seconds(3);
+    directory_.Put(now_, record);
+  }
+  desk_.SetRoutes(now_,
+                  std::make_shared<const RouteTable>(RouteTable::Create(configuration).value()));
+  std::map<std::string, int> sends;
+  for (int index = 0; index < 300; ++index) {
+    const auto request = Ask("/read/x");
+    if (SendsOf(request) > 0) {
+      ++sends[SendOf(request).server_];
+      Answer(request, 200);
+    }
+    now_ += milliseconds(10);
+  }
+  EXPECT_LE(sends["p1"], 2);
+  EXPECT_LE(sends["p2"], 2);
+  EXPECT_GT(sends["p3"], 200);
+}
+
 } // namespace
 
 } // namespace latchslip
--- a/Tests/LibGateway/TestServerDirectory.cpp
+++ b/Tests/LibGateway/TestServerDirectory.cpp
@@ -85,6 +85,39 @@
   EXPECT_FALSE(directory_.HasEnded("unknown"));
 }
 
+TEST_F(DirectoryOfTwoServers, HallIsDrained_ItsServersTakeNoWorkUntilItIsRestored)
+{
+  directory_.DrainHall("hall");
+  EXPECT_FALSE(directory_.Find("s1")->TakesWork());
+  Put("s3", "10.0.0.3:80", 3);
+  EXPECT_FALSE(directory_.Find("s3")->TakesWork()) << "listed while its hall is drained";
+  directory_.DrainHall("other");
+  directory_.RestoreHall(kNow, "hall");
+  EXPECT_TRUE(directory_.Find("s1")->TakesWork());
+  EXPECT_TRUE(directory_.Find("s3")->TakesWork());
+}
+
+TEST_F(DirectoryOfTwoServers, HallIsRestored_ItsServersStartSlowlyUntilTheySayOtherwise)
+{
+  directory_.RestoreHall(kNow, "hall");
+  EXPECT_FALSE(directory_.Find("s1")->IsInSlowStart(kNow)) << "it was not drained";
+  directory_.DrainHall("hall");
+  directory_.RestoreHall(kNow, "hall");
+  EXPECT_TRUE(directory_.Find("s1")->IsInSlowStart(kNow + seconds(2)));
+  EXPECT_FALSE(directory_.Find("s1")->IsInSlowStart(kNow + seconds(3)));
+  Put("s1", "10.0.0.1:80", 3);
+  EXPECT_FALSE(directory_.Find("s1")->IsInSlowStart(kNow));
+}
+
+TEST_F(DirectoryOfTwoServers, ServerSaysHowLongItStartsSlowly_ItCountsFromThen)
+{
+  ServerRecord record{ "s4", "rates", "10.0.0.4:80", "hall", 4, false, 4 };
+  record.slowStartLeft_ = seconds(3);
+  directory_.Put(kNow, record);
+  EXPECT_TRUE(directory_.Find("s4")->IsInSlowStart(kNow + milliseconds(2900)));
+  EXPECT_FALSE(directory_.Find("s4")->IsInSlowStart(kNow + milliseconds(3100)));
+}
+
 } // namespace
 
 } // namespace latchslip
--- /dev/null
+++ b/Tests/LibGateway/TestSlowStartShare.cpp
@@ -0,0 +1,79 @@
+#include "LibGateway/SlowStartShare.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <random>
+#include <vector>
+
+namespace latchslip {
+
+namespace {
+
+constexpr Instant kNow = seconds(100);
+
+TEST(SlowStartShare, ServerIsWarm_NothingIsBound)
+{
+  SlowStartShare share;
+  EXPECT_TRUE(share.HasRoom(kNow));
+  share.OnSent(kNow);
+  EXPECT_TRUE(share.HasRoom(kNow));
+}
+
+TEST(SlowStartShare, RateIsSpent_NextOneMustBeSavedUp)
+{
+  SlowStartShare share;
+  share.Begin(kNow, kNow + seconds(10), 0.5, 1);
+  EXPECT_TRUE(share.HasRoom(kNow));
+  share.OnSent(kNow);
+  EXPECT_FALSE(share.HasRoom(kNow + milliseconds(1900)));
+  EXPECT_TRUE(share.HasRoom(kNow + milliseconds(2100)));
+  EXPECT_TRUE(share.HasRoom(kNow + seconds(10))) << "the slow start is over";
+}
+
+TEST(SlowStartShare, BeginsAnewWhileItLasts_NothingIsGivenTwice)
+{
+  SlowStartShare share;
+  share.Begin(kNow, kNow + seconds(10), 0.5, 1);
+  share.OnSent(kNow);
+  share.Begin(kNow + milliseconds(100), kNow + seconds(10), 0.5, 1);
+  EXPECT_FALSE(share.HasRoom(kNow + milliseconds(200)));
+}
+
+// The pattern: many instances that do not hear each other meet a server in its slow start,
+// each with more requests than it may send. 74 instances, 5.8 requests a second and three
+// seconds are those of a deployment of middle size; the server falls over at 16 in a
+// second.
+class SharesOfManyInstances : public testing::TestWithParam<unsigned>
+{};
+
+TEST_P(SharesOfManyInstances, AllSendWhatTheyMay_NoSecondHasTooMany)
+{
+  constexpr std::size_t kInstances = 74;
+  constexpr double kRate = 5.8;
+  constexpr std::size_t kMostInASecond = 16;
+  std::minstd_rand random(GetParam());
+  std::uniform_real_distribution<double> draw(0, 1);
+  std::vector<SlowStartShare> shares(kInstances);
+  for (auto& share : shares) {
+    share.Begin(kNow, kNow + seconds(3), kRate / kInstances, draw(random));
+  }
+  std::vector<Instant> sends;
+  for (auto now = kNow; now < kNow + seconds(3); now += milliseconds(1)) {
+    for (auto& share : shares) {
+      if (share.HasRoom(now)) {
+        share.OnSent(now);
+        sends.push_back(now);
+      }
+    }
+  }
+  for (std::size_t first = 0; first + kMostInASecond < sends.size(); ++first) {
+    EXPECT_GT(sends[first + kMostInASecond] - sends[first], seconds(1));
+  }
+  EXPECT_GT(sends.size(), 5U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, SharesOfManyInstances, testing::Range(1U, 21U));
+
+} // namespace
+
+} // namespace latchslip
--- a/Tests/Platform/TestPlatformCodec.cpp
+++ b/Tests/Platform/TestPlatformCodec.cpp
@@ -215,6 +215,35 @@
   EXPECT_EQ(codec_.DecodeOrder(order_, exchange).end_, OrderEnd::Refused);
 }
 
+TEST_F(CodecOfOneAttempt, ServerTellsItsLoad_IsReadWithOrWithoutThePace)
+{
+  EXPECT_EQ(
+    Decode(200, { { "X-Response-Signature", "s" }, { "X-Server-Load", "3,1,4,250" } }).server_,
+    (ServerStatus{ 3, 1, 4, 2.5 }));
+  EXPECT_EQ(Decode(500, { { "X-Server-Load", "3,0,8" } }).server_, (ServerStatus{ 3, 0, 8, 1 }));
+}
+
+TEST_F(CodecOfOneAttempt, ServerTellsNoLoadOrNonsense_NothingIsBelieved)
+{
+  for (const auto* text : { "",
+                            "3",
+                            "3,0",
+                            "a,b,c,d",
+                            "3,0,4,",
+                            "-1,0,4,100",
+                            "3,0,4,0",
+                            "3,0,4,100,7",
+                            "99999999999999999999,0,4,100",
+                            "3,0,4,1000000000",
+                            "3;0;4;100" }) {
+    EXPECT_FALSE(
+      Decode(200, { { "X-Response-Signature", "s" }, { "X-Server-Load", text } }).server_)
+      << text;
+  }
+  EXPECT_FALSE(Decode(200, { { "X-Response-Signature", "s" } }).server_);
+  EXPECT_FALSE(Decode(200, { { "X-Server-Load", "3,0,4,100" } }).server_) << "not signed";
+}
+
 } // namespace
 
 } // namespace latchslip::platform
--- a/Tests/Platform/TestPlatformDocuments.cpp
+++ b/Tests/Platform/TestPlatformDocuments.cpp
@@ -230,6 +230,35 @@
   EXPECT_EQ(DecodeTransaction(transaction_, broken).status_, StoreStatus::Unavailable);
 }
 
+TEST_F(DecoderOfManifests, ServicesAndServersThatStartSlowly_AreRead)
+{
+  const auto service = R"({"name": "book", "healthPath": "/health", "maxConns": 120)";
+  const auto slow = Decode(
+    Replace(kManifest, service, std::string(service) + R"(, "coldS": 3.0, "coldPerS": 5.8)"));
+  EXPECT_EQ(slow.value()->services_[1].slowStartRate_, 5.8);
+  EXPECT_EQ(slow.value()->services_[0].slowStartRate_, 0) << "says nothing";
+  EXPECT_FALSE(Decode(Replace(kManifest, service, std::string(service) + R"(, "coldPerS": -1)")));
+  const auto record = [&](const std::string& aCold) {
+    return decoder_.DecodeServer(
+      { "i-7f",
+        42,
+        R"({"service":"rate","address":"10.0.0.9:80","zone":"a","slots":4,"state":"ready")" +
+          aCold + "}" });
+  };
+  EXPECT_EQ(record(R"(,"coldRemainingMs":1500)").value().slowStartLeft_, milliseconds(1500));
+  EXPECT_EQ(record("").value().slowStartLeft_, Duration(0));
+  EXPECT_FALSE(record(R"(,"coldRemainingMs":-5)"));
+  EXPECT_FALSE(record(R"(,"coldRemainingMs":"long")"));
+  EXPECT_FALSE(record(R"(,"coldRemainingMs":1e12)"));
+}
+
+TEST_F(DecoderOfManifests, RowsOfDrainedHalls_NameTheHall)
+{
+  EXPECT_EQ(decoder_.DecodeDrainedHall("evacuate/hall-a"), "hall-a");
+  EXPECT_FALSE(decoder_.DecodeDrainedHall("evacuate/"));
+  EXPECT_FALSE(decoder_.DecodeDrainedHall("config"));
+}
+
 } // namespace
 
 } // namespace latchslip::platform
