--- a/Benchmarks/BenchGateway.cpp
+++ b/Benchmarks/BenchGateway.cpp
@@ -69,7 +69,8 @@
   for (const auto& server : servers) {
     directory.Put(now, { server.id_, "rates", server.address_, "hall", 4, false, 1 });
   }
-  RequestDesk desk({ "hall", {}, 1 }, directory, actions, events);
+  NoPermits permits;
+  RequestDesk desk({ "hall", {}, 1 }, directory, actions, permits, events);
   desk.SetInstances(10);
   desk.SetRoutes(now, MakeRoutes(aIsKeyed));
   desk.SetOwnership(now, KeyBalancer::DealAll("rates", 0, servers));
--- a/Libraries/LibBase/Event.cpp
+++ b/Libraries/LibBase/Event.cpp
@@ -71,6 +71,8 @@
   EventName{ Event::PlacerClaimed, "PlacerClaimed" },
   EventName{ Event::PlacerClaimLost, "PlacerClaimLost" },
   EventName{ Event::PlacerSilent, "PlacerSilent" },
+  EventName{ Event::DispatcherChosen, "DispatcherChosen" },
+  EventName{ Event::DispatcherSilent, "DispatcherSilent" },
 };
 
 } // namespace
--- a/Libraries/LibBase/Event.h
+++ b/Libraries/LibBase/Event.h
@@ -73,6 +73,8 @@
   PlacerClaimed = 630,
   PlacerClaimLost = 631,
   PlacerSilent = 632,
+  DispatcherChosen = 640,
+  DispatcherSilent = 641,
 };
 
 struct EventName
--- a/Libraries/LibDaemon/GatewayFront.cpp
+++ b/Libraries/LibDaemon/GatewayFront.cpp
@@ -20,6 +20,7 @@
                            RequestDeskSettings aSettings,
                            const GatewayCodec& aCodec,
                            const ServerDirectory& aDirectory,
+                           PermitSource& aPermits,
                            EventSink& aEvents,
                            GatewayMetrics& aMetrics,
                            KeyObserver aObserver)
@@ -27,7 +28,7 @@
   , metrics_(aMetrics)
   , observer_(std::move(aObserver))
   , client_(HttpClient::Create(aContext, kMostConnections))
-  , desk_(std::move(aSettings), aDirectory, *this, aEvents)
+  , desk_(std::move(aSettings), aDirectory, *this, aPermits, aEvents)
   , timer_(aContext)
 {
 }
--- a/Libraries/LibDaemon/GatewayFront.h
+++ b/Libraries/LibDaemon/GatewayFront.h
@@ -28,6 +28,7 @@
                RequestDeskSettings aSettings,
                const GatewayCodec& aCodec,
                const ServerDirectory& aDirectory,
+               PermitSource& aPermits,
                EventSink& aEvents,
                GatewayMetrics& aMetrics,
                KeyObserver aObserver);
--- a/Libraries/LibDaemon/GatewayHost.cpp
+++ b/Libraries/LibDaemon/GatewayHost.cpp
@@ -1,6 +1,7 @@
 #include "LibDaemon/GatewayHost.h"
 
 #include "LibDaemon/PeerCalls.h"
+#include "LibDaemon/PermitLinks.h"
 #include "LibDaemon/StopSequence.h"
 #include "LibNet/MonotonicClock.h"
 
@@ -26,10 +27,21 @@
 // To one server: as many as the placer sends orders to it.
 constexpr std::size_t kMostOrderConnections = 64;
 
+std::vector<std::string>
+NamesOf(const std::vector<RoutedService>& aServices)
+{
+  std::vector<std::string> names;
+  for (const auto& service : aServices) {
+    names.push_back(service.name_);
+  }
+  return names;
+}
+
 class AsioGatewayHost
   : public GatewayHost
   , private FleetActions
   , private FleetStoreListener
+  , private PermitListener
 {
 public:
   AsioGatewayHost(asio::io_context& aContext,
@@ -44,11 +56,17 @@
     , store_(aStore)
     , events_(aEvents)
     , member_(settings_.member_, aDecoder, *this, aEvents)
+    , permits_(aContext,
+               settings_.peerAddress_,
+               settings_.permitPort_,
+               member_.Directory(),
+               aEvents)
     , front_(
         aContext,
         settings_.desk_,
         aCodec,
         member_.Directory(),
+        permits_.Client(),
         aEvents,
         metrics_,
         [this](const std::string& aService, KeyNumber aKey) { member_.CountKey(aService, aKey); })
@@ -56,6 +74,7 @@
     , peers_(aContext, member_, [this] { return RenderMetrics(); })
     , timer_(aContext)
   {
+    permits_.Client().SetListener(*this);
   }
 
   FieldResult<void> Listen(asio::io_context& aContext)
@@ -68,6 +87,9 @@
     limits.connections_ = settings_.clientConnections_;
     BOOST_OUTCOME_TRY(clientServer_,
                       HttpServer::Create(aContext, settings_.clientAddress_, limits, front_));
+    if (settings_.permitPort_ != 0) {
+      BOOST_OUTCOME_TRY(permits_.Listen());
+    }
     store_.Start(*this);
     Step();
     return outcome::success();
@@ -128,6 +150,7 @@
   {
     const auto now = MonotonicNow();
     member_.OnTime(now);
+    permits_.OnTime();
     if (now >= nextPrune_) {
       nextPrune_ = now + kPruneInterval;
       front_.PruneIdle();
@@ -170,6 +193,7 @@
   {
     readyServer_->BeginClose();
     peerServer_->BeginClose();
+    permits_.Close();
     store_.Stop();
     events_.Record(Event::InstanceStopped, aIsQuiet ? "reason=quiet" : "reason=grace");
     events_.Flush();
@@ -234,10 +258,16 @@
   void OnRoutes(std::shared_ptr<const RouteTable> aRoutes) override
   {
     ApplyLimits(aRoutes->Configuration().limits_);
+    permits_.Dispatcher().SetRoutes(MonotonicNow(), aRoutes);
+    permits_.Client().SetServices(MonotonicNow(), NamesOf(aRoutes->Configuration().services_));
     front_.Desk().SetRoutes(MonotonicNow(), std::move(aRoutes));
   }
 
-  void OnDirectoryChanged() override { front_.Desk().OnDirectoryChanged(MonotonicNow()); }
+  void OnDirectoryChanged() override
+  {
+    permits_.Dispatcher().OnDirectoryChanged(MonotonicNow());
+    front_.Desk().OnDirectoryChanged(MonotonicNow());
+  }
 
   void OnOwnership(const KeyOwnership& aOwnership) override
   {
@@ -246,7 +276,35 @@
 
   void OnNewsStale(bool aIsStale) override { front_.Desk().SetNewsStale(aIsStale); }
 
-  void OnInstances(std::size_t aCount) override { front_.Desk().SetInstances(aCount); }
+  void OnInstances(const std::map<std::string, FleetPeer>& aPeers) override
+  {
+    front_.Desk().SetInstances(aPeers.size());
+    if (settings_.permitPort_ != 0) {
+      permits_.Client().SetPeers(MonotonicNow(), aPeers);
+    }
+  }
+
+  // What becomes of asks for permits.
+  void OnPermit(Instant aNow, AttemptNumber aNumber, const std::string& aServer) override
+  {
+    front_.Desk().OnPermit(aNow, aNumber, aServer);
+    front_.ArmTimer();
+  }
+  void OnPermitDelayed(Instant aNow, AttemptNumber aNumber) override
+  {
+    front_.Desk().OnPermitDelayed(aNow, aNumber);
+    front_.ArmTimer();
+  }
+  void OnPermitDenied(Instant aNow, AttemptNumber aNumber, Duration aWait) override
+  {
+    front_.Desk().OnPermitDenied(aNow, aNumber, aWait);
+    front_.ArmTimer();
+  }
+  void OnAskLost(Instant aNow, AttemptNumber aNumber) override
+  {
+    front_.Desk().OnAskLost(aNow, aNumber);
+    front_.ArmTimer();
+  }
 
   ServerWork TakeWorkOf(const std::string& aServer) override
   {
@@ -265,6 +323,7 @@
   LineLog& events_;
   FleetMember member_;
   GatewayMetrics metrics_;
+  PermitLinks permits_;
   GatewayFront front_;
   std::unique_ptr<HttpClient> orders_;
   PeerCalls peers_;
--- a/Libraries/LibDaemon/GatewayHost.h
+++ b/Libraries/LibDaemon/GatewayHost.h
@@ -19,6 +19,9 @@
   std::string readyAddress_;
   // Where other instances and operators reach this one.
   std::string peerAddress_;
+  // Where every instance takes links from those that ask it for permits; 0 when it takes
+  // none, and each chooses servers alone.
+  unsigned permitPort_ = 0;
   // Connections of clients at once; beyond them the one that has been idle the longest
   // is closed.
   std::size_t clientConnections_ = 1024;
--- /dev/null
+++ b/Libraries/LibDaemon/PermitLinks.cpp
@@ -0,0 +1,308 @@
+#include "LibDaemon/PermitLinks.h"
+
+#include "LibNet/Address.h"
+#include "LibNet/MonotonicClock.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <vector>
+
+namespace latchslip {
+
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+
+// A dispatcher that does not take a link in this time is passed over: many times the way
+// there and back within a region.
+constexpr Duration kDialTimeout = milliseconds(300);
+// This instance as one that asks itself.
+constexpr CallerId kOwnCaller = 0;
+
+// The address without its port.
+std::string
+HostOf(const std::string& aAddress)
+{
+  return aAddress.substr(0, aAddress.rfind(':'));
+}
+
+} // namespace
+
+PermitLinks::PermitLinks(asio::io_context& aContext,
+                         std::string aSelf,
+                         unsigned aPort,
+                         const ServerDirectory& aDirectory,
+                         EventSink& aEvents)
+  : context_(aContext)
+  , self_(std::move(aSelf))
+  , port_(aPort)
+  , events_(aEvents)
+  , client_(*this, aEvents)
+  , dispatcher_(aDirectory, *this)
+  , timer_(aContext)
+{
+}
+
+std::string
+PermitLinks::LinkAddressOf(const std::string& aInstance) const
+{
+  return HostOf(aInstance) + ":" + std::to_string(port_);
+}
+
+FieldResult<void>
+PermitLinks::Listen()
+{
+  BOOST_OUTCOME_TRY(auto acceptor, OpenAcceptor(context_, LinkAddressOf(self_)));
+  acceptor_ = std::make_unique<tcp::acceptor>(std::move(acceptor));
+  Accept();
+  return outcome::success();
+}
+
+void
+PermitLinks::Close()
+{
+  timer_.cancel();
+  acceptor_.reset();
+  std::vector<std::shared_ptr<FrameStream>> streams;
+  for (const auto& [address, link] : dialled_) {
+    streams.push_back(link.stream_);
+  }
+  for (const auto& [caller, link] : callers_) {
+    streams.push_back(link.stream_);
+  }
+  for (const auto& stream : streams) {
+    stream->Close("the instance stops");
+  }
+}
+
+void
+PermitLinks::Accept()
+{
+  acceptor_->async_accept([this](error_code aError, tcp::socket aSocket) {
+    if (aError == asio::error::operation_aborted || !acceptor_) {
+      return;
+    }
+    if (!aError) {
+      OnAccepted(std::move(aSocket));
+    }
+    Accept();
+  });
+}
+
+void
+PermitLinks::OnAccepted(tcp::socket aSocket)
+{
+  const auto caller = ++lastCaller_;
+  auto stream = std::make_shared<FrameStream>(std::move(aSocket));
+  callers_[caller].stream_ = stream;
+  stream->Start(
+    [this, caller](std::span<const std::uint8_t> aBytes) { OnCallerFrame(caller, aBytes); },
+    [this, caller](const std::string&) {
+      callers_.erase(caller);
+      dispatcher_.OnCallerGone(MonotonicNow(), caller);
+    });
+}
+
+void
+PermitLinks::OnCallerFrame(CallerId aCaller, std::span<const std::uint8_t> aBytes)
+{
+  const auto batch = DecodePermitBatch(aBytes);
+  if (!batch) {
+    events_.Record(Event::PeerRefused, "reason=\"" + batch.error().Describe() + "\"");
+    const auto stream = callers_.at(aCaller).stream_;
+    stream->Close("sent what cannot be read");
+    return;
+  }
+  const auto now = MonotonicNow();
+  for (const auto& message : batch.value().toDispatcher_) {
+    dispatcher_.OnMessage(now, aCaller, message);
+  }
+  ArmTimer();
+}
+
+void
+PermitLinks::Dial(const std::string& aDispatcher)
+{
+  if (aDispatcher == self_) {
+    asio::post(context_, [this] { client_.OnLinkUp(MonotonicNow(), self_); });
+    return;
+  }
+  const auto dial = ++lastDial_;
+  dials_[aDispatcher] = dial;
+  const auto endpoint = ParseAddress(LinkAddressOf(aDispatcher));
+  if (!endpoint) {
+    events_.Record(Event::PeerRefused, "reason=\"" + endpoint.error().Describe() + "\"");
+    asio::post(context_, [this, aDispatcher, dial] { OnDialFailed(aDispatcher, dial); });
+    return;
+  }
+  auto socket = std::make_shared<tcp::socket>(context_);
+  auto timer = std::make_shared<asio::steady_timer>(context_, kDialTimeout);
+  timer->async_wait([socket](error_code aError) {
+    if (!aError) {
+      error_code ignored;
+      socket->close(ignored);
+    }
+  });
+  socket->async_connect(endpoint.value(),
+                        [this, aDispatcher, dial, socket, timer](error_code aError) {
+                          timer->cancel();
+                          if (aError || !socket->is_open()) {
+                            OnDialFailed(aDispatcher, dial);
+                          } else {
+                            OnDialled(aDispatcher, dial, std::move(*socket));
+                          }
+                        });
+}
+
+void
+PermitLinks::OnDialFailed(const std::string& aDispatcher, std::uint64_t aDial)
+{
+  if (const auto dial = dials_.find(aDispatcher); dial != dials_.end() && dial->second == aDial) {
+    dials_.erase(dial);
+    client_.OnLinkDown(MonotonicNow(), aDispatcher);
+  }
+}
+
+void
+PermitLinks::OnDialled(const std::string& aDispatcher, std::uint64_t aDial, tcp::socket aSocket)
+{
+  const auto dial = dials_.find(aDispatcher);
+  if (dial == dials_.end() || dial->second != aDial) {
+    return;
+  }
+  dials_.erase(dial);
+  auto stream = std::make_shared<FrameStream>(std::move(aSocket));
+  dialled_[aDispatcher] = { stream, {} };
+  stream->Start([this, aDispatcher](
+                  std::span<const std::uint8_t> aBytes) { OnDispatcherFrame(aDispatcher, aBytes); },
+                [this, aDispatcher, link = stream.get()](const std::string&) {
+                  // Another link may have taken its place.
+                  const auto open = dialled_.find(aDispatcher);
+                  if (open != dialled_.end() && open->second.stream_.get() == link) {
+                    dialled_.erase(open);
+                    client_.OnLinkDown(MonotonicNow(), aDispatcher);
+                  }
+                });
+  client_.OnLinkUp(MonotonicNow(), aDispatcher);
+}
+
+void
+PermitLinks::OnDispatcherFrame(const std::string& aDispatcher, std::span<const std::uint8_t> aBytes)
+{
+  const auto batch = DecodePermitBatch(aBytes);
+  if (!batch) {
+    events_.Record(Event::PeerRefused, "reason=\"" + batch.error().Describe() + "\"");
+    const auto stream = dialled_.at(aDispatcher).stream_;
+    stream->Close("sent what cannot be read");
+    return;
+  }
+  const auto now = MonotonicNow();
+  for (const auto& message : batch.value().fromDispatcher_) {
+    client_.OnMessage(now, aDispatcher, message);
+  }
+}
+
+void
+PermitLinks::HangUp(const std::string& aDispatcher)
+{
+  dials_.erase(aDispatcher);
+  if (const auto link = dialled_.find(aDispatcher); link != dialled_.end()) {
+    const auto stream = link->second.stream_;
+    dialled_.erase(link);
+    stream->Close("does not answer");
+  }
+}
+
+void
+PermitLinks::Tell(const std::string& aDispatcher, const MessageToDispatcher& aMessage)
+{
+  if (aDispatcher == self_) {
+    own_.toDispatcher_.push_back(aMessage);
+  } else if (const auto link = dialled_.find(aDispatcher); link != dialled_.end()) {
+    link->second.batch_.toDispatcher_.push_back(aMessage);
+  }
+  FlushLater();
+}
+
+void
+PermitLinks::Answer(CallerId aCaller, const MessageFromDispatcher& aMessage)
+{
+  if (aCaller == kOwnCaller) {
+    own_.fromDispatcher_.push_back(aMessage);
+  } else if (const auto link = callers_.find(aCaller); link != callers_.end()) {
+    link->second.batch_.fromDispatcher_.push_back(aMessage);
+  }
+  FlushLater();
+}
+
+void
+PermitLinks::FlushLater()
+{
+  if (!isFlushing_) {
+    isFlushing_ = true;
+    asio::post(context_, [this] { Flush(); });
+  }
+}
+
+void
+PermitLinks::Flush()
+{
+  isFlushing_ = false;
+  std::vector<std::pair<std::shared_ptr<FrameStream>, PermitBatch>> full;
+  const auto collect = [&](auto& aLinks) {
+    for (auto& [key, link] : aLinks) {
+      if (!link.batch_.IsEmpty()) {
+        full.emplace_back(link.stream_, std::exchange(link.batch_, {}));
+      }
+    }
+  };
+  collect(dialled_);
+  collect(callers_);
+  for (const auto& [stream, batch] : full) {
+    stream->Send(EncodePermitBatch(batch));
+  }
+  FlushOwn();
+}
+
+void
+PermitLinks::FlushOwn()
+{
+  const auto batch = std::exchange(own_, {});
+  const auto now = MonotonicNow();
+  for (const auto& message : batch.toDispatcher_) {
+    dispatcher_.OnMessage(now, kOwnCaller, message);
+  }
+  for (const auto& message : batch.fromDispatcher_) {
+    client_.OnMessage(now, self_, message);
+  }
+  ArmTimer();
+}
+
+void
+PermitLinks::OnTime()
+{
+  client_.OnTime(MonotonicNow());
+}
+
+void
+PermitLinks::ArmTimer()
+{
+  const auto next = dispatcher_.NextTime();
+  if (!next || *next >= armedFor_) {
+    return;
+  }
+  armedFor_ = *next;
+  timer_.expires_at(std::chrono::steady_clock::time_point(armedFor_));
+  timer_.async_wait([this](error_code aError) {
+    if (aError) {
+      return;
+    }
+    armedFor_ = Instant::max();
+    dispatcher_.OnTime(MonotonicNow());
+    ArmTimer();
+  });
+}
+
+} // namespace latchslip
--- a/Libraries/LibFleet/FleetMember.h
+++ b/Libraries/LibFleet/FleetMember.h
@@ -42,7 +42,8 @@
   virtual void OnRoutes(std::shared_ptr<const RouteTable> aRoutes) = 0;
   virtual void OnDirectoryChanged() = 0;
   virtual void OnOwnership(const KeyOwnership& aOwnership) = 0;
-  virtual void OnInstances(std::size_t aCount) = 0;
+  // Which instances there are, by address.
+  virtual void OnInstances(const std::map<std::string, FleetPeer>& aPeers) = 0;
   // Whether neither the store nor a placer tells what changes.
   virtual void OnNewsStale(bool aIsStale) = 0;
   // What a server did for this instance since the last call.
--- a/Libraries/LibFleet/ReportDuty.cpp
+++ b/Libraries/LibFleet/ReportDuty.cpp
@@ -61,7 +61,7 @@
   const auto report = TakeReport();
   if (election_.IsPlacer()) {
     OnReport(aNow, report);
-    actions_.OnInstances(roster_.Size());
+    actions_.OnInstances(roster_.Peers());
     return;
   }
   actions_.SendReport(election_.Current()->address_, report);
@@ -200,7 +200,7 @@
   if (!aAnswer.roster_.IsEmpty()) {
     rosterSince_ = rosterSince_.value_or(aNow);
     roster_.Apply(aAnswer.roster_);
-    actions_.OnInstances(roster_.Size());
+    actions_.OnInstances(roster_.Peers());
   }
   if (aAnswer.strongestShare_ > 0) {
     election_.SetWeakness(WeaknessBeside(settings_.processorShare_, aAnswer.strongestShare_));
--- a/Libraries/LibGateway/PendingRequest.h
+++ b/Libraries/LibGateway/PendingRequest.h
@@ -4,6 +4,7 @@
 #include "LibGateway/RoutingTable.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,12 @@
   // The send under way; 0 when it waits.
   AttemptNumber attempt_ = 0;
   AttemptNumber lastAttempt_ = 0;
+  // The permit that it waits for; 0 when it waits for none.
+  AttemptNumber ask_ = 0;
+  // The dispatcher has said that there will be one.
+  bool isPromised_ = false;
+  // How long there is no room, as the dispatcher says.
+  std::optional<Duration> toldWait_;
   // The server of the last send.
   std::string server_;
   unsigned sends_ = 0;
--- a/Libraries/LibGateway/RequestDesk.cpp
+++ b/Libraries/LibGateway/RequestDesk.cpp
@@ -97,10 +97,12 @@
 RequestDesk::RequestDesk(RequestDeskSettings aSettings,
                          const ServerDirectory& aDirectory,
                          RequestActions& aActions,
+                         PermitSource& aPermits,
                          EventSink& aEvents)
   : settings_(std::move(aSettings))
   , directory_(aDirectory)
   , actions_(aActions)
+  , permits_(aPermits)
   , events_(aEvents)
   , random_(settings_.seed_)
 {
@@ -161,6 +163,7 @@
   attempts_.erase(attempt);
   auto& pending = pending_.at(number);
   const auto service = pending.service_->name_;
+  permits_.TellEnd({ aAttempt, ToSendResult(aOutcome), aNow - pending.sentAt_, aOutcome.server_ });
   if (const auto load = loads_.find(pending.server_); load != loads_.end()) {
     load->second.OnEnded(aNow, aAttempt, ToSendResult(aOutcome));
     if (aOutcome.isOtherLife_) {
@@ -257,6 +260,7 @@
   }
   if (pending.attempt_ != 0) {
     actions_.Cancel(pending.attempt_);
+    permits_.TellEnd({ pending.attempt_, SendResult::Cancelled, Duration(0), std::nullopt });
     loads_.at(pending.server_).OnCancelled(pending.attempt_);
     attempts_.erase(pending.attempt_);
   }
@@ -279,6 +283,8 @@
     services.insert(pending.service_->name_);
     if (pending.attempt_ != 0) {
       GiveUp(aNow, pending);
+    } else if (pending.ask_ != 0) {
+      OnAskDue(aNow, pending);
     } else if (aNow >= std::min(pending.refuseAt_, pending.deadline_)) {
       RefuseWaiting(aNow, pending);
     } else {
@@ -300,6 +306,8 @@
 RequestDesk::GiveUp(Instant aNow, PendingRequest& aPending)
 {
   actions_.Cancel(aPending.attempt_);
+  permits_.TellEnd(
+    { aPending.attempt_, SendResult::Broken, aNow - aPending.sentAt_, std::nullopt });
   tally_.OnAttempt(aPending.server_, AttemptEnd::Broken);
   if (const auto load = loads_.find(aPending.server_); load != loads_.end()) {
     load->second.OnTimeOut(aNow, aPending.attempt_);
@@ -349,7 +357,7 @@
   const auto given = aPending.request_.timeLeft_.value_or(aPending.route_->timeLimit_);
   const auto left = std::max(Duration(0), Duration(aPending.arrival_ + given - aNow));
   const auto most = Scale(left, kRetryAfterOfTimeLeft);
-  const auto wait = ExpectedWait(aNow, aPending);
+  const auto wait = aPending.toldWait_ ? aPending.toldWait_ : ExpectedWait(aNow, aPending);
   if (!wait) {
     return most;
   }
@@ -364,6 +372,10 @@
 {
   auto& pending = pending_.at(aRequest);
   LeaveQueue(pending);
+  if (pending.ask_ != 0) {
+    permits_.Withdraw(pending.ask_);
+    asks_.erase(pending.ask_);
+  }
   SetTimer(pending, Instant::max());
   pending_.erase(aRequest);
 }
@@ -374,6 +386,12 @@
   if (aNow < aPending.notBefore_) {
     return false;
   }
+  return TryAsk(aNow, aPending) || TrySendAlone(aNow, aPending);
+}
+
+bool
+RequestDesk::TrySendAlone(Instant aNow, PendingRequest& aPending)
+{
   ServerCandidate chosen{};
   const auto choice = ChooseServer(aNow, aPending, chosen);
   if (choice == Choice::Found && aPending.isLate_ && !chosen.load_->HasSpareRoom()) {
@@ -388,7 +406,10 @@
   if (timeLeft < kLeastSendTime) {
     return false;
   }
-  SendTo(aNow, aPending, chosen, timeLeft);
+  const auto attempt = ++lastAttempt_;
+  permits_.TellSend(
+    aNow, { attempt, aPending.service_->name_, chosen.record_->id_, Duration(0), timeLeft });
+  SendTo(aNow, aPending, chosen, attempt, timeLeft);
   return true;
 }
 
@@ -411,20 +432,20 @@
 RequestDesk::SendTo(Instant aNow,
                     PendingRequest& aPending,
                     const ServerCandidate& aServer,
+                    AttemptNumber aAttempt,
                     Duration aTimeLeft)
 {
   LeaveQueue(aPending);
-  const auto attempt = ++lastAttempt_;
   const auto number = aPending.request_.number_;
-  aPending.attempt_ = attempt;
-  aPending.lastAttempt_ = attempt;
+  aPending.attempt_ = aAttempt;
+  aPending.lastAttempt_ = aAttempt;
   aPending.server_ = aServer.record_->id_;
   ++aPending.sends_;
   aPending.sentAt_ = aNow;
-  attempts_[attempt] = number;
-  aServer.load_->OnSent(aNow, attempt, aPending.route_->latencyTarget_);
+  attempts_[aAttempt] = number;
+  aServer.load_->OnSent(aNow, aAttempt, aPending.route_->latencyTarget_);
   SetTimer(aPending, aPending.deadline_ + kAnswerGrace);
-  actions_.Send({ attempt, number, aServer.record_->id_, aServer.record_->address_, aTimeLeft });
+  actions_.Send({ aAttempt, number, aServer.record_->id_, aServer.record_->address_, aTimeLeft });
 }
 
 void
--- a/Libraries/LibGateway/RequestDesk.h
+++ b/Libraries/LibGateway/RequestDesk.h
@@ -5,6 +5,7 @@
 #include "LibGateway/Messages.h"
 #include "LibGateway/MoveTimes.h"
 #include "LibGateway/PendingRequest.h"
+#include "LibGateway/PermitSource.h"
 #include "LibGateway/RequestTally.h"
 #include "LibGateway/RoutingTable.h"
 #include "LibGateway/ServerDirectory.h"
@@ -39,6 +40,7 @@
   RequestDesk(RequestDeskSettings aSettings,
               const ServerDirectory& aDirectory,
               RequestActions& aActions,
+              PermitSource& aPermits,
               EventSink& aEvents);
 
   // aNow is when the request was read whole.
@@ -51,6 +53,12 @@
   // When OnTime has something to do next.
   std::optional<Instant> NextTime() const;
 
+  // What became of an ask for a permit.
+  void OnPermit(Instant aNow, AttemptNumber aNumber, const std::string& aServer);
+  void OnPermitDelayed(Instant aNow, AttemptNumber aNumber);
+  void OnPermitDenied(Instant aNow, AttemptNumber aNumber, Duration aWait);
+  void OnAskLost(Instant aNow, AttemptNumber aNumber);
+
   void SetRoutes(Instant aNow, std::shared_ptr<const RouteTable> aRoutes);
   void SetOwnership(Instant aNow, KeyOwnership aOwnership);
   // To be called after each change of the directory.
@@ -92,11 +100,24 @@
   ServerLoad& LoadOf(const ServerRecord& aRecord, const RoutedService& aService);
   // The service that gets a request of this route, by the weights of its targets.
   const std::string& ChooseTarget(const Route& aRoute);
-  // Sends the request if a server can take it now.
+  // Sends the request if a server can take it now, or asks for a permit.
   bool TrySend(Instant aNow, PendingRequest& aPending);
+  // As TrySend, by what this instance knows alone.
+  bool TrySendAlone(Instant aNow, PendingRequest& aPending);
+  // Asks for a permit if a dispatcher is there, and a key has an owner.
+  bool TryAsk(Instant aNow, PendingRequest& aPending);
+  // The request that waits for a permit, which it waits for no more; null when none does.
+  PendingRequest* TakeAsk(AttemptNumber aNumber);
+  // Whether a server may get the request that the dispatcher chose, as this instance sees it.
+  std::optional<ServerCandidate> PermittedServer(Instant aNow,
+                                                 PendingRequest& aPending,
+                                                 const std::string& aServer);
+  // The dispatcher does not answer in time.
+  void OnAskDue(Instant aNow, PendingRequest& aPending);
   void SendTo(Instant aNow,
               PendingRequest& aPending,
               const ServerCandidate& aServer,
+              AttemptNumber aAttempt,
               Duration aTimeLeft);
   // Who gets a request now; aChosen is set when the choice is Found.
   Choice ChooseServer(Instant aNow, PendingRequest& aPending, ServerCandidate& aChosen);
@@ -158,6 +179,7 @@
   RequestDeskSettings settings_;
   const ServerDirectory& directory_;
   RequestActions& actions_;
+  PermitSource& permits_;
   EventSink& events_;
   std::shared_ptr<const RouteTable> routes_;
   // When the first configuration came.
@@ -175,6 +197,8 @@
   std::map<std::string, ServerLoad, std::less<>> loads_;
   std::unordered_map<RequestNumber, PendingRequest> pending_;
   std::unordered_map<AttemptNumber, RequestNumber> attempts_;
+  // Requests that wait for permits.
+  std::unordered_map<AttemptNumber, RequestNumber> asks_;
   std::set<std::pair<Instant, RequestNumber>> timers_;
   // The credits of each route's targets, by host and prefix.
   std::map<std::string, std::vector<double>, std::less<>> credits_;
--- a/Libraries/LibGateway/ServerLoad.cpp
+++ b/Libraries/LibGateway/ServerLoad.cpp
@@ -8,8 +8,6 @@
 
 // Weight of a new latency in the mean: about the last ten answers count.
 constexpr double kMeanWeight = 0.1;
-// Weight of a new end in the share of failures.
-constexpr double kFailureWeight = 0.1;
 // The limit grows by the first part with an answer in time that came while it was
 // full, and shrinks to the second with a late one: it stays where about one answer in
 // six is late. What waits at a server for longer takes places of its queue that others
@@ -28,16 +26,6 @@
 // The limit shrinks at most once in this time, about one service time, so that
 // one burst of shed requests counts once.
 constexpr Duration kShrinkPause = milliseconds(100);
-// A server that shed is left alone this long: about one service time of one of
-// its slots.
-constexpr Duration kShedPause = milliseconds(20);
-// An unreached server is tried again after this time, doubled with each failure.
-constexpr Duration kUnreachedPause = milliseconds(200);
-constexpr unsigned kMostDoublings = 3;
-// A send without an answer for this multiple of the mean latency, and at least
-// the time below, means that the server may have fallen silent.
-constexpr double kOverdueMeans = 6.0;
-constexpr Duration kLeastOverdue = milliseconds(300);
 
 } // namespace
 
@@ -65,35 +53,12 @@
   const auto latency = aNow - sent->second.sentAt_;
   const bool isLate = latency > sent->second.target_;
   underWay_.erase(sent);
-  const bool isFailure = aResult != SendResult::Answered && aResult != SendResult::Declined;
-  failureShare_ += kFailureWeight * ((isFailure ? 1.0 : 0.0) - failureShare_);
-  if (aResult != SendResult::NotReached) {
-    unreached_ = 0;
-  }
-  switch (aResult) {
-    case SendResult::Answered:
-      answeredAt_ = aNow;
-      LearnLatency(latency);
-      LearnLimit(aNow, isLate, wasFull);
-      break;
-    case SendResult::Failed:
-    case SendResult::Declined:
-      answeredAt_ = aNow;
-      break;
-    case SendResult::Shed:
-      answeredAt_ = aNow;
-      Shrink(aNow, kShedShrink);
-      suspendedUntil_ = std::max(suspendedUntil_, aNow + kShedPause);
-      break;
-    case SendResult::NotReached:
-      suspendedUntil_ = std::max(
-        suspendedUntil_, aNow + kUnreachedPause * (1U << std::min(unreached_, kMostDoublings)));
-      ++unreached_;
-      break;
-    case SendResult::Broken:
-      Shrink(aNow, kShedShrink);
-      suspendedUntil_ = std::max(suspendedUntil_, aNow + kShedPause);
-      break;
+  health_.OnEnded(aNow, aResult);
+  if (aResult == SendResult::Answered) {
+    LearnLatency(latency);
+    LearnLimit(aNow, isLate, wasFull);
+  } else if (aResult == SendResult::Shed || aResult == SendResult::Broken) {
+    Shrink(aNow, kShedShrink);
   }
 }
 
@@ -116,7 +81,7 @@
 void
 ServerLoad::Suspend(Instant aNow, Duration aTime)
 {
-  suspendedUntil_ = std::max(suspendedUntil_, aNow + aTime);
+  health_.Suspend(aNow, aTime);
 }
 
 void
@@ -129,7 +94,7 @@
 bool
 ServerLoad::HasRoom(Instant aNow) const
 {
-  if (aNow < suspendedUntil_ || !slowStart_.HasRoom(aNow)) {
+  if (health_.IsSuspended(aNow) || !slowStart_.HasRoom(aNow)) {
     return false;
   }
   return underWay_.size() < Limit() && !IsOverdue(aNow);
@@ -141,9 +106,7 @@
   if (underWay_.empty()) {
     return false;
   }
-  const auto oldest = underWay_.begin()->second.sentAt_;
-  return answeredAt_ < oldest &&
-         aNow - oldest > std::max(kLeastOverdue, Scale(mean_, kOverdueMeans));
+  return health_.IsOverdue(aNow, underWay_.begin()->second.sentAt_, mean_);
 }
 
 Duration
@@ -164,8 +127,7 @@
     const Duration past = aNow - underWay_.begin()->second.sentAt_;
     first = std::max(aLatency - past, Scale(interval, kOverduePart));
   }
-  const auto pause = suspendedUntil_ > aNow ? Duration(suspendedUntil_ - aNow) : Duration(0);
-  return std::max(first, pause) + interval * static_cast<Duration::rep>(aAhead);
+  return std::max(first, health_.PauseLeft(aNow)) + interval * static_cast<Duration::rep>(aAhead);
 }
 
 void
--- a/Libraries/LibGateway/ServerLoad.h
+++ b/Libraries/LibGateway/ServerLoad.h
@@ -1,36 +1,16 @@
 #pragma once
 
 #include "LibBase/Time.h"
+#include "LibGateway/ServerHealth.h"
 #include "LibGateway/ServerWork.h"
 #include "LibGateway/SlowStartShare.h"
 
 #include <cstddef>
-#include <cstdint>
 #include <map>
 #include <utility>
 
 namespace latchslip {
 
-// Names one send of one request to one server.
-using AttemptNumber = std::uint64_t;
-
-// How a send to a server ended, as far as the server's state is concerned.
-enum class SendResult
-{
-  // The server answered; it may have failed the request.
-  Answered,
-  // The server answered that the request failed.
-  Failed,
-  // The server did not run the request because it is full.
-  Shed,
-  // The server did not run the request for another reason.
-  Declined,
-  // No connection could be opened.
-  NotReached,
-  // The connection broke, or no answer came in time.
-  Broken,
-};
-
 // What one instance has seen of one server: its latency, its failures, and how
 // much the instance may have under way there. Instances do not see each other's
 // load, so that the limit is learnt from late answers and from shed requests.
@@ -70,7 +50,7 @@
   // What the server did since the last call.
   ServerWork TakeWork() { return std::exchange(work_, {}); }
   // Recent share of sends that failed, 0 to 1.
-  double FailureShare() const { return failureShare_; }
+  double FailureShare() const { return health_.FailureShare(); }
   std::size_t UnderWay() const { return underWay_.size(); }
   std::size_t Limit() const { return static_cast<std::size_t>(limit_); }
 
@@ -91,16 +71,13 @@
   std::map<AttemptNumber, Attempt> underWay_;
   Duration mean_{ 0 };
   ServerWork work_;
-  double failureShare_ = 0;
+  ServerHealth health_;
   // When an answer was late last.
   Instant lateAt_ = Instant::min();
   double limit_;
   double mostLimit_;
   SlowStartShare slowStart_;
-  unsigned unreached_ = 0;
-  Instant suspendedUntil_ = Instant::min();
   Instant shrunkAt_ = Instant::min();
-  Instant answeredAt_ = Instant::min();
 };
 
 } // namespace latchslip
--- a/Libraries/LibNet/PeerCodec.cpp
+++ b/Libraries/LibNet/PeerCodec.cpp
@@ -331,11 +331,7 @@
   std::visit([&](const auto& aBody) { Write(root, aBody); }, aMessage);
   const auto words = capnp::messageToFlatArray(builder);
   const auto bytes = words.asBytes();
-  WireBytes wire(kFrameHeaderBytes + bytes.size(), 0);
-  const auto size = static_cast<std::uint32_t>(bytes.size());
-  std::memcpy(wire.data(), &size, sizeof(size));
-  std::memcpy(wire.data() + kFrameHeaderBytes, bytes.begin(), bytes.size());
-  return wire;
+  return FrameOf({ bytes.begin(), bytes.size() });
 }
 
 CodecResult<WireMessage>
--- a/Libraries/LibNet/PeerCodec.h
+++ b/Libraries/LibNet/PeerCodec.h
@@ -2,6 +2,7 @@
 
 #include "LibBase/Result.h"
 #include "LibInstance/Messages.h"
+#include "LibNet/FrameStream.h"
 
 #include <cstdint>
 #include <span>
@@ -10,9 +11,6 @@
 
 namespace latchslip {
 
-// A message as it goes over the wire, framing included.
-using WireBytes = std::vector<std::uint8_t>;
-
 // The first message of a link, with which the two ends prove themselves.
 struct PeerChallenge
 {
@@ -42,8 +40,4 @@
 CodecResult<WireMessage>
 DecodeWire(std::span<const std::uint8_t> aBytes);
 
-// Each message on the wire follows its length in bytes, 4 bytes little endian,
-// padded to 8 so that the message is aligned.
-inline constexpr std::size_t kFrameHeaderBytes = 8;
-
 } // namespace latchslip
--- a/Libraries/LibNet/PeerNetwork.cpp
+++ b/Libraries/LibNet/PeerNetwork.cpp
@@ -1,16 +1,13 @@
 #include "LibNet/PeerNetwork.h"
 
 #include "LibNet/Address.h"
+#include "LibNet/FrameStream.h"
 #include "LibNet/PeerCodec.h"
 #include "LibNet/PeerProof.h"
 
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/write.hpp>
-#include <cstring>
-#include <deque>
 #include <functional>
 #include <map>
 
@@ -22,148 +19,23 @@
 using boost::system::error_code;
 using tcp = asio::ip::tcp;
 
-constexpr std::size_t kMostMessageBytes = 48ULL * 1024 * 1024;
-// A peer that does not read is hung up on rather than waited for.
-constexpr std::size_t kMostQueuedBytes = 128ULL * 1024 * 1024;
 constexpr Duration kDialPause = milliseconds(200);
 constexpr Duration kHandshakeLimit = seconds(2);
 
-// One TCP connection that carries framed messages.
-class FrameStream : public std::enable_shared_from_this<FrameStream>
+// Gives the messages of a stream; one that cannot be read closes it.
+FrameStream::FrameFunction
+ReadMessages(const std::weak_ptr<FrameStream>& aStream,
+             std::function<void(const WireMessage&)> aOnMessage)
 {
-public:
-  using MessageFunction = std::function<void(const WireMessage&)>;
-  using ClosedFunction = std::function<void(const std::string&)>;
-
-  explicit FrameStream(tcp::socket aSocket)
-    : socket_(std::move(aSocket))
-  {
-  }
-
-  void Start(MessageFunction aOnMessage, ClosedFunction aOnClosed)
-  {
-    onMessage_ = std::move(aOnMessage);
-    onClosed_ = std::move(aOnClosed);
-    error_code ignored;
-    socket_.set_option(tcp::no_delay(true), ignored);
-    ReadHeader();
-  }
-
-  std::size_t Send(const WireMessage& aMessage)
-  {
-    if (!socket_.is_open()) {
-      return 0;
-    }
-    auto bytes = EncodeWire(aMessage);
-    const auto size = bytes.size();
-    queuedBytes_ += size;
-    queue_.push_back(std::move(bytes));
-    if (queuedBytes_ > kMostQueuedBytes) {
-      Close("the peer does not read");
-    } else if (!isWriting_) {
-      Write();
+  return [aStream, onMessage = std::move(aOnMessage)](std::span<const std::uint8_t> aBytes) {
+    const auto message = DecodeWire(aBytes);
+    if (message) {
+      onMessage(message.value());
+    } else if (const auto stream = aStream.lock()) {
+      stream->Close(message.error().problem_);
     }
-    return size;
-  }
-
-  void Close(const std::string& aReason)
-  {
-    error_code ignored;
-    socket_.close(ignored);
-    if (auto closed = std::exchange(onClosed_, nullptr)) {
-      closed(aReason);
-    }
-    onMessage_ = nullptr;
-  }
-
-  std::string RemoteAddress() const
-  {
-    error_code ignored;
-    const auto endpoint = socket_.remote_endpoint(ignored);
-    return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
-  }
-
-private:
-  void ReadHeader()
-  {
-    asio::async_read(
-      socket_, asio::buffer(header_), [self = shared_from_this()](error_code aError, std::size_t) {
-        self->OnHeader(aError);
-      });
-  }
-
-  void OnHeader(error_code aError)
-  {
-    if (aError) {
-      Close(aError.message());
-      return;
-    }
-    std::uint32_t size = 0;
-    std::memcpy(&size, header_.data(), sizeof(size));
-    if (size > kMostMessageBytes || size % 8 != 0) {
-      Close("a frame of an impossible size");
-      return;
-    }
-    // Words, so that the message is aligned.
-    body_.resize(size / 8);
-    asio::async_read(
-      socket_,
-      asio::buffer(body_.data(), size),
-      [self = shared_from_this()](error_code aFailure, std::size_t) { self->OnBody(aFailure); });
-  }
-
-  void OnBody(error_code aError)
-  {
-    if (aError) {
-      Close(aError.message());
-      return;
-    }
-    auto message =
-      DecodeWire({ reinterpret_cast<const std::uint8_t*>(body_.data()), body_.size() * 8 });
-    if (!message) {
-      Close(message.error().problem_);
-      return;
-    }
-    if (onMessage_) {
-      // A copy, because the handler may close the stream and so end itself.
-      const auto handler = onMessage_;
-      handler(message.value());
-    }
-    if (socket_.is_open()) {
-      ReadHeader();
-    }
-  }
-
-  void Write()
-  {
-    isWriting_ = true;
-    asio::async_write(
-      socket_,
-      asio::buffer(queue_.front()),
-      [self = shared_from_this()](error_code aError, std::size_t) { self->OnWritten(aError); });
-  }
-
-  void OnWritten(error_code aError)
-  {
-    isWriting_ = false;
-    queuedBytes_ -= queue_.front().size();
-    queue_.pop_front();
-    if (aError) {
-      Close(aError.message());
-    } else if (!queue_.empty() && socket_.is_open()) {
-      Write();
-    }
-  }
-
-  tcp::socket socket_;
-  std::array<std::uint8_t, kFrameHeaderBytes> header_{};
-  std::vector<std::uint64_t> body_;
-  std::deque<WireBytes> queue_;
-  std::size_t queuedBytes_ = 0;
-  bool isWriting_ = false;
-  MessageFunction onMessage_;
-  ClosedFunction onClosed_;
-};
+  };
+}
 
 // The link that this instance dials to one peer, and dials again when it breaks.
 class DialledLink : public std::enable_shared_from_this<DialledLink>
@@ -211,7 +83,7 @@
   bool IsUp() const { return isUp_; }
   const InstanceId& PeerId() const { return peer_; }
   const std::string& Address() const { return address_; }
-  std::size_t Send(const PeerMessage& aMessage) { return stream_->Send(aMessage); }
+  std::size_t Send(const PeerMessage& aMessage) { return stream_->Send(EncodeWire(aMessage)); }
 
 private:
   // An address that swallows packets must not keep the link from being tried anew.
@@ -246,9 +118,11 @@
   void OnConnected(tcp::socket aSocket)
   {
     stream_ = std::make_shared<FrameStream>(std::move(aSocket));
-    stream_->Start(
-      [self = shared_from_this()](const WireMessage& aMessage) { self->OnMessage(aMessage); },
-      [self = shared_from_this()](const std::string&) { self->OnClosed(); });
+    stream_->Start(ReadMessages(stream_,
+                                [self = shared_from_this()](const WireMessage& aMessage) {
+                                  self->OnMessage(aMessage);
+                                }),
+                   [self = shared_from_this()](const std::string&) { self->OnClosed(); });
   }
 
   void OnMessage(const WireMessage& aMessage)
@@ -257,7 +131,7 @@
       PeerHello hello{ settings_.self_, settings_.hall_, MakeNonce(), "" };
       hello.proof_ = ComputeProof(settings_.secret_, PeerRole::Dialler, challenge->nonce_, hello);
       nonce_ = hello.nonce_;
-      stream_->Send(hello);
+      stream_->Send(EncodeWire(hello));
       return;
     }
     const auto* welcome = std::get_if<PeerHello>(&aMessage);
@@ -313,10 +187,12 @@
 
   void Start()
   {
-    stream_->Start(
-      [self = shared_from_this()](const WireMessage& aMessage) { self->OnMessage(aMessage); },
-      [self = shared_from_this()](const std::string&) { self->OnClosed(); });
-    stream_->Send(PeerChallenge{ challenge_ });
+    stream_->Start(ReadMessages(stream_,
+                                [self = shared_from_this()](const WireMessage& aMessage) {
+                                  self->OnMessage(aMessage);
+                                }),
+                   [self = shared_from_this()](const std::string&) { self->OnClosed(); });
+    stream_->Send(EncodeWire(PeerChallenge{ challenge_ }));
   }
 
 private:
@@ -341,7 +217,7 @@
     peer_ = hello->id_;
     PeerHello welcome{ settings_.self_, settings_.hall_, MakeNonce(), "" };
     welcome.proof_ = ComputeProof(settings_.secret_, PeerRole::Acceptor, hello->nonce_, welcome);
-    stream_->Send(welcome);
+    stream_->Send(EncodeWire(welcome));
   }
 
   void OnClosed()
--- /dev/null
+++ b/Libraries/LibNet/Permit.capnp
@@ -0,0 +1,72 @@
+@0xb8e1c7d2a4f36095;
+
+# The messages between instances and dispatchers. LibNet/PermitCodec.cpp turns them into the
+# typed messages of LibGateway/PermitMessages.h and back.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("latchslip::wire");
+
+struct PermitAsk {
+  number @0 :UInt64;
+  service @1 :Text;
+  server @2 :Text;
+  hall @3 :Text;
+  tried @4 :List(Text);
+  priority @5 :UInt32;
+  inTimeMicros @6 :Int64;
+  timeLeftMicros @7 :Int64;
+}
+
+struct SendNotice {
+  number @0 :UInt64;
+  service @1 :Text;
+  server @2 :Text;
+  agoMicros @3 :Int64;
+  timeLeftMicros @4 :Int64;
+}
+
+struct SendEnd {
+  number @0 :UInt64;
+  result @1 :UInt8;
+  latencyMicros @2 :Int64;
+  hasStatus @3 :Bool;
+  running @4 :UInt32;
+  waiting @5 :UInt32;
+  slots @6 :UInt32;
+  pace @7 :Float64;
+}
+
+struct Permit {
+  number @0 :UInt64;
+  server @1 :Text;
+}
+
+struct PermitDenial {
+  number @0 :UInt64;
+  waitMicros @1 :Int64;
+}
+
+struct ToDispatcher {
+  union {
+    ask @0 :PermitAsk;
+    withdrawal @1 :UInt64;
+    notice @2 :SendNotice;
+    end @3 :SendEnd;
+    probe @4 :Void;
+  }
+}
+
+struct FromDispatcher {
+  union {
+    permit @0 :Permit;
+    delay @1 :UInt64;
+    denial @2 :PermitDenial;
+    sign @3 :Void;
+  }
+}
+
+# What one instance says in one turn.
+struct PermitBatch {
+  to @0 :List(ToDispatcher);
+  from @1 :List(FromDispatcher);
+}
--- /dev/null
+++ b/Libraries/LibNet/PermitCodec.cpp
@@ -0,0 +1,246 @@
+#include "LibNet/PermitCodec.h"
+
+#include "LibNet/Generated/Permit.capnp.h"
+
+#include <algorithm>
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+#include <kj/exception.h>
+
+namespace latchslip {
+
+namespace {
+
+// A batch is a few kilobytes; this bounds what a broken one may cost.
+constexpr std::uint64_t kMostWords = 1024ULL * 1024;
+
+std::string
+FromText(capnp::Text::Reader aText)
+{
+  return { aText.cStr(), aText.size() };
+}
+
+kj::StringPtr
+ToText(const std::string& aText)
+{
+  return { aText.c_str(), aText.size() };
+}
+
+void
+Write(wire::ToDispatcher::Builder aOut, const PermitAsk& aAsk)
+{
+  auto out = aOut.initAsk();
+  out.setNumber(aAsk.number_);
+  out.setService(ToText(aAsk.service_));
+  out.setServer(ToText(aAsk.server_));
+  out.setHall(ToText(aAsk.hall_));
+  auto tried = out.initTried(static_cast<unsigned>(aAsk.tried_.size()));
+  for (unsigned index = 0; index < tried.size(); ++index) {
+    tried.set(index, ToText(aAsk.tried_[index]));
+  }
+  out.setPriority(aAsk.priority_);
+  out.setInTimeMicros(aAsk.inTime_.count());
+  out.setTimeLeftMicros(aAsk.timeLeft_.count());
+}
+
+void
+Write(wire::ToDispatcher::Builder aOut, const PermitWithdrawal& aWithdrawal)
+{
+  aOut.setWithdrawal(aWithdrawal.number_);
+}
+
+void
+Write(wire::ToDispatcher::Builder aOut, const SendNotice& aNotice)
+{
+  auto out = aOut.initNotice();
+  out.setNumber(aNotice.number_);
+  out.setService(ToText(aNotice.service_));
+  out.setServer(ToText(aNotice.server_));
+  out.setAgoMicros(aNotice.ago_.count());
+  out.setTimeLeftMicros(aNotice.timeLeft_.count());
+}
+
+void
+Write(wire::ToDispatcher::Builder aOut, const SendEnd& aEnd)
+{
+  auto out = aOut.initEnd();
+  out.setNumber(aEnd.number_);
+  out.setResult(static_cast<std::uint8_t>(aEnd.result_));
+  out.setLatencyMicros(aEnd.latency_.count());
+  out.setHasStatus(aEnd.status_.has_value());
+  if (aEnd.status_) {
+    out.setRunning(aEnd.status_->running_);
+    out.setWaiting(aEnd.status_->waiting_);
+    out.setSlots(aEnd.status_->slots_);
+    out.setPace(aEnd.status_->pace_);
+  }
+}
+
+void
+Write(wire::ToDispatcher::Builder aOut, const DispatcherProbe&)
+{
+  aOut.setProbe();
+}
+
+void
+Write(wire::FromDispatcher::Builder aOut, const Permit& aPermit)
+{
+  auto out = aOut.initPermit();
+  out.setNumber(aPermit.number_);
+  out.setServer(ToText(aPermit.server_));
+}
+
+void
+Write(wire::FromDispatcher::Builder aOut, const PermitDelay& aDelay)
+{
+  aOut.setDelay(aDelay.number_);
+}
+
+void
+Write(wire::FromDispatcher::Builder aOut, const PermitDenial& aDenial)
+{
+  auto out = aOut.initDenial();
+  out.setNumber(aDenial.number_);
+  out.setWaitMicros(aDenial.wait_.count());
+}
+
+void
+Write(wire::FromDispatcher::Builder aOut, const DispatcherSign&)
+{
+  aOut.setSign();
+}
+
+PermitAsk
+Read(wire::PermitAsk::Reader aIn)
+{
+  PermitAsk ask;
+  ask.number_ = aIn.getNumber();
+  ask.service_ = FromText(aIn.getService());
+  ask.server_ = FromText(aIn.getServer());
+  ask.hall_ = FromText(aIn.getHall());
+  for (const auto server : aIn.getTried()) {
+    ask.tried_.push_back(FromText(server));
+  }
+  ask.priority_ = aIn.getPriority();
+  ask.inTime_ = Duration(aIn.getInTimeMicros());
+  ask.timeLeft_ = Duration(aIn.getTimeLeftMicros());
+  return ask;
+}
+
+SendNotice
+Read(wire::SendNotice::Reader aIn)
+{
+  return { aIn.getNumber(),
+           FromText(aIn.getService()),
+           FromText(aIn.getServer()),
+           Duration(aIn.getAgoMicros()),
+           Duration(aIn.getTimeLeftMicros()) };
+}
+
+FieldResult<SendEnd>
+Read(wire::SendEnd::Reader aIn)
+{
+  if (aIn.getResult() >= kSendResultNames.names_.size()) {
+    return FieldError{ "result", "is of a kind that this release does not know" };
+  }
+  SendEnd end;
+  end.number_ = aIn.getNumber();
+  end.result_ = static_cast<SendResult>(aIn.getResult());
+  end.latency_ = Duration(aIn.getLatencyMicros());
+  if (aIn.getHasStatus()) {
+    end.status_ = ServerStatus{ aIn.getRunning(), aIn.getWaiting(), aIn.getSlots(), aIn.getPace() };
+  }
+  return end;
+}
+
+FieldResult<MessageToDispatcher>
+Read(wire::ToDispatcher::Reader aIn)
+{
+  switch (aIn.which()) {
+    case wire::ToDispatcher::ASK:
+      return MessageToDispatcher(Read(aIn.getAsk()));
+    case wire::ToDispatcher::WITHDRAWAL:
+      return MessageToDispatcher(PermitWithdrawal{ aIn.getWithdrawal() });
+    case wire::ToDispatcher::NOTICE:
+      return MessageToDispatcher(Read(aIn.getNotice()));
+    case wire::ToDispatcher::END: {
+      BOOST_OUTCOME_TRY(auto end, Read(aIn.getEnd()));
+      return MessageToDispatcher(std::move(end));
+    }
+    case wire::ToDispatcher::PROBE:
+      return MessageToDispatcher(DispatcherProbe{});
+  }
+  return FieldError{ "message", "is of a kind that this release does not know" };
+}
+
+FieldResult<MessageFromDispatcher>
+Read(wire::FromDispatcher::Reader aIn)
+{
+  switch (aIn.which()) {
+    case wire::FromDispatcher::PERMIT:
+      return MessageFromDispatcher(
+        Permit{ aIn.getPermit().getNumber(), FromText(aIn.getPermit().getServer()) });
+    case wire::FromDispatcher::DELAY:
+      return MessageFromDispatcher(PermitDelay{ aIn.getDelay() });
+    case wire::FromDispatcher::DENIAL:
+      return MessageFromDispatcher(
+        PermitDenial{ aIn.getDenial().getNumber(), Duration(aIn.getDenial().getWaitMicros()) });
+    case wire::FromDispatcher::SIGN:
+      return MessageFromDispatcher(DispatcherSign{});
+  }
+  return FieldError{ "message", "is of a kind that this release does not know" };
+}
+
+FieldResult<PermitBatch>
+Read(wire::PermitBatch::Reader aIn)
+{
+  PermitBatch batch;
+  for (const auto message : aIn.getTo()) {
+    BOOST_OUTCOME_TRY(auto read, Read(message));
+    batch.toDispatcher_.push_back(std::move(read));
+  }
+  for (const auto message : aIn.getFrom()) {
+    BOOST_OUTCOME_TRY(auto read, Read(message));
+    batch.fromDispatcher_.push_back(std::move(read));
+  }
+  return batch;
+}
+
+} // namespace
+
+WireBytes
+EncodePermitBatch(const PermitBatch& aBatch)
+{
+  capnp::MallocMessageBuilder builder;
+  auto root = builder.initRoot<wire::PermitBatch>();
+  auto to = root.initTo(static_cast<unsigned>(aBatch.toDispatcher_.size()));
+  for (unsigned index = 0; index < to.size(); ++index) {
+    std::visit([&](const auto& aBody) { Write(to[index], aBody); }, aBatch.toDispatcher_[index]);
+  }
+  auto from = root.initFrom(static_cast<unsigned>(aBatch.fromDispatcher_.size()));
+  for (unsigned index = 0; index < from.size(); ++index) {
+    std::visit([&](const auto& aBody) { Write(from[index], aBody); },
+               aBatch.fromDispatcher_[index]);
+  }
+  const auto words = capnp::messageToFlatArray(builder);
+  const auto bytes = words.asBytes();
+  return FrameOf({ bytes.begin(), bytes.size() });
+}
+
+FieldResult<PermitBatch>
+DecodePermitBatch(std::span<const std::uint8_t> aBytes)
+{
+  // NOTE: Cap'n Proto throws on malformed input; the exception ends here.
+  try {
+    capnp::ReaderOptions options;
+    options.traversalLimitInWords = kMostWords;
+    const kj::ArrayPtr<const capnp::word> words(reinterpret_cast<const capnp::word*>(aBytes.data()),
+                                                aBytes.size() / sizeof(capnp::word));
+    capnp::FlatArrayMessageReader reader(words, options);
+    return Read(reader.getRoot<wire::PermitBatch>());
+  } catch (const kj::Exception& exception) {
+    return FieldError{ "message", exception.getDescription().cStr() };
+  }
+}
+
+} // namespace latchslip
--- a/Tests/LibFleet/FleetMemberFixture.h
+++ b/Tests/LibFleet/FleetMemberFixture.h
@@ -85,7 +85,10 @@
   void OnDirectoryChanged() override { ++directoryChanges_; }
   void OnOwnership(const KeyOwnership& aOwnership) override { ownership_ = aOwnership; }
   void OnNewsStale(bool aIsStale) override { isStale_ = aIsStale; }
-  void OnInstances(std::size_t aCount) override { instances_ = aCount; }
+  void OnInstances(const std::map<std::string, FleetPeer>& aPeers) override
+  {
+    instances_ = aPeers.size();
+  }
   ServerWork TakeWorkOf(const std::string&) override { return { 1, milliseconds(20) }; }
 
   std::vector<Transaction> transactions_;
--- a/Tests/LibGateway/TestRequestDesk.cpp
+++ b/Tests/LibGateway/TestRequestDesk.cpp
@@ -165,7 +165,12 @@
   SilentEvents events_;
   RecordedActions actions_;
   ServerDirectory directory_;
-  RequestDesk desk_{ { "hall", { 0.2, 0, seconds(10) }, 1 }, directory_, actions_, events_ };
+  NoPermits permits_;
+  RequestDesk desk_{ { "hall", { 0.2, 0, seconds(10) }, 1 },
+                     directory_,
+                     actions_,
+                     permits_,
+                     events_ };
 };
 
 TEST_F(DeskOfThreeServers, KeyWithoutOwnerOrWithAFullOne_EachRequestCountsOnce)
@@ -229,7 +234,7 @@
 
 TEST_F(DeskOfThreeServers, RequestComesBeforeAConfiguration_WaitsForItForAMoment)
 {
-  RequestDesk desk({ "hall", {}, 1 }, directory_, actions_, events_);
+  RequestDesk desk({ "hall", {}, 1 }, directory_, actions_, permits_, events_);
   const auto ask = [&](RequestNumber aNumber) {
     RoutedRequest request;
     request.number_ = aNumber;
@@ -261,7 +266,7 @@
 
 TEST_F(DeskOfThreeServers, OwnersAreNotKnownYet_WaitsForThemOnlyAfterAStart)
 {
-  RequestDesk desk({ "hall", {}, 1 }, directory_, actions_, events_);
+  RequestDesk desk({ "hall", {}, 1 }, directory_, actions_, permits_, events_);
   RoutingConfiguration configuration;
   configuration.version_ = 1;
   configuration.services_ = { { "keyed", 100, true } };
@@ -284,7 +289,7 @@
   EXPECT_TRUE(actions_.refused_.empty());
   desk.SetOwnership(now_, { "keyed", 1, { { 0, 99, "k1", 1, "" } } });
   EXPECT_EQ(SendsOf(7001), 1U);
-  RequestDesk another({ "hall", {}, 1 }, directory_, actions_, events_);
+  RequestDesk another({ "hall", {}, 1 }, directory_, actions_, permits_, events_);
   another.SetRoutes(now_,
                     std::make_shared<const RouteTable>(RouteTable::Create(configuration).value()));
   now_ += seconds(1);
@@ -653,7 +658,8 @@
   SilentEvents events;
   RecordedActions actions;
   const ServerDirectory directory;
-  RequestDesk desk({ "hall", {}, 1 }, directory, actions, events);
+  NoPermits permits;
+  RequestDesk desk({ "hall", {}, 1 }, directory, actions, permits, events);
   desk.OnRequest(seconds(1), { 7, "id", "a.example", "/x/", {}, {} });
   ASSERT_TRUE(desk.NextTime());
   EXPECT_LE(*desk.NextTime(), seconds(1) + milliseconds(100));
--- /dev/null
+++ b/Tests/LibNet/TestPermitCodec.cpp
@@ -0,0 +1,58 @@
+#include "LibNet/PermitCodec.h"
+
+#include <cstring>
+#include <gtest/gtest.h>
+#include <random>
+
+namespace latchslip {
+
+namespace {
+
+FieldResult<PermitBatch>
+Decode(const WireBytes& aFrame)
+{
+  // Copied, so that what is decoded is aligned.
+  std::vector<std::uint64_t> words((aFrame.size() - kFrameHeaderBytes) / 8);
+  std::memcpy(words.data(), aFrame.data() + kFrameHeaderBytes, words.size() * 8);
+  return DecodePermitBatch(
+    { reinterpret_cast<const std::uint8_t*>(words.data()), words.size() * 8 });
+}
+
+TEST(PermitCodec, EveryMessage_IsReadAsItWasWritten)
+{
+  PermitBatch batch;
+  batch.toDispatcher_ = {
+    PermitAsk{ 7, "svc", "s1", "hall", { "s2", "s3" }, 2, milliseconds(-5), milliseconds(900) },
+    PermitWithdrawal{ 8 },
+    SendNotice{ 9, "svc", "s1", milliseconds(3), milliseconds(70) },
+    SendEnd{ 10, SendResult::Shed, milliseconds(4), ServerStatus{ 3, 1, 4, 2.5 } },
+    SendEnd{ 11, SendResult::Cancelled, Duration(0), std::nullopt },
+    DispatcherProbe{}
+  };
+  batch.fromDispatcher_ = {
+    Permit{ 7, "s1" }, PermitDelay{ 8 }, PermitDenial{ 9, milliseconds(250) }, DispatcherSign{}
+  };
+  const auto read = Decode(EncodePermitBatch(batch));
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read.value(), batch);
+}
+
+TEST(PermitCodec, BytesAreBroken_AreRefusedOrReadAsSomethingElse)
+{
+  PermitBatch batch;
+  batch.toDispatcher_ = { SendEnd{ 10, SendResult::Shed, milliseconds(4), std::nullopt } };
+  const auto frame = EncodePermitBatch(batch);
+  std::minstd_rand random(1);
+  for (int round = 0; round < 2000; ++round) {
+    auto broken = frame;
+    broken[kFrameHeaderBytes + random() % (broken.size() - kFrameHeaderBytes)] =
+      static_cast<std::uint8_t>(random());
+    // Whatever it is, reading it ends.
+    [[maybe_unused]] const auto read = Decode(broken);
+  }
+  EXPECT_FALSE(Decode(WireBytes(kFrameHeaderBytes + 16, 0xff)));
+}
+
+} // namespace
+
+} // namespace latchslip
--- /dev/null
+++ b/Tests/LibPermit/DispatcherFixture.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "LibPermit/PermitDispatcher.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace latchslip {
+
+// Writes down what a dispatcher answers.
+class RecordedAnswers : public DispatcherActions
+{
+public:
+  void Answer(CallerId aCaller, const MessageFromDispatcher& aMessage) override
+  {
+    answers_.emplace_back(aCaller, aMessage);
+  }
+
+  std::vector<std::pair<CallerId, MessageFromDispatcher>> answers_;
+};
+
+// A dispatcher of the service "plain", whose servers the test lists, on a hand-turned clock.
+class DispatcherOfAService : public testing::Test
+{
+protected:
+  static constexpr CallerId kCaller = 1;
+  // A server in its slow start takes so many requests a second.
+  static constexpr double kSlowStartRate = 5;
+
+  DispatcherOfAService()
+  {
+    RoutingConfiguration configuration;
+    configuration.version_ = 1;
+    configuration.services_ = { { "plain", 100, false, kSlowStartRate } };
+    dispatcher_.SetRoutes(
+      now_, std::make_shared<const RouteTable>(RouteTable::Create(configuration).value()));
+  }
+
+  void Put(const std::string& aId,
+           const std::string& aHall = "hall",
+           unsigned aSlots = 2,
+           Duration aSlowStart = Duration(0))
+  {
+    ServerRecord record{ aId, "plain", aId + ":80", aHall, aSlots, false, ++revision_ };
+    record.slowStartLeft_ = aSlowStart;
+    directory_.Put(now_, record);
+    dispatcher_.OnDirectoryChanged(now_);
+  }
+
+  // Asks and gives the number of the ask.
+  AttemptNumber Ask(const std::string& aServer = "",
+                    Duration aInTime = milliseconds(300),
+                    unsigned aPriority = 1,
+                    CallerId aCaller = kCaller)
+  {
+    PermitAsk ask;
+    ask.number_ = ++lastNumber_;
+    ask.service_ = "plain";
+    ask.server_ = aServer;
+    ask.hall_ = "hall";
+    ask.priority_ = aPriority;
+    ask.inTime_ = aInTime;
+    ask.timeLeft_ = aInTime + milliseconds(700);
+    dispatcher_.OnMessage(now_, aCaller, ask);
+    return lastNumber_;
+  }
+
+  void End(AttemptNumber aNumber,
+           SendResult aResult = SendResult::Answered,
+           Duration aLatency = milliseconds(50),
+           std::optional<ServerStatus> aStatus = std::nullopt,
+           CallerId aCaller = kCaller)
+  {
+    dispatcher_.OnMessage(now_, aCaller, SendEnd{ aNumber, aResult, aLatency, aStatus });
+  }
+
+  // The server that an ask was permitted; empty for none.
+  std::string PermittedTo(AttemptNumber aNumber) const
+  {
+    for (const auto& [caller, answer] : actions_.answers_) {
+      const auto* permit = std::get_if<Permit>(&answer);
+      if (permit != nullptr && permit->number_ == aNumber) {
+        return permit->server_;
+      }
+    }
+    return {};
+  }
+
+  template<typename T>
+  bool IsAnswered(AttemptNumber aNumber) const
+  {
+    return std::any_of(actions_.answers_.begin(), actions_.answers_.end(), [&](const auto& aEntry) {
+      const auto* answer = std::get_if<T>(&aEntry.second);
+      return answer != nullptr && answer->number_ == aNumber;
+    });
+  }
+
+  void Pass(Duration aTime)
+  {
+    const auto end = now_ + aTime;
+    while (now_ < end) {
+      now_ += milliseconds(1);
+      dispatcher_.OnTime(now_);
+    }
+  }
+
+  Instant now_ = seconds(100);
+  std::uint64_t revision_ = 0;
+  AttemptNumber lastNumber_ = 0;
+  ServerDirectory directory_;
+  RecordedAnswers actions_;
+  PermitDispatcher dispatcher_{ directory_, actions_ };
+};
+
+} // namespace latchslip
--- /dev/null
+++ b/Tests/LibPermit/TestDispatcherRing.cpp
@@ -0,0 +1,74 @@
+#include "LibPermit/DispatcherRing.h"
+
+#include <gtest/gtest.h>
+#include <set>
+
+namespace latchslip {
+
+namespace {
+
+std::map<std::string, FleetPeer>
+MakePeers(int aStrong, int aWeak)
+{
+  std::map<std::string, FleetPeer> peers;
+  for (int index = 0; index < aStrong + aWeak; ++index) {
+    const auto address = "10.0.0." + std::to_string(index) + ":9";
+    peers[address] = { address, "hall", index < aStrong ? 0.5 : 0.1 };
+  }
+  return peers;
+}
+
+const std::vector<std::string> kServices{ "a", "b", "c", "d" };
+
+TEST(DispatcherRing, NobodyIsKnown_ThereIsNoDispatcher)
+{
+  DispatcherRing ring;
+  ring.Assign({}, kServices);
+  EXPECT_TRUE(ring.CandidatesOf("a").empty());
+  EXPECT_TRUE(ring.CandidatesOf("unknown").empty());
+}
+
+TEST(DispatcherRing, SomeAreStrong_OnlyTheyAreDispatchersAndEachHasOneService)
+{
+  DispatcherRing ring;
+  ring.Assign(MakePeers(6, 40), kServices);
+  std::set<std::string> dispatchers;
+  const auto peers = MakePeers(6, 40);
+  for (const auto& service : kServices) {
+    for (const auto& candidate : ring.CandidatesOf(service)) {
+      EXPECT_EQ(peers.at(candidate).processorShare_, 0.5);
+    }
+    dispatchers.insert(ring.CandidatesOf(service).front());
+  }
+  EXPECT_EQ(dispatchers.size(), kServices.size());
+}
+
+TEST(DispatcherRing, FewerInstancesThanServices_EachServiceHasOneAllTheSame)
+{
+  DispatcherRing ring;
+  ring.Assign(MakePeers(1, 0), kServices);
+  for (const auto& service : kServices) {
+    EXPECT_EQ(ring.CandidatesOf(service), std::vector<std::string>{ "10.0.0.0:9" });
+  }
+}
+
+TEST(DispatcherRing, OneInstanceLeaves_ServicesOfOthersStay)
+{
+  DispatcherRing before;
+  before.Assign(MakePeers(12, 0), { "a" });
+  auto peers = MakePeers(12, 0);
+  const auto dispatcher = before.CandidatesOf("a").front();
+  const auto second = before.CandidatesOf("a").at(1);
+  peers.erase(dispatcher == "10.0.0.3:9" ? "10.0.0.4:9" : "10.0.0.3:9");
+  DispatcherRing after;
+  after.Assign(peers, { "a" });
+  EXPECT_EQ(after.CandidatesOf("a").front(), dispatcher);
+  peers.erase(dispatcher);
+  after.Assign(peers, { "a" });
+  EXPECT_EQ(after.CandidatesOf("a").front(),
+            peers.contains(second) ? second : after.CandidatesOf("a").front());
+}
+
+} // namespace
+
+} // namespace latchslip
