--- a/Libraries/LibGateway/RequestDesk.cpp
+++ b/Libraries/LibGateway/RequestDesk.cpp
@@ -339,6 +339,8 @@
       " reason=" + std::string(kRefusalReasonNames.NameOf(aReason)) +
       " service=" + (aPending.service_ == nullptr ? "-" : aPending.service_->name_) +
       " server=" + (aPending.server_.empty() ? "-" : aPending.server_) +
+      " owner=" + (aPending.owner_.empty() ? "-" : aPending.owner_) +
+      " told_wait_us=" + std::to_string(aPending.toldWait_.value_or(Duration(0)).count()) +
       " sends=" + std::to_string(aPending.sends_) + " runs=" + std::to_string(aPending.runs_) +
       " age_us=" + std::to_string((aNow - aPending.arrival_).count()) +
       " time_left_us=" + std::to_string(aPending.request_.timeLeft_.value_or(Duration(0)).count()));
--- a/Libraries/LibPermit/PermitDispatcher.cpp
+++ b/Libraries/LibPermit/PermitDispatcher.cpp
@@ -33,6 +33,13 @@
 // A request that cannot be in time any more waits no longer than its client would to come
 // back.
 constexpr Duration kLateWait = milliseconds(50);
+// An ask waits only while it would still be in time if its work took this multiple of the
+// mean. In a shortage the queue is always as long as it may be, so that without a margin
+// every other one of those that are served is late: with 1.5, 0.829 of the worth was served
+// in place of 0.823 on a day at the full work of all servers, and 0.882 in place of 0.867 on
+// another; with 2 the queue runs empty at times (0.830 and 0.884, but 0.004 less after
+// prices on the mean of five days).
+constexpr double kWorkMargin = 1.5;
 // Between two looks at what waits: servers that were left alone take requests again, and
 // rates are saved up.
 constexpr Duration kLookInterval = milliseconds(5);
@@ -323,7 +330,8 @@
   WaitingAsk waiting;
   waiting.inTimeUntil_ = aNow + aAsk.inTime_;
   waiting.deadline_ = aNow + aAsk.timeLeft_;
-  const auto inTime = waiting.inTimeUntil_ - ExpectedLatency(aNow, aService, aAsk);
+  const auto inTime =
+    waiting.inTimeUntil_ - Scale(ExpectedLatency(aNow, aService, aAsk), kWorkMargin);
   const bool isLate = aAsk.inTime_ <= Duration(0);
   // It must be answered before its client leaves.
   const auto lateWait =
