--- a/Benchmarks/BenchGateway.cpp
+++ b/Benchmarks/BenchGateway.cpp
@@ -3,6 +3,7 @@
 #include "LibGateway/RequestDesk.h"
 #include "LibKeys/KeyBalancer.h"
 #include "LibKeys/OwnershipPlacer.h"
+#include "LibPermit/PermitDispatcher.h"
 
 #include <benchmark/benchmark.h>
 
@@ -84,7 +85,8 @@
     request.path_ = "/rates/1";
     request.key_ = static_cast<KeyNumber>((number * 7919) % (kLastKey + 1));
     desk.OnRequest(now, std::move(request));
-    desk.OnAttemptEnded(now + microseconds(300), actions.last_, { AttemptEnd::Answered, 200 });
+    desk.OnAttemptEnded(
+      now + microseconds(300), actions.last_, { AttemptEnd::Answered, 200, false, std::nullopt });
   }
   aState.counters["answered_share"] =
     static_cast<double>(actions.delivered_) / static_cast<double>(number);
@@ -104,6 +106,50 @@
 }
 BENCHMARK(BM_GatewayKeyedRequest)->Arg(10)->Arg(100)->Arg(1000);
 
+// Counts the permits that a dispatcher gives.
+class CountedPermits : public DispatcherActions
+{
+public:
+  void Answer(CallerId, const MessageFromDispatcher& aMessage) override
+  {
+    permits_ += std::holds_alternative<Permit>(aMessage) ? 1 : 0;
+  }
+
+  std::size_t permits_ = 0;
+};
+
+// All that a dispatcher decides of one request: its ask and its end.
+void
+BM_PermitDispatch(benchmark::State& aState)
+{
+  const auto servers = MakeServers(static_cast<std::size_t>(aState.range(0)));
+  CountedPermits actions;
+  ServerDirectory directory;
+  Instant now = seconds(100);
+  for (const auto& server : servers) {
+    directory.Put(now, { server.id_, "rates", server.address_, "hall", 4, false, 1 });
+  }
+  PermitDispatcher dispatcher(directory, actions);
+  dispatcher.SetRoutes(now, MakeRoutes(false));
+  std::size_t number = 0;
+  for (auto _ : aState) {
+    ++number;
+    now += microseconds(500);
+    PermitAsk ask;
+    ask.number_ = number;
+    ask.service_ = "rates";
+    ask.hall_ = "hall";
+    ask.inTime_ = milliseconds(300);
+    ask.timeLeft_ = milliseconds(1000);
+    dispatcher.OnMessage(now, 1, ask);
+    dispatcher.OnMessage(
+      now, 1, SendEnd{ number, SendResult::Answered, milliseconds(50), std::nullopt });
+  }
+  aState.counters["permitted_share"] =
+    static_cast<double>(actions.permits_) / static_cast<double>(number);
+}
+BENCHMARK(BM_PermitDispatch)->Arg(10)->Arg(100)->Arg(1000);
+
 // One round of evening out when a run of keys has become hot.
 void
 BM_EvenOutKeys(benchmark::State& aState)
--- a/Libraries/LibDaemon/GatewayHost.cpp
+++ b/Libraries/LibDaemon/GatewayHost.cpp
@@ -31,6 +31,7 @@
 NamesOf(const std::vector<RoutedService>& aServices)
 {
   std::vector<std::string> names;
+  names.reserve(aServices.size());
   for (const auto& service : aServices) {
     names.push_back(service.name_);
   }
--- a/Libraries/LibGateway/PermitAsks.cpp
+++ b/Libraries/LibGateway/PermitAsks.cpp
@@ -15,10 +15,6 @@
 // After a permit for a server that this instance must not use, the views of both are given
 // this long to agree: about as long as news are on their way.
 constexpr Duration kDisagreementPause = milliseconds(30);
-// With less time than this a send would only waste the server's.
-constexpr Duration kLeastSendTime = milliseconds(5);
-// Left for the answer's way back when a server is told its time.
-constexpr Duration kWayBack = milliseconds(2);
 
 } // namespace
 
@@ -90,10 +86,10 @@
     permits_.TellEnd({ aNumber, SendResult::Cancelled, Duration(0), std::nullopt });
     return;
   }
-  const auto timeLeft = pending->deadline_ - aNow - kWayBack;
+  const auto timeLeft = TimeToSend(aNow, *pending);
   const auto server = PermittedServer(aNow, *pending, aServer);
-  if (server && timeLeft >= kLeastSendTime) {
-    SendTo(aNow, *pending, *server, aNumber, timeLeft);
+  if (server && timeLeft) {
+    SendTo(aNow, *pending, *server, aNumber, *timeLeft);
     return;
   }
   permits_.TellEnd({ aNumber, SendResult::Cancelled, Duration(0), std::nullopt });
--- a/Libraries/LibGateway/RequestDesk.cpp
+++ b/Libraries/LibGateway/RequestDesk.cpp
@@ -404,17 +404,24 @@
     aPending.obstacle_ = ObstacleOf(choice);
     return false;
   }
-  const auto timeLeft = aPending.deadline_ - aNow - kWayBack;
-  if (timeLeft < kLeastSendTime) {
+  const auto timeLeft = TimeToSend(aNow, aPending);
+  if (!timeLeft) {
     return false;
   }
   const auto attempt = ++lastAttempt_;
   permits_.TellSend(
-    aNow, { attempt, aPending.service_->name_, chosen.record_->id_, Duration(0), timeLeft });
-  SendTo(aNow, aPending, chosen, attempt, timeLeft);
+    aNow, { attempt, aPending.service_->name_, chosen.record_->id_, Duration(0), *timeLeft });
+  SendTo(aNow, aPending, chosen, attempt, *timeLeft);
   return true;
 }
 
+std::optional<Duration>
+RequestDesk::TimeToSend(Instant aNow, const PendingRequest& aPending)
+{
+  const Duration left = aPending.deadline_ - aNow - kWayBack;
+  return left < kLeastSendTime ? std::nullopt : std::optional(left);
+}
+
 RefusalReason
 RequestDesk::ObstacleOf(Choice aChoice)
 {
--- a/Libraries/LibGateway/RequestDesk.h
+++ b/Libraries/LibGateway/RequestDesk.h
@@ -114,6 +114,8 @@
                                                  const std::string& aServer);
   // The dispatcher does not answer in time.
   void OnAskDue(Instant aNow, PendingRequest& aPending);
+  // What a server is told of the time that is left; no value when a send is of no use.
+  static std::optional<Duration> TimeToSend(Instant aNow, const PendingRequest& aPending);
   void SendTo(Instant aNow,
               PendingRequest& aPending,
               const ServerCandidate& aServer,
--- a/Libraries/LibNet/PermitCodec.cpp
+++ b/Libraries/LibNet/PermitCodec.cpp
@@ -164,8 +164,8 @@
     case wire::ToDispatcher::NOTICE:
       return MessageToDispatcher(Read(aIn.getNotice()));
     case wire::ToDispatcher::END: {
-      BOOST_OUTCOME_TRY(auto end, Read(aIn.getEnd()));
-      return MessageToDispatcher(std::move(end));
+      BOOST_OUTCOME_TRY(const auto end, Read(aIn.getEnd()));
+      return MessageToDispatcher(end);
     }
     case wire::ToDispatcher::PROBE:
       return MessageToDispatcher(DispatcherProbe{});
--- a/Libraries/LibPermit/DispatcherRing.cpp
+++ b/Libraries/LibPermit/DispatcherRing.cpp
@@ -45,6 +45,7 @@
     // A hash for each pair of service and instance, so that one instance more or less moves
     // few services.
     std::vector<std::pair<std::uint64_t, std::string>> order;
+    order.reserve(strong.size());
     for (const auto& address : strong) {
       order.emplace_back(HashPair(service, address), address);
     }
--- /dev/null
+++ b/Tests/LibGateway/TestPermitAsks.cpp
@@ -0,0 +1,244 @@
+#include "LibGateway/RequestDesk.h"
+
+#include <gtest/gtest.h>
+#include <set>
+
+namespace latchslip {
+
+namespace {
+
+class SilentEvents : public EventSink
+{
+public:
+  void Record(Event, std::string_view) override {}
+};
+
+class RecordedActions : public RequestActions
+{
+public:
+  void Send(const AttemptOrder& aOrder) override { sent_.push_back(aOrder); }
+  void Cancel(AttemptNumber) override {}
+  void Deliver(RequestNumber aRequest, AttemptNumber) override { delivered_.insert(aRequest); }
+  void Refuse(RequestNumber aRequest, const Refusal& aRefusal) override
+  {
+    refused_[aRequest] = aRefusal;
+  }
+  bool HasConnection(const std::string&) const override { return true; }
+  void CountKey(const std::string&, KeyNumber) override {}
+
+  std::vector<AttemptOrder> sent_;
+  std::set<RequestNumber> delivered_;
+  std::map<RequestNumber, Refusal> refused_;
+};
+
+// Writes down what is asked and told; the test answers.
+class RecordedPermits : public PermitSource
+{
+public:
+  bool CanAsk(Instant, const std::string&) override { return isHeard_; }
+  void Ask(Instant, const PermitAsk& aAsk) override { asks_.push_back(aAsk); }
+  void Withdraw(AttemptNumber aNumber) override { withdrawn_.insert(aNumber); }
+  void OnUnanswered(Instant, const std::string&) override { isHeard_ = false; }
+  void TellSend(Instant, const SendNotice& aNotice) override { notices_.push_back(aNotice); }
+  void TellEnd(const SendEnd& aEnd) override { ends_.push_back(aEnd); }
+
+  bool isHeard_ = true;
+  std::vector<PermitAsk> asks_;
+  std::set<AttemptNumber> withdrawn_;
+  std::vector<SendNotice> notices_;
+  std::vector<SendEnd> ends_;
+};
+
+// An instance that asks a dispatcher for permits: "/read/" goes to any server of "plain",
+// "/key/" to the owner of the key among those of "keyed".
+class DeskWithADispatcher : public testing::Test
+{
+protected:
+  DeskWithADispatcher()
+  {
+    for (const auto* id : { "p1", "p2" }) {
+      directory_.Put(now_, { id, "plain", std::string(id) + ":80", "hall", 4, false, 1 });
+    }
+    directory_.Put(now_, { "k1", "keyed", "k1:80", "hall", 4, false, 1 });
+    RoutingConfiguration configuration;
+    configuration.version_ = 1;
+    configuration.services_ = { { "plain", 100, false }, { "keyed", 100, true } };
+    for (const auto* service : { "plain", "keyed" }) {
+      Route route;
+      route.host_ = "a.example";
+      route.pathPrefix_ = std::string("/") + service + "/";
+      route.isRepeatable_ = true;
+      route.latencyTarget_ = milliseconds(200);
+      route.timeLimit_ = milliseconds(500);
+      route.mostAttempts_ = 2;
+      route.targets_ = { { service, 1 } };
+      configuration.routes_.push_back(route);
+    }
+    desk_.SetInstances(1);
+    desk_.SetRoutes(now_,
+                    std::make_shared<const RouteTable>(RouteTable::Create(configuration).value()));
+    desk_.SetOwnership(now_, { "keyed", 2, { { 0, 99, "k1", 1, "" } } });
+  }
+
+  RequestNumber Request(const std::string& aPath, std::optional<KeyNumber> aKey = std::nullopt)
+  {
+    RoutedRequest request;
+    request.number_ = ++lastRequest_;
+    request.host_ = "a.example";
+    request.path_ = aPath;
+    request.key_ = aKey;
+    request.timeLeft_ = milliseconds(400);
+    desk_.OnRequest(now_, std::move(request));
+    return lastRequest_;
+  }
+
+  void Permit(const std::string& aServer)
+  {
+    desk_.OnPermit(now_, permits_.asks_.back().number_, aServer);
+  }
+
+  void Pass(Duration aTime)
+  {
+    const auto end = now_ + aTime;
+    while (desk_.NextTime() && *desk_.NextTime() <= end) {
+      now_ = std::max(now_, *desk_.NextTime());
+      desk_.OnTime(now_);
+    }
+    now_ = end;
+  }
+
+  Instant now_ = seconds(100);
+  RequestNumber lastRequest_ = 0;
+  SilentEvents events_;
+  RecordedActions actions_;
+  RecordedPermits permits_;
+  ServerDirectory directory_;
+  RequestDesk desk_{ { "hall", { 0.2, 10, seconds(10) }, 1 },
+                     directory_,
+                     actions_,
+                     permits_,
+                     events_ };
+};
+
+TEST_F(DeskWithADispatcher, RequestComes_IsSentWhereItIsPermittedAndItsEndIsTold)
+{
+  const auto request = Request("/plain/1");
+  ASSERT_EQ(permits_.asks_.size(), 1U);
+  EXPECT_TRUE(actions_.sent_.empty());
+  Permit("p2");
+  ASSERT_EQ(actions_.sent_.size(), 1U);
+  EXPECT_EQ(actions_.sent_[0].server_, "p2");
+  now_ += milliseconds(30);
+  const ServerStatus status{ 1, 0, 4, 2 };
+  desk_.OnAttemptEnded(
+    now_, actions_.sent_[0].number_, { AttemptEnd::Answered, 200, false, status });
+  EXPECT_TRUE(actions_.delivered_.contains(request));
+  ASSERT_EQ(permits_.ends_.size(), 1U);
+  EXPECT_EQ(permits_.ends_[0],
+            (SendEnd{ permits_.asks_[0].number_, SendResult::Answered, milliseconds(30), status }));
+  EXPECT_TRUE(permits_.notices_.empty());
+}
+
+TEST_F(DeskWithADispatcher, KeyHasAnOwner_ThatOneIsAskedFor)
+{
+  Request("/keyed/1", 50);
+  ASSERT_EQ(permits_.asks_.size(), 1U);
+  EXPECT_EQ(permits_.asks_[0].server_, "k1");
+  Request("/keyed/1", 500);
+  EXPECT_EQ(permits_.asks_.size(), 1U) << "nobody owns that key";
+}
+
+TEST_F(DeskWithADispatcher, PermitIsDenied_IsRefusedAtOnceAsNotRun)
+{
+  const auto request = Request("/plain/1");
+  desk_.OnPermitDenied(now_, permits_.asks_[0].number_, milliseconds(100));
+  ASSERT_TRUE(actions_.refused_.contains(request));
+  EXPECT_TRUE(actions_.refused_[request].isNotRun_);
+  EXPECT_EQ(actions_.refused_[request].reason_, RefusalReason::NoCapacity);
+  EXPECT_GE(actions_.refused_[request].retryAfter_, milliseconds(50));
+}
+
+TEST_F(DeskWithADispatcher, DispatcherDoesNotAnswer_InstanceChoosesAloneAndTellsOfIt)
+{
+  Request("/plain/1");
+  Pass(milliseconds(50));
+  EXPECT_EQ(actions_.sent_.size(), 1U);
+  EXPECT_TRUE(permits_.withdrawn_.contains(permits_.asks_[0].number_));
+  EXPECT_EQ(permits_.notices_.size(), 1U);
+  Request("/plain/2");
+  EXPECT_EQ(actions_.sent_.size(), 2U) << "it is not asked while it is silent";
+}
+
+TEST_F(DeskWithADispatcher, PermitComesTwice_IsUsedOnceAndGivenBackOnce)
+{
+  Request("/plain/1");
+  const auto number = permits_.asks_[0].number_;
+  desk_.OnPermit(now_, number, "p1");
+  desk_.OnPermit(now_, number, "p2");
+  EXPECT_EQ(actions_.sent_.size(), 1U);
+  ASSERT_EQ(permits_.ends_.size(), 1U);
+  EXPECT_EQ(permits_.ends_[0].result_, SendResult::Cancelled);
+}
+
+TEST_F(DeskWithADispatcher, PermitIsForAServerOfADrainedHall_IsGivenBack)
+{
+  Request("/plain/1");
+  directory_.DrainHall("hall");
+  desk_.OnDirectoryChanged(now_);
+  Permit("p1");
+  EXPECT_TRUE(actions_.sent_.empty());
+  ASSERT_EQ(permits_.ends_.size(), 1U);
+  EXPECT_EQ(permits_.ends_[0].result_, SendResult::Cancelled);
+}
+
+TEST_F(DeskWithADispatcher, KeyMovedMeanwhile_PermitForItsFormerOwnerIsGivenBack)
+{
+  Request("/keyed/1", 50);
+  desk_.SetOwnership(now_, { "keyed", 3, { { 0, 99, "k2", 2, "k1" } } });
+  Permit("k1");
+  EXPECT_TRUE(actions_.sent_.empty());
+  EXPECT_EQ(permits_.ends_.size(), 1U);
+}
+
+TEST_F(DeskWithADispatcher, PromisedPermitNeverComes_IsRefusedWhenItWouldNotBeInTime)
+{
+  const auto request = Request("/plain/1");
+  desk_.OnPermitDelayed(now_, permits_.asks_[0].number_);
+  Pass(milliseconds(150));
+  EXPECT_FALSE(actions_.refused_.contains(request));
+  Pass(milliseconds(150));
+  EXPECT_TRUE(actions_.refused_.contains(request));
+  EXPECT_TRUE(actions_.refused_[request].isNotRun_);
+}
+
+TEST_F(DeskWithADispatcher, ClientLeavesWhileItsRequestWaits_AskIsWithdrawn)
+{
+  const auto request = Request("/plain/1");
+  desk_.OnClientGone(now_, request);
+  EXPECT_TRUE(permits_.withdrawn_.contains(permits_.asks_[0].number_));
+  Permit("p1");
+  EXPECT_TRUE(actions_.sent_.empty());
+}
+
+TEST_F(DeskWithADispatcher, DispatcherIsGone_AnotherIsAsked)
+{
+  Request("/plain/1");
+  desk_.OnAskLost(now_, permits_.asks_[0].number_);
+  ASSERT_EQ(permits_.asks_.size(), 2U);
+  Permit("p1");
+  EXPECT_EQ(actions_.sent_.size(), 1U);
+}
+
+TEST_F(DeskWithADispatcher, ServerDidNotRunIt_AnotherPermitIsAskedForWithWhatWasTried)
+{
+  Request("/plain/1");
+  Permit("p1");
+  desk_.OnAttemptEnded(
+    now_, actions_.sent_[0].number_, { AttemptEnd::NotRun, 503, false, std::nullopt });
+  ASSERT_EQ(permits_.asks_.size(), 2U);
+  EXPECT_EQ(permits_.asks_[1].tried_, std::vector<std::string>{ "p1" });
+}
+
+} // namespace
+
+} // namespace latchslip
--- a/Tests/Platform/FleetDocuments.cpp
+++ b/Tests/Platform/FleetDocuments.cpp
@@ -9,14 +9,25 @@
 }
 
 std::string
-MakeSettings(const std::string& aName,
-             int aPort,
-             const std::string& aSeedAddress,
-             const std::string& aStoreAddress)
+ControlAddress(int aPort)
 {
+  // Instances are five ports apart at the least; 127.0.0.1 is everybody's.
+  constexpr int kPortsAnInstance = 5;
+  constexpr int kFirstHost = 2;
+  constexpr int kHosts = 250;
+  const int host = kFirstHost + aPort / kPortsAnInstance % kHosts;
+  return "127.0.0." + std::to_string(host) + ":" + std::to_string(aPort + 2);
+}
+
+std::string
+MakeSettings(const std::string& aName, int aPort, int aSeedPort, const std::string& aStoreAddress)
+{
+  // The same on all instances of a fleet.
+  const auto permitPort = std::to_string(aSeedPort + 3);
   return R"({"nodeId":")" + aName + R"(","zone":"hall-a","listen":{"front":")" + Loopback(aPort) +
-         R"(","ready":")" + Loopback(aPort + 1) + R"(","control":")" + Loopback(aPort + 2) +
-         R"("},"seeds":[")" + aSeedAddress +
+         R"(","ready":")" + Loopback(aPort + 1) + R"(","control":")" + ControlAddress(aPort) +
+         R"("},"portRange":[)" + permitPort + "," + permitPort + R"(],"seeds":[")" +
+         ControlAddress(aSeedPort) +
          R"("],"bounds":["retryBudgetRatio=0.2","budgetExtra=62","budgetWindowS=10","graceS=6",)"
          R"("holdMaxMs=10000"],"platform":{"address":")" +
          aStoreAddress + R"("}})";
--- a/Tests/Platform/FleetDocuments.h
+++ b/Tests/Platform/FleetDocuments.h
@@ -8,13 +8,16 @@
 std::string
 Loopback(int aPort);
 
+// Where the instance that listens from aPort on is reached by the others. Each has a host
+// of its own, since all take links at the same port.
+std::string
+ControlAddress(int aPort);
+
 // The settings file of an entry instance that listens from aPort on: for clients,
-// the balancer and other instances, one port each.
+// the balancer and other instances, one port each. aSeedPort is the first port of the
+// instance that the others ask at their start.
 std::string
-MakeSettings(const std::string& aName,
-             int aPort,
-             const std::string& aSeedAddress,
-             const std::string& aStoreAddress);
+MakeSettings(const std::string& aName, int aPort, int aSeedPort, const std::string& aStoreAddress);
 
 // A configuration with a keyed service "rates", and bookings, which must not run
 // twice, at aBookingService.
--- a/Tests/Platform/Soak/SoakWorld.cpp
+++ b/Tests/Platform/Soak/SoakWorld.cpp
@@ -18,9 +18,7 @@
 constexpr int kServerPorts = 600;
 // One for the server itself and one for the link to it.
 constexpr int kPortsAServer = 2;
-// Offsets from an instance's own ports: where the other instances reach it, see
-// MakeSettings, and of its link to the store.
-constexpr int kControlPort = 2;
+// Offset from an instance's own ports, see MakeSettings, of its link to the store.
 constexpr int kStoreLinkPort = 3;
 // The services of the configuration, see MakeManifest.
 constexpr auto kRates = "rates";
@@ -132,7 +130,7 @@
 void
 SoakWorld::StartInstance(Instance& aInstance)
 {
-  const auto seed = Loopback(settings_.firstPort_ + kInstancePorts + kControlPort);
+  const auto seed = settings_.firstPort_ + kInstancePorts;
   const auto log =
     settings_.logs_.empty() ? "/dev/null" : settings_.logs_ + "/" + aInstance.name_ + ".log";
   aInstance.process_ = std::make_unique<EntryProcess>(
--- a/Tests/Platform/TestEntryProcesses.cpp
+++ b/Tests/Platform/TestEntryProcesses.cpp
@@ -25,7 +25,7 @@
   return std::make_unique<EntryProcess>(
     LATCHSLIP_ENTRY,
     name,
-    MakeSettings(name, kFirstPort + 10 * aNumber, Loopback(kFirstPort + 12), Loopback(kFirstPort)));
+    MakeSettings(name, kFirstPort + 10 * aNumber, kFirstPort + 10, Loopback(kFirstPort)));
 }
 
 class EntryFleet : public testing::Test
--- a/Tests/Platform/TestPlatformDocuments.cpp
+++ b/Tests/Platform/TestPlatformDocuments.cpp
@@ -259,6 +259,18 @@
   EXPECT_FALSE(decoder_.DecodeDrainedHall("config"));
 }
 
+TEST(PlatformSettings, PortsOfTheInstances_TheFirstIsForPermits)
+{
+  EXPECT_EQ(ParseSettings(kSettings).value().host_.permitPort_, 0U) << "none is given";
+  const auto with = [&](const std::string& aRange) {
+    return ParseSettings(Replace(kSettings, R"("unknownField": [1])", R"("portRange": )" + aRange));
+  };
+  EXPECT_EQ(with("[7620, 7635]").value().host_.permitPort_, 7620U);
+  for (const auto* range : { "[]", "7620", "[0, 5]", "[70000, 70001]", R"(["a"])", "[-1]" }) {
+    EXPECT_FALSE(with(range)) << range;
+  }
+}
+
 } // namespace
 
 } // namespace latchslip::platform
