Tests: Give the desk with a dispatcher a retry budget that holds one retry

The test that a request is asked for anew after a server did not run it failed when it was committed: its budget, 10 for 12 instances or more, held less than one retry. The desk was right to refuse; nothing of the code changes.

--- a/Tests/LibGateway/TestPermitAsks.cpp
+++ b/Tests/LibGateway/TestPermitAsks.cpp
@@ -113,7 +113,7 @@
   RecordedActions actions_;
   RecordedPermits permits_;
   ServerDirectory directory_;
-  RequestDesk desk_{ { "hall", { 0.2, 10, seconds(10) }, 1 },
+  RequestDesk desk_{ { "hall", { 0.2, 62, seconds(10) }, 1 },
                      directory_,
                      actions_,
                      permits_,
