--- a/Libraries/LibPermit/PermitDispatcher.cpp
+++ b/Libraries/LibPermit/PermitDispatcher.cpp
@@ -148,11 +148,11 @@
   send.server_ = aNotice.server_;
   send.sentAt_ = aNow - aNotice.ago_;
   send.overAt_ = aNow + aNotice.timeLeft_ + kOverAfter;
-  Note(aNow, service->second, key, std::move(send));
+  Note(service->second, key, std::move(send));
 }
 
 void
-PermitDispatcher::Note(Instant, Service& aService, PermitKey aKey, RunningSend aSend)
+PermitDispatcher::Note(Service& aService, PermitKey aKey, RunningSend aSend)
 {
   const auto server = aService.servers_.find(aSend.server_);
   if (server == aService.servers_.end()) {
@@ -223,7 +223,7 @@
   send.server_ = id;
   send.sentAt_ = aNow;
   send.overAt_ = aNow + aAsk.timeLeft_ + kOverAfter;
-  Note(aNow, aService, aKey, std::move(send));
+  Note(aService, aKey, std::move(send));
   actions_.Answer(aKey.first, Permit{ aKey.second, std::move(id) });
   return true;
 }
--- a/Libraries/LibPermit/PermitDispatcher.h
+++ b/Libraries/LibPermit/PermitDispatcher.h
@@ -124,7 +124,8 @@
                        CallerId aCaller,
                        const PermitAsk& aAsk,
                        Duration aUsual);
-  void Note(Instant aNow, Service& aService, PermitKey aKey, RunningSend aSend);
+  // Counts the send at its server.
+  void Note(Service& aService, PermitKey aKey, RunningSend aSend);
   void WaitOrDeny(Instant aNow, Service& aService, PermitKey aKey, const PermitAsk& aAsk);
   void Deny(Instant aNow, Service& aService, PermitKey aKey, const PermitAsk& aAsk);
   Duration ExpectedWait(Instant aNow,
