LibGateway: Keep no record longer because the store came back to this instance

A removal that was heard while the store was away from this instance got another 2.3 s at its return, though whoever told it reaches the store. Ruled out: a permit for a server that the reader knew to have gone, since the reader looks once more and gives it back.

--- a/Libraries/LibGateway/ServerDirectory.cpp
+++ b/Libraries/LibGateway/ServerDirectory.cpp
@@ -89,11 +89,10 @@
 void
 ServerDirectory::OnStoreRegained(Instant aNow)
 {
+  // NOTE: Records whose disappearance was heard before keep their time: the news came from
+  // an instance that reaches the store, and what it tells binds from then on.
   isStoreLost_ = false;
   regainedAt_ = aNow;
-  for (auto& [id, time] : removals_) {
-    time = std::max(time, RemovalTime(aNow));
-  }
 }
 
 Instant
--- a/Tests/LibGateway/TestServerDirectory.cpp
+++ b/Tests/LibGateway/TestServerDirectory.cpp
@@ -118,6 +118,17 @@
   EXPECT_FALSE(directory_.Find("s4")->IsInSlowStart(kNow + milliseconds(3100)));
 }
 
+// The news came from an instance that reaches the store: the server has left, and must get
+// nothing 2.5 s later, however long this instance itself is without the store.
+TEST_F(DirectoryOfTwoServers, RecordDisappearsInAnOutageOfThisInstanceAlone_ItsReturnKeepsItNoLonger)
+{
+  directory_.OnStoreLost(kNow);
+  directory_.Remove(kNow + seconds(4), "s1");
+  directory_.OnStoreRegained(kNow + milliseconds(4800));
+  EXPECT_TRUE(IsListedAt("s1", milliseconds(6200)));
+  EXPECT_FALSE(IsListedAt("s1", milliseconds(6400)));
+}
+
 } // namespace
 
 } // namespace latchslip
