--- a/Libraries/LibDaemon/GatewayHost.cpp
+++ b/Libraries/LibDaemon/GatewayHost.cpp
@@ -267,7 +267,6 @@
   void OnDirectoryChanged() override
   {
     permits_.Dispatcher().OnDirectoryChanged(MonotonicNow());
-    permits_.Client().SetServerCounts(member_.Directory().CountByService());
     front_.Desk().OnDirectoryChanged(MonotonicNow());
   }
 
--- a/Libraries/LibGateway/ServerDirectory.cpp
+++ b/Libraries/LibGateway/ServerDirectory.cpp
@@ -164,16 +164,6 @@
   return servers;
 }
 
-std::map<std::string, std::size_t>
-ServerDirectory::CountByService() const
-{
-  std::map<std::string, std::size_t> counts;
-  for (const auto& [id, record] : records_) {
-    ++counts[record.service_];
-  }
-  return counts;
-}
-
 void
 ServerDirectory::Forget(std::map<std::string, ServerRecord, std::less<>>::iterator aRecord)
 {
--- a/Libraries/LibGateway/ServerDirectory.h
+++ b/Libraries/LibGateway/ServerDirectory.h
@@ -70,7 +70,6 @@
   const ServerRecord* FindAny(std::string_view aId) const;
   // The servers of one service, those that are leaving included, by id.
   std::vector<const ServerRecord*> OfService(std::string_view aService) const;
-  std::map<std::string, std::size_t> CountByService() const;
   // Whether a later life, of whatever service, has the address of this one, which
   // has thus ended. False for lives that were never listed.
   bool HasEnded(std::string_view aId) const;
--- a/Libraries/LibPermit/PermitClient.cpp
+++ b/Libraries/LibPermit/PermitClient.cpp
@@ -11,10 +11,6 @@
 constexpr Duration kSilence = milliseconds(400);
 // A dispatcher whose link broke is dialled again after this time.
 constexpr Duration kFailedPause = seconds(1);
-// A dispatcher with a whole processor bears a service with so many servers: with half of one
-// it bore 1,465 (44 % of it busy, 0.83 of the worth served), with a fifth not 1,650, whose asks
-// and ends alone take all of it (0.66 served, where 0.97 were at a tenth of the size).
-constexpr double kServersAProcessor = 3000;
 // Between two questions to a silent one.
 constexpr Duration kProbeInterval = milliseconds(50);
 
@@ -44,25 +40,6 @@
   }
 }
 
-void
-PermitClient::SetServerCounts(std::map<std::string, std::size_t> aCounts)
-{
-  serverCounts_ = std::move(aCounts);
-}
-
-bool
-PermitClient::Bears(const std::string& aDispatcher, const std::string& aService) const
-{
-  const auto peer = peers_.find(aDispatcher);
-  const auto count = serverCounts_.find(aService);
-  if (peer == peers_.end() || count == serverCounts_.end()) {
-    return true;
-  }
-  // An instance that does not tell its part is taken for a whole processor.
-  const double share = peer->second.processorShare_ > 0 ? peer->second.processorShare_ : 1;
-  return static_cast<double>(count->second) <= kServersAProcessor * share;
-}
-
 void
 PermitClient::Assign(Instant aNow)
 {
@@ -237,8 +214,7 @@
 {
   const auto dispatcher = dispatchers_.find(aService);
   return dispatcher != dispatchers_.end() && IsUp(dispatcher->second) &&
-         links_.at(dispatcher->second).silentSince_ == Instant::max() &&
-         Bears(dispatcher->second, aService);
+         links_.at(dispatcher->second).silentSince_ == Instant::max();
 }
 
 void
--- a/Libraries/LibPermit/PermitClient.h
+++ b/Libraries/LibPermit/PermitClient.h
@@ -48,8 +48,6 @@
   void SetListener(PermitListener& aListener) { listener_ = &aListener; }
   void SetPeers(Instant aNow, const std::map<std::string, FleetPeer>& aPeers);
   void SetServices(Instant aNow, std::vector<std::string> aServices);
-  // How many servers each service has.
-  void SetServerCounts(std::map<std::string, std::size_t> aCounts);
 
   void OnLinkUp(Instant aNow, const std::string& aDispatcher);
   void OnLinkDown(Instant aNow, const std::string& aDispatcher);
@@ -105,8 +103,6 @@
   // Empty when there is none.
   std::string FirstOf(Instant aNow, const std::string& aService) const;
   bool IsUp(const std::string& aDispatcher) const;
-  // Whether that instance is strong enough to be the dispatcher of so large a service.
-  bool Bears(const std::string& aDispatcher, const std::string& aService) const;
   void TellRunning(Instant aNow, const std::string& aService);
   void LoseAsks(Instant aNow, const std::string& aService);
   void TellDispatcherOf(const std::string& aService, const MessageToDispatcher& aMessage);
@@ -116,7 +112,6 @@
   PermitListener* listener_ = nullptr;
   std::map<std::string, FleetPeer> peers_;
   std::vector<std::string> services_;
-  std::map<std::string, std::size_t> serverCounts_;
   DispatcherRing ring_;
   // By service.
   std::map<std::string, std::string, std::less<>> dispatchers_;
--- a/Tests/LibPermit/TestPermitClient.cpp
+++ b/Tests/LibPermit/TestPermitClient.cpp
@@ -172,16 +172,6 @@
   EXPECT_EQ(recorded_.dialled_.back(), recorded_.dialled_.front());
 }
 
-// The pattern: a service so large that its asks and ends take all of its dispatcher.
-TEST_F(ClientOfADispatcher, ServiceIsTooLargeForItsDispatcher_InstancesChooseAlone)
-{
-  LinkUp();
-  client_.SetServerCounts({ { "plain", 1500 } });
-  EXPECT_TRUE(client_.CanAsk(now_, "plain")) << "half of a processor bears that";
-  client_.SetServerCounts({ { "plain", 1501 } });
-  EXPECT_FALSE(client_.CanAsk(now_, "plain"));
-}
-
 } // namespace
 
 } // namespace latchslip
