--- a/Tests/LibGateway/TestServerDirectory.cpp
+++ b/Tests/LibGateway/TestServerDirectory.cpp
@@ -120,7 +120,8 @@
 
 // The news came from an instance that reaches the store: the server has left, and must get
 // nothing 2.5 s later, however long this instance itself is without the store.
-TEST_F(DirectoryOfTwoServers, RecordDisappearsInAnOutageOfThisInstanceAlone_ItsReturnKeepsItNoLonger)
+TEST_F(DirectoryOfTwoServers,
+       RecordDisappearsInAnOutageOfThisInstanceAlone_ItsReturnKeepsItNoLonger)
 {
   directory_.OnStoreLost(kNow);
   directory_.Remove(kNow + seconds(4), "s1");
