LibNet: Frame and read Cap'n Proto messages in one place

PermitCodec had written again what PeerCodec does: texts with their length, a builder's message in a frame, and the guard against malformed input. CapnpMessage.h serves both; the bounds on words (8 M and 1 M) and the two kinds of errors stay as they were.

Behaviour is unchanged: the codecs' tests, among them 2,000 broken batches.

--- a/Libraries/LibNet/PeerCodec.cpp
+++ b/Libraries/LibNet/PeerCodec.cpp
@@ -1,12 +1,8 @@
 #include "LibNet/PeerCodec.h"
 
+#include "LibNet/CapnpMessage.h"
 #include "LibNet/Generated/Peer.capnp.h"
 
-#include <capnp/message.h>
-#include <capnp/serialize.h>
-#include <cstring>
-#include <kj/exception.h>
-
 namespace latchslip {
 
 namespace {
@@ -19,25 +15,12 @@
   return { reinterpret_cast<const kj::byte*>(aText.data()), aText.size() };
 }
 
-// With its length, since a key may hold any byte.
-kj::StringPtr
-ToText(const std::string& aText)
-{
-  return { aText.c_str(), aText.size() };
-}
-
 std::string
 FromData(capnp::Data::Reader aData)
 {
   return { reinterpret_cast<const char*>(aData.begin()), aData.size() };
 }
 
-std::string
-FromText(capnp::Text::Reader aText)
-{
-  return { aText.cStr(), aText.size() };
-}
-
 Body
 ToBody(capnp::Data::Reader aData)
 {
@@ -329,25 +312,17 @@
   capnp::MallocMessageBuilder builder;
   auto root = builder.initRoot<wire::Message>();
   std::visit([&](const auto& aBody) { Write(root, aBody); }, aMessage);
-  const auto words = capnp::messageToFlatArray(builder);
-  const auto bytes = words.asBytes();
-  return FrameOf({ bytes.begin(), bytes.size() });
+  return FrameOfMessage(builder);
 }
 
 CodecResult<WireMessage>
 DecodeWire(std::span<const std::uint8_t> aBytes)
 {
-  // NOTE: Cap'n Proto throws on malformed input; the exception ends here.
-  try {
-    capnp::ReaderOptions options;
-    options.traversalLimitInWords = kMostWords;
-    const kj::ArrayPtr<const capnp::word> words(reinterpret_cast<const capnp::word*>(aBytes.data()),
-                                                aBytes.size() / sizeof(capnp::word));
-    capnp::FlatArrayMessageReader reader(words, options);
-    return Read(reader.getRoot<wire::Message>());
-  } catch (const kj::Exception& exception) {
-    return CodecError{ std::string("message: ") + exception.getDescription().cStr() };
-  }
+  return ReadMessage<wire::Message>(
+    aBytes,
+    kMostWords,
+    [](wire::Message::Reader aRoot) { return Read(aRoot); },
+    [](const std::string& aProblem) { return CodecError{ "message: " + aProblem }; });
 }
 
 } // namespace latchslip
--- a/Libraries/LibNet/PermitCodec.cpp
+++ b/Libraries/LibNet/PermitCodec.cpp
@@ -1,11 +1,9 @@
 #include "LibNet/PermitCodec.h"
 
+#include "LibNet/CapnpMessage.h"
 #include "LibNet/Generated/Permit.capnp.h"
 
 #include <algorithm>
-#include <capnp/message.h>
-#include <capnp/serialize.h>
-#include <kj/exception.h>
 
 namespace latchslip {
 
@@ -14,18 +12,6 @@
 // A batch is a few kilobytes; this bounds what a broken one may cost.
 constexpr std::uint64_t kMostWords = 1024ULL * 1024;
 
-std::string
-FromText(capnp::Text::Reader aText)
-{
-  return { aText.cStr(), aText.size() };
-}
-
-kj::StringPtr
-ToText(const std::string& aText)
-{
-  return { aText.c_str(), aText.size() };
-}
-
 void
 Write(wire::ToDispatcher::Builder aOut, const PermitAsk& aAsk)
 {
@@ -222,25 +208,19 @@
     std::visit([&](const auto& aBody) { Write(from[index], aBody); },
                aBatch.fromDispatcher_[index]);
   }
-  const auto words = capnp::messageToFlatArray(builder);
-  const auto bytes = words.asBytes();
-  return FrameOf({ bytes.begin(), bytes.size() });
+  return FrameOfMessage(builder);
 }
 
 FieldResult<PermitBatch>
 DecodePermitBatch(std::span<const std::uint8_t> aBytes)
 {
-  // NOTE: Cap'n Proto throws on malformed input; the exception ends here.
-  try {
-    capnp::ReaderOptions options;
-    options.traversalLimitInWords = kMostWords;
-    const kj::ArrayPtr<const capnp::word> words(reinterpret_cast<const capnp::word*>(aBytes.data()),
-                                                aBytes.size() / sizeof(capnp::word));
-    capnp::FlatArrayMessageReader reader(words, options);
-    return Read(reader.getRoot<wire::PermitBatch>());
-  } catch (const kj::Exception& exception) {
-    return FieldError{ "message", exception.getDescription().cStr() };
-  }
+  return ReadMessage<wire::PermitBatch>(
+    aBytes,
+    kMostWords,
+    [](wire::PermitBatch::Reader aRoot) { return Read(aRoot); },
+    [](const std::string& aProblem) {
+      return FieldError{ "message", aProblem };
+    });
 }
 
 } // namespace latchslip
