LibNet, LibDaemon: Wake decisions by one kind of timer; read batches in one place

The timer that is only set anew for an earlier time stood in GatewayFront and, written again, in PermitLinks; DueTimer serves both. PermitLinks read and refused batches in two copies. Gone with it: an accessor that nobody called.

Behaviour is unchanged.

--- a/Libraries/LibDaemon/GatewayFront.cpp
+++ b/Libraries/LibDaemon/GatewayFront.cpp
@@ -29,7 +29,10 @@
   , observer_(std::move(aObserver))
   , client_(HttpClient::Create(aContext, kMostConnections))
   , desk_(std::move(aSettings), aDirectory, *this, aPermits, aEvents)
-  , timer_(aContext)
+  , timer_(
+      aContext,
+      [this] { return desk_.NextTime(); },
+      [this](Instant aNow) { desk_.OnTime(aNow); })
 {
 }
 
@@ -40,7 +43,7 @@
   const auto now = MonotonicNow();
   requests_[aId] = { routed, std::move(aRequest), std::move(aRespond), now };
   desk_.OnRequest(now, std::move(routed));
-  ArmTimer();
+  timer_.Arm();
 }
 
 void
@@ -48,7 +51,7 @@
 {
   requests_.erase(aId);
   desk_.OnClientGone(MonotonicNow(), aId);
-  ArmTimer();
+  timer_.Arm();
 }
 
 void
@@ -83,7 +86,7 @@
   attempt->second.answer_ = std::move(aExchange.response_);
   desk_.OnAttemptEnded(MonotonicNow(), aAttempt, outcome);
   attempts_.erase(aAttempt);
-  ArmTimer();
+  timer_.Arm();
 }
 
 void
@@ -124,24 +127,4 @@
   respond(std::move(aResponse));
 }
 
-void
-GatewayFront::ArmTimer()
-{
-  const auto next = desk_.NextTime();
-  // A timer that fires early does no harm; only an earlier time needs a new one.
-  if (!next || *next >= armedFor_) {
-    return;
-  }
-  armedFor_ = *next;
-  timer_.expires_at(std::chrono::steady_clock::time_point(armedFor_));
-  timer_.async_wait([this](boost::system::error_code aError) {
-    if (aError) {
-      return;
-    }
-    armedFor_ = Instant::max();
-    desk_.OnTime(MonotonicNow());
-    ArmTimer();
-  });
-}
-
 } // namespace latchslip
--- a/Libraries/LibDaemon/GatewayFront.h
+++ b/Libraries/LibDaemon/GatewayFront.h
@@ -4,9 +4,9 @@
 #include "LibDaemon/GatewayMetrics.h"
 #include "LibFleet/FleetMember.h"
 #include "LibGateway/RequestDesk.h"
+#include "LibNet/DueTimer.h"
 #include "LibNet/HttpServer.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <string>
@@ -41,7 +41,7 @@
   // Closes idle connections that servers are about to close.
   void PruneIdle() { client_->PruneIdle(); }
   // To be called after the desk was told of something from outside.
-  void ArmTimer();
+  void ArmTimer() { timer_.Arm(); }
 
 private:
   // A client's request that has no answer yet.
@@ -78,9 +78,7 @@
   KeyObserver observer_;
   std::unique_ptr<HttpClient> client_;
   RequestDesk desk_;
-  boost::asio::steady_timer timer_;
-  // What the timer is set to; Instant::max() when it is not.
-  Instant armedFor_ = Instant::max();
+  DueTimer timer_;
   std::unordered_map<RequestNumber, ClientRequest> requests_;
   std::unordered_map<AttemptNumber, RunningAttempt> attempts_;
 };
--- a/Libraries/LibDaemon/PermitLinks.cpp
+++ b/Libraries/LibDaemon/PermitLinks.cpp
@@ -41,7 +41,10 @@
   , events_(aEvents)
   , client_(*this, aEvents)
   , dispatcher_(aDirectory, *this)
-  , timer_(aContext)
+  , timer_(
+      aContext,
+      [this] { return dispatcher_.NextTime(); },
+      [this](Instant aNow) { dispatcher_.OnTime(aNow); })
 {
 }
 
@@ -63,7 +66,7 @@
 void
 PermitLinks::Close()
 {
-  timer_.cancel();
+  timer_.Cancel();
   acceptor_.reset();
   std::vector<std::shared_ptr<FrameStream>> streams;
   for (const auto& [address, link] : dialled_) {
@@ -105,21 +108,32 @@
     });
 }
 
+std::optional<PermitBatch>
+PermitLinks::ReadBatch(std::span<const std::uint8_t> aBytes, FrameStream& aStream)
+{
+  auto batch = DecodePermitBatch(aBytes);
+  if (batch) {
+    return std::move(batch).value();
+  }
+  events_.Record(Event::PeerRefused, "reason=\"" + batch.error().Describe() + "\"");
+  // Kept while it closes, since its end drops it from the links.
+  const auto stream = aStream.shared_from_this();
+  stream->Close("sent what cannot be read");
+  return std::nullopt;
+}
+
 void
 PermitLinks::OnCallerFrame(CallerId aCaller, std::span<const std::uint8_t> aBytes)
 {
-  const auto batch = DecodePermitBatch(aBytes);
+  const auto batch = ReadBatch(aBytes, *callers_.at(aCaller).stream_);
   if (!batch) {
-    events_.Record(Event::PeerRefused, "reason=\"" + batch.error().Describe() + "\"");
-    const auto stream = callers_.at(aCaller).stream_;
-    stream->Close("sent what cannot be read");
     return;
   }
   const auto now = MonotonicNow();
-  for (const auto& message : batch.value().toDispatcher_) {
+  for (const auto& message : batch->toDispatcher_) {
     dispatcher_.OnMessage(now, aCaller, message);
   }
-  ArmTimer();
+  timer_.Arm();
 }
 
 void
@@ -191,15 +205,12 @@
 void
 PermitLinks::OnDispatcherFrame(const std::string& aDispatcher, std::span<const std::uint8_t> aBytes)
 {
-  const auto batch = DecodePermitBatch(aBytes);
+  const auto batch = ReadBatch(aBytes, *dialled_.at(aDispatcher).stream_);
   if (!batch) {
-    events_.Record(Event::PeerRefused, "reason=\"" + batch.error().Describe() + "\"");
-    const auto stream = dialled_.at(aDispatcher).stream_;
-    stream->Close("sent what cannot be read");
     return;
   }
   const auto now = MonotonicNow();
-  for (const auto& message : batch.value().fromDispatcher_) {
+  for (const auto& message : batch->fromDispatcher_) {
     client_.OnMessage(now, aDispatcher, message);
   }
 }
@@ -277,7 +288,7 @@
   for (const auto& message : batch.fromDispatcher_) {
     client_.OnMessage(now, self_, message);
   }
-  ArmTimer();
+  timer_.Arm();
 }
 
 void
@@ -286,23 +297,4 @@
   client_.OnTime(MonotonicNow());
 }
 
-void
-PermitLinks::ArmTimer()
-{
-  const auto next = dispatcher_.NextTime();
-  if (!next || *next >= armedFor_) {
-    return;
-  }
-  armedFor_ = *next;
-  timer_.expires_at(std::chrono::steady_clock::time_point(armedFor_));
-  timer_.async_wait([this](error_code aError) {
-    if (aError) {
-      return;
-    }
-    armedFor_ = Instant::max();
-    dispatcher_.OnTime(MonotonicNow());
-    ArmTimer();
-  });
-}
-
 } // namespace latchslip
--- a/Libraries/LibDaemon/PermitLinks.h
+++ b/Libraries/LibDaemon/PermitLinks.h
@@ -2,6 +2,7 @@
 
 #include "LibBase/Event.h"
 #include "LibBase/Result.h"
+#include "LibNet/DueTimer.h"
 #include "LibNet/FrameStream.h"
 #include "LibNet/PermitCodec.h"
 #include "LibPermit/PermitClient.h"
@@ -9,9 +10,9 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 
@@ -38,12 +39,8 @@
   void Close();
   // Does what is due.
   void OnTime();
-  // To be called after the dispatcher or the client was told of something from outside.
-  void ArmTimer();
-
   PermitClient& Client() { return client_; }
   PermitDispatcher& Dispatcher() { return dispatcher_; }
-  const PermitDispatcher& Dispatcher() const { return dispatcher_; }
 
 private:
   // A link and what is to be said on it at the end of the turn.
@@ -64,6 +61,8 @@
                  std::uint64_t aDial,
                  boost::asio::ip::tcp::socket aSocket);
   void OnDialFailed(const std::string& aDispatcher, std::uint64_t aDial);
+  // No value when the bytes are no batch; their link is closed then.
+  std::optional<PermitBatch> ReadBatch(std::span<const std::uint8_t> aBytes, FrameStream& aStream);
   void OnCallerFrame(CallerId aCaller, std::span<const std::uint8_t> aBytes);
   void OnDispatcherFrame(const std::string& aDispatcher, std::span<const std::uint8_t> aBytes);
   // Sends the batches at the end of the turn.
@@ -80,8 +79,7 @@
   PermitClient client_;
   PermitDispatcher dispatcher_;
   std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor_;
-  boost::asio::steady_timer timer_;
-  Instant armedFor_ = Instant::max();
+  DueTimer timer_;
   // By the address of the dispatcher.
   std::map<std::string, Link> dialled_;
   std::map<std::string, std::uint64_t> dials_;
