LibFleet, platform: Log what the store's answers say of its versions, and what is dropped for them

Four events that tell apart why changes are not seen: the epoch that the store's answers name (E133), a table that is read anew and after which version (E134), a view that is dropped since it is older than what is known (E135), a write that met a conflict with the expected and the found versions (E136). No decision changes.

--- a/Libraries/LibFleet/FleetMember.cpp
+++ b/Libraries/LibFleet/FleetMember.cpp
@@ -46,6 +46,12 @@
   const auto table = static_cast<std::size_t>(aView.table_);
   const auto version = view_.Versions().at(table);
   const auto lastChange = view_.LastChanges().at(table);
+  if (aView.version_ < version && !aView.rows_.empty()) {
+    events_.Record(Event::OlderViewDropped,
+                   "table=" + std::string(kFleetTableNames.NameOf(aView.table_)) + " version=" +
+                     std::to_string(aView.version_) + " known=" + std::to_string(version) +
+                     " rows=" + std::to_string(aView.rows_.size()));
+  }
   if (!view_.Take(aNow, aView)) {
     return;
   }
--- a/Libraries/LibFleet/PlacerDuty.cpp
+++ b/Libraries/LibFleet/PlacerDuty.cpp
@@ -305,6 +305,13 @@
 void
 FleetMember::OnWriteConflict(Instant aNow, const WaitingWrite& aWrite, const StoreReply& aReply)
 {
+  std::string versions;
+  for (const auto& condition : aWrite.transaction_.conditions_) {
+    const auto* found = FindRow(aReply.rows_, condition.key_);
+    versions += " row=" + condition.key_ + " expected=" + std::to_string(condition.version_) +
+                " found=" + std::to_string(found == nullptr ? 0 : found->version_);
+  }
+  events_.Record(Event::StoreConflict, "write=" + aWrite.Key() + versions);
   for (const auto& row : aReply.rows_) {
     view_.TakeFleetRow(aNow, row);
   }
--- a/Libraries/LibStore/Row.h
+++ b/Libraries/LibStore/Row.h
@@ -11,6 +11,10 @@
 // the row does not exist.
 using RowVersion = std::uint64_t;
 
+// How often a store has come back from an older copy of itself. Versions go back then, and
+// are given out again to other changes.
+using StoreEpoch = std::uint64_t;
+
 struct Row
 {
   std::string key_;
--- a/Tests/Platform/FleetDocuments.cpp
+++ b/Tests/Platform/FleetDocuments.cpp
@@ -49,4 +49,13 @@
          R"({"name":"bookings","maxConns":130},{"name":"others","maxConns":130}]})";
 }
 
+std::string
+MakeServerEntry(const std::string& aService, const std::string& aAddress, int aSequence)
+{
+  return R"({"service":")" + aService + R"(","address":")" + aAddress +
+         R"(","zone":"hall-a","version":"v1","slots":4,"state":"ready","coldRemainingMs":0,)"
+         R"("seq":)" +
+         std::to_string(aSequence) + "}";
+}
+
 } // namespace latchslip::platform
--- a/Tests/Platform/FleetDocuments.h
+++ b/Tests/Platform/FleetDocuments.h
@@ -24,4 +24,8 @@
 std::string
 MakeManifest(int aVersion, const std::string& aBookingService);
 
+// What a server without a slow start writes of itself into the store.
+std::string
+MakeServerEntry(const std::string& aService, const std::string& aAddress, int aSequence);
+
 } // namespace latchslip::platform
--- a/Tests/Platform/TestEntryProcesses.cpp
+++ b/Tests/Platform/TestEntryProcesses.cpp
@@ -8,6 +8,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
+#include <cstdlib>
 #include <functional>
 #include <gtest/gtest.h>
 #include <sys/wait.h>
@@ -22,10 +23,13 @@
 StartEntry(int aNumber)
 {
   const auto name = "edge-" + std::to_string(aNumber);
+  // Where the logs of the instances are wanted, for whoever looks into a failure.
+  const auto* folder = std::getenv("LATCHSLIP_TEST_LOGS");
   return std::make_unique<EntryProcess>(
     LATCHSLIP_ENTRY,
     name,
-    MakeSettings(name, kFirstPort + 10 * aNumber, kFirstPort + 10, Loopback(kFirstPort)));
+    MakeSettings(name, kFirstPort + 10 * aNumber, kFirstPort + 10, Loopback(kFirstPort)),
+    folder == nullptr ? "/dev/null" : std::string(folder) + "/" + name + ".log");
 }
 
 class EntryFleet : public testing::Test
@@ -135,6 +139,25 @@
     RunUntil([&] { return ended_ == asked_; }, seconds(6));
   }
 
+  // Raises the versions of the tables that others write, and changes nothing that matters.
+  void WriteMuch()
+  {
+    constexpr int kWrites = 100;
+    for (int number = 0; number < kWrites; ++number) {
+      store_->Put("op", "note", std::to_string(number));
+      store_->Put("servers", "o1", MakeServerEntry("others", Loopback(kFirstPort + 321), number));
+    }
+  }
+
+  std::size_t RunsOf(const std::vector<std::string>& aBackends)
+  {
+    std::size_t runs = 0;
+    for (const auto& id : aBackends) {
+      runs += backends_.at(id)->Runs().size();
+    }
+    return runs;
+  }
+
   void ExpectNothingRanTwice() const
   {
     for (const auto& [id, backend] : backends_) {
--- a/Tests/Platform/TestTableFollower.cpp
+++ b/Tests/Platform/TestTableFollower.cpp
@@ -23,12 +23,17 @@
   void OnFailure(FleetTable) override { ++failures_; }
   void OnSuccess(FleetTable) override {}
   bool IsReturnAwaited(FleetTable) const override { return isReturnAwaited_; }
+  void OnReadAgain(FleetTable, RowVersion aAfter) override { readAgainAfter_ = aAfter; }
   void OnMalformed(const FieldError&) override { ++malformed_; }
 
-  void Answer(unsigned aStatus, std::string aBody)
+  // An empty epoch is not named.
+  void Answer(unsigned aStatus, std::string aBody, const std::string& aEpoch = "")
   {
     HttpExchange exchange;
     exchange.end_ = ExchangeEnd::Complete;
+    if (!aEpoch.empty()) {
+      exchange.response_.headers_.emplace_back("Store-Era", aEpoch);
+    }
     exchange.response_.status_ = aStatus;
     exchange.response_.body_ = std::make_shared<const std::string>(std::move(aBody));
     const auto callback = std::exchange(callback_, nullptr);
@@ -41,6 +46,7 @@
   std::vector<TableView> views_;
   int failures_ = 0;
   int malformed_ = 0;
+  RowVersion readAgainAfter_ = 0;
   bool isReturnAwaited_ = false;
 };
 
@@ -151,6 +157,7 @@
 {
   store_.Answer(410, "");
   EXPECT_NE(store_.targets_.back().find("/api/rows-get"), std::string::npos);
+  EXPECT_EQ(store_.readAgainAfter_, 90U);
 }
 
 TEST_F(FollowerOfServers, RowsChange_ViewBeginsAtWhatWasAsked)
