--- a/Tests/Platform/Soak/FaultPlan.cpp
+++ b/Tests/Platform/Soak/FaultPlan.cpp
@@ -25,12 +25,22 @@
 // Each way, of a link that is delayed.
 constexpr Duration kMostDelay = milliseconds(300);
 constexpr int kMostLost = 5;
+// Of so many faults one goes with a return of the store.
+constexpr unsigned kFaultsAReturn = 5;
+// How long the store is away before it returns.
+constexpr Duration kMostAway = milliseconds(1500);
+// Writes of others that a return loses: a second of what a store of a small fleet takes.
+constexpr int kLostWrites = 400;
+// Servers and operators write again within this time.
+constexpr Duration kMostWriteAgain = milliseconds(1800);
 
 } // namespace
 
-FaultPlan::FaultPlan(SoakWorld& aWorld, std::uint32_t aSeed)
+FaultPlan::FaultPlan(SoakWorld& aWorld, std::uint32_t aSeed, bool aStoreReturns)
   : world_(aWorld)
   , random_(aSeed)
+  , storeReturns_(aStoreReturns)
+  , returnsRandom_(aSeed)
   , startedAt_(MonotonicNow())
 {
 }
@@ -40,7 +50,10 @@
 {
   const auto end = MonotonicNow() + aTime;
   while (MonotonicNow() < end) {
-    Inject(static_cast<SoakFault>(DrawIndex(kSoakFaultNames.names_.size())));
+    Inject(static_cast<SoakFault>(DrawIndex(kDrawnFaults)));
+    if (storeReturns_ && returnsRandom_() % kFaultsAReturn == 0) {
+      ReturnStore();
+    }
     world_.Run(Draw(kLeastGap, kMostGap));
   }
 }
@@ -121,6 +134,8 @@
       return UnlistServer(server, time);
     case SoakFault::ConfigurationChange:
       return ChangeConfiguration();
+    case SoakFault::StoreReturns:
+      return ReturnStore();
   }
 }
 
@@ -328,6 +343,30 @@
   world_.SwitchBookingService();
 }
 
+void
+FaultPlan::ReturnStore()
+{
+  const auto draw = [this](Duration aMost) {
+    return Duration(std::uniform_int_distribution<Duration::rep>(0, aMost.count())(returnsRandom_));
+  };
+  const auto age = draw(kMostTime);
+  const auto away = draw(kMostAway);
+  Note(SoakFault::StoreReturns, "from a copy as old as this:", age);
+  world_.Store().TakeCopy();
+  world_.After(age, [this] {
+    // Others write as well, so that the counter takes long to pass its old mark.
+    for (int write = 0; write < kLostWrites; ++write) {
+      world_.Store().Put("others", "row", std::to_string(write));
+    }
+    world_.Store().SetDown(true);
+  });
+  world_.After(age + away, [this] {
+    world_.Store().ReturnFromCopy();
+    world_.Store().SetDown(false);
+  });
+  world_.After(age + away + draw(kMostWriteAgain), [this] { world_.WriteAgain(); });
+}
+
 void
 FaultPlan::HealAll()
 {
--- a/Tests/Platform/Soak/FaultPlan.h
+++ b/Tests/Platform/Soak/FaultPlan.h
@@ -26,9 +26,14 @@
   ServerLeaves,
   ServerUnlisted,
   ConfigurationChange,
+  // Only where it is asked for: the seeds of before draw what they drew.
+  StoreReturns,
 };
 
-inline constexpr NameTable<SoakFault, 15> kSoakFaultNames{ { "kill-instance",
+// Those that are drawn with equal chances.
+inline constexpr std::size_t kDrawnFaults = static_cast<std::size_t>(SoakFault::StoreReturns);
+
+inline constexpr NameTable<SoakFault, 16> kSoakFaultNames{ { "kill-instance",
                                                              "stop-instance",
                                                              "pause-instance",
                                                              "settings-signal",
@@ -42,7 +47,8 @@
                                                              "server-crash",
                                                              "server-leaves",
                                                              "server-unlisted",
-                                                             "configuration-change" } };
+                                                             "configuration-change",
+                                                             "store-returns" } };
 
 // Draws faults from a seed and brings them on: in series, overlapping, on one thing
 // or another. The same seed draws the same faults; how they meet what the processes
@@ -50,7 +56,8 @@
 class FaultPlan
 {
 public:
-  FaultPlan(SoakWorld& aWorld, std::uint32_t aSeed);
+  // With aStoreReturns, the store comes back from older copies as well.
+  FaultPlan(SoakWorld& aWorld, std::uint32_t aSeed, bool aStoreReturns);
 
   // Brings on faults for so long; some end later.
   void Run(Duration aTime);
@@ -87,6 +94,8 @@
   void LetServerLeave(SoakWorld::Server& aServer);
   void UnlistServer(SoakWorld::Server& aServer, Duration aTime);
   void ChangeConfiguration();
+  // The store goes away some time after a copy was taken and comes back from that.
+  void ReturnStore();
 
   void Kill(SoakWorld::Instance& aInstance, Duration aDown);
   void Stop(SoakWorld::Instance& aInstance);
@@ -100,6 +109,8 @@
 
   SoakWorld& world_;
   std::minstd_rand random_;
+  bool storeReturns_;
+  std::minstd_rand returnsRandom_;
   Instant startedAt_;
   std::string story_;
 };
--- a/Tests/Platform/Soak/SoakWorld.cpp
+++ b/Tests/Platform/Soak/SoakWorld.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
+#include <set>
 
 namespace latchslip::platform {
 
@@ -173,6 +174,22 @@
   store_->Put("op", "config", MakeManifest(configuration_, bookingService_));
 }
 
+void
+SoakWorld::WriteAgain()
+{
+  store_->Put("op", "config", MakeManifest(configuration_, bookingService_));
+  std::set<std::string> lives;
+  for (const auto& server : servers_) {
+    lives.insert(server.backend_->Id());
+    server.backend_->WriteAgain();
+  }
+  for (const auto& id : store_->KeysOf("servers")) {
+    if (!lives.contains(id)) {
+      store_->Remove("servers", id);
+    }
+  }
+}
+
 void
 SoakWorld::Run(Duration aTime)
 {
--- a/Tests/Platform/Soak/SoakWorld.h
+++ b/Tests/Platform/Soak/SoakWorld.h
@@ -81,6 +81,9 @@
   void NoteHealed();
   // From now on the other of two services takes the bookings.
   void SwitchBookingService();
+  // Operators and servers write what the store may have lost by its return; the records of
+  // former lives lapse.
+  void WriteAgain();
   const std::string& BookingService() const { return bookingService_; }
 
   std::vector<Instance>& Instances() { return instances_; }
