--- a/Meta/check-mutants.sh
+++ b/Meta/check-mutants.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Shows that the scenarios can fail: removes one mechanism at a time from a copy of
-# the code and runs them. Exits non-zero when a mutant is not caught.
+# Shows that the scenarios and some tests can fail: removes one mechanism at a time from a
+# copy of the code and runs them. Exits non-zero when a mutant is not caught.
 # Usage: Meta/check-mutants.sh [NAME...]
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -10,9 +10,24 @@
 cmake -S "$copy" -B "$copy/Build" -G Ninja >/dev/null
 ninja -C "$copy/Build" test-scenarios >/dev/null
 
+# Runs each of the programs and keeps what they print.
+run_tests() {
+  local program all_passed=0
+  : >"$copy/log"
+  for program in $programs; do
+    "$copy/Build/Tests/$program" >>"$copy/log" 2>&1 || all_passed=1
+  done
+  return $all_passed
+}
+
+programs=test-scenarios
 missed=0
 while IFS='|' read -r name file expression; do
   name=$(xargs <<<"$name")
+  if [[ "$name" == @* ]]; then
+    programs=${name#@}
+    continue
+  fi
   file=$copy/Libraries/$(xargs <<<"$file")
   expression=${expression# }
   if [ $# -gt 0 ] && [[ " $* " != *" $name "* ]]; then
@@ -25,10 +40,11 @@
     missed=1
     continue
   fi
-  if ! ninja -C "$copy/Build" test-scenarios >"$copy/log" 2>&1; then
+  # shellcheck disable=SC2086
+  if ! ninja -C "$copy/Build" $programs >"$copy/log" 2>&1; then
     echo "$name: the mutant does not build" >&2
     missed=1
-  elif "$copy/Build/Tests/test-scenarios" >"$copy/log" 2>&1; then
+  elif run_tests; then
     echo "$name: NOT caught"
     missed=1
   else
