Tests: Hold two things of the store's return that no test held

Found by mutants: an answer of a former epoch that comes late, and the owners as told whole after the first write of an epoch.

--- a/Tests/LibFleet/TestStoreReturn.cpp
+++ b/Tests/LibFleet/TestStoreReturn.cpp
@@ -127,6 +127,9 @@
   Pass(milliseconds(200));
   EXPECT_EQ(LastTransaction().conditions_,
             (std::vector<RowStamp>{ { "placer", After(9) }, { "ownership/rates", After(10) } }));
+  Done(After(11));
+  // Others have not read the row, and may know the owners as of any version of before.
+  EXPECT_EQ(fleet_.news_.back().second.owners_.front().base_, 0U);
 }
 
 TEST_F(MemberWhoseStoreReturned, AnotherPlacerWroteOwnersInTheLaterEpoch_TheyAreTaken)
--- a/Tests/Platform/TestTableFollower.cpp
+++ b/Tests/Platform/TestTableFollower.cpp
@@ -174,6 +174,19 @@
   EXPECT_EQ(LastAfter(), "60");
 }
 
+TEST_F(FollowerOfServers, AnswerOfAFormerEpochComesLate_IsLeftOutAndAskedForAgain)
+{
+  store_.Answer(410, "", "2");
+  store_.Answer(200, R"({"rows":[],"ver":60})", "2");
+  RunUntilAsked();
+  const auto views = store_.views_.size();
+  store_.Answer(200, R"({"rows":[{"key":"s1","value":"Yg==","ver":95}],"ver":95})", "1");
+  EXPECT_EQ(store_.views_.size(), views);
+  EXPECT_EQ(store_.failures_, 1);
+  RunUntilAsked();
+  EXPECT_EQ(LastAfter(), "60");
+}
+
 TEST_F(FollowerOfServers, HistoryIsGoneSinceTheStoreReturned_WhatIsReadCountsAsNewer)
 {
   store_.Answer(410, "", "2");
