--- a/Libraries/LibFleet/FleetView.cpp
+++ b/Libraries/LibFleet/FleetView.cpp
@@ -144,8 +144,8 @@
 void
 FleetView::TakeOwnership(RowVersion aVersion, const KeyOwnership& aOwnership)
 {
-  const bool isFirst = !owners_.contains(aOwnership.service_);
-  auto& owned = owners_[aOwnership.service_];
+  const auto [entry, isFirst] = owners_.try_emplace(aOwnership.service_);
+  auto& owned = entry->second;
   if (aVersion <= owned.version_) {
     return;
   }
--- a/Libraries/LibGateway/ServerDirectory.cpp
+++ b/Libraries/LibGateway/ServerDirectory.cpp
@@ -176,7 +176,10 @@
     removal = removals_.erase(removal);
     isChanged = true;
   }
-  return aNow >= CopyUntil() && TakeDoubted(aNow) ? true : isChanged;
+  if (aNow >= CopyUntil()) {
+    isChanged = TakeDoubted(aNow) || isChanged;
+  }
+  return isChanged;
 }
 
 bool
--- a/Tests/LibGateway/TestServerDirectory.cpp
+++ b/Tests/LibGateway/TestServerDirectory.cpp
@@ -29,6 +29,16 @@
     return directory_.Find(aId) != nullptr;
   }
 
+  // A second from now the first server is gone, and a copy of the store lists it again.
+  void DropAndListAgainByACopy()
+  {
+    directory_.Remove(kNow, "s1");
+    ASSERT_FALSE(IsListedAt("s1", seconds(1)));
+    directory_.OnStoreCameBack(kNow + seconds(1));
+    directory_.Put(kNow + seconds(1),
+                   { "s1", "rates", "10.0.0.1:80", "hall", 4, false, VersionIn(2, 1) });
+  }
+
   ServerDirectory directory_;
 };
 
@@ -82,22 +92,14 @@
 
 TEST_F(DirectoryOfTwoServers, CopyListsAServerThatWasGone_ItIsUsedOnlyIfItStaysListed)
 {
-  directory_.Remove(kNow, "s1");
-  ASSERT_FALSE(IsListedAt("s1", seconds(1)));
-  directory_.OnStoreCameBack(kNow + seconds(1));
-  directory_.Put(kNow + seconds(1),
-                 { "s1", "rates", "10.0.0.1:80", "hall", 4, false, VersionIn(2, 1) });
+  ASSERT_NO_FATAL_FAILURE(DropAndListAgainByACopy());
   EXPECT_FALSE(IsListedAt("s1", seconds(3)));
   EXPECT_TRUE(IsListedAt("s1", milliseconds(3400)));
 }
 
 TEST_F(DirectoryOfTwoServers, GoneServerOfTheCopyDisappearsAgain_ItIsNeverUsed)
 {
-  directory_.Remove(kNow, "s1");
-  ASSERT_FALSE(IsListedAt("s1", seconds(1)));
-  directory_.OnStoreCameBack(kNow + seconds(1));
-  directory_.Put(kNow + seconds(1),
-                 { "s1", "rates", "10.0.0.1:80", "hall", 4, false, VersionIn(2, 1) });
+  ASSERT_NO_FATAL_FAILURE(DropAndListAgainByACopy());
   directory_.Remove(kNow + seconds(2), "s1");
   EXPECT_FALSE(IsListedAt("s1", seconds(5)));
 }
--- a/Tests/LibKeys/TestOwnershipPlacer.cpp
+++ b/Tests/LibKeys/TestOwnershipPlacer.cpp
@@ -18,6 +18,17 @@
     world_.Pass(seconds(4));
   }
 
+  // The store comes back from a copy, and the placer is lost with it.
+  PlacerWorld::Placer& TakeOverFromACopy()
+  {
+    world_.TakeCopy();
+    world_.ReturnFromCopy();
+    auto& former = *world_.placers_.back();
+    auto& next = world_.TakeOver();
+    world_.Stop(former);
+    return next;
+  }
+
   void ExpectAllServed() const { EXPECT_EQ(world_.ServedKeys(), PlacerWorld::kBlocks); }
 
   // How long until all keys are served again, up to a minute. The world stands still
@@ -459,11 +470,7 @@
 
 TEST_F(PlacedKeysOfThreeServers, CopyIsAllThatANewPlacerKnows_ItWaitsUntilLostGrantsHaveRunOut)
 {
-  world_.TakeCopy();
-  world_.ReturnFromCopy();
-  auto& former = *world_.placers_.back();
-  auto& next = world_.TakeOver();
-  world_.Stop(former);
+  auto& next = TakeOverFromACopy();
   world_.Pass(seconds(10));
   EXPECT_EQ(world_.ServedKeys(), 0U);
   world_.Pass(seconds(2));
@@ -473,11 +480,7 @@
 
 TEST_F(PlacedKeysOfThreeServers, FormerPlacerHasStopped_CopyIsUsedAfterOneHold)
 {
-  world_.TakeCopy();
-  world_.ReturnFromCopy();
-  auto& former = *world_.placers_.back();
-  auto& next = world_.TakeOver();
-  world_.Stop(former);
+  auto& next = TakeOverFromACopy();
   next.placer_.OnFormerPlacerStopped(world_.now_);
   world_.Pass(milliseconds(6000));
   EXPECT_EQ(world_.ServedKeys(), PlacerWorld::kBlocks);
--- a/Tests/Platform/Soak/FaultPlan.cpp
+++ b/Tests/Platform/Soak/FaultPlan.cpp
@@ -34,6 +34,14 @@
 // Servers and operators write again within this time.
 constexpr Duration kMostWriteAgain = milliseconds(1800);
 
+// A time between the two, drawn from that generator.
+Duration
+DrawFrom(std::minstd_rand& aRandom, Duration aLeast, Duration aMost)
+{
+  return Duration(
+    std::uniform_int_distribution<Duration::rep>(aLeast.count(), aMost.count())(aRandom));
+}
+
 } // namespace
 
 FaultPlan::FaultPlan(SoakWorld& aWorld, std::uint32_t aSeed, bool aStoreReturns)
@@ -61,8 +69,7 @@
 Duration
 FaultPlan::Draw(Duration aLeast, Duration aMost)
 {
-  return Duration(
-    std::uniform_int_distribution<Duration::rep>(aLeast.count(), aMost.count())(random_));
+  return DrawFrom(random_, aLeast, aMost);
 }
 
 std::size_t
@@ -346,11 +353,8 @@
 void
 FaultPlan::ReturnStore()
 {
-  const auto draw = [this](Duration aMost) {
-    return Duration(std::uniform_int_distribution<Duration::rep>(0, aMost.count())(returnsRandom_));
-  };
-  const auto age = draw(kMostTime);
-  const auto away = draw(kMostAway);
+  const auto age = DrawFrom(returnsRandom_, Duration(0), kMostTime);
+  const auto away = DrawFrom(returnsRandom_, Duration(0), kMostAway);
   Note(SoakFault::StoreReturns, "from a copy as old as this:", age);
   world_.Store().TakeCopy();
   world_.After(age, [this] {
@@ -364,7 +368,8 @@
     world_.Store().ReturnFromCopy();
     world_.Store().SetDown(false);
   });
-  world_.After(age + away + draw(kMostWriteAgain), [this] { world_.WriteAgain(); });
+  const auto writeAgain = DrawFrom(returnsRandom_, Duration(0), kMostWriteAgain);
+  world_.After(age + away + writeAgain, [this] { world_.WriteAgain(); });
 }
 
 void
--- a/Tests/Platform/Soak/SoakWorld.cpp
+++ b/Tests/Platform/Soak/SoakWorld.cpp
@@ -171,13 +171,19 @@
 SoakWorld::PutConfiguration()
 {
   configuration_ += 2;
+  WriteConfiguration();
+}
+
+void
+SoakWorld::WriteConfiguration()
+{
   store_->Put("op", "config", MakeManifest(configuration_, bookingService_));
 }
 
 void
 SoakWorld::WriteAgain()
 {
-  store_->Put("op", "config", MakeManifest(configuration_, bookingService_));
+  WriteConfiguration();
   std::set<std::string> lives;
   for (const auto& server : servers_) {
     lives.insert(server.backend_->Id());
--- a/Tests/Platform/Soak/SoakWorld.h
+++ b/Tests/Platform/Soak/SoakWorld.h
@@ -112,6 +112,8 @@
   FieldResult<void> AddInstance(int aNumber);
   // Writes the configuration under its next version.
   void PutConfiguration();
+  // Writes it as it is.
+  void WriteConfiguration();
   // Sends the requests of the load that are due.
   void SendDue(Instant aNow);
   // aDone is told the status of the answer; 0 when there is no whole one.
