LibNet: Hand requests that were sent ahead on side by side

Some clients send further requests on a connection before the first is answered. A session read one request, answered it, and read the next, so that each waited for the work of those before it.

Requests of safe methods that come behind others of safe methods are now handed on at once, up to eight of a connection, and answered in the order in which they came. Any other waits for those before it. A client that leaves ends all of them, unless it has sent more than may be read. A listener that drains answers what it has read, with the close on the last of these, and reads nothing more. What lies unread at a close is taken in for a moment, since a reset over it may take the last answer from its client.

--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -70,7 +70,7 @@
     }
     error_code ignored;
     aSocket.set_option(tcp::no_delay(true), ignored);
-    std::make_shared<HttpSession>(std::move(aSocket), listener_)->ReadNext();
+    std::make_shared<HttpSession>(std::move(aSocket), listener_)->Start();
     ArmIdleTimer();
   }
 
--- a/Libraries/LibNet/HttpSession.cpp
+++ b/Libraries/LibNet/HttpSession.cpp
@@ -2,6 +2,7 @@
 
 #include "LibNet/MonotonicClock.h"
 
+#include <algorithm>
 #include <string_view>
 #include <sys/socket.h>
 
@@ -17,6 +18,12 @@
 // Where the first field of a request's header is read into.
 constexpr std::size_t kReadBuffer = 64UL * 1024;
 
+// Requests of one connection that are under way side by side. Clients wait a second for an
+// answer to be begun, and few send more ahead.
+constexpr std::size_t kMostAhead = 8;
+// How long what a client had sent ahead is taken in after the last answer.
+constexpr Duration kDropTime = milliseconds(300);
+
 std::string
 ErrorBody(std::string_view aField, std::string_view aProblem)
 {
@@ -53,6 +60,26 @@
   return RequestProblem{ 400, "request", "is not valid HTTP/1.1" };
 }
 
+// Whether requests of that method may run side by side (RFC 9112, section 9.3.2).
+bool
+IsSafe(http::verb aMethod)
+{
+  return aMethod == http::verb::get || aMethod == http::verb::head;
+}
+
+HttpRequest
+TakeRequest(http::request<http::string_body>& aMessage)
+{
+  HttpRequest request;
+  request.method_ = std::string(aMessage.method_string());
+  request.target_ = std::string(aMessage.target());
+  for (const auto& field : aMessage) {
+    request.headers_.emplace_back(field.name_string(), field.value());
+  }
+  request.body_ = std::make_shared<const std::string>(std::move(aMessage.body()));
+  return request;
+}
+
 } // namespace
 
 HttpSession::HttpSession(tcp::socket aSocket, std::shared_ptr<HttpListener> aListener)
@@ -64,22 +91,10 @@
 }
 
 void
-HttpSession::ReadNext()
+HttpSession::Start()
 {
-  parser_.emplace();
-  parser_->header_limit(static_cast<std::uint32_t>(listener_->limits_.headerBytes_));
-  parser_->body_limit(listener_->limits_.bodyBytes_);
-  if (buffer_.size() > 0) {
-    ReadHeader();
-    return;
-  }
   BeginIdle();
-  stream_.expires_never();
-  // NOTE: The first byte is waited for, not read: what was read already but not
-  // yet handled could not be told from an idle connection when that is closed.
-  beast::get_lowest_layer(stream_).socket().async_wait(
-    tcp::socket::wait_read,
-    [self = shared_from_this()](error_code aError) { self->OnReadable(aError); });
+  Watch();
 }
 
 void
@@ -93,8 +108,10 @@
 void
 HttpSession::EndIdle()
 {
-  isIdle_ = false;
-  listener_->idle_.erase({ idleUntil_, this });
+  if (isIdle_) {
+    isIdle_ = false;
+    listener_->idle_.erase({ idleUntil_, this });
+  }
 }
 
 bool
@@ -107,20 +124,82 @@
   return true;
 }
 
+bool
+HttpSession::MayRead() const
+{
+  if (isClosed_ || isReading_ || hasReadLast_ || held_) {
+    return false;
+  }
+  if (exchanges_.empty()) {
+    return true;
+  }
+  const bool areSafe = std::all_of(exchanges_.begin(),
+                                   exchanges_.end(),
+                                   [](const Exchange& aExchange) { return aExchange.isSafe_; });
+  return areSafe && exchanges_.size() < kMostAhead && !listener_->isDraining_;
+}
+
+void
+HttpSession::Advance()
+{
+  if (held_ && exchanges_.empty()) {
+    auto [exchange, request] = std::move(*held_);
+    held_.reset();
+    Begin(std::move(exchange), std::move(request));
+    return;
+  }
+  if (MayRead() && buffer_.size() > 0) {
+    ReadRequest();
+    return;
+  }
+  if (exchanges_.empty() && !isReading_ && !isIdle_ && !isClosed_) {
+    BeginIdle();
+  }
+  Watch();
+}
+
+// NOTE: The first byte is waited for, not read: what was read already but not yet handled
+// could not be told from an idle connection when that is closed.
+void
+HttpSession::Watch()
+{
+  if (isWatching_ || isReading_ || isClosed_) {
+    return;
+  }
+  // Bytes that must not be read yet would end the wait at once, again and again.
+  if (!MayRead() && HasUnreadBytes()) {
+    return;
+  }
+  isWatching_ = true;
+  beast::get_lowest_layer(stream_).socket().async_wait(
+    tcp::socket::wait_read,
+    [self = shared_from_this()](error_code aError) { self->OnReadable(aError); });
+}
+
 void
 HttpSession::OnReadable(error_code aError)
 {
-  if (aError) {
-    Close();
+  isWatching_ = false;
+  if (isClosed_) {
     return;
   }
-  EndIdle();
-  ReadHeader();
+  if (aError || IsClosedByPeer()) {
+    Abandon();
+    return;
+  }
+  if (MayRead()) {
+    ReadRequest();
+  }
 }
 
 void
-HttpSession::ReadHeader()
+HttpSession::ReadRequest()
 {
+  EndIdle();
+  isReading_ = true;
+  parser_.emplace();
+  parser_->header_limit(static_cast<std::uint32_t>(listener_->limits_.headerBytes_));
+  parser_->body_limit(listener_->limits_.bodyBytes_);
   stream_.expires_after(listener_->limits_.transfer_);
   http::async_read(
     stream_, buffer_, *parser_, [self = shared_from_this()](error_code aError, std::size_t) {
@@ -131,27 +210,39 @@
 void
 HttpSession::OnRead(error_code aError)
 {
+  isReading_ = false;
+  if (isClosed_) {
+    return;
+  }
   if (aError) {
     RefuseUnreadable(aError);
     return;
   }
   auto message = parser_->release();
-  keepAlive_ = message.keep_alive() && !listener_->isDraining_;
-  HttpRequest request;
-  request.method_ = std::string(message.method_string());
-  request.target_ = std::string(message.target());
-  for (const auto& field : message) {
-    request.headers_.emplace_back(field.name_string(), field.value());
+  Exchange exchange;
+  exchange.id_ = ++listener_->lastId_;
+  exchange.isSafe_ = IsSafe(message.method());
+  exchange.keepsAlive_ = message.keep_alive();
+  hasReadLast_ = !exchange.keepsAlive_;
+  auto request = TakeRequest(message);
+  if (!exchange.isSafe_ && !exchanges_.empty()) {
+    held_.emplace(std::move(exchange), std::move(request));
+    Watch();
+    return;
   }
-  request.body_ = std::make_shared<const std::string>(std::move(message.body()));
-  id_ = ++listener_->lastId_;
-  isWaiting_ = true;
-  stream_.expires_never();
-  WatchForClose();
+  Begin(std::move(exchange), std::move(request));
+}
+
+void
+HttpSession::Begin(Exchange aExchange, HttpRequest aRequest)
+{
+  const auto id = aExchange.id_;
+  exchanges_.push_back(std::move(aExchange));
   listener_->handler_.OnRequest(
-    id_, std::move(request), [self = shared_from_this(), id = id_](const HttpResponse& aResponse) {
-      self->Respond(id, aResponse);
+    id, std::move(aRequest), [self = shared_from_this(), id](HttpResponse aResponse) {
+      self->Respond(id, std::move(aResponse));
     });
+  Advance();
 }
 
 void
@@ -159,33 +250,24 @@
 {
   const auto problem = ProblemOf(aError);
   if (!problem) {
-    Close();
+    Abandon();
     return;
   }
-  keepAlive_ = false;
-  isWaiting_ = true;
-  auto response = MakeHttpResponse(problem->status_, ErrorBody(problem->field_, problem->problem_));
-  response.headers_.emplace_back("Latchslip-Outcome", "not-run");
-  Respond(id_, response);
-}
-
-void
-HttpSession::WatchForClose()
-{
-  beast::get_lowest_layer(stream_).socket().async_wait(
-    tcp::socket::wait_read, [weak = weak_from_this(), id = id_](error_code aError) {
-      const auto self = weak.lock();
-      if (self && !aError && self->isWaiting_ && self->id_ == id && self->IsClosedByPeer()) {
-        self->isWaiting_ = false;
-        self->listener_->handler_.OnGone(id);
-        self->Close();
-      }
-    });
+  hasReadLast_ = true;
+  Exchange exchange;
+  exchange.answer_ =
+    MakeHttpResponse(problem->status_, ErrorBody(problem->field_, problem->problem_));
+  exchange.answer_->headers_.emplace_back("Latchslip-Outcome", "not-run");
+  exchanges_.push_back(std::move(exchange));
+  WriteNext();
 }
 
 bool
 HttpSession::HasUnreadBytes()
 {
+  if (buffer_.size() > 0) {
+    return true;
+  }
   char byte = 0;
   const auto handle = beast::get_lowest_layer(stream_).socket().native_handle();
   return ::recv(handle, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
@@ -201,17 +283,32 @@
 }
 
 void
-HttpSession::Respond(std::uint64_t aId, const HttpResponse& aResponse)
+HttpSession::Respond(std::uint64_t aId, HttpResponse aResponse)
 {
-  if (!isWaiting_ || aId != id_) {
+  const auto exchange =
+    std::find_if(exchanges_.begin(), exchanges_.end(), [aId](const Exchange& aExchange) {
+      return aExchange.id_ == aId;
+    });
+  if (isClosed_ || exchange == exchanges_.end() || exchange->answer_) {
     return;
   }
-  isWaiting_ = false;
   if (aResponse.status_ == kNoAnswer) {
-    Close();
+    exchanges_.erase(exchange);
+    Abandon();
+    return;
+  }
+  exchange->answer_ = std::move(aResponse);
+  WriteNext();
+}
+
+void
+HttpSession::WriteNext()
+{
+  if (isWriting_ || isClosed_ || exchanges_.empty() || !exchanges_.front().answer_) {
     return;
   }
-  PrepareResponse(aResponse);
+  isWriting_ = true;
+  PrepareResponse(*exchanges_.front().answer_);
   stream_.expires_after(listener_->limits_.transfer_);
   http::async_write(
     stream_, *response_, [self = shared_from_this()](error_code aError, std::size_t) {
@@ -219,6 +316,18 @@
     });
 }
 
+bool
+HttpSession::KeepsAliveAfterNext() const
+{
+  const auto& next = exchanges_.front();
+  if (!next.keepsAlive_ || !next.answer_->isFramed_) {
+    return false;
+  }
+  // What was read is answered before a drained connection closes.
+  const bool isLast = exchanges_.size() == 1 && !held_ && !isReading_;
+  return !(listener_->isDraining_ && isLast);
+}
+
 void
 HttpSession::PrepareResponse(const HttpResponse& aResponse)
 {
@@ -232,8 +341,8 @@
   for (const auto& [name, value] : aResponse.headers_) {
     response_->insert(name, value);
   }
-  keepAlive_ = keepAlive_ && !listener_->isDraining_ && aResponse.isFramed_;
-  response_->keep_alive(keepAlive_);
+  exchanges_.front().keepsAlive_ = KeepsAliveAfterNext();
+  response_->keep_alive(exchanges_.front().keepsAlive_);
   response_->body() = { body_->data(), body_->size() };
   if (aResponse.isFramed_) {
     response_->prepare_payload();
@@ -243,22 +352,62 @@
 void
 HttpSession::OnWritten(error_code aError)
 {
+  isWriting_ = false;
   response_.reset();
   body_.reset();
-  if (aError || !keepAlive_) {
-    Close();
+  if (isClosed_) {
+    return;
+  }
+  const bool keepsAlive = exchanges_.front().keepsAlive_;
+  exchanges_.pop_front();
+  if (aError || !keepsAlive) {
+    Abandon();
     return;
   }
-  ReadNext();
+  WriteNext();
+  Advance();
+}
+
+void
+HttpSession::Abandon()
+{
+  auto unanswered = std::exchange(exchanges_, {});
+  held_.reset();
+  Close();
+  for (const auto& exchange : unanswered) {
+    if (!exchange.answer_) {
+      listener_->handler_.OnGone(exchange.id_);
+    }
+  }
 }
 
 void
 HttpSession::Close()
 {
   EndIdle();
+  isClosed_ = true;
   error_code ignored;
   stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+  if (!isReading_ && HasUnreadBytes()) {
+    stream_.expires_after(kDropTime);
+    DropUnread();
+    return;
+  }
   stream_.close();
 }
 
+void
+HttpSession::DropUnread()
+{
+  buffer_.clear();
+  stream_.async_read_some(buffer_.prepare(kReadBuffer),
+                          [self = shared_from_this()](error_code aError, std::size_t) {
+                            if (aError) {
+                              self->stream_.close();
+                            } else {
+                              self->DropUnread();
+                            }
+                          });
+}
+
 } // namespace latchslip
--- a/Tests/LibNet/TestHttp.cpp
+++ b/Tests/LibNet/TestHttp.cpp
@@ -35,6 +35,13 @@
     aRespond(std::move(response));
   }
   void OnGone(std::uint64_t) override { ++gone_; }
+  // Answers what is kept, by its place, with that body.
+  void Release(std::size_t aPlace, const std::string& aBody)
+  {
+    HttpResponse response;
+    response.body_ = std::make_shared<const std::string>(aBody);
+    kept_.at(aPlace)(std::move(response));
+  }
 
   int requests_ = 0;
   int gone_ = 0;
@@ -280,6 +287,173 @@
   EXPECT_EQ(handler_.gone_, 0);
 }
 
+// Clients of some deployments send further requests before the first is answered.
+class ClientThatSendsAhead : public HttpOnLoopback
+{
+protected:
+  void SendAhead(const std::string& aMethod, const std::string& aTarget)
+  {
+    const auto text = aMethod + " " + aTarget + " HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n";
+    boost::asio::write(socket_, boost::asio::buffer(text));
+  }
+
+  void Run(std::chrono::milliseconds aTime = std::chrono::milliseconds(30))
+  {
+    context_.restart();
+    context_.run_for(aTime);
+    context_.restart();
+  }
+
+  // What has come so far.
+  std::string Received()
+  {
+    std::string text(socket_.available(), ' ');
+    boost::asio::read(socket_, boost::asio::buffer(text));
+    return text;
+  }
+
+  tcp::socket socket_ = Connect();
+};
+
+TEST_F(ClientThatSendsAhead, SafeRequests_AreHandedOnAtOnceAndAnsweredInOrder)
+{
+  SendAhead("GET", "/never");
+  SendAhead("GET", "/never");
+  SendAhead("GET", "/never");
+  Run();
+  ASSERT_EQ(handler_.requests_, 3);
+  handler_.Release(2, "third");
+  handler_.Release(1, "second");
+  Run();
+  EXPECT_EQ(Received(), "");
+  handler_.Release(0, "first");
+  Run();
+  const auto answers = Received();
+  const auto first = answers.find("first");
+  const auto second = answers.find("second");
+  const auto third = answers.find("third");
+  ASSERT_NE(third, std::string::npos) << answers;
+  EXPECT_LT(first, second);
+  EXPECT_LT(second, third);
+}
+
+TEST_F(ClientThatSendsAhead, RequestsComeInPieces_AreReadAllTheSame)
+{
+  const std::string text =
+    "GET /never HTTP/1.1\r\nHost: a\r\n\r\nGET /never HTTP/1.1\r\nHost: a\r\n\r\n";
+  for (const auto sign : text) {
+    boost::asio::write(socket_, boost::asio::buffer(std::string(1, sign)));
+    Run(std::chrono::milliseconds(1));
+  }
+  EXPECT_EQ(handler_.requests_, 2);
+}
+
+TEST_F(ClientThatSendsAhead, RequestThatChangesSomething_WaitsForThoseBeforeIt)
+{
+  SendAhead("GET", "/never");
+  SendAhead("POST", "/never");
+  SendAhead("GET", "/never");
+  Run();
+  ASSERT_EQ(handler_.requests_, 1);
+  handler_.Release(0, "first");
+  Run();
+  ASSERT_EQ(handler_.requests_, 2);
+  handler_.Release(1, "second");
+  Run();
+  ASSERT_EQ(handler_.requests_, 3);
+  handler_.Release(2, "third");
+  Run();
+  EXPECT_NE(Received().find("third"), std::string::npos);
+}
+
+TEST_F(ClientThatSendsAhead, MoreThanTheBound_TheRestIsReadAsAnswersGoOut)
+{
+  constexpr int kSent = 12;
+  for (int count = 0; count < kSent; ++count) {
+    SendAhead("GET", "/never");
+  }
+  Run();
+  const auto bound = handler_.requests_;
+  EXPECT_GT(bound, 1);
+  EXPECT_LT(bound, kSent);
+  for (int place = 0; place < kSent; ++place) {
+    ASSERT_LT(place, handler_.requests_);
+    handler_.Release(static_cast<std::size_t>(place), "answer");
+    Run(std::chrono::milliseconds(5));
+  }
+  EXPECT_EQ(handler_.requests_, kSent);
+}
+
+TEST_F(ClientThatSendsAhead, Leaves_AllItsRequestsAreGivenUp)
+{
+  SendAhead("GET", "/never");
+  SendAhead("GET", "/never");
+  Run();
+  ASSERT_EQ(handler_.requests_, 2);
+  socket_.close();
+  Run();
+  EXPECT_EQ(handler_.gone_, 2);
+  handler_.kept_.clear();
+  EXPECT_EQ(server_->Connections(), 0U);
+}
+
+TEST_F(ClientThatSendsAhead, ServerDrains_WhatWasReadIsAnsweredAndNothingMore)
+{
+  SendAhead("GET", "/never");
+  SendAhead("GET", "/never");
+  Run();
+  server_->BeginDrain();
+  SendAhead("GET", "/never");
+  Run();
+  ASSERT_EQ(handler_.requests_, 2);
+  handler_.Release(0, "first");
+  handler_.Release(1, "second");
+  const auto answers = ReadToEnd(socket_);
+  EXPECT_EQ(handler_.requests_, 2);
+  const auto close = answers.find("Connection: close");
+  ASSERT_NE(answers.find("second"), std::string::npos) << answers;
+  ASSERT_NE(close, std::string::npos) << answers;
+  EXPECT_GT(close, answers.find("first"));
+  EXPECT_EQ(answers.find("Connection: close", close + 1), std::string::npos);
+}
+
+TEST_F(ClientThatSendsAhead, AnswerEndsWithItsConnection_ThoseBehindItAreGivenUp)
+{
+  SendAhead("GET", "/never");
+  SendAhead("GET", "/never");
+  Run();
+  HttpResponse unframed;
+  unframed.isFramed_ = false;
+  unframed.body_ = std::make_shared<const std::string>("to the end");
+  handler_.kept_.at(0)(std::move(unframed));
+  const auto answers = ReadToEnd(socket_);
+  EXPECT_NE(answers.find("to the end"), std::string::npos);
+  EXPECT_EQ(handler_.gone_, 1);
+}
+
+TEST_F(ClientThatSendsAhead, LastOneAsksToClose_IsAnsweredAfterTheOthers)
+{
+  SendAhead("GET", "/echo");
+  boost::asio::write(
+    socket_,
+    boost::asio::buffer(std::string("GET /echo HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")));
+  const auto answers = ReadToEnd(socket_);
+  EXPECT_EQ(handler_.requests_, 2);
+  EXPECT_NE(answers.find("200 OK", answers.find("200 OK") + 1), std::string::npos) << answers;
+}
+
+TEST_F(ClientThatSendsAhead, SendsWhatIsNoRequestBehindOne_IsAnsweredInItsTurn)
+{
+  SendAhead("GET", "/never");
+  boost::asio::write(socket_, boost::asio::buffer(std::string("NONSENSE\r\n\r\n")));
+  Run();
+  EXPECT_EQ(Received(), "");
+  handler_.Release(0, "first");
+  const auto answers = ReadToEnd(socket_);
+  EXPECT_LT(answers.find("first"), answers.find(" 400 "));
+  EXPECT_NE(answers.find(" 400 "), std::string::npos) << answers;
+}
+
 } // namespace
 
 } // namespace latchslip
