LibLimit: Hold groups' requests to limits that all instances share

Nobody needs to know how callers are dealt out. Without word of the keeper each instance lets an equal part through, and the keeper leaves that out of what it deals.

--- /dev/null
+++ b/Libraries/LibLimit/LimitKeeper.cpp
@@ -0,0 +1,137 @@
+#include "LibLimit/LimitKeeper.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace latchslip {
+
+namespace {
+
+// Requests count towards the rate at which they come for about this long, and what was let
+// through beyond a limit is made up for within it.
+constexpr double kSpanS = 1;
+// Between two tells of parts; three are within the time that a part holds.
+constexpr Duration kShortInterval = milliseconds(250);
+constexpr Duration kCountInterval = milliseconds(250);
+// An instance that is not heard for this long lets equal parts through.
+constexpr Duration kHeardBound = kPartBound;
+// For so long it may do so: longer than partitions last for which limits must hold. After
+// it the instance counts as gone.
+constexpr Duration kCutOffBound = seconds(15);
+
+} // namespace
+
+void
+LimitKeeper::SetGroups(Instant aNow, const std::vector<CallerGroup>& aGroups)
+{
+  std::map<std::string, Tally, std::less<>> tallies;
+  for (const auto& group : aGroups) {
+    if (!group.IsLimited()) {
+      continue;
+    }
+    const auto former = tallies_.find(group.name_);
+    auto& tally = tallies[group.name_];
+    if (former != tallies_.end()) {
+      tally = former->second;
+      if (group.rate_ < tally.group_.rate_ || group.burst_ < tally.group_.burst_) {
+        tally.former_ = TermsOf(aNow, tally);
+        tally.formerUntil_ = aNow + window_;
+      }
+    }
+    tally.group_ = group;
+  }
+  tallies_ = std::move(tallies);
+}
+
+const CallerGroup&
+LimitKeeper::TermsOf(Instant aNow, const Tally& aTally)
+{
+  return aNow < aTally.formerUntil_ ? aTally.former_ : aTally.group_;
+}
+
+void
+LimitKeeper::Advance(Instant aNow, Tally& aTally)
+{
+  if (aTally.at_ != Instant::min()) {
+    const auto passed = ToSeconds(aNow - aTally.at_);
+    const auto& terms = TermsOf(aNow, aTally);
+    const auto most = std::max(1.0, terms.burst_);
+    aTally.level_ = std::min(most, aTally.level_ + passed * terms.rate_);
+    aTally.asked_ *= std::exp(-passed / kSpanS);
+  }
+  aTally.at_ = aNow;
+}
+
+void
+LimitKeeper::OnUses(Instant aNow, const GroupUses& aUses)
+{
+  for (const auto& use : aUses) {
+    const auto tally = tallies_.find(use.group_);
+    if (tally == tallies_.end()) {
+      continue;
+    }
+    Advance(aNow, tally->second);
+    tally->second.level_ -= use.passed_;
+    tally->second.asked_ += use.asked_;
+  }
+}
+
+double
+LimitKeeper::PartOf(Instant aNow, Tally& aTally)
+{
+  Advance(aNow, aTally);
+  const auto asked = aTally.asked_ / kSpanS;
+  const auto allowed = TermsOf(aNow, aTally).rate_ * heardPart_ + aTally.level_ / kSpanS;
+  if (asked <= allowed) {
+    return 1;
+  }
+  return std::max(0.0, allowed / asked);
+}
+
+GroupParts
+LimitKeeper::PartsOf(Instant aNow, const GroupUses& aUses)
+{
+  CountHeard(aNow);
+  GroupParts parts;
+  for (const auto& use : aUses) {
+    if (const auto tally = tallies_.find(use.group_); tally != tallies_.end()) {
+      parts.push_back({ use.group_, PartOf(aNow, tally->second) });
+    }
+  }
+  return parts;
+}
+
+GroupParts
+LimitKeeper::TakeShort(Instant aNow)
+{
+  GroupParts parts;
+  if (aNow < nextShort_) {
+    return parts;
+  }
+  nextShort_ = aNow + kShortInterval;
+  CountHeard(aNow);
+  for (auto& [name, tally] : tallies_) {
+    const auto part = PartOf(aNow, tally);
+    if (part < 1 || tally.isShort_) {
+      parts.push_back({ name, part });
+    }
+    tally.isShort_ = part < 1;
+  }
+  return parts;
+}
+
+void
+LimitKeeper::CountHeard(Instant aNow)
+{
+  if (aNow < nextCount_) {
+    return;
+  }
+  nextCount_ = aNow + kCountInterval;
+  std::erase_if(heard_, [&](const auto& aEntry) { return aNow - aEntry.second >= kCutOffBound; });
+  const auto now = std::count_if(heard_.begin(), heard_.end(), [&](const auto& aEntry) {
+    return aNow - aEntry.second < kHeardBound;
+  });
+  heardPart_ = heard_.empty() ? 1 : static_cast<double>(now) / static_cast<double>(heard_.size());
+}
+
+} // namespace latchslip
--- /dev/null
+++ b/Libraries/LibLimit/LimitMember.cpp
@@ -0,0 +1,114 @@
+#include "LibLimit/LimitMember.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace latchslip {
+
+namespace {
+
+// Between two tells: a group that asks for five times its limit has had what the limit
+// allows in a second after a fifth of one.
+constexpr Duration kTellInterval = milliseconds(200);
+// The same for each instance there is, so that the keeper hears some two thousand tells a
+// second of any fleet.
+constexpr Duration kTellIntervalAnInstance = microseconds(500);
+// Instances assumed while their count is not known.
+constexpr std::size_t kUnknownInstances = 100;
+// What a part may save up, so that a pause of a group's callers is no store of requests.
+constexpr double kMostCredit = 2;
+
+} // namespace
+
+bool
+LimitMember::IsKeeperHeard(Instant aNow) const
+{
+  return keeperHeardAt_ != Instant::min() && aNow - keeperHeardAt_ < kPartBound;
+}
+
+bool
+LimitMember::TryPass(Instant aNow, const CallerGroup& aGroup)
+{
+  if (!aGroup.IsLimited()) {
+    return true;
+  }
+  auto& meter = meters_[aGroup.name_];
+  ++meter.use_.asked_;
+  hasUses_ = true;
+  bool passes = false;
+  if (aNow < meter.partUntil_ && meter.part_ < 1) {
+    passes = TryTakePart(meter);
+  } else if (IsKeeperHeard(aNow)) {
+    // No instance alone lets through more than all may.
+    passes = TryTakeToken(aNow, meter, aGroup.rate_, aGroup.burst_);
+  } else {
+    const auto share = 1.0 / static_cast<double>(instances_ == 0 ? kUnknownInstances : instances_);
+    passes = TryTakeToken(aNow, meter, aGroup.rate_ * share, aGroup.burst_ * share);
+  }
+  meter.use_.passed_ += passes ? 1 : 0;
+  return passes;
+}
+
+bool
+LimitMember::TryTakePart(Meter& aMeter)
+{
+  aMeter.credit_ = std::min(kMostCredit, aMeter.credit_ + aMeter.part_);
+  if (aMeter.credit_ < 1) {
+    return false;
+  }
+  aMeter.credit_ -= 1;
+  return true;
+}
+
+bool
+LimitMember::TryTakeToken(Instant aNow, Meter& aMeter, double aRate, double aBurst)
+{
+  const auto most = std::max(1.0, aBurst);
+  const auto isFirst = aMeter.filledAt_ == Instant::min();
+  const auto gained = isFirst ? most : ToSeconds(aNow - aMeter.filledAt_) * aRate;
+  aMeter.tokens_ = std::min(most, aMeter.tokens_ + gained);
+  aMeter.filledAt_ = aNow;
+  if (aMeter.tokens_ < 1) {
+    return false;
+  }
+  aMeter.tokens_ -= 1;
+  return true;
+}
+
+bool
+LimitMember::IsTellDue(Instant aNow) const
+{
+  if (!hasUses_) {
+    return false;
+  }
+  const auto interval =
+    std::max(kTellInterval, kTellIntervalAnInstance * static_cast<Duration::rep>(instances_));
+  return toldAt_ == Instant::min() || aNow - toldAt_ >= interval;
+}
+
+GroupUses
+LimitMember::TakeUses(Instant aNow)
+{
+  toldAt_ = aNow;
+  hasUses_ = false;
+  GroupUses uses;
+  for (auto& [name, meter] : meters_) {
+    if (meter.use_.asked_ > 0) {
+      meter.use_.group_ = name;
+      uses.push_back(std::exchange(meter.use_, {}));
+    }
+  }
+  return uses;
+}
+
+void
+LimitMember::OnParts(Instant aNow, const GroupParts& aParts)
+{
+  for (const auto& part : aParts) {
+    auto& meter = meters_[part.group_];
+    meter.part_ = part.part_;
+    meter.partUntil_ = aNow + kPartBound;
+  }
+}
+
+} // namespace latchslip
--- /dev/null
+++ b/Tests/LibLimit/TestGroupLimits.cpp
@@ -0,0 +1,380 @@
+#include "LibLimit/LimitKeeper.h"
+#include "LibLimit/LimitMember.h"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <gtest/gtest.h>
+#include <numeric>
+#include <random>
+
+namespace latchslip {
+
+namespace {
+
+// What came of one group in a run of the model.
+struct GroupRecord
+{
+  CallerGroup group_;
+  // Requests a second that its callers send.
+  double usual_ = 0;
+  // By tenths of a second.
+  std::vector<int> asked_;
+  std::vector<int> passed_;
+};
+
+// A fleet whose balancer deals callers out unevenly, as a hash of them does: some instances
+// get several times as much as others, and each group another part of each. Groups ask for
+// five eighths of their limits, but for one that asks for more than it may have.
+class LimitsOfAFleet : public testing::Test
+{
+protected:
+  static constexpr Duration kTick = milliseconds(10);
+  static constexpr Duration kWay = milliseconds(5);
+  static constexpr int kBinsASecond = 10;
+  static constexpr double kOver = 0.1;
+  static constexpr double kSlack = 20;
+  static constexpr int kWindowS = 5;
+
+  void Build(std::size_t aInstances, double aRequests, unsigned aSeed = 1)
+  {
+    random_.seed(aSeed);
+    members_ = std::vector<LimitMember>(aInstances);
+    cutOff_.assign(aInstances, false);
+    for (auto& member : members_) {
+      member.SetInstances(aInstances);
+    }
+    constexpr std::size_t kGroups = 40;
+    double whole = 0;
+    for (std::size_t index = 0; index < kGroups; ++index) {
+      whole += 1.0 / static_cast<double>(index + 1);
+    }
+    for (std::size_t index = 0; index < kGroups; ++index) {
+      GroupRecord record;
+      record.usual_ = aRequests / static_cast<double>(index + 1) / whole;
+      record.group_ = {
+        "g" + std::to_string(index), {}, 0, 1.6 * record.usual_, 1.6 * record.usual_
+      };
+      records_.push_back(std::move(record));
+      std::lognormal_distribution<double> draw(0, 0.8);
+      std::vector<double> shares;
+      for (std::size_t instance = 0; instance < aInstances; ++instance) {
+        shares.push_back(draw(random_));
+      }
+      shares_.emplace_back(shares.begin(), shares.end());
+    }
+    StartKeeper();
+  }
+
+  void StartKeeper()
+  {
+    keeper_ = LimitKeeper(seconds(kWindowS));
+    std::vector<CallerGroup> groups;
+    for (const auto& record : records_) {
+      groups.push_back(record.group_);
+    }
+    keeper_.SetGroups(now_, groups);
+    isKeeperUp_ = true;
+  }
+
+  // The group with that place asks for aTimes as much as usual meanwhile.
+  void Run(Duration aTime, std::size_t aHot = 0, double aTimes = 1)
+  {
+    const auto end = now_ + aTime;
+    while (now_ < end) {
+      now_ += kTick;
+      Deliver();
+      for (std::size_t index = 0; index < records_.size(); ++index) {
+        const auto rate = records_[index].usual_ * (index == aHot ? aTimes : 1);
+        std::poisson_distribution<int> draw(rate * ToSeconds(kTick));
+        Ask(index, draw(random_));
+      }
+      Talk();
+    }
+  }
+
+  void Ask(std::size_t aGroup, int aCount)
+  {
+    auto& record = records_[aGroup];
+    const auto bin = static_cast<std::size_t>((now_ - kStart) / milliseconds(100));
+    record.asked_.resize(bin + 1);
+    record.passed_.resize(bin + 1);
+    for (int count = 0; count < aCount; ++count) {
+      auto& member = members_[shares_[aGroup](random_)];
+      ++record.asked_[bin];
+      record.passed_[bin] += member.TryPass(now_, record.group_) ? 1 : 0;
+    }
+  }
+
+  void Talk()
+  {
+    for (std::size_t index = 0; index < members_.size(); ++index) {
+      if (members_[index].IsTellDue(now_) && !cutOff_[index]) {
+        ++messages_;
+        uses_.push_back({ now_ + kWay, index, members_[index].TakeUses(now_) });
+      }
+    }
+    if (!isKeeperUp_) {
+      return;
+    }
+    if (now_ >= nextReports_) {
+      nextReports_ = now_ + milliseconds(800);
+      for (std::size_t index = 0; index < members_.size(); ++index) {
+        if (!cutOff_[index]) {
+          keeper_.OnHeard(now_, std::to_string(index));
+          members_[index].OnKeeperHeard(now_);
+        }
+      }
+    }
+    const auto parts = keeper_.TakeShort(now_);
+    for (std::size_t index = 0; index < members_.size() && !parts.empty(); ++index) {
+      // As the news tree: not to each of them at once.
+      parts_.push_back({ now_ + kWay * 4, index, parts });
+      ++messages_;
+    }
+  }
+
+  void Deliver()
+  {
+    while (!uses_.empty() && uses_.front().at_ <= now_) {
+      const auto message = std::move(uses_.front());
+      uses_.pop_front();
+      if (isKeeperUp_) {
+        keeper_.OnUses(now_, message.uses_);
+        parts_.push_back({ now_ + kWay, message.instance_, keeper_.PartsOf(now_, message.uses_) });
+      }
+    }
+    for (std::size_t index = 0; index < parts_.size();) {
+      if (parts_[index].at_ > now_) {
+        ++index;
+        continue;
+      }
+      const auto message = std::move(parts_[index]);
+      parts_.erase(parts_.begin() + static_cast<std::ptrdiff_t>(index));
+      if (!cutOff_[message.instance_]) {
+        members_[message.instance_].OnKeeperHeard(now_);
+        members_[message.instance_].OnParts(now_, message.parts_);
+      }
+    }
+  }
+
+  // What was let through in the worst window, as a part of what the limit allows there.
+  double WorstWindow(std::size_t aGroup) const
+  {
+    const auto& record = records_[aGroup];
+    const auto most =
+      (record.group_.rate_ * kWindowS + record.group_.burst_) * (1 + kOver) + kSlack;
+    double worst = 0;
+    const int bins = kWindowS * kBinsASecond;
+    for (int first = 0; first + bins <= static_cast<int>(record.passed_.size()); ++first) {
+      const auto begin = record.passed_.begin() + first;
+      worst = std::max(worst, std::accumulate(begin, begin + bins, 0.0) / most);
+    }
+    return worst;
+  }
+
+  double WorstWindow() const
+  {
+    double worst = 0;
+    for (std::size_t index = 0; index < records_.size(); ++index) {
+      worst = std::max(worst, WorstWindow(index));
+    }
+    return worst;
+  }
+
+  // The requests that the limit allows and that were refused, as a part of all that came.
+  double RefusedBelow(std::size_t aGroup) const
+  {
+    const auto& record = records_[aGroup];
+    double level = std::max(1.0, record.group_.burst_);
+    double owed = 0;
+    for (const auto asked : record.asked_) {
+      level =
+        std::min(std::max(1.0, record.group_.burst_), level + record.group_.rate_ / kBinsASecond);
+      const auto taken = std::min(level, static_cast<double>(asked));
+      level -= taken;
+      owed += taken;
+    }
+    const auto passed = std::accumulate(record.passed_.begin(), record.passed_.end(), 0.0);
+    const auto asked = std::accumulate(record.asked_.begin(), record.asked_.end(), 0.0);
+    return asked == 0 ? 0 : std::max(0.0, owed - passed) / asked;
+  }
+
+  // The same of all groups together, but for one.
+  double RefusedBelowBut(std::size_t aHot) const
+  {
+    double refused = 0;
+    double asked = 0;
+    for (std::size_t index = 0; index < records_.size(); ++index) {
+      if (index != aHot) {
+        const auto& all = records_[index].asked_;
+        const auto count = std::accumulate(all.begin(), all.end(), 0.0);
+        refused += RefusedBelow(index) * count;
+        asked += count;
+      }
+    }
+    return refused / asked;
+  }
+
+  struct UseMessage
+  {
+    Instant at_;
+    std::size_t instance_;
+    GroupUses uses_;
+  };
+  struct PartMessage
+  {
+    Instant at_;
+    std::size_t instance_;
+    GroupParts parts_;
+  };
+
+  static constexpr Instant kStart = seconds(100);
+  Instant now_ = kStart;
+  std::minstd_rand random_;
+  std::vector<LimitMember> members_;
+  std::vector<bool> cutOff_;
+  std::vector<GroupRecord> records_;
+  std::vector<std::discrete_distribution<std::size_t>> shares_;
+  LimitKeeper keeper_{ seconds(kWindowS) };
+  bool isKeeperUp_ = false;
+  Instant nextReports_ = kStart;
+  std::deque<UseMessage> uses_;
+  std::deque<PartMessage> parts_;
+  std::size_t messages_ = 0;
+};
+
+// Below 0.2 of a hundred, whatever the size of the fleet.
+constexpr double kMostRefusedBelow = 0.002;
+
+TEST_F(LimitsOfAFleet, GroupsAskForLessThanTheyMay_HardlyAnyIsRefused)
+{
+  for (const std::size_t instances : { 8, 69, 300, 985 }) {
+    records_.clear();
+    shares_.clear();
+    Build(instances, 2000);
+    Run(seconds(12));
+    EXPECT_LT(RefusedBelowBut(records_.size()), kMostRefusedBelow) << instances;
+    RecordProperty("messages_a_second_" + std::to_string(instances),
+                   std::to_string(messages_ / 12));
+    messages_ = 0;
+    now_ = kStart;
+    nextReports_ = kStart;
+    uses_.clear();
+    parts_.clear();
+  }
+}
+
+TEST_F(LimitsOfAFleet, OneGroupAsksForEightTimesAsMuch_IsHeldToItsLimitAndNoOtherIsRefused)
+{
+  for (const std::size_t hot : { 0U, 3U, 20U }) {
+    for (const std::size_t instances : { 8, 69, 300, 985 }) {
+      records_.clear();
+      shares_.clear();
+      now_ = kStart;
+      nextReports_ = kStart;
+      uses_.clear();
+      parts_.clear();
+      Build(instances, 2000);
+      Run(seconds(4));
+      Run(seconds(10), hot, 8);
+      Run(seconds(6));
+      EXPECT_LE(WorstWindow(hot), 1) << hot << " of " << instances;
+      EXPECT_LT(RefusedBelowBut(hot), kMostRefusedBelow) << hot << " of " << instances;
+      EXPECT_LT(RefusedBelow(hot), 0.03) << hot << " of " << instances;
+    }
+  }
+}
+
+TEST_F(LimitsOfAFleet, QuarterOfTheInstancesIsCutOff_LimitHoldsForAllTogether)
+{
+  Build(69, 2000);
+  Run(seconds(4), 0, 4);
+  for (std::size_t index = 0; index < members_.size() / 4; ++index) {
+    cutOff_[index] = true;
+  }
+  Run(seconds(12), 0, 4);
+  EXPECT_LE(WorstWindow(), 1);
+}
+
+TEST_F(LimitsOfAFleet, KeeperIsLostAndAnotherStarts_LimitHolds)
+{
+  Build(69, 2000);
+  Run(seconds(4), 0, 5);
+  isKeeperUp_ = false;
+  Run(seconds(2), 0, 5);
+  StartKeeper();
+  Run(seconds(8), 0, 5);
+  EXPECT_LE(WorstWindow(), 1);
+}
+
+TEST_F(LimitsOfAFleet, AllStartAtOnceUnderLoad_LimitHolds)
+{
+  Build(69, 2000);
+  Run(seconds(10), 0, 5);
+  EXPECT_LE(WorstWindow(), 1);
+}
+
+class LimitKeeperOfOneGroup : public testing::Test
+{
+protected:
+  static CallerGroup Group(double aRate) { return { "g", {}, 0, aRate, aRate }; }
+
+  // As one instance that lets all through.
+  double PartAfter(Duration aTime, double aRate)
+  {
+    const auto end = now_ + aTime;
+    while (now_ < end) {
+      now_ += milliseconds(100);
+      const auto count = static_cast<std::uint32_t>(aRate / 10);
+      keeper_.OnUses(now_, { { "g", count, count } });
+    }
+    return keeper_.PartsOf(now_, { { "g", 0, 0 } }).front().part_;
+  }
+
+  Instant now_ = seconds(100);
+  LimitKeeper keeper_{ seconds(5) };
+};
+
+TEST_F(LimitKeeperOfOneGroup, LimitIsLowered_TakesHoldAWindowLater)
+{
+  keeper_.SetGroups(now_, { Group(100) });
+  EXPECT_EQ(PartAfter(seconds(2), 80), 1);
+  keeper_.SetGroups(now_, { Group(40) });
+  EXPECT_EQ(PartAfter(seconds(4), 80), 1);
+  EXPECT_LT(PartAfter(seconds(3), 80), 1);
+}
+
+TEST_F(LimitKeeperOfOneGroup, LimitIsRaised_TakesHoldAtOnce)
+{
+  keeper_.SetGroups(now_, { Group(40) });
+  EXPECT_LT(PartAfter(seconds(4), 80), 1);
+  keeper_.SetGroups(now_, { Group(400) });
+  EXPECT_EQ(PartAfter(seconds(1), 80), 1);
+}
+
+TEST_F(LimitKeeperOfOneGroup, GroupIsUnknown_NoPartIsNamed)
+{
+  EXPECT_TRUE(keeper_.PartsOf(now_, { { "other", 1, 1 } }).empty());
+  EXPECT_TRUE(keeper_.TakeShort(now_).empty());
+}
+
+TEST(GroupUse, WrittenAndRead_IsTheSame)
+{
+  const UseReport report{ "10.0.0.1:9", { { "g\"1", 3, 2 }, { "g2", 1, 0 } } };
+  EXPECT_EQ(ParseUseReport(SerializeUseReport(report)).value(), report);
+  const GroupParts parts{ { "g1", 0.25 }, { "g2", 1 } };
+  EXPECT_EQ(ParseParts(SerializeParts(parts)).value(), parts);
+}
+
+TEST(GroupUse, Malformed_IsRefused)
+{
+  EXPECT_FALSE(ParseUseReport("{"));
+  EXPECT_FALSE(ParseUseReport(R"({"address":"a","uses":[{"group":"g","asked":-1}]})"));
+  EXPECT_FALSE(ParseParts(R"({"parts":[{"group":"g","part":2}]})"));
+  EXPECT_FALSE(ParseParts(R"({"parts":[7]})"));
+}
+
+} // namespace
+
+} // namespace latchslip
