LibGateway, platform: Know callers by the API keys of their groups

A request on a route that is not public now shows a key of a group of the configuration; whoever shows none that is known is refused at once and alike, whether or not there is such a route. A server is told the group's name and never the key.

A group's priority goes before its route's. What waits under a key that is taken away is refused at once.

--- a/Libraries/LibGateway/Messages.h
+++ b/Libraries/LibGateway/Messages.h
@@ -24,6 +24,8 @@
   std::string path_;
   // Given when the client names a key.
   std::optional<KeyNumber> key_;
+  // The API key that the client shows; empty when it shows none.
+  std::string apiKey_;
   // How long the client will wait from now on, if it says so.
   std::optional<Duration> timeLeft_;
 };
@@ -38,6 +40,10 @@
   std::string address_;
   // What the server may take, the way back left out.
   Duration timeLeft_{ 0 };
+  // The group of the caller; empty when it showed no API key that is known.
+  std::string group_{};
+  // Whether callers show API keys, which no server must see.
+  bool hidesApiKey_ = false;
 };
 
 // How one send ended.
@@ -86,6 +92,12 @@
 enum class RefusalReason
 {
   NoConfiguration,
+  // The client shows no API key that is known, on a route that is not public.
+  UnknownApiKey,
+  // It has not been proven lately that no API key was taken away.
+  ApiKeysUnproven,
+  // The group has had what its limit allows.
+  OverLimit,
   NoRoute,
   NoServer,
   NoOwner,
@@ -94,13 +106,16 @@
   OutcomeUnknown,
 };
 
-inline constexpr NameTable<RefusalReason, 7> kRefusalReasonNames{ { "no-configuration",
-                                                                    "no-route",
-                                                                    "no-server",
-                                                                    "no-owner",
-                                                                    "no-capacity",
-                                                                    "out-of-time",
-                                                                    "outcome-unknown" } };
+inline constexpr NameTable<RefusalReason, 10> kRefusalReasonNames{ { "no-configuration",
+                                                                     "unknown-api-key",
+                                                                     "api-keys-unproven",
+                                                                     "over-limit",
+                                                                     "no-route",
+                                                                     "no-server",
+                                                                     "no-owner",
+                                                                     "no-capacity",
+                                                                     "out-of-time",
+                                                                     "outcome-unknown" } };
 
 struct Refusal
 {
--- a/Libraries/LibGateway/PendingRequest.h
+++ b/Libraries/LibGateway/PendingRequest.h
@@ -3,6 +3,7 @@
 #include "LibGateway/Messages.h"
 #include "LibGateway/RoutingTable.h"
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <string>
@@ -18,6 +19,8 @@
   std::shared_ptr<const RouteTable> routes_;
   const Route* route_ = nullptr;
   const RoutedService* service_ = nullptr;
+  // Lies in routes_ too; null when the caller showed no API key that is known.
+  const CallerGroup* group_ = nullptr;
   Instant arrival_{ 0 };
   // When it was last sent.
   Instant sentAt_{ 0 };
@@ -45,6 +48,8 @@
   unsigned runs_ = 0;
   // The servers whose sends ended without an answer for the client.
   std::vector<std::string> tried_;
+  // Its API key was taken away.
+  bool isRevoked_ = false;
   // The client has left.
   bool isGone_ = false;
   // It cannot be answered in time any more, so that others go first.
@@ -53,6 +58,17 @@
   std::string owner_;
   // Why it could not be sent when this was last tried.
   RefusalReason obstacle_ = RefusalReason::NoCapacity;
+
+  // Its rank among those that wait, 0 for the most urgent: the priority of its group goes
+  // before that of its route.
+  unsigned Rank() const
+  {
+    // Priorities beyond the last of these are taken for it.
+    constexpr unsigned kPriorities = 1000;
+    const auto ofRoute = std::min(route_->priority_, kPriorities - 1);
+    const auto ofGroup = group_ == nullptr ? 0 : std::min(group_->priority_, kPriorities - 1);
+    return ofGroup * kPriorities + ofRoute;
+  }
 };
 
 } // namespace latchslip
--- a/Libraries/LibGateway/PermitAsks.cpp
+++ b/Libraries/LibGateway/PermitAsks.cpp
@@ -43,7 +43,7 @@
                  aPending.owner_,
                  settings_.hall_,
                  aPending.tried_,
-                 aPending.route_->priority_,
+                 aPending.Rank(),
                  aPending.inTimeUntil_ - aNow,
                  aPending.deadline_ - aNow });
   return true;
@@ -79,6 +79,9 @@
   if (record == nullptr || !record->TakesWork() || record->service_ != aPending.service_->name_) {
     return std::nullopt;
   }
+  if (!IsApiKeyProven(aNow, aPending)) {
+    return std::nullopt;
+  }
   if (aPending.service_->isKeyed_) {
     ServerCandidate owner{};
     if (ChooseOwner(aNow, aPending, owner) == Choice::NoOwner || aPending.owner_ != aServer) {
--- a/Libraries/LibGateway/RequestDesk.cpp
+++ b/Libraries/LibGateway/RequestDesk.cpp
@@ -16,6 +16,9 @@
 // A request that cannot be in time any more waits no longer than its client would to
 // come back.
 constexpr Duration kLateWait = kLeastRetryAfter;
+// When a caller of a group that is over its limit, or whose key could not be proven, is to
+// come back: both end within about a second, or last.
+constexpr Duration kBarredPause = seconds(1);
 // Clients come back within a third of the time they have left (the platform's
 // pages); later ones would not come back at all.
 constexpr double kRetryAfterOfTimeLeft = 0.3;
@@ -81,9 +84,7 @@
 QueuePlace<RequestNumber>
 PlaceOf(const PendingRequest& aPending)
 {
-  return {
-    aPending.route_->priority_, aPending.isLate_, aPending.deadline_, aPending.request_.number_
-  };
+  return { aPending.Rank(), aPending.isLate_, aPending.deadline_, aPending.request_.number_ };
 }
 
 bool
@@ -129,10 +130,7 @@
 void
 RequestDesk::Admit(Instant aNow, PendingRequest& aPending)
 {
-  aPending.routes_ = routes_;
-  aPending.route_ = routes_->Match(aPending.request_.host_, aPending.request_.path_);
-  if (aPending.route_ == nullptr) {
-    Refuse(aNow, aPending, RefusalReason::NoRoute);
+  if (!TryIdentify(aNow, aPending)) {
     return;
   }
   const auto& route = *aPending.route_;
@@ -152,6 +150,67 @@
   }
 }
 
+bool
+RequestDesk::TryIdentify(Instant aNow, PendingRequest& aPending)
+{
+  aPending.routes_ = routes_;
+  const auto& request = aPending.request_;
+  const auto* route = routes_->Match(request.host_, request.path_);
+  aPending.group_ = request.apiKey_.empty() ? nullptr : routes_->FindGroup(request.apiKey_);
+  auto bar = BarOf(aNow, route, aPending.group_);
+  if (!bar && aPending.group_ != nullptr && !gate_->TryPass(aNow, *aPending.group_)) {
+    bar = RefusalReason::OverLimit;
+  }
+  aPending.route_ = route;
+  if (bar) {
+    Refuse(aNow, aPending, *bar);
+  }
+  return !bar;
+}
+
+// What a caller without a known key is told does not depend on whether there is such a
+// route.
+std::optional<RefusalReason>
+RequestDesk::BarOf(Instant aNow, const Route* aRoute, const CallerGroup* aGroup) const
+{
+  const bool needsKey = routes_->HasGroups() && (aRoute == nullptr || !aRoute->isPublic_);
+  if (needsKey && aNow >= apiKeysUntil_) {
+    return RefusalReason::ApiKeysUnproven;
+  }
+  if (needsKey && aGroup == nullptr) {
+    return RefusalReason::UnknownApiKey;
+  }
+  return aRoute == nullptr ? std::optional(RefusalReason::NoRoute) : std::nullopt;
+}
+
+bool
+RequestDesk::IsApiKeyProven(Instant aNow, const PendingRequest& aPending) const
+{
+  const bool needsKey = aPending.routes_->HasGroups() && !aPending.route_->isPublic_;
+  return !needsKey || (!aPending.isRevoked_ && aNow < apiKeysUntil_);
+}
+
+void
+RequestDesk::RefuseRevoked(Instant aNow)
+{
+  std::vector<RequestNumber> revoked;
+  for (auto& [number, pending] : pending_) {
+    const bool isKeyed = pending.group_ != nullptr && !pending.route_->isPublic_;
+    if (!isKeyed || routes_->FindGroup(pending.request_.apiKey_) != nullptr) {
+      continue;
+    }
+    pending.isRevoked_ = true;
+    if (pending.attempt_ == 0) {
+      revoked.push_back(number);
+    }
+  }
+  for (const auto number : revoked) {
+    auto& pending = pending_.at(number);
+    pending.obstacle_ = RefusalReason::UnknownApiKey;
+    RefuseWaiting(aNow, pending);
+  }
+}
+
 void
 RequestDesk::OnAttemptEnded(Instant aNow, AttemptNumber aAttempt, const AttemptOutcome& aOutcome)
 {
@@ -231,7 +290,8 @@
 RequestDesk::TryTakeRetry(Instant aNow, PendingRequest& aPending, const AttemptOutcome& aOutcome)
 {
   const auto& route = *aPending.route_;
-  const bool isAllowed = route.isRepeatable_ || !MayHaveRun(aOutcome.end_);
+  const bool isAllowed =
+    (route.isRepeatable_ || !MayHaveRun(aOutcome.end_)) && IsApiKeyProven(aNow, aPending);
   const bool hasAttempts =
     aPending.runs_ < route.mostAttempts_ && aPending.sends_ < route.mostAttempts_ + kSpareSends;
   if (!isAllowed || !hasAttempts || aNow + kLeastSendTime >= aPending.deadline_) {
@@ -338,6 +398,7 @@
     Event::GatewayRefusal,
     "request=" + aPending.request_.id_ +
       " reason=" + std::string(kRefusalReasonNames.NameOf(aReason)) +
+      " group=" + (aPending.group_ == nullptr ? "-" : aPending.group_->name_) +
       " service=" + (aPending.service_ == nullptr ? "-" : aPending.service_->name_) +
       " server=" + (aPending.server_.empty() ? "-" : aPending.server_) +
       " owner=" + (aPending.owner_.empty() ? "-" : aPending.owner_) +
@@ -353,9 +414,14 @@
 Duration
 RequestDesk::RetryAfterOf(Instant aNow, const PendingRequest& aPending)
 {
-  if (aPending.service_ == nullptr) {
+  std::uniform_real_distribution<double> draw(kLeastSpread, kMostSpread);
+  if (!aPending.routes_) {
     return Scale(kUnknownTarget, kRetryAfterOfTimeLeft);
   }
+  if (aPending.service_ == nullptr) {
+    const auto left = aPending.request_.timeLeft_.value_or(kUnknownTarget);
+    return std::min(Scale(left, kRetryAfterOfTimeLeft), Scale(kBarredPause, draw(random_)));
+  }
   // The client may come back after the time limit of one try.
   const auto given = aPending.request_.timeLeft_.value_or(aPending.route_->timeLimit_);
   const auto left = std::max(Duration(0), Duration(aPending.arrival_ + given - aNow));
@@ -366,7 +432,6 @@
   }
   auto& spell = spells_[aPending.owner_.empty() ? aPending.service_->name_ : aPending.owner_];
   const auto lasting = spell.OnRefusal(aNow);
-  std::uniform_real_distribution<double> draw(kLeastSpread, kMostSpread);
   return std::min(most, std::max(kLeastRetryAfter, Scale(std::max(*wait, lasting), draw(random_))));
 }
 
@@ -386,6 +451,10 @@
   if (aNow < aPending.notBefore_) {
     return false;
   }
+  if (!IsApiKeyProven(aNow, aPending)) {
+    aPending.obstacle_ = RefusalReason::ApiKeysUnproven;
+    return false;
+  }
   return TryAsk(aNow, aPending) || TrySendAlone(aNow, aPending);
 }
 
@@ -452,7 +521,13 @@
   attempts_[aAttempt] = number;
   aServer.load_->OnSent(aNow, aAttempt, aPending.route_->latencyTarget_);
   SetTimer(aPending, aPending.deadline_ + kAnswerGrace);
-  actions_.Send({ aAttempt, number, aServer.record_->id_, aServer.record_->address_, aTimeLeft });
+  actions_.Send({ aAttempt,
+                  number,
+                  aServer.record_->id_,
+                  aServer.record_->address_,
+                  aTimeLeft,
+                  aPending.group_ == nullptr ? std::string() : aPending.group_->name_,
+                  aPending.routes_->HasGroups() });
 }
 
 void
@@ -547,7 +622,7 @@
   std::size_t ahead = 0;
   for (const auto& place : StateOf(aPending.service_->name_).queue_) {
     const auto& other = pending_.at(place.key_);
-    if (place.priority_ > aPending.route_->priority_) {
+    if (place.priority_ > aPending.Rank()) {
       break;
     }
     ahead += &other != &aPending && other.owner_ == aPending.owner_ ? 1 : 0;
--- a/Libraries/LibGateway/RequestDesk.h
+++ b/Libraries/LibGateway/RequestDesk.h
@@ -2,6 +2,7 @@
 
 #include "LibBase/Event.h"
 #include "LibGateway/CallerPatience.h"
+#include "LibGateway/GroupGate.h"
 #include "LibGateway/Messages.h"
 #include "LibGateway/MoveTimes.h"
 #include "LibGateway/PendingRequest.h"
@@ -64,6 +65,10 @@
   // To be called after each change of the directory.
   void OnDirectoryChanged(Instant aNow);
   void SetRetryTerms(const RetryBudgetTerms& aTerms);
+  // Until when API keys may be honoured by the present routes; without a call, for ever.
+  void SetApiKeysProvenUntil(Instant aUntil) { apiKeysUntil_ = aUntil; }
+  // Without a call, groups have no limits. The gate must outlive the desk.
+  void SetGroupGate(GroupGate& aGate) { gate_ = &aGate; }
   // Whether changes of owners are no longer heard of.
   void SetNewsStale(bool aIsStale) { isNewsStale_ = aIsStale; }
   // How many instances share the servers.
@@ -89,6 +94,17 @@
   };
 
   static RefusalReason ObstacleOf(Choice aChoice);
+  // Finds the route and the group of a request, and whether its caller may have it served;
+  // otherwise refuses it.
+  bool TryIdentify(Instant aNow, PendingRequest& aPending);
+  // Why that caller may not use that route, which may be null for none; no value when it may.
+  std::optional<RefusalReason> BarOf(Instant aNow,
+                                     const Route* aRoute,
+                                     const CallerGroup* aGroup) const;
+  // Whether the API key of the request, if it needs one, may be honoured now.
+  bool IsApiKeyProven(Instant aNow, const PendingRequest& aPending) const;
+  // Refuses what waits under API keys that the present routes do not know.
+  void RefuseRevoked(Instant aNow);
   // Finds what a request is to be sent to, and sends it or lets it wait.
   void Admit(Instant aNow, PendingRequest& aPending);
   // Admits what came before any configuration.
@@ -185,6 +201,9 @@
   RequestActions& actions_;
   PermitSource& permits_;
   EventSink& events_;
+  OpenGate openGate_;
+  GroupGate* gate_ = &openGate_;
+  Instant apiKeysUntil_ = Instant::max();
   std::shared_ptr<const RouteTable> routes_;
   // When the first configuration came.
   Instant firstRoutesAt_{ 0 };
--- a/Libraries/LibGateway/RoutingTable.cpp
+++ b/Libraries/LibGateway/RoutingTable.cpp
@@ -41,6 +41,11 @@
     }
     table.routesByHost_[NormalizeHost(route.host_)].push_back(index);
   }
+  BOOST_OUTCOME_TRY(table.apiKeys_, ApiKeyIndex::Create(configuration.groups_));
+  for (auto& group : table.configuration_.groups_) {
+    // What the index keeps is enough.
+    group.apiKeys_.clear();
+  }
   for (auto& [host, indices] : table.routesByHost_) {
     std::stable_sort(indices.begin(), indices.end(), [&](std::size_t aLeft, std::size_t aRight) {
       return configuration.routes_[aLeft].pathPrefix_.size() >
@@ -67,6 +72,13 @@
   return nullptr;
 }
 
+const CallerGroup*
+RouteTable::FindGroup(std::string_view aApiKey) const
+{
+  const auto group = apiKeys_.Find(aApiKey);
+  return group ? &configuration_.groups_[*group] : nullptr;
+}
+
 const RoutedService*
 RouteTable::FindService(std::string_view aName) const
 {
--- a/Libraries/LibGateway/RoutingTable.h
+++ b/Libraries/LibGateway/RoutingTable.h
@@ -2,6 +2,8 @@
 
 #include "LibBase/Result.h"
 #include "LibBase/Time.h"
+#include "LibGateway/ApiKeyIndex.h"
+#include "LibGateway/CallerGroup.h"
 
 #include <cstdint>
 #include <map>
@@ -36,6 +38,8 @@
   Duration latencyTarget_ = seconds(1);
   // How many servers one request may be sent to.
   unsigned mostAttempts_ = 1;
+  // Whether callers need no API key where there are groups.
+  bool isPublic_ = false;
   std::vector<RouteTarget> targets_;
 
   // What it is called in logs and metrics.
@@ -71,6 +75,8 @@
   ClientLimits limits_;
   std::vector<Route> routes_;
   std::vector<RoutedService> services_;
+  // Empty when callers need no API keys.
+  std::vector<CallerGroup> groups_;
 };
 
 // Finds the route of a request.
@@ -78,13 +84,18 @@
 {
 public:
   RouteTable() = default;
-  // Refuses routes without a target or with one that is no service.
+  // Refuses routes without a target or with one that is no service, and API keys that two
+  // groups share.
   static FieldResult<RouteTable> Create(RoutingConfiguration aConfiguration);
 
   // The route of that host whose prefix is the longest that begins the path;
   // null when there is none. A port after the host is left out of account.
   const Route* Match(std::string_view aHost, std::string_view aPath) const;
   const RoutedService* FindService(std::string_view aName) const;
+  // Whether callers show an API key, but for public routes.
+  bool HasGroups() const { return !configuration_.groups_.empty(); }
+  // The group to which that API key belongs; null for an unknown key.
+  const CallerGroup* FindGroup(std::string_view aApiKey) const;
   const RoutingConfiguration& Configuration() const { return configuration_; }
 
 private:
@@ -92,6 +103,7 @@
   // The indices of each host's routes, the longest prefix first.
   std::map<std::string, std::vector<std::size_t>, std::less<>> routesByHost_;
   std::map<std::string, std::size_t, std::less<>> services_;
+  ApiKeyIndex apiKeys_;
 };
 
 } // namespace latchslip
--- a/Libraries/LibGateway/ServerChoice.cpp
+++ b/Libraries/LibGateway/ServerChoice.cpp
@@ -85,6 +85,7 @@
     (slots * kFirstLimitPerSlot * kUnevenness + instances - 1) / instances, 1, most);
   auto& load = loads_.try_emplace(aRecord.id_, first, most).first->second;
   load.SetMostLimit(most);
+  load.SetLife(aRecord.life_);
   return load;
 }
 
@@ -154,6 +155,7 @@
     return routes_->FindService(aEntry.first) == nullptr && aEntry.second.queue_.empty();
   });
   ForgetFormerRoutes();
+  RefuseRevoked(aNow);
   OnDirectoryChanged(aNow);
   AdmitUnrouted(aNow);
 }
--- /dev/null
+++ b/Tests/LibGateway/TestCallerGroups.cpp
@@ -0,0 +1,266 @@
+#include "LibGateway/ApiKeyIndex.h"
+#include "LibGateway/RequestDesk.h"
+#include "RecordedActions.h"
+
+#include <gtest/gtest.h>
+
+namespace latchslip {
+
+namespace {
+
+TEST(ApiKeyIndex, KeysOfTwoGroups_EachFindsItsOwn)
+{
+  const auto index =
+    ApiKeyIndex::Create({ { "a", { "key1", "key2" } }, { "b", { "key3" } } }).value();
+  EXPECT_EQ(index.Find("key1"), 0U);
+  EXPECT_EQ(index.Find("key2"), 0U);
+  EXPECT_EQ(index.Find("key3"), 1U);
+  EXPECT_FALSE(index.Find("key"));
+  EXPECT_FALSE(index.Find(""));
+}
+
+TEST(ApiKeyIndex, GroupsShareAKey_IsRefusedWithoutNamingTheKey)
+{
+  const auto index = ApiKeyIndex::Create({ { "a", { "secret" } }, { "b", { "secret" } } });
+  ASSERT_FALSE(index);
+  EXPECT_NE(index.error().Describe().find("group b"), std::string::npos);
+  EXPECT_EQ(index.error().Describe().find("secret"), std::string::npos);
+}
+
+TEST(RouteTable, ConfigurationWithGroups_KeepsNoKeyInTheClear)
+{
+  RoutingConfiguration configuration;
+  configuration.groups_ = { { "a", { "key1" } } };
+  const auto table = RouteTable::Create(configuration).value();
+  EXPECT_TRUE(table.Configuration().groups_.front().apiKeys_.empty());
+  ASSERT_NE(table.FindGroup("key1"), nullptr);
+  EXPECT_EQ(table.FindGroup("key1")->name_, "a");
+}
+
+// Lets through as many as it was told.
+class CountedGate : public GroupGate
+{
+public:
+  bool TryPass(Instant, const CallerGroup& aGroup) override
+  {
+    asked_.push_back(aGroup.name_);
+    return left_-- > 0;
+  }
+
+  int left_ = 1000;
+  std::vector<std::string> asked_;
+};
+
+// Two groups, "a" more urgent than "b"; "/open/" is public.
+class DeskWithGroups : public testing::Test
+{
+protected:
+  DeskWithGroups()
+  {
+    desk_.SetInstances(1);
+    desk_.SetGroupGate(gate_);
+    PutServer("s1");
+    SetGroups({ { "a", { "key-a" }, 0 }, { "b", { "key-b" }, 1 } });
+  }
+
+  void PutServer(const std::string& aId)
+  {
+    directory_.Put(now_, { aId, "plain", aId + ":80", "hall", 1, false, ++revision_ });
+  }
+
+  void SetGroups(std::vector<CallerGroup> aGroups)
+  {
+    RoutingConfiguration configuration;
+    configuration.version_ = ++version_;
+    configuration.services_ = { { "plain", 100, false } };
+    configuration.groups_ = std::move(aGroups);
+    for (const auto* prefix : { "/closed/", "/open/" }) {
+      Route route;
+      route.host_ = "a.example";
+      route.pathPrefix_ = prefix;
+      route.isPublic_ = route.pathPrefix_ == "/open/";
+      route.latencyTarget_ = milliseconds(400);
+      route.timeLimit_ = milliseconds(500);
+      route.mostAttempts_ = 2;
+      route.targets_ = { { "plain", 1 } };
+      configuration.routes_.push_back(std::move(route));
+    }
+    auto table = RouteTable::Create(std::move(configuration)).value();
+    desk_.SetRoutes(now_, std::make_shared<const RouteTable>(std::move(table)));
+  }
+
+  RequestNumber Ask(const std::string& aPath, const std::string& aApiKey)
+  {
+    RoutedRequest request;
+    request.number_ = ++lastRequest_;
+    request.host_ = "a.example";
+    request.path_ = aPath;
+    request.apiKey_ = aApiKey;
+    request.timeLeft_ = milliseconds(400);
+    desk_.OnRequest(now_, std::move(request));
+    return lastRequest_;
+  }
+
+  // Asks until requests wait for the server, and returns the first that does.
+  RequestNumber AskUntilOneWaits(const std::string& aApiKey)
+  {
+    // Some answers, so that a wait is expected to be short.
+    for (int count = 0; count < 10; ++count) {
+      const auto request = Ask("/closed/", aApiKey);
+      now_ += milliseconds(5);
+      End(request);
+    }
+    for (int count = 0; count < 100; ++count) {
+      const auto sent = actions_.sent_.size();
+      const auto request = Ask("/closed/", aApiKey);
+      if (actions_.sent_.size() == sent) {
+        return request;
+      }
+    }
+    return 0;
+  }
+
+  void End(RequestNumber aRequest)
+  {
+    const auto send =
+      std::find_if(actions_.sent_.begin(), actions_.sent_.end(), [&](const AttemptOrder& aOrder) {
+        return aOrder.request_ == aRequest;
+      });
+    desk_.OnAttemptEnded(now_, send->number_, { AttemptEnd::Answered, 200, false, std::nullopt });
+  }
+
+  RefusalReason ReasonOf(RequestNumber aRequest) const
+  {
+    return actions_.refused_.at(aRequest).reason_;
+  }
+
+  Instant now_ = seconds(100);
+  std::uint64_t revision_ = 0;
+  std::uint64_t version_ = 0;
+  RequestNumber lastRequest_ = 0;
+  SilentEvents events_;
+  RecordedActions actions_;
+  ServerDirectory directory_;
+  NoPermits permits_;
+  CountedGate gate_;
+  RequestDesk desk_{ { "hall", { 0.2, 0, seconds(10) }, 1 },
+                     directory_,
+                     actions_,
+                     permits_,
+                     events_ };
+};
+
+TEST_F(DeskWithGroups, KnownKey_RequestGoesOnWithTheNameOfItsGroup)
+{
+  Ask("/closed/", "key-b");
+  ASSERT_EQ(actions_.sent_.size(), 1U);
+  EXPECT_EQ(actions_.sent_[0].group_, "b");
+  EXPECT_TRUE(actions_.sent_[0].hidesApiKey_);
+}
+
+TEST_F(DeskWithGroups, KeyIsUnknownOrMissing_IsRefusedAlikeWithAndWithoutRoute)
+{
+  for (const auto* path : { "/closed/", "/nowhere/" }) {
+    for (const auto* key : { "key-c", "" }) {
+      const auto request = Ask(path, key);
+      EXPECT_EQ(ReasonOf(request), RefusalReason::UnknownApiKey) << path << key;
+      EXPECT_TRUE(actions_.refused_.at(request).isNotRun_);
+    }
+  }
+  EXPECT_TRUE(actions_.sent_.empty());
+}
+
+TEST_F(DeskWithGroups, KnownKeyWithoutRoute_HasNoRoute)
+{
+  EXPECT_EQ(ReasonOf(Ask("/nowhere/", "key-a")), RefusalReason::NoRoute);
+}
+
+TEST_F(DeskWithGroups, RouteIsPublic_NeedsNoKeyAndTellsAKnownGroup)
+{
+  Ask("/open/", "");
+  Ask("/open/", "key-a");
+  ASSERT_EQ(actions_.sent_.size(), 2U);
+  EXPECT_EQ(actions_.sent_[0].group_, "");
+  EXPECT_EQ(actions_.sent_[1].group_, "a");
+}
+
+TEST_F(DeskWithGroups, ConfigurationHasNoGroups_KeysMeanNothing)
+{
+  SetGroups({});
+  Ask("/closed/", "key-c");
+  ASSERT_EQ(actions_.sent_.size(), 1U);
+  EXPECT_EQ(actions_.sent_[0].group_, "");
+  EXPECT_FALSE(actions_.sent_[0].hidesApiKey_);
+}
+
+TEST_F(DeskWithGroups, KeysAreNotProven_RequestsWithKeysAreRefusedUntilTheyAre)
+{
+  desk_.SetApiKeysProvenUntil(now_);
+  const auto refused = Ask("/closed/", "key-a");
+  EXPECT_EQ(ReasonOf(refused), RefusalReason::ApiKeysUnproven);
+  EXPECT_TRUE(actions_.refused_.at(refused).isNotRun_);
+  EXPECT_GT(actions_.refused_.at(refused).retryAfter_, Duration(0));
+  Ask("/open/", "");
+  EXPECT_EQ(actions_.sent_.size(), 1U);
+  desk_.SetApiKeysProvenUntil(now_ + seconds(1));
+  Ask("/closed/", "key-a");
+  EXPECT_EQ(actions_.sent_.size(), 2U);
+}
+
+TEST_F(DeskWithGroups, KeyIsTakenAwayWhileItsRequestWaits_RequestIsRefusedAtOnce)
+{
+  const auto waiting = AskUntilOneWaits("key-b");
+  ASSERT_NE(waiting, 0U);
+  SetGroups({ { "a", { "key-a" }, 0 }, { "b", {}, 1 } });
+  EXPECT_EQ(ReasonOf(waiting), RefusalReason::UnknownApiKey);
+}
+
+TEST_F(DeskWithGroups, ProofRunsOutWhileARequestWaits_IsNotSentAnyMore)
+{
+  const auto waiting = AskUntilOneWaits("key-b");
+  ASSERT_NE(waiting, 0U);
+  desk_.SetApiKeysProvenUntil(now_);
+  const auto sent = actions_.sent_.size();
+  End(actions_.sent_.back().request_);
+  EXPECT_EQ(actions_.sent_.size(), sent);
+}
+
+TEST_F(DeskWithGroups, KeyPassesToAnotherGroup_RequestsGoOnForThatOne)
+{
+  SetGroups({ { "a", { "key-a", "key-b" }, 0 }, { "b", {}, 1 } });
+  Ask("/closed/", "key-b");
+  ASSERT_EQ(actions_.sent_.size(), 1U);
+  EXPECT_EQ(actions_.sent_[0].group_, "a");
+}
+
+TEST_F(DeskWithGroups, GroupIsOverItsLimit_IsRefusedAndToldWhenToComeBack)
+{
+  gate_.left_ = 1;
+  Ask("/closed/", "key-a");
+  const auto refused = Ask("/closed/", "key-a");
+  EXPECT_EQ(actions_.sent_.size(), 1U);
+  EXPECT_EQ(ReasonOf(refused), RefusalReason::OverLimit);
+  EXPECT_GT(actions_.refused_.at(refused).retryAfter_, Duration(0));
+}
+
+TEST_F(DeskWithGroups, RequestIsBarred_CountsAgainstNoLimit)
+{
+  Ask("/nowhere/", "key-a");
+  Ask("/closed/", "key-c");
+  EXPECT_TRUE(gate_.asked_.empty());
+}
+
+TEST_F(DeskWithGroups, RequestsOfTwoGroupsWait_TheMoreUrgentGroupGoesFirst)
+{
+  const auto ofB = AskUntilOneWaits("key-b");
+  ASSERT_NE(ofB, 0U);
+  const auto ofA = Ask("/closed/", "key-a");
+  const auto sent = actions_.sent_.size();
+  End(actions_.sent_.back().request_);
+  ASSERT_GT(actions_.sent_.size(), sent);
+  EXPECT_EQ(actions_.sent_[sent].request_, ofA);
+}
+
+} // namespace
+
+} // namespace latchslip
--- a/Tests/Platform/TestPlatformCodec.cpp
+++ b/Tests/Platform/TestPlatformCodec.cpp
@@ -89,6 +89,43 @@
             2);
 }
 
+TEST_F(CodecOfOneAttempt, ClientShowsAnApiKey_IsReadWhateverTheCaseOfTheScheme)
+{
+  HttpRequest request;
+  request.headers_ = { { "authorization", "bearer key1" } };
+  EXPECT_EQ(codec_.DecodeRequest(1, request).apiKey_, "key1");
+  request.headers_ = { { "Authorization", "Basic key1" } };
+  EXPECT_EQ(codec_.DecodeRequest(1, request).apiKey_, "");
+  request.headers_ = { { "Authorization", "Bearer" } };
+  EXPECT_EQ(codec_.DecodeRequest(1, request).apiKey_, "");
+}
+
+TEST_F(CodecOfOneAttempt, CallersShowApiKeys_ServerSeesTheGroupAndNeverTheKey)
+{
+  auto request = MakeClientRequest();
+  request.headers_.emplace_back("authorization", "Bearer key1");
+  request.headers_.emplace_back("x-tenant", "another");
+  auto order = order_;
+  order.group_ = "yefi";
+  order.hidesApiKey_ = true;
+  const auto attempt = codec_.EncodeAttempt(request, order);
+  EXPECT_EQ(attempt.Header("X-Tenant"), "yefi");
+  EXPECT_TRUE(attempt.Header("Authorization").empty());
+  order.group_ = "";
+  EXPECT_TRUE(codec_.EncodeAttempt(request, order).Header("X-Tenant").empty());
+  // Without groups the header is none of ours.
+  EXPECT_EQ(codec_.EncodeAttempt(request, order_).Header("Authorization"), "Bearer key1");
+}
+
+TEST_F(CodecOfOneAttempt, RefusalsForTheCallersSake_HaveTheirOwnStatus)
+{
+  EXPECT_EQ(StatusOf(RefusalReason::UnknownApiKey, true), 401U);
+  EXPECT_EQ(StatusOf(RefusalReason::OverLimit, true), 429U);
+  EXPECT_EQ(StatusOf(RefusalReason::ApiKeysUnproven, true), 503U);
+  const Refusal overLimit{ RefusalReason::OverLimit, true, milliseconds(125) };
+  EXPECT_EQ(codec_.EncodeRefusal({}, overLimit).Header("Retry-After"), "0.125");
+}
+
 TEST_F(CodecOfOneAttempt, SuccessWithSignature_IsAnAnswer)
 {
   EXPECT_EQ(Decode(200, { { "X-Response-Signature", "s" } }).end_, AttemptEnd::Answered);
--- a/Tests/Platform/TestPlatformDocuments.cpp
+++ b/Tests/Platform/TestPlatformDocuments.cpp
@@ -86,6 +86,44 @@
   EXPECT_FALSE(Decode(Replace(kManifest, R"("clusters")", R"("others")")));
 }
 
+constexpr std::string_view kTenants =
+  R"("tenants":[{"name":"yefi","apiKeys":["k1","k2"],"priority":1,"ratePerS":285,"burst":30},)"
+  R"({"name":"wuno","apiKeys":[]}],"limits")";
+
+TEST_F(DecoderOfManifests, ManifestWithTenants_HasGroupsWithKeysAndLimits)
+{
+  const auto text = Replace(kManifest, R"("limits")", kTenants);
+  const auto configuration = *Decode(Replace(text, R"("priority": 2)", R"("public":true)")).value();
+  ASSERT_EQ(configuration.groups_.size(), 2U);
+  const auto& group = configuration.groups_[0];
+  EXPECT_EQ(group.name_, "yefi");
+  EXPECT_EQ(group.apiKeys_, (std::vector<std::string>{ "k1", "k2" }));
+  EXPECT_EQ(group.priority_, 1U);
+  EXPECT_EQ(group.rate_, 285);
+  EXPECT_EQ(group.burst_, 30);
+  EXPECT_FALSE(configuration.groups_[1].IsLimited());
+  EXPECT_FALSE(configuration.routes_[0].isPublic_);
+  EXPECT_TRUE(configuration.routes_[1].isPublic_);
+}
+
+TEST_F(DecoderOfManifests, ManifestWithMalformedTenants_IsRefusedAndShowsNoKey)
+{
+  const auto text = Replace(kManifest, R"("limits")", kTenants);
+  EXPECT_FALSE(Decode(Replace(text, R"("name":"yefi")", R"("name":7)")));
+  EXPECT_FALSE(Decode(Replace(text, R"("ratePerS":285)", R"("ratePerS":-1)")));
+  const auto malformed = Decode(Replace(text, R"(["k1","k2"])", R"(["k1",2])"));
+  ASSERT_FALSE(malformed);
+  EXPECT_EQ(malformed.error().Describe().find("k1"), std::string::npos);
+}
+
+TEST_F(DecoderOfManifests, LargeAnswersMayBeAskedForAgain_LargeBodiesNot)
+{
+  const auto downloads = *Decode(Replace(kManifest, R"("idempotent")", R"("download")")).value();
+  EXPECT_TRUE(downloads.routes_[1].isRepeatable_);
+  const auto uploads = *Decode(Replace(kManifest, R"("idempotent")", R"("upload")")).value();
+  EXPECT_FALSE(uploads.routes_[1].isRepeatable_);
+}
+
 TEST_F(DecoderOfManifests, ServerRecord_IsReadWithItsIdFromTheKey)
 {
   const auto record =
@@ -108,6 +146,14 @@
 {
   EXPECT_FALSE(decoder_.DecodeServer({ "i-7f", 42, "" }));
   EXPECT_FALSE(decoder_.DecodeServer({ "i-7f", 42, R"({"service":"rate"})" }));
+  constexpr std::string_view kRecord = R"({"service":"rate","address":"10.0.0.9:80","zone":"a",)"
+                                       R"("slots":4,"state":"ready","born":1764743654123})";
+  EXPECT_EQ(decoder_.DecodeServer({ "i-7f", 42, std::string(kRecord) }).value().life_,
+            1764743654123U);
+  EXPECT_FALSE(decoder_.DecodeServer({ "i-7f", 42, Replace(kRecord, "ready", "resting") }));
+  EXPECT_FALSE(decoder_.DecodeServer({ "i-7f", 42, Replace(kRecord, "1764743654123", "\"x\"") }));
+  EXPECT_FALSE(decoder_.DecodeServer({ "i-7f", 42, Replace(kRecord, "1764743654123", "1.5") }));
+  EXPECT_FALSE(decoder_.DecodeServer({ "i-7f", 42, "\xff\xfe" }));
 }
 
 constexpr std::string_view kSettings = R"({
@@ -137,6 +183,20 @@
   EXPECT_EQ(host.clientConnections_, 2050U);
 }
 
+TEST(PlatformSettings, KeysTakenAwayAreBounded_TheBoundIsRead)
+{
+  EXPECT_FALSE(ParseSettings(kSettings).value().host_.member_.apiKeyBound_);
+  const auto text = Replace(
+    kSettings, R"("unknown=true")", R"("strictRevoke=true", "revokeMs=4000", "quotaWindowS=7")");
+  const auto member = ParseSettings(text).value().host_.member_;
+  EXPECT_EQ(member.apiKeyBound_, seconds(4));
+  EXPECT_EQ(member.limitWindow_, seconds(7));
+  EXPECT_FALSE(ParseSettings(Replace(text, "strictRevoke=true", "strictRevoke=false"))
+                 .value()
+                 .host_.member_.apiKeyBound_);
+  EXPECT_FALSE(ParseSettings(Replace(text, "strictRevoke=true", "strictRevoke=maybe")));
+}
+
 TEST(PlatformSettings, HoldsAreBounded_TheBoundIsKept)
 {
   EXPECT_EQ(ParseSettings(kSettings).value().host_.member_.placer_.hold_, seconds(3));
