LibFleet, LibDaemon, platform: Prove that keys were not taken away; keep limits

An API key that was taken away must not be honoured after a bound, also by instances that reach neither the store nor others, and from inside a partition nobody can know. So keys are honoured for a time after each proof that the configuration here is the latest, and no longer (docs/design/callers.md).

A record that cannot be read names no server to use any more (its former one stayed in force), nor does one of an earlier life than is known. A server that starts again under its id gets its keys under higher fences, and what was learnt of its former life is forgotten.

--- a/Libraries/LibBase/Event.cpp
+++ b/Libraries/LibBase/Event.cpp
@@ -78,6 +78,8 @@
   EventName{ Event::PlacerSilent, "PlacerSilent" },
   EventName{ Event::DispatcherChosen, "DispatcherChosen" },
   EventName{ Event::DispatcherSilent, "DispatcherSilent" },
+  EventName{ Event::ApiKeysProven, "ApiKeysProven" },
+  EventName{ Event::ApiKeysUnproven, "ApiKeysUnproven" },
 };
 
 } // namespace
--- a/Libraries/LibBase/Event.h
+++ b/Libraries/LibBase/Event.h
@@ -80,6 +80,8 @@
   PlacerSilent = 632,
   DispatcherChosen = 640,
   DispatcherSilent = 641,
+  ApiKeysProven = 650,
+  ApiKeysUnproven = 651,
 };
 
 struct EventName
--- a/Libraries/LibDaemon/GatewayHost.cpp
+++ b/Libraries/LibDaemon/GatewayHost.cpp
@@ -76,6 +76,10 @@
     , timer_(aContext)
   {
     permits_.Client().SetListener(*this);
+    front_.Desk().SetGroupGate(member_.Gate());
+    if (settings_.member_.apiKeyBound_) {
+      front_.Desk().SetApiKeysProvenUntil(Instant::min());
+    }
   }
 
   FieldResult<void> Listen(asio::io_context& aContext)
@@ -132,7 +136,7 @@
     AsioGatewayHost& host_;
   };
 
-  bool IsReady() const { return member_.IsReady() && !stop_.HasBegun(); }
+  bool IsReady() const { return member_.IsServing(MonotonicNow()) && !stop_.HasBegun(); }
 
   std::string RenderMetrics() const
   {
@@ -256,6 +260,21 @@
     peers_.FetchNews(aAddress, aVersions);
   }
 
+  void ReadConfigurationVersion() override
+  {
+    store_.ReadConfigurationVersion(
+      [this, askedAt = MonotonicNow()](std::optional<RowVersion> aVersion) {
+        member_.OnConfigurationRead(MonotonicNow(), askedAt, aVersion);
+      });
+  }
+
+  void SendUses(const std::string& aAddress, const UseReport& aReport) override
+  {
+    peers_.SendUses(aAddress, aReport);
+  }
+
+  void OnApiKeysProven(Instant aUntil) override { front_.Desk().SetApiKeysProvenUntil(aUntil); }
+
   void OnRoutes(std::shared_ptr<const RouteTable> aRoutes) override
   {
     ApplyLimits(aRoutes->Configuration().limits_);
--- a/Libraries/LibDaemon/PeerCalls.cpp
+++ b/Libraries/LibDaemon/PeerCalls.cpp
@@ -13,6 +13,8 @@
 // Tells what the caller has learnt.
 constexpr std::string_view kMetricsPath = "/metrics";
 constexpr std::string_view kNewsPath = "/v1/fleet/news";
+// Tells the keeper what was met of the groups with limits.
+constexpr std::string_view kUsesPath = "/v1/fleet/uses";
 // A peer that does not answer in this time is not heard: many times the way
 // there and back within a region, and less than the interval of reports.
 constexpr Duration kPeerTimeout = milliseconds(600);
@@ -29,6 +31,7 @@
 constexpr unsigned kOk = 200;
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kNotFound = 404;
+constexpr unsigned kConflict = 409;
 
 // News are deflated when they are long. What is not begins with a brace.
 std::string
@@ -136,14 +139,32 @@
   client_->Send(aAddress,
                 MakePost(kSincePath, SerializeVersions(aVersions)),
                 kPeerTimeout,
-                [this](const HttpExchange& aExchange) {
+                [this, sentAt = MonotonicNow()](const HttpExchange& aExchange) {
                   std::optional<FleetNews> news;
                   if (IsOk(aExchange)) {
                     if (auto parsed = UnpackNews(*aExchange.response_.body_)) {
                       news = std::move(parsed).value();
                     }
                   }
-                  member_.OnNewsFetched(MonotonicNow(), news);
+                  const auto now = MonotonicNow();
+                  member_.OnNewsFetched(now, news, now - sentAt);
+                });
+}
+
+void
+PeerCalls::SendUses(const std::string& aAddress, const UseReport& aReport)
+{
+  client_->Send(aAddress,
+                MakePost(kUsesPath, SerializeUseReport(aReport)),
+                kPeerTimeout,
+                [this](const HttpExchange& aExchange) {
+                  std::optional<GroupParts> parts;
+                  if (IsOk(aExchange)) {
+                    if (auto parsed = ParseParts(*aExchange.response_.body_)) {
+                      parts = std::move(parsed).value();
+                    }
+                  }
+                  member_.OnUsesAnswered(MonotonicNow(), parts);
                 });
 }
 
@@ -154,6 +175,8 @@
     aRespond(AnswerReport(aRequest));
   } else if (aRequest.target_ == kNewsPath) {
     aRespond(TakeNews(aRequest));
+  } else if (aRequest.target_ == kUsesPath) {
+    aRespond(AnswerUses(aRequest));
   } else if (aRequest.target_ == kSincePath) {
     aRespond(AnswerNews(aRequest));
   } else if (aRequest.target_ == kMetricsPath) {
@@ -176,6 +199,18 @@
                           SerializeReportAnswer(member_.OnReport(MonotonicNow(), report.value())));
 }
 
+HttpResponse
+PeerCalls::AnswerUses(const HttpRequest& aRequest)
+{
+  const auto report = ParseUseReport(*aRequest.body_);
+  if (!report) {
+    return MakeHttpResponse(kBadRequest, report.error().Describe());
+  }
+  const auto parts = member_.OnUses(MonotonicNow(), report.value());
+  return parts ? MakeHttpResponse(kOk, SerializeParts(*parts))
+               : MakeHttpResponse(kConflict, "is not the placer\n");
+}
+
 HttpResponse
 PeerCalls::TakeNews(const HttpRequest& aRequest)
 {
@@ -201,7 +236,7 @@
   if (!versions) {
     return MakeHttpResponse(kBadRequest, versions.error().Describe());
   }
-  return MakeHttpResponse(kOk, PackNews(member_.NewsSince(versions.value())));
+  return MakeHttpResponse(kOk, PackNews(member_.NewsSince(MonotonicNow(), versions.value())));
 }
 
 } // namespace latchslip
--- a/Libraries/LibDaemon/PeerCalls.h
+++ b/Libraries/LibDaemon/PeerCalls.h
@@ -24,6 +24,7 @@
   void SendReport(const std::string& aAddress, const InstanceReport& aReport);
   void SendNews(const std::vector<NewsBranch>& aBranches, const FleetNews& aNews);
   void FetchNews(const std::string& aAddress, const TableVersions& aVersions);
+  void SendUses(const std::string& aAddress, const UseReport& aReport);
 
   void OnRequest(std::uint64_t aId, HttpRequest aRequest, HttpResponder aRespond) override;
   void OnGone(std::uint64_t) override {}
@@ -34,6 +35,7 @@
               const std::shared_ptr<const std::string>& aNews);
   void PassOnTo(const NewsBranch& aBranch, const std::shared_ptr<const std::string>& aNews);
   HttpResponse AnswerReport(const HttpRequest& aRequest);
+  HttpResponse AnswerUses(const HttpRequest& aRequest);
   HttpResponse TakeNews(const HttpRequest& aRequest);
   HttpResponse AnswerNews(const HttpRequest& aRequest) const;
 
--- /dev/null
+++ b/Libraries/LibFleet/ConfigurationProof.cpp
@@ -0,0 +1,53 @@
+#include "LibFleet/ConfigurationProof.h"
+
+#include "LibStore/StoreEpoch.h"
+
+#include <algorithm>
+
+namespace latchslip {
+
+bool
+ConfigurationWatch::Covers(RowVersion aVersion) const
+{
+  return known_ != 0 && EpochOf(known_) == EpochOf(aVersion) && known_ >= aVersion;
+}
+
+void
+ConfigurationWatch::OnKnown(RowVersion aVersion)
+{
+  known_ = std::max(known_, aVersion);
+  if (awaitedVersion_ != 0 && Covers(awaitedVersion_)) {
+    Prove(awaitedAsOf_);
+    awaitedVersion_ = 0;
+  }
+}
+
+void
+ConfigurationWatch::OnProof(Instant aAsOf, RowVersion aVersion)
+{
+  if (Covers(aVersion)) {
+    Prove(aAsOf);
+    return;
+  }
+  awaitedVersion_ = aVersion;
+  awaitedAsOf_ = aAsOf;
+}
+
+void
+ConfigurationWatch::Prove(Instant aAsOf)
+{
+  provenAt_ = std::max(provenAt_, aAsOf);
+  provenIn_ = EpochOf(known_);
+}
+
+// A proof from before the store's return says nothing to whoever knows its copy only.
+std::optional<ConfigurationProof>
+ConfigurationWatch::Tell(Instant aNow) const
+{
+  if (provenAt_ == Instant::min() || provenIn_ != EpochOf(known_)) {
+    return std::nullopt;
+  }
+  return ConfigurationProof{ known_, aNow - provenAt_ };
+}
+
+} // namespace latchslip
--- a/Libraries/LibFleet/FleetMember.cpp
+++ b/Libraries/LibFleet/FleetMember.cpp
@@ -35,6 +35,7 @@
   , election_(settings_.self_,
               std::uniform_real_distribution<double>(0, 1)(random_),
               WeaknessBeside(settings_.processorShare_, kStrongShare))
+  , keeper_(settings_.limitWindow_)
 {
 }
 
@@ -82,9 +83,10 @@
 }
 
 FleetNews
-FleetMember::NewsSince(const TableVersions& aVersions) const
+FleetMember::NewsSince(Instant aNow, const TableVersions& aVersions) const
 {
   auto news = view_.NewsSince(aVersions);
+  news.proof_ = configuration_.Tell(aNow);
   const bool isFollowing = following_ != Following::Told && following_ != Following::Starting;
   if (isFollowing) {
     news.sight_ = isStoreLost_ ? StoreSight::Lost : StoreSight::Heard;
@@ -93,7 +95,7 @@
 }
 
 void
-FleetMember::OnNewsFetched(Instant aNow, const std::optional<FleetNews>& aNews)
+FleetMember::OnNewsFetched(Instant aNow, const std::optional<FleetNews>& aNews, Duration aRoundTrip)
 {
   guide_.OnAnswer(aNow, aNews && aNews->sight_ != StoreSight::None);
   if (!aNews) {
@@ -105,6 +107,7 @@
     OnStoreRegained(aNow);
   }
   OnNews(aNow, *aNews);
+  TakeProof(aNow, aNews->proof_, aRoundTrip);
 }
 
 void
@@ -114,6 +117,7 @@
     relay_.OnFailure(RelayEnd::Announced);
     ChooseFollowing(aNow);
   }
+  limits_.OnParts(aNow, aNews.parts_);
   for (const auto& doubt : aNews.doubts_) {
     NoteDoubt(aNow, doubt);
   }
@@ -140,8 +144,9 @@
 }
 
 void
-FleetMember::OnRoutes(std::shared_ptr<const RouteTable> aRoutes)
+FleetMember::OnRoutes(Instant aNow, std::shared_ptr<const RouteTable> aRoutes)
 {
+  keeper_.SetGroups(aNow, aRoutes->Configuration().groups_);
   actions_.OnRoutes(std::move(aRoutes));
 }
 
@@ -214,6 +219,8 @@
     NoteFleetSize(aNow);
   }
   SendWrites(aNow);
+  FollowLimits(aNow);
+  FollowProofs(aNow);
   if (aNow >= nextReport_) {
     Report(aNow);
   }
--- a/Libraries/LibFleet/FleetMember.h
+++ b/Libraries/LibFleet/FleetMember.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibBase/Event.h"
+#include "LibFleet/ConfigurationProof.h"
 #include "LibFleet/FleetReport.h"
 #include "LibFleet/FleetView.h"
 #include "LibFleet/PlacerElection.h"
@@ -9,6 +10,8 @@
 #include "LibFleet/ServerSpeeds.h"
 #include "LibFleet/StartWait.h"
 #include "LibKeys/OwnershipPlacer.h"
+#include "LibLimit/LimitKeeper.h"
+#include "LibLimit/LimitMember.h"
 
 #include <map>
 #include <memory>
@@ -38,10 +41,17 @@
   virtual void SendNews(const std::vector<NewsBranch>& aBranches, const FleetNews& aNews) = 0;
   // The answer goes to OnNewsFetched.
   virtual void FetchNews(const std::string& aAddress, const TableVersions& aVersions) = 0;
+  // Asks the store for the version of the configuration; the answer goes to
+  // OnConfigurationRead.
+  virtual void ReadConfigurationVersion() = 0;
+  // Tells the keeper of the groups' limits; the answer goes to OnUsesAnswered.
+  virtual void SendUses(const std::string& aAddress, const UseReport& aReport) = 0;
 
   virtual void OnRoutes(std::shared_ptr<const RouteTable> aRoutes) = 0;
   virtual void OnDirectoryChanged() = 0;
   virtual void OnOwnership(const KeyOwnership& aOwnership) = 0;
+  // Until when API keys may be honoured by the present routes.
+  virtual void OnApiKeysProven(Instant aUntil) = 0;
   // Which instances there are, by address.
   virtual void OnInstances(const std::map<std::string, FleetPeer>& aPeers) = 0;
   // Whether neither the store nor a placer tells what changes.
@@ -63,6 +73,11 @@
   std::uint32_t seed_ = 1;
   // The data hall of this instance.
   std::string hall_;
+  // No API key is honoured any more this long after the store took the configuration that
+  // takes it away, whoever can be reached meanwhile; no value when that is not promised.
+  std::optional<Duration> apiKeyBound_{};
+  // The span in which the requests of a group are counted against its limit.
+  Duration limitWindow_ = seconds(5);
 };
 
 // One instance's part in the fleet. The placer follows the store's tables and
@@ -93,11 +108,20 @@
                         const std::optional<ReportAnswer>& aAnswer,
                         Duration aRoundTrip = Duration(0));
   // What another instance is told that has these versions.
-  FleetNews NewsSince(const TableVersions& aVersions) const;
+  FleetNews NewsSince(Instant aNow, const TableVersions& aVersions) const;
   // News from another instance that were not asked for.
   void OnNews(Instant aNow, const FleetNews& aNews);
   // News that were asked for; no value when none came.
-  void OnNewsFetched(Instant aNow, const std::optional<FleetNews>& aNews);
+  void OnNewsFetched(Instant aNow,
+                     const std::optional<FleetNews>& aNews,
+                     Duration aRoundTrip = Duration(0));
+  // No value when the store did not answer. aAskedAt is when it was asked.
+  void OnConfigurationRead(Instant aNow, Instant aAskedAt, std::optional<RowVersion> aVersion);
+  // What another instance has met of the groups with limits; the answer is for it. No value
+  // when this instance is not the placer, who is their keeper.
+  std::optional<GroupParts> OnUses(Instant aNow, const UseReport& aReport);
+  // No value when no answer came.
+  void OnUsesAnswered(Instant aNow, const std::optional<GroupParts>& aParts);
   void CountKey(const std::string& aService, KeyNumber aKey);
   void OnTime(Instant aNow);
 
@@ -105,6 +129,11 @@
   bool IsPlacer() const { return election_.IsPlacer(); }
   // Whether enough is known to serve.
   bool IsReady() const { return view_.Routes() && view_.IsKnown(FleetTable::Servers); }
+  // Whether callers may be sent here: as above, and API keys, if they show any, can be
+  // honoured.
+  bool IsServing(Instant aNow) const;
+  // Holds the groups' requests to their limits.
+  GroupGate& Gate() { return limits_; }
 
 private:
   class ServicePlacer;
@@ -126,7 +155,7 @@
   };
 
   // What the view hears.
-  void OnRoutes(std::shared_ptr<const RouteTable> aRoutes) override;
+  void OnRoutes(Instant aNow, std::shared_ptr<const RouteTable> aRoutes) override;
   void OnDirectoryChanged() override { actions_.OnDirectoryChanged(); }
   void OnOwnership(const KeyOwnership& aOwnership) override { actions_.OnOwnership(aOwnership); }
   void OnPlacer(Instant aNow, const std::optional<PlacerRow>& aPlacer) override;
@@ -145,6 +174,22 @@
   void NoteStaleness(Instant aNow);
   void FetchFromPeers(Instant aNow);
 
+  // What concerns how fresh the configuration is, in ConfigurationDuty.cpp.
+  // Whether API keys are only honoured while the configuration is proven to be the latest.
+  bool NeedsProofs() const;
+  // Whether this instance asks the store for proofs.
+  bool AsksForProofs() const;
+  void FollowProofs(Instant aNow);
+  // A proof that another instance told, which was asked that long ago.
+  void TakeProof(Instant aNow,
+                 const std::optional<ConfigurationProof>& aProof,
+                 Duration aRoundTrip);
+  void NoteProof(Instant aNow);
+
+  // What concerns the groups' limits, in LimitDuty.cpp.
+  void FollowLimits(Instant aNow);
+  void StartKeeper(Instant aNow);
+
   // The placer's part, in PlacerDuty.cpp.
   void Claim();
   void StartPlacers(Instant aNow);
@@ -180,7 +225,7 @@
   void Report(Instant aNow);
   // What the placer's answer tells of the other instances.
   void LearnInstances(Instant aNow, const ReportAnswer& aAnswer);
-  ReportAnswer MakeReportAnswer(const InstanceReport& aReport) const;
+  ReportAnswer MakeReportAnswer(Instant aNow, const InstanceReport& aReport) const;
   void NoteInstances(Instant aNow, const InstanceReport& aReport);
   // Drops the instances that have not reported for long.
   void ForgetSilent(Instant aNow);
@@ -224,6 +269,19 @@
   std::set<std::string> lacking_;
   // How many other instances reported here while the store was heard.
   std::size_t othersWithStore_ = 0;
+  ConfigurationWatch configuration_;
+  // Until when API keys may be honoured, as was last told.
+  Instant apiKeysUntil_ = Instant::min();
+  bool areApiKeysProven_ = false;
+  bool isProofAskedFor_ = false;
+  Instant nextProof_ = Instant::min();
+  // Proofs from before are none: the store may show an older copy.
+  Instant proofsFrom_ = Instant::min();
+  StoreEpoch proofEpoch_ = 0;
+  Instant reportedAt_ = Instant::min();
+  LimitMember limits_;
+  // Counts only while this instance is the placer.
+  LimitKeeper keeper_;
   // Until when servers may hold keys by orders that they take late.
   std::map<std::string, Instant> doubts_;
   // The instance that was the placer before this one.
--- a/Libraries/LibFleet/FleetNews.cpp
+++ b/Libraries/LibFleet/FleetNews.cpp
@@ -108,6 +108,10 @@
   if (aNews.placer_) {
     document["placer"] = ToJson(RowChange{ *aNews.placer_, false });
   }
+  PutProof(aNews.proof_, document);
+  if (!aNews.parts_.empty()) {
+    document["parts"] = SerializeParts(aNews.parts_);
+  }
   return boost::json::serialize(document);
 }
 
@@ -147,9 +151,40 @@
     BOOST_OUTCOME_TRY(auto change, ParseRow(*placer));
     news.placer_ = std::move(change.row_);
   }
+  BOOST_OUTCOME_TRY(news.proof_, ProofFromJson(value.as_object()));
+  if (value.as_object().contains("parts")) {
+    BOOST_OUTCOME_TRY(const auto parts, reader.Text("parts"));
+    BOOST_OUTCOME_TRY(news.parts_, ParseParts(parts));
+  }
   return news;
 }
 
+void
+PutProof(const std::optional<ConfigurationProof>& aProof, boost::json::object& aDocument)
+{
+  if (aProof) {
+    aDocument["proof"] =
+      boost::json::object{ { "version", aProof->version_ }, { "age_us", aProof->age_.count() } };
+  }
+}
+
+FieldResult<std::optional<ConfigurationProof>>
+ProofFromJson(const boost::json::object& aDocument)
+{
+  const auto* member = aDocument.if_contains("proof");
+  if (member == nullptr) {
+    return std::optional<ConfigurationProof>();
+  }
+  BOOST_OUTCOME_TRY(const auto reader, JsonReader::Create(*member, "proof"));
+  constexpr double kMostAge = 9e15;
+  ConfigurationProof proof;
+  BOOST_OUTCOME_TRY(proof.version_, ReadVersion(member->as_object(), "version"));
+  // Without an age it would pass for fresh.
+  BOOST_OUTCOME_TRY(const auto age, reader.NumberOr("age_us", kMostAge, 0, kMostAge));
+  proof.age_ = Duration(static_cast<Duration::rep>(age));
+  return std::optional(proof);
+}
+
 boost::json::array
 VersionsToJson(const TableVersions& aVersions)
 {
--- a/Libraries/LibFleet/FleetNews.h
+++ b/Libraries/LibFleet/FleetNews.h
@@ -3,8 +3,10 @@
 #include "LibBase/NameTable.h"
 #include "LibBase/Result.h"
 #include "LibBase/Time.h"
+#include "LibFleet/ConfigurationProof.h"
 #include "LibFleet/FleetStore.h"
 #include "LibKeys/KeyOwnership.h"
+#include "LibLimit/GroupUse.h"
 
 #include <boost/json.hpp>
 #include <optional>
@@ -56,6 +58,10 @@
   std::optional<Row> placer_;
   std::vector<OwnershipNews> owners_;
   std::vector<HoldDoubt> doubts_;
+  // Only told to those who ask, who know how old it is then.
+  std::optional<ConfigurationProof> proof_;
+  // Of the groups that ask for more than their limits.
+  GroupParts parts_;
 };
 
 std::string
@@ -68,6 +74,12 @@
 FieldResult<TableVersions>
 ParseVersions(std::string_view aText);
 
+// A proof as a member of a larger document; no value when it has none.
+void
+PutProof(const std::optional<ConfigurationProof>& aProof, boost::json::object& aDocument);
+FieldResult<std::optional<ConfigurationProof>>
+ProofFromJson(const boost::json::object& aDocument);
+
 // The versions as a member of a larger document.
 boost::json::array
 VersionsToJson(const TableVersions& aVersions);
--- a/Libraries/LibFleet/FleetReport.cpp
+++ b/Libraries/LibFleet/FleetReport.cpp
@@ -188,13 +188,14 @@
     joined.push_back(PeerToJson(peer));
   }
   const auto& left = aAnswer.roster_.left_;
-  return boost::json::serialize(
-    boost::json::object{ { "working", aAnswer.isWorking_ },
-                         { "strongest_share", aAnswer.strongestShare_ },
-                         { "versions", VersionsToJson(aAnswer.lastChanges_) },
-                         { "whole_roster", aAnswer.roster_.isWhole_ },
-                         { "joined", std::move(joined) },
-                         { "left", boost::json::array(left.begin(), left.end()) } });
+  boost::json::object document{ { "working", aAnswer.isWorking_ },
+                                { "strongest_share", aAnswer.strongestShare_ },
+                                { "versions", VersionsToJson(aAnswer.lastChanges_) },
+                                { "whole_roster", aAnswer.roster_.isWhole_ },
+                                { "joined", std::move(joined) },
+                                { "left", boost::json::array(left.begin(), left.end()) } };
+  PutProof(aAnswer.proof_, document);
+  return boost::json::serialize(document);
 }
 
 FieldResult<ReportAnswer>
@@ -208,6 +209,7 @@
   BOOST_OUTCOME_TRY(answer.strongestShare_,
                     reader.NumberOr("strongest_share", 0, 0, kMostProcessors));
   BOOST_OUTCOME_TRY(answer.roster_, ParseRoster(reader));
+  BOOST_OUTCOME_TRY(answer.proof_, ProofFromJson(value.as_object()));
   return answer;
 }
 
--- a/Libraries/LibFleet/FleetReport.h
+++ b/Libraries/LibFleet/FleetReport.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibBase/Result.h"
+#include "LibFleet/ConfigurationProof.h"
 #include "LibFleet/FleetRoster.h"
 #include "LibFleet/FleetStore.h"
 #include "LibGateway/ServerWork.h"
@@ -8,6 +9,7 @@
 
 #include <array>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -45,6 +47,8 @@
   TableVersions lastChanges_{};
   // The largest part of a processor that any of them has; 0 when it is not told.
   double strongestShare_ = 0;
+  // How lately it knew that its configuration was the latest; no value when it never did.
+  std::optional<ConfigurationProof> proof_{};
 };
 
 std::string
--- a/Libraries/LibFleet/FleetStore.h
+++ b/Libraries/LibFleet/FleetStore.h
@@ -6,6 +6,7 @@
 #include <array>
 #include <cstdint>
 #include <functional>
+#include <optional>
 
 namespace latchslip {
 
@@ -79,6 +80,8 @@
 {
 public:
   using TransactCallback = std::function<void(const StoreReply&)>;
+  // No value when the store did not say.
+  using VersionCallback = std::function<void(std::optional<RowVersion>)>;
 
   virtual ~FleetStore() = default;
 
@@ -91,6 +94,9 @@
   // Writes rows of FleetTable::Fleet. After a conflict the reply holds the rows
   // of the conditions as they stand.
   virtual void Transact(const Transaction& aTransaction, TransactCallback aCallback) = 0;
+  // Reads which version of the configuration stands in the store. Unlike an answer without
+  // changes, a read shows all that was acknowledged before it was asked for.
+  virtual void ReadConfigurationVersion(VersionCallback aCallback) = 0;
   virtual const StoreCallCounts& Calls() const = 0;
 };
 
--- a/Libraries/LibFleet/FleetView.cpp
+++ b/Libraries/LibFleet/FleetView.cpp
@@ -195,6 +195,7 @@
   }
   auto table = configuration ? RouteTable::Create(std::move(*configuration.value()))
                              : FieldResult<RouteTable>(configuration.error());
+  configurationKey_ = table ? aChange.row_.key_ : std::string();
   if (!table) {
     events_.Record(Event::RoutesRejected, "reason=\"" + table.error().Describe() + "\"");
     return;
@@ -207,7 +208,7 @@
   events_.Record(Event::RoutesInForce,
                  "version=" + std::to_string(version) +
                    " routes=" + std::to_string(routes_->Configuration().routes_.size()));
-  listener_.OnRoutes(routes_);
+  listener_.OnRoutes(aNow, routes_);
 }
 
 void
@@ -229,8 +230,10 @@
     directory_.Remove(aNow, aChange.row_.key_);
     return;
   }
-  auto record = decoder_.DecodeServer(aChange.row_);
+  auto record = DecodeServer(aChange.row_);
   if (!record) {
+    // It names no server to use, whatever it said before.
+    directory_.Remove(aNow, aChange.row_.key_);
     events_.Record(Event::RecordRejected,
                    "server=" + aChange.row_.key_ + " reason=\"" + record.error().Describe() + "\"");
     return;
@@ -243,6 +246,19 @@
   directory_.Put(aNow, std::move(record).value());
 }
 
+// A record of an earlier life than the known one was written late, or by a clock that was
+// set back: who would use it might give keys to one that has them from somebody else.
+FieldResult<ServerRecord>
+FleetView::DecodeServer(const Row& aRow) const
+{
+  BOOST_OUTCOME_TRY(auto record, decoder_.DecodeServer(aRow));
+  const auto* known = directory_.FindAny(record.id_);
+  if (known != nullptr && record.life_ < known->life_) {
+    return FieldError{ "life", "is earlier than one that is known" };
+  }
+  return record;
+}
+
 void
 FleetView::OnPlacerRow(Instant aNow, const Row& aRow)
 {
@@ -278,6 +294,13 @@
   TakeOwnership(aRow.version_, ownership.value());
 }
 
+RowVersion
+FleetView::ConfigurationVersion() const
+{
+  const auto* row = mirror_.Find(FleetTable::Configuration, configurationKey_);
+  return row == nullptr ? 0 : row->version_;
+}
+
 FleetNews
 FleetView::NewsSince(const TableVersions& aVersions) const
 {
--- a/Libraries/LibFleet/FleetView.h
+++ b/Libraries/LibFleet/FleetView.h
@@ -59,7 +59,7 @@
 public:
   virtual ~FleetViewListener() = default;
 
-  virtual void OnRoutes(std::shared_ptr<const RouteTable> aRoutes) = 0;
+  virtual void OnRoutes(Instant aNow, std::shared_ptr<const RouteTable> aRoutes) = 0;
   virtual void OnDirectoryChanged() = 0;
   virtual void OnOwnership(const KeyOwnership& aOwnership) = 0;
   virtual void OnPlacer(Instant aNow, const std::optional<PlacerRow>& aPlacer) = 0;
@@ -105,6 +105,9 @@
   // All that somebody who has these versions lacks.
   FleetNews NewsSince(const TableVersions& aVersions) const;
 
+  // The version of the configuration's row in the store; 0 when there is none, or one that
+  // could not be read.
+  RowVersion ConfigurationVersion() const;
   // The latest epoch of the store that is known.
   StoreEpoch Epoch() const { return epoch_.value_or(0); }
   // As of which version of the store each table is known.
@@ -132,6 +135,7 @@
   void OnConfigurationRow(Instant aNow, const RowChange& aChange);
   void OnHallDrain(Instant aNow, const std::string& aHall, bool aIsOver);
   void OnServerRow(Instant aNow, const RowChange& aChange);
+  FieldResult<ServerRecord> DecodeServer(const Row& aRow) const;
   void OnPlacerRow(Instant aNow, const Row& aRow);
   void OnOwnershipRow(const Row& aRow);
   bool TakeOwners(const OwnershipNews& aNews);
@@ -149,6 +153,8 @@
   // No value before any version is known.
   std::optional<StoreEpoch> epoch_;
   std::shared_ptr<const RouteTable> routes_;
+  // The key of the last row that was a configuration; empty when it could not be read.
+  std::string configurationKey_;
   std::optional<Row> placer_;
   std::optional<Row> size_;
   std::map<std::string, OwnedService> owners_;
--- /dev/null
+++ b/Libraries/LibFleet/LimitDuty.cpp
@@ -0,0 +1,65 @@
+// The part of FleetMember that holds groups to their limits: each instance tells the placer,
+// who is the keeper of the limits, what it meets, and the placer tells all which groups ask
+// for more than they may have.
+
+#include "LibFleet/FleetMember.h"
+
+namespace latchslip {
+
+void
+FleetMember::FollowLimits(Instant aNow)
+{
+  if (!election_.IsPlacer()) {
+    if (election_.Current() && limits_.IsTellDue(aNow)) {
+      actions_.SendUses(election_.Current()->address_,
+                        { settings_.self_.address_, limits_.TakeUses(aNow) });
+    }
+    return;
+  }
+  limits_.OnKeeperHeard(aNow);
+  if (limits_.IsTellDue(aNow)) {
+    const auto uses = limits_.TakeUses(aNow);
+    keeper_.OnUses(aNow, uses);
+    limits_.OnParts(aNow, keeper_.PartsOf(aNow, uses));
+  }
+  FleetNews news;
+  news.parts_ = keeper_.TakeShort(aNow);
+  if (!news.parts_.empty()) {
+    limits_.OnParts(aNow, news.parts_);
+    Spread(news);
+  }
+}
+
+void
+FleetMember::StartKeeper(Instant aNow)
+{
+  keeper_ = LimitKeeper(settings_.limitWindow_);
+  if (view_.Routes()) {
+    keeper_.SetGroups(aNow, view_.Routes()->Configuration().groups_);
+  }
+  for (const auto& [address, peer] : roster_.Peers()) {
+    keeper_.OnHeard(aNow, address);
+  }
+}
+
+std::optional<GroupParts>
+FleetMember::OnUses(Instant aNow, const UseReport& aReport)
+{
+  if (!election_.IsPlacer()) {
+    return std::nullopt;
+  }
+  keeper_.OnHeard(aNow, aReport.address_);
+  keeper_.OnUses(aNow, aReport.uses_);
+  return keeper_.PartsOf(aNow, aReport.uses_);
+}
+
+void
+FleetMember::OnUsesAnswered(Instant aNow, const std::optional<GroupParts>& aParts)
+{
+  if (aParts) {
+    limits_.OnKeeperHeard(aNow);
+    limits_.OnParts(aNow, *aParts);
+  }
+}
+
+} // namespace latchslip
--- a/Libraries/LibFleet/PlacerDuty.cpp
+++ b/Libraries/LibFleet/PlacerDuty.cpp
@@ -131,6 +131,7 @@
     KeyServer server;
     server.id_ = id;
     server.address_ = record.address_;
+    server.life_ = record.life_;
     server.isUsable_ = record.TakesWork() && !view_.Directory().HasEnded(id);
     if (typical) {
       server.weight_ = record.slots_ * SpeedOf(record, *typical);
@@ -280,6 +281,7 @@
   for (const auto& [address, peer] : roster_.Peers()) {
     heardInstances_.try_emplace(address, HeardInstance{ aNow, peer.processorShare_ });
   }
+  StartKeeper(aNow);
   FleetNews news;
   news.placer_ = aRow;
   Spread(news);
--- a/Libraries/LibFleet/ReportDuty.cpp
+++ b/Libraries/LibFleet/ReportDuty.cpp
@@ -55,12 +55,14 @@
 FleetMember::Report(Instant aNow)
 {
   nextReport_ = aNow + kReportInterval;
+  reportedAt_ = aNow;
   if (!election_.Current()) {
     return;
   }
   const auto report = TakeReport();
   if (election_.IsPlacer()) {
     OnReport(aNow, report);
+    limits_.SetInstances(roster_.Size());
     actions_.OnInstances(roster_.Peers());
     return;
   }
@@ -77,7 +79,7 @@
   if (election_.IsPlacer()) {
     TakeIn(aNow, aReport);
   }
-  return MakeReportAnswer(aReport);
+  return MakeReportAnswer(aNow, aReport);
 }
 
 void
@@ -86,6 +88,7 @@
   auto& heard = heardInstances_[aReport.address_];
   heard.heardAt_ = aNow;
   heard.processorShare_ = aReport.processorShare_;
+  keeper_.OnHeard(aNow, aReport.address_);
   strongestShare_ = std::max(strongestShare_, aReport.processorShare_);
   if (election_.IsPlacer()) {
     roster_.Put({ aReport.address_, aReport.hall_, aReport.processorShare_ });
@@ -124,9 +127,10 @@
 }
 
 ReportAnswer
-FleetMember::MakeReportAnswer(const InstanceReport& aReport) const
+FleetMember::MakeReportAnswer(Instant aNow, const InstanceReport& aReport) const
 {
   ReportAnswer answer;
+  answer.proof_ = configuration_.Tell(aNow);
   answer.isWorking_ = election_.IsPlacer() && !isStoreLost_;
   if (election_.IsPlacer()) {
     answer.roster_ = roster_.ChangesSince(aReport.rosterDigest_);
@@ -171,6 +175,8 @@
 {
   if (aAnswer) {
     placerHeardAt_ = aNow;
+    limits_.OnKeeperHeard(aNow);
+    TakeProof(aNow, aAnswer->proof_, aRoundTrip);
   }
   // A placer without the store is as good as any other while the store is away
   // from here as well; to replace it at the store's return would help nobody.
@@ -200,6 +206,7 @@
   if (!aAnswer.roster_.IsEmpty()) {
     rosterSince_ = rosterSince_.value_or(aNow);
     roster_.Apply(aAnswer.roster_);
+    limits_.SetInstances(roster_.Size());
     actions_.OnInstances(roster_.Peers());
   }
   if (aAnswer.strongestShare_ > 0) {
--- a/Libraries/LibGateway/ServerDirectory.cpp
+++ b/Libraries/LibGateway/ServerDirectory.cpp
@@ -13,10 +13,6 @@
 // A record that disappears while the store is well belongs to a server that
 // stopped or was cut off; the pause only takes reordered changes together.
 constexpr Duration kRemovalPause = milliseconds(200);
-// Living servers write their record again within about two seconds of the
-// store's return (the platform's promise); a little is added for the way here. The
-// operators write theirs again in that time as well.
-constexpr Duration kReturnAfterOutage = milliseconds(2300);
 // Dropped records that are remembered: more than a fleet's servers are replaced
 // in a minute, and few enough to be nothing in memory.
 constexpr std::size_t kMostFormer = 1024;
--- a/Libraries/LibGateway/ServerDirectory.h
+++ b/Libraries/LibGateway/ServerDirectory.h
@@ -11,8 +11,14 @@
 
 namespace latchslip {
 
-// What a backend server says of itself. Each start of a server is a life with an
-// id of its own; an address may pass to a server of another service.
+// Living servers write their record again within about two seconds of the store's return
+// from an outage or an older copy (the platform's promise); a little is added for the way
+// here. The operators write theirs again in that time as well.
+inline constexpr Duration kReturnAfterOutage = milliseconds(2300);
+
+// What a backend server says of itself. Each start of a server is another life, which
+// knows nothing of the former one, most often with an id of its own; an address may pass to
+// a server of another service.
 struct ServerRecord
 {
   std::string id_;
@@ -31,6 +37,8 @@
   Instant slowStartUntil_ = Instant::min();
   // Its data hall is being drained; set by the directory.
   bool isHallDrained_ = false;
+  // Tells the lives under one id apart, the later the higher; 0 when it is not told.
+  std::uint64_t life_ = 0;
 
   // Whether it may get new work.
   bool TakesWork() const { return !isLeaving_ && !isHallDrained_; }
--- a/Libraries/LibGateway/ServerLoad.cpp
+++ b/Libraries/LibGateway/ServerLoad.cpp
@@ -30,7 +30,8 @@
 } // namespace
 
 ServerLoad::ServerLoad(std::size_t aLimit, std::size_t aMostLimit)
-  : limit_(static_cast<double>(aLimit))
+  : firstLimit_(static_cast<double>(aLimit))
+  , limit_(firstLimit_)
   , mostLimit_(static_cast<double>(std::max(aLimit, aMostLimit)))
 {
 }
@@ -42,6 +43,22 @@
   slowStart_.OnSent(aNow);
 }
 
+void
+ServerLoad::SetLife(std::uint64_t aLife)
+{
+  const bool isOther = life_ != 0 && aLife != 0 && aLife != life_;
+  life_ = aLife;
+  if (!isOther) {
+    return;
+  }
+  // What is under way ends by itself, as its connections do.
+  mean_ = Duration(0);
+  health_ = {};
+  lateAt_ = Instant::min();
+  limit_ = std::min(firstLimit_, mostLimit_);
+  shrunkAt_ = Instant::min();
+}
+
 void
 ServerLoad::OnEnded(Instant aNow, AttemptNumber aAttempt, SendResult aResult)
 {
--- a/Libraries/LibGateway/ServerLoad.h
+++ b/Libraries/LibGateway/ServerLoad.h
@@ -6,6 +6,7 @@
 #include "LibGateway/SlowStartShare.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <utility>
 
@@ -30,6 +31,9 @@
   // Nothing is sent for a while: the server's address belongs to another one.
   void Suspend(Instant aNow, Duration aTime);
   void SetMostLimit(std::size_t aMostLimit);
+  // The server's present life, 0 when it is not told: what was learnt of an earlier one is
+  // forgotten.
+  void SetLife(std::uint64_t aLife);
 
   SlowStartShare& SlowStart() { return slowStart_; }
 
@@ -74,8 +78,10 @@
   ServerHealth health_;
   // When an answer was late last.
   Instant lateAt_ = Instant::min();
+  double firstLimit_;
   double limit_;
   double mostLimit_;
+  std::uint64_t life_ = 0;
   SlowStartShare slowStart_;
   Instant shrunkAt_ = Instant::min();
 };
--- a/Libraries/LibKeys/KeyServer.h
+++ b/Libraries/LibKeys/KeyServer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -14,6 +15,8 @@
   double weight_ = 1;
   // It lives, is not leaving, and may get keys.
   bool isUsable_ = false;
+  // Tells its lives apart; 0 when that is not known. Another life holds nothing.
+  std::uint64_t life_ = 0;
 };
 
 // The server of that id if it is usable, or nothing.
--- a/Libraries/LibKeys/OwnershipPlacer.cpp
+++ b/Libraries/LibKeys/OwnershipPlacer.cpp
@@ -123,9 +123,37 @@
   if (aServers.size() != servers_.size()) {
     serversSince_ = aNow;
   }
+  NoteLives(aServers);
   servers_ = std::move(aServers);
 }
 
+void
+OwnershipPlacer::NoteLives(const std::vector<KeyServer>& aServers)
+{
+  for (const auto& server : aServers) {
+    if (server.life_ == 0) {
+      continue;
+    }
+    const auto [known, isNew] = lives_.try_emplace(server.id_, server.life_);
+    if (!isNew && known->second != server.life_) {
+      known->second = server.life_;
+      restarted_.insert(server.id_);
+    }
+  }
+}
+
+KeyOwnership
+OwnershipPlacer::RaiseFencesOfRestarted() const
+{
+  auto next = committed_;
+  for (auto& range : next.ranges_) {
+    if (restarted_.contains(range.owner_)) {
+      range.fence_ = ++next.lastFence_;
+    }
+  }
+  return next;
+}
+
 void
 OwnershipPlacer::Adopt(KeyOwnership aOwnership)
 {
@@ -159,6 +187,7 @@
   }
   const bool isRaised = hasFormerFences_ || committed_.epoch_ < writing_->epoch_;
   hasFormerFences_ = false;
+  ForgetRaised();
   Adopt(*std::exchange(writing_, std::nullopt));
   if (isRaised) {
     // The same owners under new fences: nothing has moved.
@@ -171,6 +200,18 @@
   nextTime_ = aNow;
 }
 
+void
+OwnershipPlacer::ForgetRaised()
+{
+  std::erase_if(restarted_, [this](const std::string& aServer) {
+    return std::all_of(
+      writing_->ranges_.begin(), writing_->ranges_.end(), [&](const KeyRange& aRange) {
+        const auto* former = committed_.Find(aRange.first_);
+        return aRange.owner_ != aServer || former == nullptr || former->fence_ < aRange.fence_;
+      });
+  });
+}
+
 void
 OwnershipPlacer::OnWriteFailed(Instant aNow, KeyOwnership aStored)
 {
@@ -210,6 +251,13 @@
   if (hasFormerFences_ || committed_.epoch_ < epoch_) {
     return RaiseFences();
   }
+  const auto isRestarted = [this](const KeyRange& aRange) {
+    return restarted_.contains(aRange.owner_);
+  };
+  if (std::any_of(committed_.ranges_.begin(), committed_.ranges_.end(), isRestarted)) {
+    return RaiseFencesOfRestarted();
+  }
+  restarted_.clear();
   auto settled = ClearSettled();
   load_.Refresh(aNow);
   const auto& base = settled ? *settled : committed_;
@@ -325,6 +373,9 @@
   if (!orders_.HasRoomFor(isWaiting ? aRange.previous_ : aRange.owner_)) {
     return;
   }
+  if (!isWaiting && restarted_.contains(aRange.owner_)) {
+    return;
+  }
   const bool isRenewal = aState.isGranted_ && aRange.previous_.empty();
   if (isRenewal && orders_.HasOrderTo(aRange.owner_) &&
       aNow < aState.nextOrder_ + kRenewalPatience) {
--- a/Libraries/LibKeys/OwnershipPlacer.h
+++ b/Libraries/LibKeys/OwnershipPlacer.h
@@ -14,6 +14,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -99,6 +100,13 @@
   std::optional<KeyOwnership> EvenOut(Instant aNow);
   // Ranges with higher fences have moved lately.
   FenceNumber RestedFence(Instant aNow);
+  // Notes the servers that have started again under their ids.
+  void NoteLives(const std::vector<KeyServer>& aServers);
+  // The same owners, but for the keys of servers that have started again: another life must
+  // not get them under the fence of the former.
+  KeyOwnership RaiseFencesOfRestarted() const;
+  // Drops the servers all of whose keys have higher fences with what was written.
+  void ForgetRaised();
   // Drops the former owners that need not be waited for any more.
   std::optional<KeyOwnership> ClearSettled() const;
   // The same owners under fences of this placer and of the present epoch.
@@ -128,6 +136,10 @@
   KeyBalancer balancer_;
   KeyLoad load_;
   std::vector<KeyServer> servers_;
+  // By id; of servers that are listed no more, too, as they may come back.
+  std::map<std::string, std::uint64_t> lives_;
+  // Servers whose keys wait for higher fences, by id.
+  std::set<std::string> restarted_;
   // What stands in the store.
   KeyOwnership committed_;
   // One for each range of committed_, in the same order.
--- a/Libraries/LibPermit/DispatchedServer.cpp
+++ b/Libraries/LibPermit/DispatchedServer.cpp
@@ -30,6 +30,10 @@
 void
 DispatchedServer::SetRecord(const ServerRecord& aRecord, double aSlowStartRate)
 {
+  if (life_ != 0 && aRecord.life_ != 0 && life_ != aRecord.life_) {
+    BeginLife();
+  }
+  life_ = aRecord.life_;
   hall_ = aRecord.hall_;
   slots_ = std::max(1U, aRecord.slots_);
   takesWork_ = aRecord.TakesWork();
@@ -37,6 +41,18 @@
   slowStartRate_ = aSlowStartRate;
 }
 
+void
+DispatchedServer::BeginLife()
+{
+  health_ = {};
+  slowStartSends_.clear();
+  answered_.clear();
+  work_ = Duration(0);
+  pace_ = 1;
+  others_ = 0;
+  toldAt_ = Instant::min();
+}
+
 void
 DispatchedServer::OnSent(Instant aNow)
 {
--- a/Libraries/LibPermit/DispatchedServer.h
+++ b/Libraries/LibPermit/DispatchedServer.h
@@ -55,6 +55,8 @@
   bool IsForgotten(Instant aNow) const;
 
 private:
+  // Forgets what was learnt of an earlier life.
+  void BeginLife();
   bool MayStart(Instant aNow) const;
   // Requests that are there: those of this dispatcher, and others that the server told of.
   std::size_t Load(Instant aNow) const;
@@ -65,6 +67,7 @@
   void Learn(Instant aNow, std::size_t aFound, const SendEnd& aEnd);
 
   std::string hall_;
+  std::uint64_t life_ = 0;
   std::size_t slots_ = 1;
   bool takesWork_ = false;
   Instant slowStartUntil_ = Instant::min();
--- a/Tests/LibFleet/FleetMemberFixture.h
+++ b/Tests/LibFleet/FleetMemberFixture.h
@@ -11,7 +11,7 @@
 namespace latchslip {
 
 // Rows in the simplest text: "version" for a configuration with one keyed
-// service, "leaving" or "ready" for a server.
+// service, "leaving", "ready", "broken" or the number of its life for a server.
 class PlainDecoder : public RowDecoder
 {
 public:
@@ -29,9 +29,15 @@
 
   FieldResult<ServerRecord> DecodeServer(const Row& aRow) const override
   {
-    return ServerRecord{ aRow.key_,    "rates", aRow.key_ + ":80",
+    if (aRow.value_ == "broken") {
+      return FieldError{ "server", "is broken" };
+    }
+    ServerRecord record{ aRow.key_,    "rates", aRow.key_ + ":80",
                          "hall",       4,       aRow.value_ == "leaving",
                          aRow.version_ };
+    const bool hasLife = aRow.value_.find_first_not_of("0123456789") == std::string::npos;
+    record.life_ = hasLife ? std::stoull(aRow.value_) : 0;
+    return record;
   }
 
   std::optional<std::string> DecodeDrainedHall(std::string_view aKey) const override
@@ -73,6 +79,12 @@
   {
     fetches_.push_back(aAddress);
   }
+  void ReadConfigurationVersion() override { ++configurationReads_; }
+  void SendUses(const std::string& aAddress, const UseReport& aReport) override
+  {
+    uses_.emplace_back(aAddress, aReport);
+  }
+  void OnApiKeysProven(Instant aUntil) override { apiKeysUntil_ = aUntil; }
   void OnRoutes(std::shared_ptr<const RouteTable> aRoutes) override
   {
     versions_.push_back(aRoutes->Configuration().version_);
@@ -96,6 +108,9 @@
   bool hasFollowedAlone_ = false;
   std::vector<std::pair<std::string, FleetNews>> news_;
   std::vector<std::string> fetches_;
+  int configurationReads_ = 0;
+  std::vector<std::pair<std::string, UseReport>> uses_;
+  std::optional<Instant> apiKeysUntil_;
   std::vector<std::uint64_t> versions_;
   int directoryChanges_ = 0;
   std::optional<KeyOwnership> ownership_;
--- a/Tests/LibFleet/TestFleetMember.cpp
+++ b/Tests/LibFleet/TestFleetMember.cpp
@@ -6,6 +6,34 @@
 
 namespace {
 
+TEST_F(MemberOfAFleet, ServerRecordCannotBeReadAnyMore_NamesNoServerAndTheOthersHold)
+{
+  ShowTables();
+  Show(FleetTable::Servers, 9, { { "s1", 9, "broken" }, { "s2", 3, "ready" } });
+  Pass(seconds(1));
+  EXPECT_EQ(member_.Directory().Find("s1"), nullptr);
+  EXPECT_NE(member_.Directory().Find("s2"), nullptr);
+  Show(FleetTable::Servers, 11, { { "s1", 11, "ready" }, { "s2", 3, "ready" } });
+  Pass(seconds(1));
+  EXPECT_NE(member_.Directory().Find("s1"), nullptr);
+}
+
+// Written late by the former life, or by one whose clock was set back.
+TEST_F(MemberOfAFleet, ServerRecordIsOfAnEarlierLife_NamesNoServerBeforeALaterOneIsSeen)
+{
+  Show(FleetTable::Servers, 6, { { "s1", 6, "200" } });
+  Show(FleetTable::Servers, 9, { { "s1", 9, "100" } });
+  Pass(seconds(1));
+  EXPECT_EQ(member_.Directory().Find("s1"), nullptr);
+  Show(FleetTable::Servers, 11, { { "s1", 11, "ready" } });
+  Pass(seconds(1));
+  EXPECT_EQ(member_.Directory().Find("s1"), nullptr);
+  Show(FleetTable::Servers, 12, { { "s1", 12, "200" } });
+  ASSERT_NE(member_.Directory().Find("s1"), nullptr);
+  Show(FleetTable::Servers, 13, { { "s1", 13, "300" } });
+  EXPECT_EQ(member_.Directory().Find("s1")->life_, 300U);
+}
+
 TEST_F(MemberOfAFleet, TablesAreKnown_IsReady)
 {
   EXPECT_FALSE(member_.IsReady());
--- a/Tests/LibFleet/TestLargeFleetMember.cpp
+++ b/Tests/LibFleet/TestLargeFleetMember.cpp
@@ -124,8 +124,8 @@
 
 TEST_F(MemberOfALargeFleet, IsAskedByAnother_SaysThatItDoesNotSeeTheStore)
 {
-  EXPECT_EQ(member_.NewsSince({ 5, 6, 7 }).sight_, StoreSight::None);
-  EXPECT_TRUE(member_.NewsSince({ 5, 6, 7 }).views_.empty());
+  EXPECT_EQ(member_.NewsSince(now_, { 5, 6, 7 }).sight_, StoreSight::None);
+  EXPECT_TRUE(member_.NewsSince(now_, { 5, 6, 7 }).views_.empty());
 }
 
 TEST_F(MemberOfALargeFleet, NewsWereMissed_ReadersTellThem)
@@ -146,7 +146,7 @@
 TEST_F(ReaderOfALargeFleet, PlacerTellsWhatChanges_ConfigurationIsFollowed)
 {
   EXPECT_EQ(fleet_.following_, Following::Relayed);
-  EXPECT_EQ(member_.NewsSince({ 5, 6, 7 }).sight_, StoreSight::Heard);
+  EXPECT_EQ(member_.NewsSince(now_, { 5, 6, 7 }).sight_, StoreSight::Heard);
 }
 
 TEST_F(ReaderOfALargeFleet, ConfigurationChanges_ItsHallIsTold)
--- a/Tests/LibKeys/PlacerWorld.h
+++ b/Tests/LibKeys/PlacerWorld.h
@@ -37,6 +37,8 @@
     bool isCut_ = false;
     // Orders are taken late and not answered.
     bool isLate_ = false;
+    // Tells its starts under one id apart.
+    std::uint64_t life_ = 1;
     // How long its work goes on after a release, whose answer waits for it.
     Duration workTime_{ 0 };
     std::map<KeyNumber, Holding> held_;
@@ -85,6 +87,15 @@
     return server;
   }
 
+  // The server starts again under its id, and knows nothing of before.
+  static void Restart(Server& aServer)
+  {
+    aServer.held_.clear();
+    aServer.seen_.clear();
+    aServer.isUp_ = true;
+    ++aServer.life_;
+  }
+
   // Makes a new placer the one that the row names; the former is told nothing. It knows
   // what stands in the store.
   Placer& TakeOver()
@@ -210,7 +221,7 @@
     for (const auto& [id, server] : servers_) {
       if (server.isListed_) {
         const bool isUsable = !server.isLeaving_ && !LifeOf(id)->hasEnded_;
-        listed.push_back({ id, server.address_, 1, isUsable });
+        listed.push_back({ id, server.address_, 1, isUsable, server.life_ });
       }
     }
     aPlacer.placer_.SetEpoch(epoch_);
@@ -305,9 +316,10 @@
       }
       const auto held = aServer.held_.find(key);
       const bool isNew = held == aServer.held_.end() || held->second.until_ <= now_;
-      if (isNew && holders_[key] != aServer.id_) {
-        EXPECT_GT(aOrder.fence_, fences_[key]) << "key " << key << " at " << aServer.id_;
-        holders_[key] = aServer.id_;
+      const auto holder = aServer.id_ + " life " + std::to_string(aServer.life_);
+      if (isNew && holders_[key] != holder) {
+        EXPECT_GT(aOrder.fence_, fences_[key]) << "key " << key << " at " << holder;
+        holders_[key] = holder;
       }
       fences_[key] = std::max(fences_[key], aOrder.fence_);
       // A server's clock may run slow.
--- a/Tests/LibKeys/TestOwnershipPlacer.cpp
+++ b/Tests/LibKeys/TestOwnershipPlacer.cpp
@@ -137,6 +137,44 @@
   EXPECT_LT(TimeUntilServed(), milliseconds(500));
 }
 
+TEST_F(PlacedKeysOfThreeServers, ServerStartsAgainUnderItsId_HasItsKeysSoonUnderHigherFences)
+{
+  auto& server = world_.servers_.at("s1");
+  const auto before = *world_.stored_;
+  server.isUp_ = false;
+  world_.Pass(milliseconds(300));
+  PlacerWorld::Restart(server);
+  world_.Pass(milliseconds(700));
+  EXPECT_EQ(world_.ServedKeys(), PlacerWorld::kBlocks);
+  for (const auto& range : before.ranges_) {
+    const auto* now = world_.stored_->Find(range.first_);
+    EXPECT_EQ(now->owner_, range.owner_);
+    EXPECT_EQ(now->fence_ > range.fence_, range.owner_ == "s1");
+  }
+}
+
+// A grant under the former fence would give the keys to another life.
+TEST_F(PlacedKeysOfThreeServers, ServerStartsAgainWhileTheStoreIsDown_GetsItsKeysAfterItsReturn)
+{
+  world_.isStoreDown_ = true;
+  PlacerWorld::Restart(world_.servers_.at("s1"));
+  world_.Pass(seconds(3));
+  EXPECT_TRUE(world_.servers_.at("s1").held_.empty());
+  world_.isStoreDown_ = false;
+  world_.Pass(milliseconds(500));
+  EXPECT_EQ(world_.ServedKeys(), PlacerWorld::kBlocks);
+}
+
+TEST_F(PlacedKeysOfThreeServers, ServersStartAgainTwiceInARow_AllKeysAreServed)
+{
+  PlacerWorld::Restart(world_.servers_.at("s1"));
+  PlacerWorld::Restart(world_.servers_.at("s2"));
+  world_.Pass(milliseconds(30));
+  PlacerWorld::Restart(world_.servers_.at("s1"));
+  world_.Pass(seconds(1));
+  EXPECT_EQ(world_.ServedKeys(), PlacerWorld::kBlocks);
+}
+
 TEST_F(PlacedKeysOfThreeServers, ServerThatSaidItLeavesRefuses_KeysPassOnSoon)
 {
   auto& left = world_.servers_.at("s1");
