--- a/Tests/Platform/FleetDocuments.cpp
+++ b/Tests/Platform/FleetDocuments.cpp
@@ -29,14 +29,15 @@
          R"("},"portRange":[)" + permitPort + "," + permitPort + R"(],"seeds":[")" +
          ControlAddress(aSeedPort) +
          R"("],"bounds":["retryBudgetRatio=0.2","budgetExtra=62","budgetWindowS=10","graceS=6",)"
-         R"("holdMaxMs=10000"],"platform":{"address":")" +
+         R"("holdMaxMs=10000","strictRevoke=true","revokeMs=3000"],"platform":{"address":")" +
          aStoreAddress + R"("}})";
 }
 
 std::string
-MakeManifest(int aVersion, const std::string& aBookingService)
+MakeManifest(int aVersion, const std::string& aBookingService, const std::string& aTenants)
 {
   return R"({"version":)" + std::to_string(aVersion) +
+         (aTenants.empty() ? "" : R"(,"tenants":)" + aTenants) +
          R"(,"listeners":[{"host":"a.example","rules":[)"
          R"({"name":"r1","kind":"idempotent","targetLatencyMs":2000,"priority":1,)"
          R"("match":{"pathPrefix":"/rates/"},)"
--- a/Tests/Platform/FleetDocuments.h
+++ b/Tests/Platform/FleetDocuments.h
@@ -20,9 +20,9 @@
 MakeSettings(const std::string& aName, int aPort, int aSeedPort, const std::string& aStoreAddress);
 
 // A configuration with a keyed service "rates", and bookings, which must not run
-// twice, at aBookingService.
+// twice, at aBookingService. aTenants is the list of the groups; empty for none.
 std::string
-MakeManifest(int aVersion, const std::string& aBookingService);
+MakeManifest(int aVersion, const std::string& aBookingService, const std::string& aTenants = "");
 
 // What a server without a slow start writes of itself into the store.
 std::string
--- a/Tests/Platform/TestEntryProcesses.cpp
+++ b/Tests/Platform/TestEntryProcesses.cpp
@@ -78,6 +78,10 @@
                          { "X-Request-Id", id },
                          { "X-Deadline-Ms", "4000" },
                          { "X-Shard-Key", std::to_string((asked_ * 7919) % 65536) } };
+    if (!apiKey_.empty()) {
+      request.headers_.emplace_back("Authorization", "Bearer " + apiKey_);
+      request.headers_.emplace_back("X-Tenant", "somebody-else");
+    }
     client_->Send(Loopback(kFirstPort + 10 * aInstance),
                   std::move(request),
                   seconds(5),
@@ -149,6 +153,16 @@
     }
   }
 
+  // So many requests have run in all.
+  std::size_t Runs() const
+  {
+    std::size_t runs = 0;
+    for (const auto& [id, backend] : backends_) {
+      runs += backend->Runs().size();
+    }
+    return runs;
+  }
+
   std::size_t RunsOf(const std::vector<std::string>& aBackends)
   {
     std::size_t runs = 0;
@@ -173,6 +187,8 @@
   std::map<std::string, std::unique_ptr<StandInBackend>> backends_;
   std::unique_ptr<HttpClient> client_ = HttpClient::Create(context_, 64);
   std::vector<std::unique_ptr<EntryProcess>> processes_;
+  // What the requests show; none when it is empty.
+  std::string apiKey_;
   std::size_t asked_ = 0;
   std::size_t ended_ = 0;
   std::size_t broken_ = 0;
@@ -335,6 +351,85 @@
   ExpectNothingRanTwice();
 }
 
+constexpr const char* kTwoGroups =
+  R"([{"name":"yefi","apiKeys":["key-1"]},)"
+  R"({"name":"wuno","apiKeys":["key-2"],"ratePerS":20,"burst":20}])";
+constexpr const char* kOneKeyLess = R"([{"name":"yefi","apiKeys":[]},)"
+                                    R"({"name":"wuno","apiKeys":["key-2"]}])";
+
+TEST_F(FleetOfThreeProcesses, ConfigurationHasGroups_ServersAreToldTheGroupAndNoKey)
+{
+  store_->Put("op", "config", MakeManifest(5, "bookings", kTwoGroups));
+  apiKey_ = "key-1";
+  ASSERT_TRUE(RunUntil([&] { return Served() == instances_; }, seconds(5)));
+  for (auto& [id, backend] : backends_) {
+    backend->ForgetCallers();
+  }
+  statuses_.clear();
+  Load(seconds(1), { 1, 2, 3 });
+  EXPECT_EQ(statuses_.size(), 1U);
+  EXPECT_GT(statuses_[200], 0);
+  apiKey_ = "key-3";
+  statuses_.clear();
+  Load(milliseconds(300), { 1, 2, 3 });
+  EXPECT_EQ(statuses_.size(), 1U);
+  EXPECT_GT(statuses_[401], 0);
+  for (const auto& [id, backend] : backends_) {
+    EXPECT_FALSE(backend->HasSeenApiKey()) << id;
+    for (const auto& group : backend->Groups()) {
+      EXPECT_EQ(group, "yefi") << id;
+    }
+  }
+}
+
+// Nobody can know then whether the key was taken away.
+TEST_F(FleetOfThreeProcesses, StoreIsDown_KeysAreHonouredForTheBoundAndAgainAfterItsReturn)
+{
+  store_->Put("op", "config", MakeManifest(5, "bookings", kTwoGroups));
+  apiKey_ = "key-1";
+  ASSERT_TRUE(RunUntil([&] { return Served() == instances_; }, seconds(5)));
+  store_->SetDown(true);
+  Load(milliseconds(3100), { 1, 2, 3 });
+  const auto before = Runs();
+  statuses_.clear();
+  Load(seconds(1), { 1, 2, 3 });
+  EXPECT_EQ(Runs(), before);
+  EXPECT_EQ(statuses_.size(), 1U);
+  EXPECT_GT(statuses_[503], 0);
+  store_->SetDown(false);
+  EXPECT_TRUE(RunUntil([&] { return Served() == instances_; }, seconds(4)));
+}
+
+TEST_F(FleetOfThreeProcesses, KeyIsTakenAway_NobodyHonoursItAfterTheBound)
+{
+  store_->Put("op", "config", MakeManifest(5, "bookings", kTwoGroups));
+  apiKey_ = "key-1";
+  ASSERT_TRUE(RunUntil([&] { return Served() == instances_; }, seconds(5)));
+  store_->Put("op", "config", MakeManifest(7, "bookings", kOneKeyLess));
+  Load(seconds(2), { 1, 2, 3 });
+  const auto before = Runs();
+  statuses_.clear();
+  Load(milliseconds(500), { 1, 2, 3 });
+  EXPECT_EQ(Runs(), before);
+  EXPECT_EQ(statuses_.size(), 1U);
+  EXPECT_GT(statuses_[401], 0);
+}
+
+// 20 a second and 20 at once, where some 200 a second are asked for.
+TEST_F(FleetOfThreeProcesses, GroupAsksForMoreThanItsLimit_AllInstancesTogetherKeepIt)
+{
+  store_->Put("op", "config", MakeManifest(5, "bookings", kTwoGroups));
+  apiKey_ = "key-2";
+  ASSERT_TRUE(RunUntil([&] { return Served() == instances_; }, seconds(5)));
+  const auto before = Runs();
+  statuses_.clear();
+  Load(seconds(5), { 1, 2, 3 });
+  const auto allowed = (20 * 5 + 20) * 1.1 + 20;
+  EXPECT_LE(static_cast<double>(Runs() - before), allowed);
+  EXPECT_GT(Runs() - before, 60U);
+  EXPECT_GT(statuses_[429], 0);
+}
+
 TEST_F(FleetOfThreeProcesses, SettingsAreReadAgainOnSignal_ProcessGoesOn)
 {
   processes_[0]->Signal(SIGHUP);
--- a/Tests/Platform/TestPlatformStore.cpp
+++ b/Tests/Platform/TestPlatformStore.cpp
@@ -5,8 +5,12 @@
 #include "platform/PlatformStore.h"
 #include "platform/StandIn/StandInStore.h"
 
+#include "LibKeys/KeyOwnership.h"
+
 #include <gtest/gtest.h>
+#include <map>
 #include <optional>
+#include <random>
 
 namespace latchslip::platform {
 
@@ -72,6 +76,86 @@
   EXPECT_EQ(Write("a", VersionIn(2, 2), "2").status_, StoreStatus::Done);
 }
 
+// Owners of the keys of that many servers, each of two ranges.
+KeyOwnership
+OwnersOf(std::size_t aServers)
+{
+  std::minstd_rand random(1);
+  KeyOwnership ownership{ "rates", 1000000, {}, 0 };
+  const auto ranges = 2 * aServers;
+  for (std::size_t range = 0; range < ranges; ++range) {
+    const auto first = range * (kLastKey + 1) / ranges;
+    const auto next = (range + 1) * (kLastKey + 1) / ranges;
+    std::string owner = "i-";
+    std::minstd_rand digits(static_cast<unsigned>(1 + range / 2));
+    for (int digit = 0; digit < 10; ++digit) {
+      owner += "0123456789abcdef"[digits() % 16];
+    }
+    ownership.ranges_.push_back({ static_cast<KeyNumber>(first),
+                                  static_cast<KeyNumber>(next - 1),
+                                  owner,
+                                  1000000 + random() % 100000,
+                                  "" });
+  }
+  return ownership;
+}
+
+TEST_F(ClientOfAStore, OwnersOfManyServers_AreWrittenAndReadWhole)
+{
+  for (const std::size_t servers : { 10, 400, 3500, 10000 }) {
+    const auto key = "ownership/" + std::to_string(servers);
+    const auto value = SerializeOwnership(OwnersOf(servers));
+    const auto first = Write(key, 0, "{}");
+    ASSERT_EQ(Write(key, first.rows_.front().version_, value).status_, StoreStatus::Done)
+      << servers;
+    // Whoever knows an older version is told the present row.
+    const auto conflict = Write(key, first.rows_.front().version_, "{}");
+    ASSERT_EQ(conflict.status_, StoreStatus::Conflict);
+    ASSERT_EQ(conflict.rows_.size(), 1U) << servers;
+    EXPECT_EQ(conflict.rows_.front().value_, value);
+  }
+}
+
+// Hears the rows of the fleet.
+class FleetRows : public FleetStoreListener
+{
+public:
+  void OnView(const TableView& aView) override
+  {
+    for (const auto& change : aView.rows_) {
+      rows_[change.row_.key_] = change.row_;
+    }
+    ++views_;
+  }
+  void OnStoreLost() override {}
+  void OnStoreRegained() override {}
+
+  std::map<std::string, Row> rows_;
+  int views_ = 0;
+};
+
+TEST_F(ClientOfAStore, RowOfManyPartsShrinks_IsReadAsItStands)
+{
+  const auto longer = SerializeOwnership(OwnersOf(10000));
+  const auto shorter = SerializeOwnership(OwnersOf(300));
+  auto version = Write("ownership/rates", 0, longer).rows_.front().version_;
+  version = Write("ownership/rates", version, shorter).rows_.front().version_;
+  const auto reader = CreatePlatformStore(context_, Loopback(kPort), events_);
+  FleetRows rows;
+  reader->Start(rows);
+  const auto end = MonotonicNow() + seconds(3);
+  while (rows.views_ == 0 && MonotonicNow() < end) {
+    context_.run_for(std::chrono::milliseconds(5));
+    context_.restart();
+  }
+  ASSERT_EQ(rows.rows_.size(), 1U);
+  EXPECT_EQ(rows.rows_.at("ownership/rates").value_, shorter);
+  EXPECT_EQ(rows.rows_.at("ownership/rates").version_, version);
+  // And it can be written on from there.
+  EXPECT_EQ(Write("ownership/rates", version, longer).status_, StoreStatus::Done);
+  reader->Stop();
+}
+
 } // namespace
 
 } // namespace latchslip::platform
