--- a/Libraries/LibBase/Event.cpp
+++ b/Libraries/LibBase/Event.cpp
@@ -80,6 +80,7 @@
   EventName{ Event::DispatcherSilent, "DispatcherSilent" },
   EventName{ Event::ApiKeysProven, "ApiKeysProven" },
   EventName{ Event::ApiKeysUnproven, "ApiKeysUnproven" },
+  EventName{ Event::GroupOverLimit, "GroupOverLimit" },
 };
 
 } // namespace
--- a/Libraries/LibBase/Event.h
+++ b/Libraries/LibBase/Event.h
@@ -82,6 +82,7 @@
   DispatcherSilent = 641,
   ApiKeysProven = 650,
   ApiKeysUnproven = 651,
+  GroupOverLimit = 652,
 };
 
 struct EventName
--- a/Libraries/LibDaemon/GatewayMetrics.cpp
+++ b/Libraries/LibDaemon/GatewayMetrics.cpp
@@ -61,6 +61,23 @@
   }
 }
 
+void
+WriteGroups(std::ostream& aText, const RequestTally& aTally)
+{
+  WriteType(aText, "group_requests_total", "counter");
+  for (const auto& [name, group] : aTally.Groups()) {
+    aText << "latchslip_group_requests_total{group=\"" << name << "\",end=\"passed\"} "
+          << group.passed_ << '\n';
+    for (std::size_t reason = 0; reason < group.barred_.size(); ++reason) {
+      if (group.barred_.at(reason) > 0) {
+        aText << "latchslip_group_requests_total{group=\"" << name << "\",end=\""
+              << kRefusalReasonNames.names_.at(reason) << "\"} " << group.barred_.at(reason)
+              << '\n';
+      }
+    }
+  }
+}
+
 void
 WriteServers(std::ostream& aText, const RequestTally& aTally)
 {
@@ -111,6 +128,7 @@
   WriteType(text, "latency_ms", "histogram");
   WriteHistogram(text, "latency_ms", "", latency_);
   WriteRoutes(text, aTally);
+  WriteGroups(text, aTally);
   WriteServers(text, aTally);
   WriteStoreCalls(text, aCalls);
   WriteType(text, "events_total", "counter");
--- a/Libraries/LibFleet/LimitDuty.cpp
+++ b/Libraries/LibFleet/LimitDuty.cpp
@@ -24,6 +24,10 @@
   }
   FleetNews news;
   news.parts_ = keeper_.TakeShort(aNow);
+  for (const auto& part : news.parts_) {
+    events_.Record(Event::GroupOverLimit,
+                   "group=" + part.group_ + " part=" + std::to_string(part.part_));
+  }
   if (!news.parts_.empty()) {
     limits_.OnParts(aNow, news.parts_);
     Spread(news);
--- a/Libraries/LibGateway/RequestDesk.cpp
+++ b/Libraries/LibGateway/RequestDesk.cpp
@@ -162,6 +162,9 @@
     bar = RefusalReason::OverLimit;
   }
   aPending.route_ = route;
+  if (aPending.group_ != nullptr) {
+    tally_.OnGroup(aPending.group_->name_, bar);
+  }
   if (bar) {
     Refuse(aNow, aPending, *bar);
   }
--- a/Libraries/LibGateway/RequestTally.cpp
+++ b/Libraries/LibGateway/RequestTally.cpp
@@ -24,6 +24,23 @@
   ++servers_[aServer].at(static_cast<std::size_t>(aEnd));
 }
 
+void
+RequestTally::OnGroup(const std::string& aGroup, std::optional<RefusalReason> aBar)
+{
+  auto& group = groups_[aGroup];
+  if (aBar) {
+    ++group.barred_.at(static_cast<std::size_t>(*aBar));
+  } else {
+    ++group.passed_;
+  }
+}
+
+void
+RequestTally::KeepGroups(const std::function<bool(const std::string&)>& aIsThere)
+{
+  std::erase_if(groups_, [&](const auto& aEntry) { return !aIsThere(aEntry.first); });
+}
+
 void
 RequestTally::KeepRoutes(const std::function<bool(const std::string&)>& aIsThere)
 {
--- a/Libraries/LibGateway/ServerChoice.cpp
+++ b/Libraries/LibGateway/ServerChoice.cpp
@@ -171,6 +171,12 @@
   std::erase_if(patience_, [&](const auto& aEntry) { return !names.contains(aEntry.first); });
   std::erase_if(moveTimes_,
                 [&](const auto& aEntry) { return routes_->FindService(aEntry.first) == nullptr; });
+  tally_.KeepGroups([&](const std::string& aGroup) {
+    const auto& groups = routes_->Configuration().groups_;
+    return std::any_of(groups.begin(), groups.end(), [&](const CallerGroup& aEntry) {
+      return aEntry.name_ == aGroup;
+    });
+  });
 }
 
 void
