LibFleet: Ask on for a reader that the store answers

An instance of a large fleet without its placer asked the two readers of its own hall, drawn anew each time, and took one that could not reach the store for as good as one that could. When the store turns a third of the instances away, a hall may have one such reader, or two: its instances then heard of nothing for seconds, while the store served the others.

Now nobody is asked twice before all readers were, the own hall first, until one sees the store, which is asked on. When six in a row do not, it is taken to be away from all, and the usual pace is kept. Readers that are turned away themselves ask readers, too, and not anybody.

A test over 50 seeds holds that one is found within a second when both readers of the hall are turned away; by the draw alone that never happens.

--- a/Libraries/LibDaemon/PeerCalls.cpp
+++ b/Libraries/LibDaemon/PeerCalls.cpp
@@ -139,7 +139,7 @@
   client_->Send(aAddress,
                 MakePost(kSincePath, SerializeVersions(aVersions)),
                 kPeerTimeout,
-                [this, sentAt = MonotonicNow()](const HttpExchange& aExchange) {
+                [this, aAddress, sentAt = MonotonicNow()](const HttpExchange& aExchange) {
                   std::optional<FleetNews> news;
                   if (IsOk(aExchange)) {
                     if (auto parsed = UnpackNews(*aExchange.response_.body_)) {
@@ -147,7 +147,7 @@
                     }
                   }
                   const auto now = MonotonicNow();
-                  member_.OnNewsFetched(now, news, now - sentAt);
+                  member_.OnNewsFetched(now, news, now - sentAt, aAddress);
                 });
 }
 
--- a/Libraries/LibFleet/FleetMember.cpp
+++ b/Libraries/LibFleet/FleetMember.cpp
@@ -19,6 +19,15 @@
 // large fleet: a tenth took seconds to answer the reports of 90 instances.
 constexpr double kStrongShare = 0.5;
 
+ReaderSight
+SightOf(const std::optional<FleetNews>& aNews)
+{
+  if (!aNews || aNews->sight_ == StoreSight::None) {
+    return ReaderSight::None;
+  }
+  return aNews->sight_ == StoreSight::Heard ? ReaderSight::Store : ReaderSight::NoStore;
+}
+
 } // namespace
 
 FleetMember::FleetMember(FleetMemberSettings aSettings,
@@ -95,9 +104,12 @@
 }
 
 void
-FleetMember::OnNewsFetched(Instant aNow, const std::optional<FleetNews>& aNews, Duration aRoundTrip)
+FleetMember::OnNewsFetched(Instant aNow,
+                           const std::optional<FleetNews>& aNews,
+                           Duration aRoundTrip,
+                           const std::string& aFrom)
 {
-  guide_.OnAnswer(aNow, aNews && aNews->sight_ != StoreSight::None);
+  guide_.OnAnswer(aNow, aFrom, SightOf(aNews));
   if (!aNews) {
     return;
   }
@@ -339,9 +351,13 @@
 FleetMember::FetchFromPeers(Instant aNow)
 {
   nextFetch_ = aNow + kFetchInterval;
-  auto addresses = settings_.seeds_;
+  // In a large fleet the others only know what its readers tell them.
+  const bool hasReaders = roster_.HasReaders();
+  auto addresses = hasReaders ? std::vector<std::string>() : settings_.seeds_;
   for (const auto& [address, peer] : roster_.Peers()) {
-    addresses.push_back(address);
+    if (!hasReaders || roster_.IsReader(address)) {
+      addresses.push_back(address);
+    }
   }
   std::erase(addresses, settings_.self_.address_);
   if (addresses.empty()) {
--- a/Libraries/LibFleet/FleetMember.h
+++ b/Libraries/LibFleet/FleetMember.h
@@ -112,9 +112,11 @@
   // News from another instance that were not asked for.
   void OnNews(Instant aNow, const FleetNews& aNews);
   // News that were asked for; no value when none came.
+  // aFrom is the address that was asked, aRoundTrip how long that took.
   void OnNewsFetched(Instant aNow,
                      const std::optional<FleetNews>& aNews,
-                     Duration aRoundTrip = Duration(0));
+                     Duration aRoundTrip = Duration(0),
+                     const std::string& aFrom = {});
   // No value when the store did not answer. aAskedAt is when it was asked.
   void OnConfigurationRead(Instant aNow, Instant aAskedAt, std::optional<RowVersion> aVersion);
   // What another instance has met of the groups with limits; the answer is for it. No value
--- a/Libraries/LibFleet/ReaderGuide.cpp
+++ b/Libraries/LibFleet/ReaderGuide.cpp
@@ -1,5 +1,7 @@
 #include "LibFleet/ReaderGuide.h"
 
+#include <algorithm>
+
 namespace latchslip {
 
 namespace {
@@ -14,6 +16,8 @@
 constexpr Duration kAskInterval = milliseconds(500);
 // The same after one that was not heard.
 constexpr Duration kAskAgain = milliseconds(200);
+// After so many in a row without the store it is taken to be away from all.
+constexpr unsigned kMostWithoutStore = 6;
 
 } // namespace
 
@@ -24,18 +28,28 @@
     return;
   }
   isAsking_ = true;
-  isHeard_ = true;
+  heard_.clear();
+  inVain_.clear();
+  withoutStore_ = 0;
   guidedUntil_ = aNow + kFirstBound;
   nextAsk_ = aNow;
 }
 
 void
-ReaderGuide::OnAnswer(Instant aNow, bool aIsHeard)
+ReaderGuide::OnAnswer(Instant aNow, const std::string& aReader, ReaderSight aSight)
 {
-  isHeard_ = aIsHeard;
-  if (aIsHeard) {
-    guidedUntil_ = aNow + kAnswerBound;
+  const bool isHeard = aSight == ReaderSight::Store;
+  heard_ = isHeard ? aReader : std::string();
+  if (isHeard) {
+    inVain_.clear();
   } else {
+    inVain_.insert(aReader);
+  }
+  withoutStore_ = aSight == ReaderSight::NoStore ? withoutStore_ + 1 : 0;
+  if (aSight != ReaderSight::None) {
+    guidedUntil_ = aNow + kAnswerBound;
+  }
+  if (!isHeard && withoutStore_ <= kMostWithoutStore) {
     nextAsk_ = std::min(nextAsk_, aNow + kAskAgain);
   }
 }
@@ -47,16 +61,29 @@
     return std::nullopt;
   }
   nextAsk_ = aNow + kAskInterval;
-  // Those of the own hall while they are heard, then anybody.
-  std::size_t choices = aReaders.size();
-  if (isHeard_) {
-    choices = 0;
-    while (choices < aReaders.size() && aReaders[choices].hall_ == aReaders.front().hall_) {
-      ++choices;
+  const bool isThere =
+    std::any_of(aReaders.begin(), aReaders.end(), [this](const FleetPeer& aReader) {
+      return aReader.address_ == heard_;
+    });
+  if (isThere) {
+    return heard_;
+  }
+  // Nobody is asked twice before all were asked once; the nearest come first.
+  std::vector<const FleetPeer*> choices;
+  const auto isLeft = [this](const FleetPeer& aReader) {
+    return !inVain_.contains(aReader.address_);
+  };
+  if (std::none_of(aReaders.begin(), aReaders.end(), isLeft)) {
+    inVain_.clear();
+  }
+  for (const auto& reader : aReaders) {
+    const bool isNear = choices.empty() || reader.hall_ == choices.front()->hall_;
+    if (isLeft(reader) && isNear) {
+      choices.push_back(&reader);
     }
   }
-  std::uniform_int_distribution<std::size_t> draw(0, choices - 1);
-  return aReaders[draw(aRandom)].address_;
+  std::uniform_int_distribution<std::size_t> draw(0, choices.size() - 1);
+  return choices[draw(aRandom)]->address_;
 }
 
 } // namespace latchslip
--- a/Libraries/LibFleet/ReaderGuide.h
+++ b/Libraries/LibFleet/ReaderGuide.h
@@ -5,11 +5,22 @@
 
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
 namespace latchslip {
 
+// What a reader that was asked sees of the store.
+enum class ReaderSight
+{
+  // It was not heard, or follows the store no more.
+  None,
+  // The store does not answer it; that of others may.
+  NoStore,
+  Store,
+};
+
 // Decides for an instance of a large fleet whose placer cannot be relied on whether it may
 // go on without the store: it asks the instances that read the store for all, one after
 // the other. Without it all 295 instances of a fleet ask the store about three times a
@@ -23,7 +34,7 @@
   // The placer cannot be relied on.
   void OnRelayEnded(Instant aNow);
   // A reader told what it knows, or was not heard.
-  void OnAnswer(Instant aNow, bool aIsHeard);
+  void OnAnswer(Instant aNow, const std::string& aReader, ReaderSight aSight);
 
   // Whether the readers can be relied on.
   bool IsGuided(Instant aNow) const { return isAsking_ && aNow < guidedUntil_; }
@@ -36,7 +47,13 @@
 
 private:
   bool isAsking_ = false;
-  bool isHeard_ = false;
+  // The reader that last told what the store says, which is asked on; empty when there is
+  // none.
+  std::string heard_;
+  // Those that were asked since and did not.
+  std::set<std::string> inVain_;
+  // Answers in a row of readers without the store.
+  unsigned withoutStore_ = 0;
   Instant guidedUntil_ = Instant::min();
   Instant nextAsk_ = Instant::min();
 };
--- a/Tests/LibFleet/TestReaderGuide.cpp
+++ b/Tests/LibFleet/TestReaderGuide.cpp
@@ -18,7 +18,7 @@
     for (const auto end = now_ + aTime; now_ < end; now_ += milliseconds(50)) {
       if (const auto address = guide_.Next(now_, readers_, random_)) {
         ++asked_[*address];
-        guide_.OnAnswer(now_, aIsAnswered);
+        guide_.OnAnswer(now_, *address, aIsAnswered ? ReaderSight::Store : ReaderSight::None);
       }
     }
   }
@@ -69,6 +69,45 @@
   EXPECT_TRUE(guide_.IsGuided(now_));
 }
 
+// The store turns some instances away, as it may for seconds, and the readers of this hall are
+// among them.
+TEST(ReaderGuide, ReadersOfTheOwnHallAreTurnedAwayByTheStore_OthersAreFoundWithinASecond)
+{
+  const std::vector<FleetPeer> readers{
+    { "a:1", "own", 1 }, { "b:1", "own", 1 }, { "c:1", "other", 1 }, { "d:1", "other", 1 }
+  };
+  for (unsigned seed = 1; seed <= 50; ++seed) {
+    std::minstd_rand random(seed);
+    ReaderGuide guide;
+    Instant now = seconds(100);
+    Instant seenAt = now;
+    guide.OnRelayEnded(now);
+    for (const auto end = now + seconds(8); now < end; now += milliseconds(50)) {
+      if (const auto address = guide.Next(now, readers, random)) {
+        const bool sees = *address >= "c";
+        guide.OnAnswer(now, *address, sees ? ReaderSight::Store : ReaderSight::NoStore);
+        seenAt = sees ? now : seenAt;
+      }
+      ASSERT_LE(now - seenAt, seconds(1)) << "seed " << seed;
+      EXPECT_TRUE(guide.IsGuided(now));
+    }
+  }
+}
+
+TEST_F(GuideByFourReaders, StoreIsAwayFromAll_ReadersAreAskedNoMoreOftenThanUsual)
+{
+  guide_.OnRelayEnded(now_);
+  int asked = 0;
+  for (const auto end = now_ + seconds(10); now_ < end; now_ += milliseconds(50)) {
+    if (const auto address = guide_.Next(now_, readers_, random_)) {
+      ++asked;
+      guide_.OnAnswer(now_, *address, ReaderSight::NoStore);
+    }
+  }
+  EXPECT_LE(asked, 24);
+  EXPECT_TRUE(guide_.IsGuided(now_));
+}
+
 TEST_F(GuideByFourReaders, PlacerIsReliedOnAgain_AskingEnds)
 {
   guide_.OnRelayEnded(now_);
