--- a/Libraries/LibFleet/LimitDuty.cpp
+++ b/Libraries/LibFleet/LimitDuty.cpp
@@ -26,7 +26,8 @@
   news.parts_ = keeper_.TakeShort(aNow);
   for (const auto& part : news.parts_) {
     events_.Record(Event::GroupOverLimit,
-                   "group=" + part.group_ + " part=" + std::to_string(part.part_));
+                   "group=" + part.group_ + " part=" + std::to_string(part.part_) +
+                     " late_part=" + std::to_string(part.latePart_));
   }
   if (!news.parts_.empty()) {
     limits_.OnParts(aNow, news.parts_);
--- a/Libraries/LibGateway/GroupGate.h
+++ b/Libraries/LibGateway/GroupGate.h
@@ -11,15 +11,16 @@
 public:
   virtual ~GroupGate() = default;
 
-  // Whether one more request of that group goes on now. To be asked once for each.
-  virtual bool TryPass(Instant aNow, const CallerGroup& aGroup) = 0;
+  // Whether one more request of that group goes on now. To be asked once for each. aIsLate:
+  // it cannot be answered in time any more, so that others go first.
+  virtual bool TryPass(Instant aNow, const CallerGroup& aGroup, bool aIsLate) = 0;
 };
 
 // Lets all through.
 class OpenGate : public GroupGate
 {
 public:
-  bool TryPass(Instant, const CallerGroup&) override { return true; }
+  bool TryPass(Instant, const CallerGroup&, bool) override { return true; }
 };
 
 } // namespace latchslip
--- a/Libraries/LibGateway/RequestDesk.cpp
+++ b/Libraries/LibGateway/RequestDesk.cpp
@@ -134,13 +134,16 @@
     return;
   }
   const auto& route = *aPending.route_;
-  aPending.service_ = routes_->FindService(ChooseTarget(route));
   const auto timeLeft = aPending.request_.timeLeft_.value_or(route.timeLimit_);
   aPending.deadline_ = aPending.arrival_ + std::min(timeLeft, route.timeLimit_);
   auto& patience = patience_[route.Name()];
   patience.OnRequest(timeLeft);
   aPending.inTimeUntil_ = aPending.arrival_ + route.latencyTarget_ - patience.AgeOf(timeLeft);
   aPending.isLate_ = aPending.inTimeUntil_ <= aNow;
+  if (!TryPassGate(aNow, aPending)) {
+    return;
+  }
+  aPending.service_ = routes_->FindService(ChooseTarget(route));
   StateOf(aPending.service_->name_).budget_.OnRequest(aNow);
   if (aPending.service_->isKeyed_ && aPending.request_.key_) {
     actions_.CountKey(aPending.service_->name_, *aPending.request_.key_);
@@ -157,20 +160,38 @@
   const auto& request = aPending.request_;
   const auto* route = routes_->Match(request.host_, request.path_);
   aPending.group_ = request.apiKey_.empty() ? nullptr : routes_->FindGroup(request.apiKey_);
-  auto bar = BarOf(aNow, route, aPending.group_);
-  if (!bar && aPending.group_ != nullptr && !gate_->TryPass(aNow, *aPending.group_)) {
-    bar = RefusalReason::OverLimit;
-  }
+  const auto bar = BarOf(aNow, route, aPending.group_);
   aPending.route_ = route;
-  if (aPending.group_ != nullptr) {
-    tally_.OnGroup(aPending.group_->name_, bar);
-  }
   if (bar) {
-    Refuse(aNow, aPending, *bar);
+    Bar(aNow, aPending, *bar);
   }
   return !bar;
 }
 
+bool
+RequestDesk::TryPassGate(Instant aNow, PendingRequest& aPending)
+{
+  const auto* group = aPending.group_;
+  if (group == nullptr) {
+    return true;
+  }
+  if (!gate_->TryPass(aNow, *group, aPending.isLate_)) {
+    Bar(aNow, aPending, RefusalReason::OverLimit);
+    return false;
+  }
+  tally_.OnGroup(group->name_, std::nullopt);
+  return true;
+}
+
+void
+RequestDesk::Bar(Instant aNow, PendingRequest& aPending, RefusalReason aReason)
+{
+  if (aPending.group_ != nullptr) {
+    tally_.OnGroup(aPending.group_->name_, aReason);
+  }
+  Refuse(aNow, aPending, aReason);
+}
+
 // What a caller without a known key is told does not depend on whether there is such a
 // route.
 std::optional<RefusalReason>
--- a/Libraries/LibGateway/RequestDesk.h
+++ b/Libraries/LibGateway/RequestDesk.h
@@ -94,9 +94,13 @@
   };
 
   static RefusalReason ObstacleOf(Choice aChoice);
-  // Finds the route and the group of a request, and whether its caller may have it served;
+  // Finds the route and the group of a request, and whether its caller may use the route;
   // otherwise refuses it.
   bool TryIdentify(Instant aNow, PendingRequest& aPending);
+  // Whether the limit of its group lets the request on; otherwise refuses it.
+  bool TryPassGate(Instant aNow, PendingRequest& aPending);
+  // Refuses a request because of who its caller is.
+  void Bar(Instant aNow, PendingRequest& aPending, RefusalReason aReason);
   // Why that caller may not use that route, which may be null for none; no value when it may.
   std::optional<RefusalReason> BarOf(Instant aNow,
                                      const Route* aRoute,
--- a/Libraries/LibLimit/GroupUse.cpp
+++ b/Libraries/LibLimit/GroupUse.cpp
@@ -22,8 +22,10 @@
 {
   boost::json::array uses;
   for (const auto& use : aReport.uses_) {
-    uses.push_back(boost::json::object{
-      { "group", use.group_ }, { "asked", use.asked_ }, { "passed", use.passed_ } });
+    uses.push_back(boost::json::object{ { "group", use.group_ },
+                                        { "asked", use.asked_ },
+                                        { "asked_late", use.askedLate_ },
+                                        { "passed", use.passed_ } });
   }
   return boost::json::serialize(
     boost::json::object{ { "address", aReport.address_ }, { "uses", std::move(uses) } });
@@ -42,6 +44,7 @@
     GroupUse read;
     BOOST_OUTCOME_TRY(read.group_, use.Text("group"));
     BOOST_OUTCOME_TRY(read.asked_, ReadCount(use, "asked"));
+    BOOST_OUTCOME_TRY(read.askedLate_, ReadCount(use, "asked_late"));
     BOOST_OUTCOME_TRY(read.passed_, ReadCount(use, "passed"));
     report.uses_.push_back(std::move(read));
   }
@@ -53,7 +56,8 @@
 {
   boost::json::array parts;
   for (const auto& part : aParts) {
-    parts.push_back(boost::json::object{ { "group", part.group_ }, { "part", part.part_ } });
+    parts.push_back(boost::json::object{
+      { "group", part.group_ }, { "part", part.part_ }, { "late_part", part.latePart_ } });
   }
   return boost::json::serialize(boost::json::object{ { "parts", std::move(parts) } });
 }
@@ -70,6 +74,7 @@
     GroupPart part;
     BOOST_OUTCOME_TRY(part.group_, item.Text("group"));
     BOOST_OUTCOME_TRY(part.part_, item.NumberOr("part", 1, 0, 1));
+    BOOST_OUTCOME_TRY(part.latePart_, item.NumberOr("late_part", 1, 0, 1));
     parts.push_back(std::move(part));
   }
   return parts;
--- a/Libraries/LibLimit/GroupUse.h
+++ b/Libraries/LibLimit/GroupUse.h
@@ -14,9 +14,11 @@
 struct GroupUse
 {
   std::string group_;
-  // Requests that came.
+  // Requests that came and can be answered in time.
   std::uint32_t asked_ = 0;
-  // Those of them that it let through.
+  // Those that cannot any more, as they come again after a refusal.
+  std::uint32_t askedLate_ = 0;
+  // Those of both that it let through.
   std::uint32_t passed_ = 0;
 
   bool operator==(const GroupUse&) const = default;
@@ -26,7 +28,10 @@
 struct GroupPart
 {
   std::string group_;
+  // Of those that can be answered in time.
   double part_ = 1;
+  // Of the others, which get what is left.
+  double latePart_ = 1;
 
   bool operator==(const GroupPart&) const = default;
 };
--- a/Libraries/LibLimit/LimitKeeper.cpp
+++ b/Libraries/LibLimit/LimitKeeper.cpp
@@ -57,7 +57,9 @@
     const auto& terms = TermsOf(aNow, aTally);
     const auto most = std::max(1.0, terms.burst_);
     aTally.level_ = std::min(most, aTally.level_ + passed * terms.rate_);
-    aTally.asked_ *= std::exp(-passed / kSpanS);
+    const auto kept = std::exp(-passed / kSpanS);
+    aTally.asked_ *= kept;
+    aTally.askedLate_ *= kept;
   }
   aTally.at_ = aNow;
 }
@@ -73,19 +75,28 @@
     Advance(aNow, tally->second);
     tally->second.level_ -= use.passed_;
     tally->second.asked_ += use.asked_;
+    tally->second.askedLate_ += use.askedLate_;
   }
 }
 
-double
+// Those that can be answered in time go first: a caller that was refused and comes back
+// would else take the place of one that can be served in time.
+GroupPart
 LimitKeeper::PartOf(Instant aNow, Tally& aTally)
 {
   Advance(aNow, aTally);
   const auto asked = aTally.asked_ / kSpanS;
-  const auto allowed = TermsOf(aNow, aTally).rate_ * heardPart_ + aTally.level_ / kSpanS;
-  if (asked <= allowed) {
-    return 1;
+  const auto askedLate = aTally.askedLate_ / kSpanS;
+  const auto allowed =
+    std::max(0.0, TermsOf(aNow, aTally).rate_ * heardPart_ + aTally.level_ / kSpanS);
+  GroupPart part{ aTally.group_.name_, 1, 1 };
+  if (asked > allowed) {
+    part.part_ = allowed / asked;
+    part.latePart_ = 0;
+  } else if (askedLate > allowed - asked) {
+    part.latePart_ = (allowed - asked) / askedLate;
   }
-  return std::max(0.0, allowed / asked);
+  return part;
 }
 
 GroupParts
@@ -95,7 +106,7 @@
   GroupParts parts;
   for (const auto& use : aUses) {
     if (const auto tally = tallies_.find(use.group_); tally != tallies_.end()) {
-      parts.push_back({ use.group_, PartOf(aNow, tally->second) });
+      parts.push_back(PartOf(aNow, tally->second));
     }
   }
   return parts;
@@ -111,11 +122,12 @@
   nextShort_ = aNow + kShortInterval;
   CountHeard(aNow);
   for (auto& [name, tally] : tallies_) {
-    const auto part = PartOf(aNow, tally);
-    if (part < 1 || tally.isShort_) {
-      parts.push_back({ name, part });
+    auto part = PartOf(aNow, tally);
+    const bool isShort = part.part_ < 1 || part.latePart_ < 1;
+    if (isShort || tally.isShort_) {
+      parts.push_back(std::move(part));
     }
-    tally.isShort_ = part < 1;
+    tally.isShort_ = isShort;
   }
   return parts;
 }
--- a/Libraries/LibLimit/LimitKeeper.h
+++ b/Libraries/LibLimit/LimitKeeper.h
@@ -46,13 +46,14 @@
     double level_ = 0;
     // Requests that came, of which those of a second ago count a third.
     double asked_ = 0;
+    double askedLate_ = 0;
     Instant at_ = Instant::min();
     bool isShort_ = false;
   };
 
   static const CallerGroup& TermsOf(Instant aNow, const Tally& aTally);
   static void Advance(Instant aNow, Tally& aTally);
-  double PartOf(Instant aNow, Tally& aTally);
+  GroupPart PartOf(Instant aNow, Tally& aTally);
   // Of all that were heard lately, the part that is heard now. The others may be cut off,
   // and let an equal part of the limits through.
   void CountHeard(Instant aNow);
--- a/Libraries/LibLimit/LimitMember.cpp
+++ b/Libraries/LibLimit/LimitMember.cpp
@@ -27,17 +27,19 @@
 }
 
 bool
-LimitMember::TryPass(Instant aNow, const CallerGroup& aGroup)
+LimitMember::TryPass(Instant aNow, const CallerGroup& aGroup, bool aIsLate)
 {
   if (!aGroup.IsLimited()) {
     return true;
   }
   auto& meter = meters_[aGroup.name_];
-  ++meter.use_.asked_;
+  ++(aIsLate ? meter.use_.askedLate_ : meter.use_.asked_);
   hasUses_ = true;
   bool passes = false;
-  if (aNow < meter.partUntil_ && meter.part_ < 1) {
-    passes = TryTakePart(meter);
+  const bool isShort = meter.part_.part_ < 1 || meter.part_.latePart_ < 1;
+  if (aNow < meter.partUntil_ && isShort) {
+    passes = aIsLate ? TryTakePart(meter.part_.latePart_, meter.lateCredit_)
+                     : TryTakePart(meter.part_.part_, meter.credit_);
   } else if (IsKeeperHeard(aNow)) {
     // No instance alone lets through more than all may.
     passes = TryTakeToken(aNow, meter, aGroup.rate_, aGroup.burst_);
@@ -50,13 +52,13 @@
 }
 
 bool
-LimitMember::TryTakePart(Meter& aMeter)
+LimitMember::TryTakePart(double aPart, double& aCredit)
 {
-  aMeter.credit_ = std::min(kMostCredit, aMeter.credit_ + aMeter.part_);
-  if (aMeter.credit_ < 1) {
+  aCredit = std::min(kMostCredit, aCredit + aPart);
+  if (aCredit < 1) {
     return false;
   }
-  aMeter.credit_ -= 1;
+  aCredit -= 1;
   return true;
 }
 
@@ -93,7 +95,7 @@
   hasUses_ = false;
   GroupUses uses;
   for (auto& [name, meter] : meters_) {
-    if (meter.use_.asked_ > 0) {
+    if (meter.use_.asked_ + meter.use_.askedLate_ > 0) {
       meter.use_.group_ = name;
       uses.push_back(std::exchange(meter.use_, {}));
     }
@@ -106,7 +108,7 @@
 {
   for (const auto& part : aParts) {
     auto& meter = meters_[part.group_];
-    meter.part_ = part.part_;
+    meter.part_ = part;
     meter.partUntil_ = aNow + kPartBound;
   }
 }
--- a/Libraries/LibLimit/LimitMember.h
+++ b/Libraries/LibLimit/LimitMember.h
@@ -16,7 +16,7 @@
 class LimitMember : public GroupGate
 {
 public:
-  bool TryPass(Instant aNow, const CallerGroup& aGroup) override;
+  bool TryPass(Instant aNow, const CallerGroup& aGroup, bool aIsLate) override;
 
   // Whether there is something to tell, and enough time has passed since that was done.
   bool IsTellDue(Instant aNow) const;
@@ -36,15 +36,16 @@
     // What may still be let through, by the rate that holds here.
     double tokens_ = 0;
     Instant filledAt_ = Instant::min();
-    double part_ = 1;
+    GroupPart part_;
     Instant partUntil_ = Instant::min();
     // What the part has saved up for the next request; half of one to begin with, so that
     // what many instances let through is neither rounded up nor down.
     double credit_ = 0.5;
+    double lateCredit_ = 0.5;
   };
 
   bool IsKeeperHeard(Instant aNow) const;
-  static bool TryTakePart(Meter& aMeter);
+  static bool TryTakePart(double aPart, double& aCredit);
   static bool TryTakeToken(Instant aNow, Meter& aMeter, double aRate, double aBurst);
 
   std::map<std::string, Meter, std::less<>> meters_;
--- a/Tests/LibFleet/TestConfigurationProof.cpp
+++ b/Tests/LibFleet/TestConfigurationProof.cpp
@@ -372,11 +372,11 @@
   ShowTables();
   ShowPlacer();
   Pass(milliseconds(100));
-  EXPECT_TRUE(member_.Gate().TryPass(now_, { "g", {}, 0, 10, 10 }));
+  EXPECT_TRUE(member_.Gate().TryPass(now_, { "g", {}, 0, 10, 10 }, false));
   Pass(milliseconds(300));
   ASSERT_EQ(fleet_.uses_.size(), 1U);
   EXPECT_EQ(fleet_.uses_[0].first, kOther);
-  EXPECT_EQ(fleet_.uses_[0].second, (UseReport{ kSelf, { { "g", 1, 1 } } }));
+  EXPECT_EQ(fleet_.uses_[0].second, (UseReport{ kSelf, { { "g", 1, 0, 1 } } }));
 }
 
 TEST_F(MemberWithApiKeys, PlacerSaysAGroupHasHadItsLimit_NoneOfItIsLetThrough)
@@ -384,23 +384,23 @@
   ShowTables();
   ShowPlacer();
   FleetNews news;
-  news.parts_ = { { "g", 0 } };
+  news.parts_ = { { "g", 0, 0 } };
   member_.OnNews(now_, news);
-  EXPECT_FALSE(member_.Gate().TryPass(now_, { "g", {}, 0, 10, 10 }));
+  EXPECT_FALSE(member_.Gate().TryPass(now_, { "g", {}, 0, 10, 10 }, false));
 }
 
 TEST_F(MemberWithApiKeys, IsNotThePlacer_CountsForNobody)
 {
   ShowTables();
   ShowPlacer();
-  EXPECT_FALSE(member_.OnUses(now_, { kOther, { { "g", 1, 1 } } }));
+  EXPECT_FALSE(member_.OnUses(now_, { kOther, { { "g", 1, 0, 1 } } }));
 }
 
 TEST(FleetNews, WithProofAndParts_WrittenAndReadIsTheSame)
 {
   FleetNews news;
   news.proof_ = ConfigurationProof{ VersionIn(2, 77), milliseconds(321) };
-  news.parts_ = { { "g", 0.5 } };
+  news.parts_ = { { "g", 0.5, 0.25 } };
   const auto read = ParseNews(SerializeNews(news)).value();
   EXPECT_EQ(read.proof_, news.proof_);
   EXPECT_EQ(read.parts_, news.parts_);
--- a/Tests/LibGateway/TestCallerGroups.cpp
+++ b/Tests/LibGateway/TestCallerGroups.cpp
@@ -41,7 +41,7 @@
 class CountedGate : public GroupGate
 {
 public:
-  bool TryPass(Instant, const CallerGroup& aGroup) override
+  bool TryPass(Instant, const CallerGroup& aGroup, bool) override
   {
     asked_.push_back(aGroup.name_);
     return left_-- > 0;
--- a/Tests/LibLimit/TestGroupLimits.cpp
+++ b/Tests/LibLimit/TestGroupLimits.cpp
@@ -102,7 +102,7 @@
     for (int count = 0; count < aCount; ++count) {
       auto& member = members_[shares_[aGroup](random_)];
       ++record.asked_[bin];
-      record.passed_[bin] += member.TryPass(now_, record.group_) ? 1 : 0;
+      record.passed_[bin] += member.TryPass(now_, record.group_, false) ? 1 : 0;
     }
   }
 
@@ -327,9 +327,9 @@
     while (now_ < end) {
       now_ += milliseconds(100);
       const auto count = static_cast<std::uint32_t>(aRate / 10);
-      keeper_.OnUses(now_, { { "g", count, count } });
+      keeper_.OnUses(now_, { { "g", count, 0, count } });
     }
-    return keeper_.PartsOf(now_, { { "g", 0, 0 } }).front().part_;
+    return keeper_.PartsOf(now_, { { "g", 0, 0, 0 } }).front().part_;
   }
 
   Instant now_ = seconds(100);
@@ -353,17 +353,38 @@
   EXPECT_EQ(PartAfter(seconds(1), 80), 1);
 }
 
+// Callers that were refused come back, and would take the places of those who come for the
+// first time.
+TEST_F(LimitKeeperOfOneGroup, LateRequestsComeBesidesOthers_TheOthersGoFirst)
+{
+  keeper_.SetGroups(now_, { Group(100) });
+  for (int round = 0; round < 30; ++round) {
+    now_ += milliseconds(100);
+    keeper_.OnUses(now_, { { "g", 8, 10, 10 } });
+  }
+  const auto part = keeper_.PartsOf(now_, { { "g", 0, 0, 0 } }).front();
+  EXPECT_EQ(part.part_, 1);
+  EXPECT_LT(part.latePart_, 0.4);
+  for (int round = 0; round < 30; ++round) {
+    now_ += milliseconds(100);
+    keeper_.OnUses(now_, { { "g", 20, 10, 10 } });
+  }
+  const auto over = keeper_.PartsOf(now_, { { "g", 0, 0, 0 } }).front();
+  EXPECT_LT(over.part_, 0.7);
+  EXPECT_EQ(over.latePart_, 0);
+}
+
 TEST_F(LimitKeeperOfOneGroup, GroupIsUnknown_NoPartIsNamed)
 {
-  EXPECT_TRUE(keeper_.PartsOf(now_, { { "other", 1, 1 } }).empty());
+  EXPECT_TRUE(keeper_.PartsOf(now_, { { "other", 1, 0, 1 } }).empty());
   EXPECT_TRUE(keeper_.TakeShort(now_).empty());
 }
 
 TEST(GroupUse, WrittenAndRead_IsTheSame)
 {
-  const UseReport report{ "10.0.0.1:9", { { "g\"1", 3, 2 }, { "g2", 1, 0 } } };
+  const UseReport report{ "10.0.0.1:9", { { "g\"1", 3, 4, 2 }, { "g2", 1, 0, 0 } } };
   EXPECT_EQ(ParseUseReport(SerializeUseReport(report)).value(), report);
-  const GroupParts parts{ { "g1", 0.25 }, { "g2", 1 } };
+  const GroupParts parts{ { "g1", 0.25, 0 }, { "g2", 1, 0.5 } };
   EXPECT_EQ(ParseParts(SerializeParts(parts)).value(), parts);
 }
 
