--- a/Libraries/LibFleet/FleetMember.cpp
+++ b/Libraries/LibFleet/FleetMember.cpp
@@ -265,7 +265,9 @@
     guide_.OnRelayEnded(aNow);
     return guide_.IsGuided(aNow) ? Following::Told : Following::Alone;
   }
-  return Following::Alone;
+  // What a reader says is relied on: a long question would hide for seconds that the store
+  // turns it away.
+  return roster_.HasReaders() ? Following::Closely : Following::Alone;
 }
 
 bool
--- a/Libraries/LibFleet/FleetStore.h
+++ b/Libraries/LibFleet/FleetStore.h
@@ -35,7 +35,8 @@
   Relayed,
   // The store is asked, with long waits.
   Alone,
-  // Others rely on this instance: an outage must show at once.
+  // Others rely on this instance, the placer or a reader without one: an outage must show at
+  // once.
   Closely,
 };
 
--- a/Tests/LibFleet/TestLargeFleetMember.cpp
+++ b/Tests/LibFleet/TestLargeFleetMember.cpp
@@ -162,11 +162,13 @@
   EXPECT_TRUE(told.contains(AddressOf(4)));
 }
 
-TEST_F(ReaderOfALargeFleet, PlacerAnswersSlowly_StoreIsFollowed)
+// The others of its hall rely on it: a question that waits for seconds would hide that the
+// store turns it away.
+TEST_F(ReaderOfALargeFleet, PlacerAnswersSlowly_StoreIsFollowedClosely)
 {
   member_.OnReportAnswered(now_, ReportAnswer{ true, {}, { 5, 6, 7 } }, milliseconds(250));
   Pass(milliseconds(50));
-  EXPECT_EQ(fleet_.following_, Following::Alone);
+  EXPECT_EQ(fleet_.following_, Following::Closely);
 }
 
 } // namespace
