LibFleet: Say once what a reader sees and how a proof is taken

ReaderGuide had an enum of its own for what StoreSight says, with a function between the two; it takes StoreSight now. A proof of the configuration was noted by the same three steps in two places; both call AddProof. SpreadDoubt notes the doubt that it spreads, and takes it as the type there is for it. The keeper of limits hears reports only at the placer: it is made anew from the instances heard when an instance becomes one, so what it heard before was never used. Behaviour is the same. The guide's tests name the other enum's values; what they assert is unchanged.

--- a/Libraries/LibFleet/ConfigurationDuty.cpp
+++ b/Libraries/LibFleet/ConfigurationDuty.cpp
@@ -74,9 +74,7 @@
   if (!isOfThisEpoch || view_.Epoch() != proofEpoch_ || aAskedAt < proofsFrom_) {
     return;
   }
-  configuration_.OnKnown(view_.ConfigurationVersion());
-  configuration_.OnProof(aAskedAt, *aVersion);
-  NoteProof(aNow);
+  AddProof(aNow, aAskedAt, *aVersion);
 }
 
 void
@@ -85,12 +83,18 @@
                        Duration aRoundTrip)
 {
   if (aProof) {
-    configuration_.OnKnown(view_.ConfigurationVersion());
-    configuration_.OnProof(aNow - aRoundTrip - aProof->age_, aProof->version_);
-    NoteProof(aNow);
+    AddProof(aNow, aNow - aRoundTrip - aProof->age_, aProof->version_);
   }
 }
 
+void
+FleetMember::AddProof(Instant aNow, Instant aAsOf, RowVersion aVersion)
+{
+  configuration_.OnKnown(view_.ConfigurationVersion());
+  configuration_.OnProof(aAsOf, aVersion);
+  NoteProof(aNow);
+}
+
 void
 FleetMember::NoteProof(Instant aNow)
 {
--- a/Libraries/LibFleet/FleetMember.cpp
+++ b/Libraries/LibFleet/FleetMember.cpp
@@ -19,15 +19,6 @@
 // large fleet: a tenth took seconds to answer the reports of 90 instances.
 constexpr double kStrongShare = 0.5;
 
-ReaderSight
-SightOf(const std::optional<FleetNews>& aNews)
-{
-  if (!aNews || aNews->sight_ == StoreSight::None) {
-    return ReaderSight::None;
-  }
-  return aNews->sight_ == StoreSight::Heard ? ReaderSight::Store : ReaderSight::NoStore;
-}
-
 } // namespace
 
 FleetMember::FleetMember(FleetMemberSettings aSettings,
@@ -109,7 +100,7 @@
                            Duration aRoundTrip,
                            const std::string& aFrom)
 {
-  guide_.OnAnswer(aNow, aFrom, SightOf(aNews));
+  guide_.OnAnswer(aNow, aFrom, aNews ? aNews->sight_ : StoreSight::None);
   if (!aNews) {
     return;
   }
--- a/Libraries/LibFleet/FleetMember.h
+++ b/Libraries/LibFleet/FleetMember.h
@@ -186,6 +186,8 @@
   void TakeProof(Instant aNow,
                  const std::optional<ConfigurationProof>& aProof,
                  Duration aRoundTrip);
+  // At the time of aAsOf the store held no later configuration than that version.
+  void AddProof(Instant aNow, Instant aAsOf, RowVersion aVersion);
   void NoteProof(Instant aNow);
 
   // What concerns the groups' limits, in LimitDuty.cpp.
@@ -212,7 +214,8 @@
   double SpeedOf(const ServerRecord& aServer, Duration aTypical) const;
   // Tells the others at once what this placer has learnt or written.
   void Spread(const FleetNews& aNews);
-  void SpreadDoubt(const std::string& aServer, Duration aHolds);
+  // Notes the doubt and tells the others of it.
+  void SpreadDoubt(Instant aNow, const HoldDoubt& aDoubt);
   // Whoever becomes the placer counts with it, the present one included: it may lose its
   // claim and make it again.
   void NoteDoubt(Instant aNow, const HoldDoubt& aDoubt);
--- a/Libraries/LibFleet/PlacerDuty.cpp
+++ b/Libraries/LibFleet/PlacerDuty.cpp
@@ -339,10 +339,11 @@
 }
 
 void
-FleetMember::SpreadDoubt(const std::string& aServer, Duration aHolds)
+FleetMember::SpreadDoubt(Instant aNow, const HoldDoubt& aDoubt)
 {
+  NoteDoubt(aNow, aDoubt);
   FleetNews news;
-  news.doubts_.push_back({ aServer, aHolds });
+  news.doubts_.push_back(aDoubt);
   Spread(news);
 }
 
--- a/Libraries/LibFleet/ReaderGuide.cpp
+++ b/Libraries/LibFleet/ReaderGuide.cpp
@@ -36,17 +36,17 @@
 }
 
 void
-ReaderGuide::OnAnswer(Instant aNow, const std::string& aReader, ReaderSight aSight)
+ReaderGuide::OnAnswer(Instant aNow, const std::string& aReader, StoreSight aSight)
 {
-  const bool isHeard = aSight == ReaderSight::Store;
+  const bool isHeard = aSight == StoreSight::Heard;
   heard_ = isHeard ? aReader : std::string();
   if (isHeard) {
     inVain_.clear();
   } else {
     inVain_.insert(aReader);
   }
-  withoutStore_ = aSight == ReaderSight::NoStore ? withoutStore_ + 1 : 0;
-  if (aSight != ReaderSight::None) {
+  withoutStore_ = aSight == StoreSight::Lost ? withoutStore_ + 1 : 0;
+  if (aSight != StoreSight::None) {
     guidedUntil_ = aNow + kAnswerBound;
   }
   if (!isHeard && withoutStore_ <= kMostWithoutStore) {
--- a/Libraries/LibFleet/ReaderGuide.h
+++ b/Libraries/LibFleet/ReaderGuide.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibBase/Time.h"
+#include "LibFleet/FleetNews.h"
 #include "LibFleet/NewsTree.h"
 
 #include <optional>
@@ -11,16 +12,6 @@
 
 namespace latchslip {
 
-// What a reader that was asked sees of the store.
-enum class ReaderSight
-{
-  // It was not heard, or follows the store no more.
-  None,
-  // The store does not answer it; that of others may.
-  NoStore,
-  Store,
-};
-
 // Decides for an instance of a large fleet whose placer cannot be relied on whether it may
 // go on without the store: it asks the instances that read the store for all, one after
 // the other. Without it all 295 instances of a fleet ask the store about three times a
@@ -33,8 +24,8 @@
   void OnRelayed() { isAsking_ = false; }
   // The placer cannot be relied on.
   void OnRelayEnded(Instant aNow);
-  // A reader told what it knows, or was not heard.
-  void OnAnswer(Instant aNow, const std::string& aReader, ReaderSight aSight);
+  // A reader told what it knows, and what it sees of the store; None when it was not heard.
+  void OnAnswer(Instant aNow, const std::string& aReader, StoreSight aSight);
 
   // Whether the readers can be relied on.
   bool IsGuided(Instant aNow) const { return isAsking_ && aNow < guidedUntil_; }
--- a/Libraries/LibFleet/ReportDuty.cpp
+++ b/Libraries/LibFleet/ReportDuty.cpp
@@ -88,9 +88,9 @@
   auto& heard = heardInstances_[aReport.address_];
   heard.heardAt_ = aNow;
   heard.processorShare_ = aReport.processorShare_;
-  keeper_.OnHeard(aNow, aReport.address_);
   strongestShare_ = std::max(strongestShare_, aReport.processorShare_);
   if (election_.IsPlacer()) {
+    keeper_.OnHeard(aNow, aReport.address_);
     roster_.Put({ aReport.address_, aReport.hall_, aReport.processorShare_ });
     if (aReport.lacksTables_) {
       lacking_.insert(aReport.address_);
--- a/Libraries/LibFleet/ServicePlacer.h
+++ b/Libraries/LibFleet/ServicePlacer.h
@@ -30,8 +30,7 @@
   }
   void Doubt(Instant aNow, const std::string& aServer, Duration aHolds) override
   {
-    member_.NoteDoubt(aNow, { aServer, aHolds });
-    member_.SpreadDoubt(aServer, aHolds);
+    member_.SpreadDoubt(aNow, { aServer, aHolds });
   }
   void Write(const KeyOwnership& aOwnership) override { member_.QueueWrite(aOwnership); }
 
--- a/Tests/LibFleet/TestReaderGuide.cpp
+++ b/Tests/LibFleet/TestReaderGuide.cpp
@@ -18,7 +18,7 @@
     for (const auto end = now_ + aTime; now_ < end; now_ += milliseconds(50)) {
       if (const auto address = guide_.Next(now_, readers_, random_)) {
         ++asked_[*address];
-        guide_.OnAnswer(now_, *address, aIsAnswered ? ReaderSight::Store : ReaderSight::None);
+        guide_.OnAnswer(now_, *address, aIsAnswered ? StoreSight::Heard : StoreSight::None);
       }
     }
   }
@@ -85,7 +85,7 @@
     for (const auto end = now + seconds(8); now < end; now += milliseconds(50)) {
       if (const auto address = guide.Next(now, readers, random)) {
         const bool sees = *address >= "c";
-        guide.OnAnswer(now, *address, sees ? ReaderSight::Store : ReaderSight::NoStore);
+        guide.OnAnswer(now, *address, sees ? StoreSight::Heard : StoreSight::Lost);
         seenAt = sees ? now : seenAt;
       }
       ASSERT_LE(now - seenAt, seconds(1)) << "seed " << seed;
@@ -101,7 +101,7 @@
   for (const auto end = now_ + seconds(10); now_ < end; now_ += milliseconds(50)) {
     if (const auto address = guide_.Next(now_, readers_, random_)) {
       ++asked;
-      guide_.OnAnswer(now_, *address, ReaderSight::NoStore);
+      guide_.OnAnswer(now_, *address, StoreSight::Lost);
     }
   }
   EXPECT_LE(asked, 24);
