Tests/LibFleet: Build the member with API keys on the fleet's fixture

MemberWithApiKeys repeated Show, Pass, the members and the decoder of MemberOfAFleet. The fixture takes the API keys' bound and the decoder its groups, and the copy is gone. Assertions are unchanged.

--- a/Tests/LibFleet/FleetMemberFixture.h
+++ b/Tests/LibFleet/FleetMemberFixture.h
@@ -24,6 +24,7 @@
     RoutingConfiguration configuration;
     configuration.version_ = std::stoull(aRow.value_);
     configuration.services_ = { { "rates", 100, true } };
+    configuration.groups_ = groups_;
     return std::optional(configuration);
   }
 
@@ -46,6 +47,9 @@
     return aKey.starts_with(kPrefix) ? std::optional<std::string>(aKey.substr(kPrefix.size()))
                                      : std::nullopt;
   }
+
+  // In each configuration.
+  std::vector<CallerGroup> groups_;
 };
 
 // Writes down what a member decides.
@@ -137,6 +141,11 @@
 class MemberOfAFleet : public testing::Test
 {
 protected:
+  explicit MemberOfAFleet(std::optional<Duration> aApiKeyBound = std::nullopt)
+    : apiKeyBound_(aApiKeyBound)
+  {
+  }
+
   void Show(FleetTable aTable, RowVersion aVersion, std::vector<Row> aRows)
   {
     TableView view{ aTable, aVersion, true, 0, {} };
@@ -198,14 +207,17 @@
                             { StoreStatus::Done, { { write.key_, aVersion, write.value_ } } });
   }
 
+  std::optional<Duration> apiKeyBound_;
   Instant now_ = seconds(100);
   SilentEvents events_;
   PlainDecoder decoder_;
   RecordedFleet fleet_;
-  FleetMember member_{ { { "i1", "run2", kSelf }, { "10.0.0.3:9" }, 1, {}, 1, "hall" },
-                       decoder_,
-                       fleet_,
-                       events_ };
+  FleetMember member_{
+    { { "i1", "run2", kSelf }, { "10.0.0.3:9" }, 1, {}, 1, "hall", apiKeyBound_ },
+    decoder_,
+    fleet_,
+    events_
+  };
 };
 
 } // namespace latchslip
--- a/Tests/LibFleet/TestConfigurationProof.cpp
+++ b/Tests/LibFleet/TestConfigurationProof.cpp
@@ -200,31 +200,15 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, WalkOfProofs, testing::Range(1U, 25U));
 
-// Reads configurations with one group; the text of the row is the version.
-class GroupDecoder : public PlainDecoder
-{
-public:
-  FieldResult<std::optional<RoutingConfiguration>> DecodeConfiguration(
-    const Row& aRow) const override
-  {
-    BOOST_OUTCOME_TRY(auto configuration, PlainDecoder::DecodeConfiguration(aRow));
-    configuration->groups_ = { { "g", { "key" }, 0, 10, 10 } };
-    return configuration;
-  }
-};
-
-class MemberWithApiKeys : public testing::Test
+class MemberWithApiKeys : public MemberOfAFleet
 {
 protected:
   static constexpr Duration kBound = seconds(5);
 
-  void Show(FleetTable aTable, RowVersion aVersion, std::vector<Row> aRows)
+  MemberWithApiKeys()
+    : MemberOfAFleet(kBound)
   {
-    TableView view{ aTable, aVersion, true, 0, {} };
-    for (auto& row : aRows) {
-      view.rows_.push_back({ std::move(row), false });
-    }
-    member_.OnView(now_, view);
+    decoder_.groups_ = { { "g", { "key" }, 0, 10, 10 } };
   }
 
   void ShowTables(RowVersion aConfiguration = 5)
@@ -238,30 +222,12 @@
     Show(FleetTable::Fleet, 7, { { "placer", 4, SerializePlacerRow({ "i2", "r", kOther }) } });
   }
 
-  void Pass(Duration aTime)
-  {
-    const auto end = now_ + aTime;
-    while (now_ < end) {
-      now_ += milliseconds(50);
-      member_.OnTime(now_);
-    }
-  }
-
   ReportAnswer AnswerWith(ConfigurationProof aProof) const
   {
     ReportAnswer answer{ true, kBoth, { 5, 6, 7 } };
     answer.proof_ = aProof;
     return answer;
   }
-
-  Instant now_ = seconds(100);
-  SilentEvents events_;
-  GroupDecoder decoder_;
-  RecordedFleet fleet_;
-  FleetMember member_{ { { "i1", "run2", kSelf }, {}, 1, {}, 1, "hall", kBound },
-                       decoder_,
-                       fleet_,
-                       events_ };
 };
 
 TEST_F(MemberWithApiKeys, FollowsTheStoreItself_AsksForProofsAndServesWhileItHasOne)
