--- a/Libraries/LibKeys/OwnershipPlacer.cpp
+++ b/Libraries/LibKeys/OwnershipPlacer.cpp
@@ -142,18 +142,6 @@
   }
 }
 
-KeyOwnership
-OwnershipPlacer::RaiseFencesOfRestarted() const
-{
-  auto next = committed_;
-  for (auto& range : next.ranges_) {
-    if (restarted_.contains(range.owner_)) {
-      range.fence_ = ++next.lastFence_;
-    }
-  }
-  return next;
-}
-
 void
 OwnershipPlacer::Adopt(KeyOwnership aOwnership)
 {
@@ -255,7 +243,7 @@
     return restarted_.contains(aRange.owner_);
   };
   if (std::any_of(committed_.ranges_.begin(), committed_.ranges_.end(), isRestarted)) {
-    return RaiseFencesOfRestarted();
+    return RaiseFences();
   }
   restarted_.clear();
   auto settled = ClearSettled();
@@ -328,17 +316,21 @@
 }
 
 // Late orders of a former placer are refused by a server that has acknowledged a
-// higher fence, so that a takeover needs no long wait later.
+// higher fence, so that a takeover needs no long wait later. A server that has started again
+// must not get its keys under the fence of its former life.
 KeyOwnership
 OwnershipPlacer::RaiseFences() const
 {
   auto next = committed_;
+  const bool isOfAllRanges = hasFormerFences_ || committed_.epoch_ < epoch_;
   if (next.epoch_ < epoch_) {
     next.epoch_ = epoch_;
     next.lastFence_ += kFencesLeftOut;
   }
   for (auto& range : next.ranges_) {
-    range.fence_ = ++next.lastFence_;
+    if (isOfAllRanges || restarted_.contains(range.owner_)) {
+      range.fence_ = ++next.lastFence_;
+    }
   }
   return next;
 }
--- a/Libraries/LibKeys/OwnershipPlacer.h
+++ b/Libraries/LibKeys/OwnershipPlacer.h
@@ -102,14 +102,12 @@
   FenceNumber RestedFence(Instant aNow);
   // Notes the servers that have started again under their ids.
   void NoteLives(const std::vector<KeyServer>& aServers);
-  // The same owners, but for the keys of servers that have started again: another life must
-  // not get them under the fence of the former.
-  KeyOwnership RaiseFencesOfRestarted() const;
   // Drops the servers all of whose keys have higher fences with what was written.
   void ForgetRaised();
   // Drops the former owners that need not be waited for any more.
   std::optional<KeyOwnership> ClearSettled() const;
-  // The same owners under fences of this placer and of the present epoch.
+  // The same owners under new fences: of all ranges that stand under fences of a former
+  // placer or epoch, else of those of servers that have started again.
   KeyOwnership RaiseFences() const;
   // Once a server has acknowledged fences of this placer on all that it owns and all
   // that it was to let go of.
