--- /dev/null
+++ b/Libraries/LibGateway/CallerChecks.cpp
@@ -0,0 +1,102 @@
+// Whether a caller may have its request served: the part of RequestDesk that looks at groups,
+// API keys and limits.
+
+#include "LibGateway/RequestDesk.h"
+
+namespace latchslip {
+
+namespace {
+
+// Whether callers of that route, which may be null for none, must show an API key.
+bool
+NeedsApiKey(const RouteTable& aRoutes, const Route* aRoute)
+{
+  return aRoutes.HasGroups() && (aRoute == nullptr || !aRoute->isPublic_);
+}
+
+} // namespace
+
+bool
+RequestDesk::TryIdentify(Instant aNow, PendingRequest& aPending)
+{
+  aPending.routes_ = routes_;
+  const auto& request = aPending.request_;
+  const auto* route = routes_->Match(request.host_, request.path_);
+  aPending.group_ = request.apiKey_.empty() ? nullptr : routes_->FindGroup(request.apiKey_);
+  const auto bar = BarOf(aNow, route, aPending.group_);
+  aPending.route_ = route;
+  if (bar) {
+    Bar(aNow, aPending, *bar);
+  }
+  return !bar;
+}
+
+bool
+RequestDesk::TryPassGate(Instant aNow, PendingRequest& aPending)
+{
+  const auto* group = aPending.group_;
+  if (group == nullptr) {
+    return true;
+  }
+  if (!gate_->TryPass(aNow, *group, aPending.isLate_)) {
+    Bar(aNow, aPending, RefusalReason::OverLimit);
+    return false;
+  }
+  tally_.OnGroup(group->name_, std::nullopt);
+  return true;
+}
+
+void
+RequestDesk::Bar(Instant aNow, PendingRequest& aPending, RefusalReason aReason)
+{
+  if (aPending.group_ != nullptr) {
+    tally_.OnGroup(aPending.group_->name_, aReason);
+  }
+  Refuse(aNow, aPending, aReason);
+}
+
+// What a caller without a known key is told does not depend on whether there is such a
+// route.
+std::optional<RefusalReason>
+RequestDesk::BarOf(Instant aNow, const Route* aRoute, const CallerGroup* aGroup) const
+{
+  const bool needsKey = NeedsApiKey(*routes_, aRoute);
+  if (needsKey && aNow >= apiKeysUntil_) {
+    return RefusalReason::ApiKeysUnproven;
+  }
+  if (needsKey && aGroup == nullptr) {
+    return RefusalReason::UnknownApiKey;
+  }
+  return aRoute == nullptr ? std::optional(RefusalReason::NoRoute) : std::nullopt;
+}
+
+bool
+RequestDesk::IsApiKeyProven(Instant aNow, const PendingRequest& aPending) const
+{
+  const bool needsKey = NeedsApiKey(*aPending.routes_, aPending.route_);
+  return !needsKey || (!aPending.isRevoked_ && aNow < apiKeysUntil_);
+}
+
+void
+RequestDesk::RefuseRevoked(Instant aNow)
+{
+  std::vector<RequestNumber> revoked;
+  for (auto& [number, pending] : pending_) {
+    const bool needsKey =
+      pending.group_ != nullptr && NeedsApiKey(*pending.routes_, pending.route_);
+    if (!needsKey || routes_->FindGroup(pending.request_.apiKey_) != nullptr) {
+      continue;
+    }
+    pending.isRevoked_ = true;
+    if (pending.attempt_ == 0) {
+      revoked.push_back(number);
+    }
+  }
+  for (const auto number : revoked) {
+    auto& pending = pending_.at(number);
+    pending.obstacle_ = RefusalReason::UnknownApiKey;
+    RefuseWaiting(aNow, pending);
+  }
+}
+
+} // namespace latchslip
