LibDaemon: Write counts and read answers by one function each

Three loops wrote a metric's counts by a table of names, and three callbacks parsed a peer's answer the same way: WriteCounts and ReadAnswer. Text of the metrics and behaviour are the same. An include without use is dropped from LibLimit.

--- a/Libraries/LibDaemon/GatewayMetrics.cpp
+++ b/Libraries/LibDaemon/GatewayMetrics.cpp
@@ -35,6 +35,25 @@
         << "latchslip_" << aName << "_count" << labels << ' ' << total << '\n';
 }
 
+// A line for each count above zero; aLabels end with a comma, and aLabel says which count it
+// is, by its name in the table.
+template<typename Names, typename Counts>
+void
+WriteCounts(std::ostream& aText,
+            std::string_view aName,
+            const std::string& aLabels,
+            std::string_view aLabel,
+            const Names& aNames,
+            const Counts& aCounts)
+{
+  for (std::size_t index = 0; index < aCounts.size(); ++index) {
+    if (aCounts.at(index) > 0) {
+      aText << "latchslip_" << aName << '{' << aLabels << aLabel << "=\"" << aNames.names_.at(index)
+            << "\"} " << aCounts.at(index) << '\n';
+    }
+  }
+}
+
 void
 WriteRoutes(std::ostream& aText, const RequestTally& aTally)
 {
@@ -47,13 +66,12 @@
   }
   WriteType(aText, "route_refusals_total", "counter");
   for (const auto& [name, route] : aTally.Routes()) {
-    for (std::size_t reason = 0; reason < route.refusals_.size(); ++reason) {
-      if (route.refusals_.at(reason) > 0) {
-        aText << "latchslip_route_refusals_total{route=\"" << name << "\",reason=\""
-              << kRefusalReasonNames.names_.at(reason) << "\"} " << route.refusals_.at(reason)
-              << '\n';
-      }
-    }
+    WriteCounts(aText,
+                "route_refusals_total",
+                "route=\"" + name + "\",",
+                "reason",
+                kRefusalReasonNames,
+                route.refusals_);
   }
   WriteType(aText, "route_latency_ms", "histogram");
   for (const auto& [name, route] : aTally.Routes()) {
@@ -68,13 +86,12 @@
   for (const auto& [name, group] : aTally.Groups()) {
     aText << "latchslip_group_requests_total{group=\"" << name << "\",end=\"passed\"} "
           << group.passed_ << '\n';
-    for (std::size_t reason = 0; reason < group.barred_.size(); ++reason) {
-      if (group.barred_.at(reason) > 0) {
-        aText << "latchslip_group_requests_total{group=\"" << name << "\",end=\""
-              << kRefusalReasonNames.names_.at(reason) << "\"} " << group.barred_.at(reason)
-              << '\n';
-      }
-    }
+    WriteCounts(aText,
+                "group_requests_total",
+                "group=\"" + name + "\",",
+                "end",
+                kRefusalReasonNames,
+                group.barred_);
   }
 }
 
@@ -83,12 +100,8 @@
 {
   WriteType(aText, "server_sends_total", "counter");
   for (const auto& [name, server] : aTally.Servers()) {
-    for (std::size_t end = 0; end < server.size(); ++end) {
-      if (server.at(end) > 0) {
-        aText << "latchslip_server_sends_total{server=\"" << name << "\",end=\""
-              << kAttemptEndNames.names_.at(end) << "\"} " << server.at(end) << '\n';
-      }
-    }
+    WriteCounts(
+      aText, "server_sends_total", "server=\"" + name + "\",", "end", kAttemptEndNames, server);
   }
 }
 
--- a/Libraries/LibDaemon/PeerCalls.cpp
+++ b/Libraries/LibDaemon/PeerCalls.cpp
@@ -67,6 +67,18 @@
   return aExchange.end_ == ExchangeEnd::Complete && aExchange.response_.status_ == kOk;
 }
 
+// What an answer says; no value when none came that can be read.
+template<typename T>
+std::optional<T>
+ReadAnswer(const HttpExchange& aExchange, FieldResult<T> (*aParse)(std::string_view))
+{
+  if (!IsOk(aExchange)) {
+    return std::nullopt;
+  }
+  auto parsed = aParse(*aExchange.response_.body_);
+  return parsed ? std::optional(std::move(parsed).value()) : std::nullopt;
+}
+
 } // namespace
 
 PeerCalls::PeerCalls(boost::asio::io_context& aContext, FleetMember& aMember, MetricsPage aMetrics)
@@ -83,12 +95,7 @@
                 MakePost(kReportPath, SerializeReport(aReport)),
                 kPeerTimeout,
                 [this, sentAt = MonotonicNow()](const HttpExchange& aExchange) {
-                  std::optional<ReportAnswer> answer;
-                  if (IsOk(aExchange)) {
-                    if (auto parsed = ParseReportAnswer(*aExchange.response_.body_)) {
-                      answer = std::move(parsed).value();
-                    }
-                  }
+                  const auto answer = ReadAnswer(aExchange, ParseReportAnswer);
                   const auto now = MonotonicNow();
                   member_.OnReportAnswered(now, answer, now - sentAt);
                 });
@@ -140,12 +147,7 @@
                 MakePost(kSincePath, SerializeVersions(aVersions)),
                 kPeerTimeout,
                 [this, aAddress, sentAt = MonotonicNow()](const HttpExchange& aExchange) {
-                  std::optional<FleetNews> news;
-                  if (IsOk(aExchange)) {
-                    if (auto parsed = UnpackNews(*aExchange.response_.body_)) {
-                      news = std::move(parsed).value();
-                    }
-                  }
+                  const auto news = ReadAnswer(aExchange, UnpackNews);
                   const auto now = MonotonicNow();
                   member_.OnNewsFetched(now, news, now - sentAt, aAddress);
                 });
@@ -158,13 +160,7 @@
                 MakePost(kUsesPath, SerializeUseReport(aReport)),
                 kPeerTimeout,
                 [this](const HttpExchange& aExchange) {
-                  std::optional<GroupParts> parts;
-                  if (IsOk(aExchange)) {
-                    if (auto parsed = ParseParts(*aExchange.response_.body_)) {
-                      parts = std::move(parsed).value();
-                    }
-                  }
-                  member_.OnUsesAnswered(MonotonicNow(), parts);
+                  member_.OnUsesAnswered(MonotonicNow(), ReadAnswer(aExchange, ParseParts));
                 });
 }
 
--- a/Libraries/LibLimit/LimitMember.h
+++ b/Libraries/LibLimit/LimitMember.h
@@ -4,7 +4,6 @@
 #include "LibLimit/GroupUse.h"
 
 #include <map>
-#include <optional>
 #include <string>
 
 namespace latchslip {
