LibGateway: Read and log what a server says of itself in its answers

The platform's codec reads both into typed fields of a send's outcome (and the first of an order's): malformed ones count as not given, those of another life at the address are not believed, and a rest of more than ten minutes is cut. E619 is logged when an answer says that a server leaves, once a life; E603 when a rest begins; E601 names the rest of each answer.

Nothing is decided by them yet.

--- a/Benchmarks/BenchGateway.cpp
+++ b/Benchmarks/BenchGateway.cpp
@@ -25,6 +25,7 @@
   void Deliver(RequestNumber, AttemptNumber) override { ++delivered_; }
   void Refuse(RequestNumber, const Refusal&) override {}
   bool HasConnection(const std::string&) const override { return true; }
+  void NoteLeaving(const std::string&, std::uint64_t) override {}
   void CountKey(const std::string&, KeyNumber) override {}
 
   AttemptNumber last_ = 0;
--- a/Libraries/LibDaemon/GatewayFront.cpp
+++ b/Libraries/LibDaemon/GatewayFront.cpp
@@ -23,10 +23,12 @@
                            PermitSource& aPermits,
                            EventSink& aEvents,
                            GatewayMetrics& aMetrics,
-                           KeyObserver aObserver)
+                           KeyObserver aObserver,
+                           LeavingObserver aLeavingObserver)
   : codec_(aCodec)
   , metrics_(aMetrics)
   , observer_(std::move(aObserver))
+  , leavingObserver_(std::move(aLeavingObserver))
   , client_(HttpClient::Create(aContext, kMostConnections))
   , desk_(std::move(aSettings), aDirectory, *this, aPermits, aEvents)
   , timer_(
--- a/Libraries/LibDaemon/GatewayFront.h
+++ b/Libraries/LibDaemon/GatewayFront.h
@@ -23,6 +23,8 @@
 public:
   // Told of each request for a key.
   using KeyObserver = std::function<void(const std::string& aService, KeyNumber aKey)>;
+  // Told when an answer of that life of a server says that it is about to end.
+  using LeavingObserver = std::function<void(const std::string& aServer, std::uint64_t aLife)>;
 
   GatewayFront(boost::asio::io_context& aContext,
                RequestDeskSettings aSettings,
@@ -31,7 +33,8 @@
                PermitSource& aPermits,
                EventSink& aEvents,
                GatewayMetrics& aMetrics,
-               KeyObserver aObserver);
+               KeyObserver aObserver,
+               LeavingObserver aLeavingObserver);
 
   void OnRequest(std::uint64_t aId, HttpRequest aRequest, HttpResponder aRespond) override;
   void OnGone(std::uint64_t aId) override;
@@ -69,6 +72,10 @@
   {
     return client_->HasIdle(aAddress);
   }
+  void NoteLeaving(const std::string& aServer, std::uint64_t aLife) override
+  {
+    leavingObserver_(aServer, aLife);
+  }
   void CountKey(const std::string& aService, KeyNumber aKey) override { observer_(aService, aKey); }
   void OnExchangeEnded(AttemptNumber aAttempt, HttpExchange aExchange);
   void Respond(RequestNumber aRequest, HttpResponse aResponse);
@@ -76,6 +83,7 @@
   const GatewayCodec& codec_;
   GatewayMetrics& metrics_;
   KeyObserver observer_;
+  LeavingObserver leavingObserver_;
   std::unique_ptr<HttpClient> client_;
   RequestDesk desk_;
   DueTimer timer_;
--- a/Libraries/LibDaemon/GatewayHost.cpp
+++ b/Libraries/LibDaemon/GatewayHost.cpp
@@ -70,7 +70,10 @@
         permits_.Client(),
         aEvents,
         metrics_,
-        [this](const std::string& aService, KeyNumber aKey) { member_.CountKey(aService, aKey); })
+        [this](const std::string& aService, KeyNumber aKey) { member_.CountKey(aService, aKey); },
+        [this](const std::string& aServer, std::uint64_t aLife) {
+          member_.OnToldLeaving(aServer, aLife);
+        })
     , orders_(HttpClient::Create(aContext, kMostOrderConnections))
     , peers_(aContext, member_, [this] { return RenderMetrics(); })
     , timer_(aContext)
@@ -236,10 +239,11 @@
                   codec_.EncodeOrder(aOrder),
                   std::move(options),
                   [this, aService, aOrder](const HttpExchange& aExchange) {
-                    member_.OnOrderEnded(MonotonicNow(),
-                                         aService,
-                                         aOrder.number_,
-                                         codec_.DecodeOrder(aOrder, aExchange));
+                    const auto outcome = codec_.DecodeOrder(aOrder, aExchange);
+                    if (outcome.isLeaving_) {
+                      member_.OnToldLeaving(aOrder.server_, aOrder.life_);
+                    }
+                    member_.OnOrderEnded(MonotonicNow(), aService, aOrder.number_, outcome);
                   });
   }
 
--- a/Libraries/LibFleet/FleetMember.cpp
+++ b/Libraries/LibFleet/FleetMember.cpp
@@ -198,6 +198,17 @@
                  "following=" + std::string(kFollowingNames.NameOf(following_)));
 }
 
+void
+FleetMember::OnToldLeaving(const std::string& aServer, std::uint64_t aLife)
+{
+  if (!view_.Directory().NoteLeaving(aServer, aLife)) {
+    return;
+  }
+  const bool isListedSo = view_.Directory().Find(aServer)->isLeaving_;
+  events_.Record(Event::ServerToldLeaving,
+                 "server=" + aServer + " listed_so=" + (isListedSo ? "true" : "false"));
+}
+
 void
 FleetMember::CountKey(const std::string& aService, KeyNumber aKey)
 {
--- a/Libraries/LibGateway/Messages.h
+++ b/Libraries/LibGateway/Messages.h
@@ -86,6 +86,10 @@
   bool isOtherLife_ = false;
   // No value when the server told nothing, or nothing that makes sense.
   std::optional<ServerStatus> server_;
+  // The server, of the life that was meant, says that it is about to end.
+  bool isLeaving_ = false;
+  // It turned the request away and wants nothing from this instance for that long.
+  std::optional<Duration> rest_{};
 };
 
 // Why a request gets an answer of our own.
@@ -141,6 +145,8 @@
   // Whether an open connection to that address lies idle: one of its own is dear to
   // open for a single request.
   virtual bool HasConnection(const std::string& aAddress) const = 0;
+  // An answer of that life of a server says that it is about to end.
+  virtual void NoteLeaving(const std::string& aServer, std::uint64_t aLife) = 0;
   // A client wants this key, whether or not its owner can take the request: keys
   // whose owner is full or not known are the ones that must be spread.
   virtual void CountKey(const std::string& aService, KeyNumber aKey) = 0;
--- a/Libraries/LibGateway/RequestDesk.cpp
+++ b/Libraries/LibGateway/RequestDesk.cpp
@@ -163,6 +163,9 @@
   const auto number = attempt->second;
   attempts_.erase(attempt);
   auto& pending = pending_.at(number);
+  if (aOutcome.isLeaving_) {
+    actions_.NoteLeaving(pending.server_, pending.serverLife_);
+  }
   const auto service = pending.service_->name_;
   const auto result = ToSendResult(aOutcome);
   permits_.TellEnd({ aAttempt, result, aNow - pending.sentAt_, aOutcome.server_ });
@@ -171,6 +174,7 @@
     if (aOutcome.isOtherLife_) {
       load->second.Suspend(aNow, kOtherLifePause);
     }
+    NoteRest(aNow, pending, aOutcome, load->second);
   }
   tally_.OnAttempt(pending.server_, aOutcome.end_);
   pending.attempt_ = 0;
@@ -183,6 +187,19 @@
   Pump(aNow, service);
 }
 
+void
+RequestDesk::NoteRest(Instant aNow,
+                      const PendingRequest& aPending,
+                      const AttemptOutcome& aOutcome,
+                      ServerLoad& aLoad)
+{
+  if (aOutcome.rest_ && aLoad.BeginRest(aNow, *aOutcome.rest_)) {
+    events_.Record(Event::ServerAskedForRest,
+                   "server=" + aPending.server_ + " request=" + aPending.request_.id_ +
+                     " rest_us=" + std::to_string(aOutcome.rest_->count()));
+  }
+}
+
 void
 RequestDesk::SettleAttempt(Instant aNow, PendingRequest& aPending, const AttemptOutcome& aOutcome)
 {
@@ -218,7 +235,8 @@
   events_.Record(Event::GatewayRetry,
                  "request=" + aPending.request_.id_ + " server=" + aPending.server_ +
                    " end=" + std::string(kAttemptEndNames.NameOf(aOutcome.end_)) + " status=" +
-                   std::to_string(aOutcome.status_) + " sends=" + std::to_string(aPending.sends_));
+                   std::to_string(aOutcome.status_) + " sends=" + std::to_string(aPending.sends_) +
+                   " rest_us=" + std::to_string(aOutcome.rest_.value_or(Duration(0)).count()));
   aPending.tried_.push_back(aPending.server_);
   if (aOutcome.end_ == AttemptEnd::WrongServer && !aOutcome.isOtherLife_) {
     aPending.notBefore_ = aNow + kWrongOwnerPause;
@@ -458,6 +476,7 @@
   aPending.attempt_ = aAttempt;
   aPending.lastAttempt_ = aAttempt;
   aPending.server_ = aServer.record_->id_;
+  aPending.serverLife_ = aServer.record_->life_;
   ++aPending.sends_;
   aPending.sentAt_ = aNow;
   attempts_[aAttempt] = number;
--- a/Libraries/LibGateway/RequestDesk.h
+++ b/Libraries/LibGateway/RequestDesk.h
@@ -177,6 +177,11 @@
   void LeaveQueue(const PendingRequest& aPending);
   // Sends what waits for a service and can be sent now.
   void Pump(Instant aNow, const std::string& aService);
+  // Notes for how long a server wants nothing from this instance, if it said so.
+  void NoteRest(Instant aNow,
+                const PendingRequest& aPending,
+                const AttemptOutcome& aOutcome,
+                ServerLoad& aLoad);
   // What happens to a request whose attempt has ended.
   void SettleAttempt(Instant aNow, PendingRequest& aPending, const AttemptOutcome& aOutcome);
   void Retry(Instant aNow, PendingRequest& aPending, const AttemptOutcome& aOutcome);
--- a/Libraries/LibGateway/ServerDirectory.cpp
+++ b/Libraries/LibGateway/ServerDirectory.cpp
@@ -53,6 +53,9 @@
 ServerDirectory::PutNow(Instant aNow, ServerRecord aRecord)
 {
   aRecord.isHallDrained_ = drainedHalls_.contains(aRecord.hall_);
+  const auto* known = FindAny(aRecord.id_);
+  aRecord.hasToldLeaving_ =
+    known != nullptr && known->life_ == aRecord.life_ && known->hasToldLeaving_;
   if (aRecord.slowStartLeft_ > Duration(0)) {
     aRecord.slowStartUntil_ = aNow + aRecord.slowStartLeft_;
   }
@@ -61,6 +64,25 @@
   records_.insert_or_assign(std::move(id), std::move(aRecord));
 }
 
+bool
+ServerDirectory::NoteLeaving(const std::string& aId, std::uint64_t aLife)
+{
+  const auto listed = records_.find(aId);
+  const auto former = former_.find(aId);
+  if (listed == records_.end()) {
+    if (former != former_.end() && former->second.life_ == aLife) {
+      former->second.hasToldLeaving_ = true;
+    }
+    return false;
+  }
+  auto& record = listed->second;
+  if (record.life_ != aLife || record.hasToldLeaving_) {
+    return false;
+  }
+  record.hasToldLeaving_ = true;
+  return true;
+}
+
 void
 ServerDirectory::Remove(Instant aNow, const std::string& aId)
 {
--- a/Libraries/LibGateway/ServerDirectory.h
+++ b/Libraries/LibGateway/ServerDirectory.h
@@ -37,6 +37,9 @@
   Instant slowStartUntil_ = Instant::min();
   // Its data hall is being drained; set by the directory.
   bool isHallDrained_ = false;
+  // An answer of this life said that it is about to end, whatever the record says; set by
+  // the directory.
+  bool hasToldLeaving_ = false;
   // Tells the lives under one id apart, the later the higher; 0 when it is not told.
   std::uint64_t life_ = 0;
 
@@ -59,6 +62,10 @@
   // Takes the whole list; servers that it lacks have disappeared.
   void Replace(Instant aNow, std::vector<ServerRecord> aRecords);
 
+  // An answer of that life of a server says that it is about to end. No record of the same
+  // life takes that back. Whether it is news of a server that is listed.
+  bool NoteLeaving(const std::string& aId, std::uint64_t aLife);
+
   // Nothing may be sent to the servers of that hall until it is restored.
   void DrainHall(const std::string& aHall);
   // Its servers may have lost what they held in memory meanwhile.
--- a/Libraries/LibGateway/ServerLoad.cpp
+++ b/Libraries/LibGateway/ServerLoad.cpp
@@ -55,6 +55,7 @@
   mean_ = Duration(0);
   health_ = {};
   lateAt_ = Instant::min();
+  restUntil_ = Instant::min();
   limit_ = std::min(firstLimit_, mostLimit_);
   shrunkAt_ = Instant::min();
 }
@@ -101,6 +102,20 @@
   health_.Suspend(aNow, aTime);
 }
 
+bool
+ServerLoad::BeginRest(Instant aNow, Duration aRest)
+{
+  const bool isNew = aNow >= restUntil_;
+  restUntil_ = std::max(restUntil_, aNow + aRest);
+  return isNew;
+}
+
+Duration
+ServerLoad::RestLeft(Instant aNow) const
+{
+  return aNow < restUntil_ ? Duration(restUntil_ - aNow) : Duration(0);
+}
+
 void
 ServerLoad::SetMostLimit(std::size_t aMostLimit)
 {
--- a/Libraries/LibGateway/ServerLoad.h
+++ b/Libraries/LibGateway/ServerLoad.h
@@ -30,6 +30,11 @@
   void OnCancelled(AttemptNumber aAttempt);
   // Nothing is sent for a while: the server's address belongs to another one.
   void Suspend(Instant aNow, Duration aTime);
+  // The server wants nothing from this instance for that long. Whether that is new, and not
+  // one more answer from within a rest.
+  bool BeginRest(Instant aNow, Duration aRest);
+  // How much longer that is so; zero when it is not.
+  Duration RestLeft(Instant aNow) const;
   void SetMostLimit(std::size_t aMostLimit);
   // The server's present life, 0 when it is not told: what was learnt of an earlier one is
   // forgotten.
@@ -81,6 +86,7 @@
   double firstLimit_;
   double limit_;
   double mostLimit_;
+  Instant restUntil_ = Instant::min();
   std::uint64_t life_ = 0;
   SlowStartShare slowStart_;
   Instant shrunkAt_ = Instant::min();
--- a/Libraries/LibKeys/KeyOrder.h
+++ b/Libraries/LibKeys/KeyOrder.h
@@ -27,6 +27,8 @@
   std::string handover_;
   // How long the grant holds, counted by the server from its arrival there.
   Duration hold_{ 0 };
+  // The life of the server that is meant, as in KeyServer.
+  std::uint64_t life_ = 0;
 
   KeySpan Span() const { return { first_, last_ }; }
 };
@@ -59,6 +61,8 @@
   OrderEnd end_ = OrderEnd::Unanswered;
   // What the server gave back with the keys; only for releases that are done.
   std::string handover_;
+  // The server, of the life that was meant, says that it is about to end.
+  bool isLeaving_ = false;
 };
 
 } // namespace latchslip
--- a/Libraries/LibKeys/OwnershipPlacer.cpp
+++ b/Libraries/LibKeys/OwnershipPlacer.cpp
@@ -436,6 +436,9 @@
 void
 OwnershipPlacer::SendOrder(RangeState& aState, KeyOrder aOrder)
 {
+  if (const auto life = lives_.find(aOrder.server_); life != lives_.end()) {
+    aOrder.life_ = life->second;
+  }
   const auto order = orders_.Add(std::move(aOrder));
   aState.order_ = order.number_;
   actions_.Order(order);
--- /dev/null
+++ b/Tests/CountedEvents.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "LibBase/Event.h"
+
+#include <map>
+
+namespace latchslip {
+
+// Counts what is logged.
+class CountedEvents : public EventSink
+{
+public:
+  void Record(Event aEvent, std::string_view) override { ++counts_[aEvent]; }
+  int CountOf(Event aEvent) const
+  {
+    const auto count = counts_.find(aEvent);
+    return count == counts_.end() ? 0 : count->second;
+  }
+
+private:
+  std::map<Event, int> counts_;
+};
+
+} // namespace latchslip
--- a/Tests/LibFleet/FleetMemberFixture.h
+++ b/Tests/LibFleet/FleetMemberFixture.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "../SilentEvents.h"
+#include "../CountedEvents.h"
 #include "LibFleet/FleetMember.h"
 
 #include <gtest/gtest.h>
@@ -209,7 +209,7 @@
 
   std::optional<Duration> apiKeyBound_;
   Instant now_ = seconds(100);
-  SilentEvents events_;
+  CountedEvents events_;
   PlainDecoder decoder_;
   RecordedFleet fleet_;
   FleetMember member_{
--- a/Tests/LibFleet/TestFleetMember.cpp
+++ b/Tests/LibFleet/TestFleetMember.cpp
@@ -34,6 +34,20 @@
   EXPECT_EQ(member_.Directory().Find("s1")->life_, 300U);
 }
 
+TEST_F(MemberOfAFleet, AnswersSayThatAServerLeaves_IsLoggedOnceALife)
+{
+  Show(FleetTable::Servers, 6, { { "s1", 6, "100" } });
+  member_.OnToldLeaving("s1", 100);
+  member_.OnToldLeaving("s1", 100);
+  member_.OnToldLeaving("unlisted", 0);
+  EXPECT_EQ(events_.CountOf(Event::ServerToldLeaving), 1);
+  Show(FleetTable::Servers, 9, { { "s1", 9, "200" } });
+  member_.OnToldLeaving("s1", 100);
+  EXPECT_EQ(events_.CountOf(Event::ServerToldLeaving), 1);
+  member_.OnToldLeaving("s1", 200);
+  EXPECT_EQ(events_.CountOf(Event::ServerToldLeaving), 2);
+}
+
 TEST_F(MemberOfAFleet, TablesAreKnown_IsReady)
 {
   EXPECT_FALSE(member_.IsReady());
--- a/Tests/LibGateway/RecordedActions.h
+++ b/Tests/LibGateway/RecordedActions.h
@@ -26,6 +26,10 @@
   {
     return connected_.contains(aAddress);
   }
+  void NoteLeaving(const std::string& aServer, std::uint64_t aLife) override
+  {
+    leaving_.emplace(aServer, aLife);
+  }
   void CountKey(const std::string& aService, KeyNumber aKey) override
   {
     ++wanted_[{ aService, aKey }];
@@ -37,6 +41,8 @@
   std::map<RequestNumber, Refusal> refused_;
   // The addresses to which a connection lies idle.
   std::set<std::string> connected_;
+  // The servers that told that they are about to end, each with its life.
+  std::set<std::pair<std::string, std::uint64_t>> leaving_;
   // How often each key was asked for.
   std::map<std::pair<std::string, KeyNumber>, int> wanted_;
 };
--- a/Tests/LibGateway/TestRequestDesk.cpp
+++ b/Tests/LibGateway/TestRequestDesk.cpp
@@ -1,3 +1,4 @@
+#include "../CountedEvents.h"
 #include "LibGateway/RequestDesk.h"
 #include "RecordedActions.h"
 
@@ -103,6 +104,16 @@
       now_, SendOf(aRequest).number_, { aEnd, aStatus, aIsOtherLife, std::nullopt });
   }
 
+  // The server turns the request away and asks for rest.
+  void TurnAway(RequestNumber aRequest, Duration aRest)
+  {
+    AttemptOutcome outcome;
+    outcome.end_ = AttemptEnd::NotRun;
+    outcome.status_ = 503;
+    outcome.rest_ = aRest;
+    desk_.OnAttemptEnded(now_, SendOf(aRequest).number_, outcome);
+  }
+
   void Answer(RequestNumber aRequest, unsigned aStatus)
   {
     End(aRequest, AttemptEnd::Answered, aStatus);
@@ -127,7 +138,7 @@
   Instant now_ = seconds(100);
   std::uint64_t revision_ = 0;
   RequestNumber lastRequest_ = 0;
-  SilentEvents events_;
+  CountedEvents events_;
   RecordedActions actions_;
   ServerDirectory directory_;
   NoPermits permits_;
@@ -680,6 +691,28 @@
   EXPECT_GT(sends["p3"], 200);
 }
 
+TEST_F(DeskOfThreeServers, AnswerSaysThatItsServerLeaves_TheFleetIsTold)
+{
+  const auto request = Ask("/write/1");
+  AttemptOutcome outcome;
+  outcome.end_ = AttemptEnd::Answered;
+  outcome.status_ = 200;
+  outcome.isLeaving_ = true;
+  const auto server = SendOf(request).server_;
+  desk_.OnAttemptEnded(now_, SendOf(request).number_, outcome);
+  EXPECT_TRUE(actions_.leaving_.contains({ server, 0 }));
+  EXPECT_EQ(actions_.delivered_, std::vector<RequestNumber>{ request });
+}
+
+TEST_F(DeskOfThreeServers, ServerAsksForRestTwiceInOne_IsLoggedOnce)
+{
+  const auto first = Ask("/key/1", 5);
+  const auto second = Ask("/key/1", 5);
+  TurnAway(first, seconds(3));
+  TurnAway(second, seconds(3));
+  EXPECT_EQ(events_.CountOf(Event::ServerAskedForRest), 1);
+}
+
 } // namespace
 
 } // namespace latchslip
--- a/Tests/Platform/TestPlatformCodec.cpp
+++ b/Tests/Platform/TestPlatformCodec.cpp
@@ -117,6 +117,30 @@
   EXPECT_EQ(codec_.EncodeAttempt(request, order_).Header("Authorization"), "Bearer key1");
 }
 
+TEST_F(CodecOfOneAttempt, ServerSaysThatItLeaves_IsReadFromAnyAnswerOfTheLifeThatWasMeant)
+{
+  EXPECT_TRUE(
+    Decode(200, { { "Server-Leaving", "1" }, { "X-Response-Signature", "s" } }).isLeaving_);
+  EXPECT_TRUE(Decode(503, { { "server-leaving", "1" }, { "X-Not-Executed", "1" } }).isLeaving_);
+  EXPECT_TRUE(Decode(421, { { "Server-Leaving", "1" }, { "X-Instance-Id", "i-1" } }).isLeaving_);
+  EXPECT_FALSE(Decode(421, { { "Server-Leaving", "1" }, { "X-Instance-Id", "i-2" } }).isLeaving_);
+  EXPECT_FALSE(Decode(500, { { "Server-Leaving", "0" } }).isLeaving_);
+  EXPECT_FALSE(Decode(500, {}).isLeaving_);
+}
+
+TEST_F(CodecOfOneAttempt, ServerAsksForRest_IsReadFromItsRefusalInSeconds)
+{
+  EXPECT_EQ(Decode(503, { { "Retry-After", "3" }, { "X-Not-Executed", "1" } }).rest_, seconds(3));
+  EXPECT_EQ(Decode(503, { { "Retry-After", "0.25" } }).rest_, milliseconds(250));
+  EXPECT_EQ(Decode(503, { { "Retry-After", "99999999" } }).rest_, seconds(600));
+  EXPECT_FALSE(Decode(500, { { "Retry-After", "3" } }).rest_);
+  EXPECT_FALSE(Decode(503, {}).rest_);
+  for (const auto* text :
+       { "", "0", "-1", "soon", "3 s", "nan", "inf", "Wed, 21 Oct 2026 07:28 GMT" }) {
+    EXPECT_FALSE(Decode(503, { { "Retry-After", text } }).rest_) << text;
+  }
+}
+
 TEST_F(CodecOfOneAttempt, RefusalsForTheCallersSake_HaveTheirOwnStatus)
 {
   EXPECT_EQ(StatusOf(RefusalReason::UnknownApiKey, true), 401U);
@@ -241,6 +265,17 @@
   EXPECT_EQ(Decode(503, { { "X-Not-Executed", "1" } }), OrderEnd::NotSent);
 }
 
+TEST_F(CodecOfOneOrder, ServerSaysThatItLeaves_IsReadUnlessAnotherLifeSaysSo)
+{
+  HttpExchange exchange;
+  exchange.end_ = ExchangeEnd::Complete;
+  exchange.response_.status_ = 200;
+  exchange.response_.headers_ = { { "Server-Leaving", "1" } };
+  EXPECT_TRUE(codec_.DecodeOrder(order_, exchange).isLeaving_);
+  exchange.response_.headers_.emplace_back("X-Instance-Id", "i-2");
+  EXPECT_FALSE(codec_.DecodeOrder(order_, exchange).isLeaving_);
+}
+
 TEST_F(CodecOfOneOrder, NoAnswer_OnlyASentOrderMayComeLate)
 {
   HttpExchange exchange;
