Tests: Reproduce requests at servers that leave or asked for rest (failing)

Three instances before the stand-ins. With the store down, two servers say in their answers that they leave: 58 and 59 requests reach them more than 2 s after an instance has passed such an answer on. Two servers turn all away and ask for 3 s of rest: one instance sends 38 requests to the owner of keys between half a second and the end of the rest. The log of these runs shows E619 `listed_so=false` on all three instances and E603 where the requests go on: what the answers say is read and not acted on.

Three tests without network hold the decisions alone.

--- a/Tests/LibGateway/TestRequestDesk.cpp
+++ b/Tests/LibGateway/TestRequestDesk.cpp
@@ -704,6 +704,37 @@
   EXPECT_EQ(actions_.delivered_, std::vector<RequestNumber>{ request });
 }
 
+// Guards against requests that go on to an owner of keys which asked for rest.
+TEST_F(DeskOfThreeServers, OwnerAsksForRest_IsSentNothingBeforeItsEnd)
+{
+  TurnAway(Ask("/key/1", 5), seconds(3));
+  actions_.sent_.clear();
+  for (int index = 0; index < 28; ++index) {
+    Ask("/key/1", 5);
+    Pass(milliseconds(100));
+  }
+  EXPECT_TRUE(actions_.sent_.empty());
+  Pass(milliseconds(300));
+  Ask("/key/1", 5);
+  EXPECT_EQ(actions_.sent_.size(), 1U);
+}
+
+// Guards against the same where any server may have the request.
+TEST_F(DeskOfThreeServers, AServerAsksForRest_OthersGetTheRequests)
+{
+  const auto first = Ask("/read/1");
+  const auto resting = SendOf(first).server_;
+  TurnAway(first, seconds(3));
+  actions_.sent_.clear();
+  for (int index = 0; index < 50; ++index) {
+    const auto request = Ask("/read/1");
+    ASSERT_EQ(SendsOf(request), 1U);
+    EXPECT_NE(SendOf(request).server_, resting);
+    Answer(request, 200);
+    Pass(milliseconds(50));
+  }
+}
+
 TEST_F(DeskOfThreeServers, ServerAsksForRestTwiceInOne_IsLoggedOnce)
 {
   const auto first = Ask("/key/1", 5);
--- a/Tests/LibGateway/TestServerDirectory.cpp
+++ b/Tests/LibGateway/TestServerDirectory.cpp
@@ -221,6 +221,22 @@
   EXPECT_FALSE(IsListedAt("s1", milliseconds(6400)));
 }
 
+// Guards against a leaving server that is used since its record does not say so.
+TEST_F(DirectoryOfTwoServers, AnswerSaysThatAServerLeaves_TakesNoWorkWhateverRecordsOfItsLifeSay)
+{
+  EXPECT_TRUE(directory_.NoteLeaving("s1", 0));
+  EXPECT_FALSE(directory_.Find("s1")->TakesWork());
+  EXPECT_TRUE(directory_.Find("s2")->TakesWork());
+  Put("s1", "10.0.0.1:80", 9);
+  EXPECT_FALSE(directory_.Find("s1")->TakesWork());
+  directory_.Remove(kNow, "s1");
+  EXPECT_FALSE(IsListedAt("s1", seconds(1)));
+  Put("s1", "10.0.0.1:80", 12);
+  EXPECT_FALSE(directory_.Find("s1")->TakesWork());
+  directory_.Put(kNow, { "s1", "rates", "10.0.0.1:80", "hall", 4, false, 13, {}, {}, {}, {}, 200 });
+  EXPECT_TRUE(directory_.Find("s1")->TakesWork());
+}
+
 } // namespace
 
 } // namespace latchslip
--- a/Tests/Platform/TestEntryProcesses.cpp
+++ b/Tests/Platform/TestEntryProcesses.cpp
@@ -86,12 +86,16 @@
                   std::move(request),
                   seconds(5),
                   [this, id](const HttpExchange& aExchange) { OnEnd(id, aExchange); });
+    askedOf_[id] = { aInstance, MonotonicNow() };
   }
 
   void OnEnd(const std::string& aId, const HttpExchange& aExchange)
   {
     ++ended_;
     const auto& answer = aExchange.response_;
+    if (!answer.Header("Server-Leaving").empty()) {
+      leavingPassedOn_.try_emplace(askedOf_.at(aId).instance_, MonotonicNow());
+    }
     if (aExchange.end_ != ExchangeEnd::Complete) {
       ++broken_;
       return;
@@ -181,6 +185,47 @@
     }
   }
 
+  // Requests that reached that server, and that a client sent to an instance later than the
+  // bound after that instance had passed on an answer that says that its server leaves.
+  std::size_t LateArrivalsAt(const std::string& aBackend, Duration aBound) const
+  {
+    std::size_t late = 0;
+    for (const auto& arrival : backends_.at(aBackend)->Arrivals()) {
+      const auto& asked = askedOf_.at(arrival.request_);
+      const auto passedOn = leavingPassedOn_.find(asked.instance_);
+      late += passedOn != leavingPassedOn_.end() && asked.at_ > passedOn->second + aBound ? 1 : 0;
+    }
+    return late;
+  }
+
+  // The most requests that one instance sent to that server, which turns all away since
+  // aSince, between half a second after the first of them and the end of the rest.
+  std::size_t MostArrivalsInRest(const std::string& aBackend, Instant aSince, Duration aRest) const
+  {
+    constexpr Duration kUnderWay = milliseconds(500);
+    std::map<int, Instant> turnedAwayAt;
+    std::map<int, std::size_t> arrivals;
+    std::size_t most = 0;
+    for (const auto& arrival : backends_.at(aBackend)->Arrivals()) {
+      if (arrival.time_ < aSince) {
+        continue;
+      }
+      const auto instance = askedOf_.at(arrival.request_).instance_;
+      const auto first = turnedAwayAt.try_emplace(instance, arrival.time_).first->second;
+      const bool isInRest = arrival.time_ > first + kUnderWay && arrival.time_ < first + aRest;
+      arrivals[instance] += isInRest ? 1 : 0;
+      most = std::max(most, arrivals[instance]);
+    }
+    return most;
+  }
+
+  // What a client asked: of which instance, and when.
+  struct Asked
+  {
+    int instance_ = 0;
+    Instant at_{ 0 };
+  };
+
   const int instances_;
   boost::asio::io_context context_{ 1 };
   std::unique_ptr<StandInStore> store_;
@@ -193,6 +238,10 @@
   std::size_t ended_ = 0;
   std::size_t broken_ = 0;
   std::map<unsigned, int> statuses_;
+  // By the request's id.
+  std::map<std::string, Asked> askedOf_;
+  // When each instance first passed on that a server leaves.
+  std::map<int, Instant> leavingPassedOn_;
 };
 
 class FleetOfThreeProcesses : public EntryFleet
@@ -270,6 +319,50 @@
   EXPECT_EQ(statuses_.size(), 1U);
 }
 
+// Guards against a server that goes on being used though each of its answers says that it
+// leaves, since the store, which alone was believed, is away and cannot say so.
+TEST_F(FleetOfThreeProcesses, ServerSaysInItsAnswersThatItLeaves_GetsNothingAfterTheBound)
+{
+  constexpr Duration kBound = seconds(2);
+  store_->SetDown(true);
+  backends_["b0"]->TellLeaving();
+  backends_["k0"]->TellLeaving();
+  Load(seconds(4), { 1, 2, 3 });
+  EXPECT_EQ(LateArrivalsAt("b0", kBound), 0U);
+  EXPECT_EQ(LateArrivalsAt("k0", kBound), 0U);
+  EXPECT_EQ(leavingPassedOn_.size(), 3U);
+  store_->SetDown(false);
+  backends_["b0"]->Leave();
+  backends_["k0"]->Leave();
+  Load(seconds(3), { 1, 2, 3 });
+  statuses_.clear();
+  Load(seconds(1), { 1, 2, 3 });
+  EXPECT_EQ(statuses_.size(), 1U);
+  ExpectNothingRanTwice();
+}
+
+// Guards against requests that go on to a server which turned one away and asked for rest.
+TEST_F(FleetOfThreeProcesses, ServersAskForRest_GetAtMostTwoRequestsOfAnInstanceInIt)
+{
+  constexpr Duration kRest = seconds(3);
+  constexpr std::size_t kMost = 2;
+  const auto since = MonotonicNow();
+  backends_["b0"]->SetRest(kRest);
+  backends_["k0"]->SetRest(kRest);
+  Load(seconds(4), { 1, 2, 3 });
+  EXPECT_LE(MostArrivalsInRest("b0", since, kRest), kMost);
+  EXPECT_LE(MostArrivalsInRest("k0", since, kRest), kMost);
+  backends_["b0"]->SetRest(std::nullopt);
+  backends_["k0"]->SetRest(std::nullopt);
+  Load(kRest, { 1, 2, 3 });
+  const auto runs = RunsOf({ "b0" });
+  statuses_.clear();
+  Load(seconds(1), { 1, 2, 3 });
+  EXPECT_EQ(statuses_.size(), 1U);
+  EXPECT_GT(RunsOf({ "b0" }), runs);
+  ExpectNothingRanTwice();
+}
+
 TEST_F(FleetOfThreeProcesses, RouteMovesToAnotherService_InForceEverywhereInTwoSeconds)
 {
   store_->Put("op", "config", MakeManifest(5, "others"));
