LibGateway: Send nothing to a server whose answers say that it leaves

Cause: an instance knew servers by the store's table alone, and the store was away when they left; what a server says of itself in its answers counted for nothing.

The directory now takes an answer's word for the life that was meant: such a server takes no work, and no record of the same life takes that back; a later life begins anew. The answers of orders count as well, so that the placer hears it from each owner that it renews and passes the keys on as soon as the store takes a write. Requests for keys of such an owner are held only as long as a move usually lasts, and then refused at once: without the store no other owner can be named.

PlacerIsToldByAnAnswer... failed without the change of FleetMember. Ruled out as the cause: news between instances, since those that passed the answer on sent there.

--- a/Libraries/LibDaemon/GatewayHost.cpp
+++ b/Libraries/LibDaemon/GatewayHost.cpp
@@ -72,7 +72,7 @@
         metrics_,
         [this](const std::string& aService, KeyNumber aKey) { member_.CountKey(aService, aKey); },
         [this](const std::string& aServer, std::uint64_t aLife) {
-          member_.OnToldLeaving(aServer, aLife);
+          member_.OnToldLeaving(MonotonicNow(), aServer, aLife);
         })
     , orders_(HttpClient::Create(aContext, kMostOrderConnections))
     , peers_(aContext, member_, [this] { return RenderMetrics(); })
@@ -241,7 +241,7 @@
                   [this, aService, aOrder](const HttpExchange& aExchange) {
                     const auto outcome = codec_.DecodeOrder(aOrder, aExchange);
                     if (outcome.isLeaving_) {
-                      member_.OnToldLeaving(aOrder.server_, aOrder.life_);
+                      member_.OnToldLeaving(MonotonicNow(), aOrder.server_, aOrder.life_);
                     }
                     member_.OnOrderEnded(MonotonicNow(), aService, aOrder.number_, outcome);
                   });
--- a/Libraries/LibFleet/FleetMember.cpp
+++ b/Libraries/LibFleet/FleetMember.cpp
@@ -199,14 +199,15 @@
 }
 
 void
-FleetMember::OnToldLeaving(const std::string& aServer, std::uint64_t aLife)
+FleetMember::OnToldLeaving(Instant aNow, const std::string& aServer, std::uint64_t aLife)
 {
-  if (!view_.Directory().NoteLeaving(aServer, aLife)) {
+  if (!view_.Directory().NoteLeaving(aNow, aServer, aLife)) {
     return;
   }
   const bool isListedSo = view_.Directory().Find(aServer)->isLeaving_;
   events_.Record(Event::ServerToldLeaving,
                  "server=" + aServer + " listed_so=" + (isListedSo ? "true" : "false"));
+  actions_.OnDirectoryChanged();
 }
 
 void
--- a/Libraries/LibFleet/ServicePlacer.h
+++ b/Libraries/LibFleet/ServicePlacer.h
@@ -25,7 +25,7 @@
     }
     return ServerLife{ record->address_,
                        directory.Find(aServer) != nullptr,
-                       record->isLeaving_,
+                       record->IsLeaving(),
                        directory.HasEnded(aServer) };
   }
   void Doubt(Instant aNow, const std::string& aServer, Duration aHolds) override
--- a/Libraries/LibGateway/RequestDesk.cpp
+++ b/Libraries/LibGateway/RequestDesk.cpp
@@ -535,14 +535,27 @@
   }
   const auto* record = directory_.Find(range->owner_);
   if (!range->previous_.empty() || record == nullptr || !record->TakesWork()) {
-    const auto since = movingSince_.find({ service, range->fence_ });
-    const auto past = since == movingSince_.end() ? Duration(0) : Duration(aNow - since->second);
-    return moveTimes_[service].Remaining(past);
+    return moveTimes_[service].Remaining(WaitingForMove(aNow, service, *range, record));
   }
   const auto& load = LoadOf(*record, *aPending.service_);
   return load.ExpectedTurn(aNow, WaitingAhead(aPending), ExpectedLatency(aPending));
 }
 
+Duration
+RequestDesk::WaitingForMove(Instant aNow,
+                            const std::string& aService,
+                            const KeyRange& aRange,
+                            const ServerRecord* aOwner) const
+{
+  const auto moving = movingSince_.find({ aService, aRange.fence_ });
+  if (moving != movingSince_.end()) {
+    return aNow - moving->second;
+  }
+  // Without the store the placer cannot name another owner, however long that takes.
+  const bool isLeaving = aOwner != nullptr && aOwner->IsLeaving();
+  return isLeaving ? std::max(Duration(0), Duration(aNow - aOwner->leavingSince_)) : Duration(0);
+}
+
 std::optional<Duration>
 RequestDesk::ExpectedWaitForAny(Instant aNow, const PendingRequest& aPending)
 {
--- a/Libraries/LibGateway/RequestDesk.h
+++ b/Libraries/LibGateway/RequestDesk.h
@@ -166,6 +166,12 @@
   // nothing tells.
   std::optional<Duration> ExpectedWait(Instant aNow, const PendingRequest& aPending);
   std::optional<Duration> ExpectedWaitForOwner(Instant aNow, const PendingRequest& aPending);
+  // For how long a range has been moving, or should have been since its owner leaves. The
+  // owner may be null.
+  Duration WaitingForMove(Instant aNow,
+                          const std::string& aService,
+                          const KeyRange& aRange,
+                          const ServerRecord* aOwner) const;
   std::optional<Duration> ExpectedWaitForAny(Instant aNow, const PendingRequest& aPending);
   // How long it takes to hear of servers and owners of which nothing is known yet; no
   // value when they would have been heard of by now.
--- a/Libraries/LibGateway/ServerDirectory.cpp
+++ b/Libraries/LibGateway/ServerDirectory.cpp
@@ -54,8 +54,11 @@
 {
   aRecord.isHallDrained_ = drainedHalls_.contains(aRecord.hall_);
   const auto* known = FindAny(aRecord.id_);
-  aRecord.hasToldLeaving_ =
-    known != nullptr && known->life_ == aRecord.life_ && known->hasToldLeaving_;
+  const bool isSameLife = known != nullptr && known->life_ == aRecord.life_;
+  aRecord.hasToldLeaving_ = isSameLife && known->hasToldLeaving_;
+  if (aRecord.IsLeaving()) {
+    aRecord.leavingSince_ = isSameLife ? std::min(known->leavingSince_, aNow) : aNow;
+  }
   if (aRecord.slowStartLeft_ > Duration(0)) {
     aRecord.slowStartUntil_ = aNow + aRecord.slowStartLeft_;
   }
@@ -65,7 +68,7 @@
 }
 
 bool
-ServerDirectory::NoteLeaving(const std::string& aId, std::uint64_t aLife)
+ServerDirectory::NoteLeaving(Instant aNow, const std::string& aId, std::uint64_t aLife)
 {
   const auto listed = records_.find(aId);
   const auto former = former_.find(aId);
@@ -80,6 +83,7 @@
     return false;
   }
   record.hasToldLeaving_ = true;
+  record.leavingSince_ = std::min(record.leavingSince_, aNow);
   return true;
 }
 
--- a/Tests/LibFleet/TestFleetMember.cpp
+++ b/Tests/LibFleet/TestFleetMember.cpp
@@ -37,17 +37,35 @@
 TEST_F(MemberOfAFleet, AnswersSayThatAServerLeaves_IsLoggedOnceALife)
 {
   Show(FleetTable::Servers, 6, { { "s1", 6, "100" } });
-  member_.OnToldLeaving("s1", 100);
-  member_.OnToldLeaving("s1", 100);
-  member_.OnToldLeaving("unlisted", 0);
+  member_.OnToldLeaving(now_, "s1", 100);
+  member_.OnToldLeaving(now_, "s1", 100);
+  member_.OnToldLeaving(now_, "unlisted", 0);
   EXPECT_EQ(events_.CountOf(Event::ServerToldLeaving), 1);
   Show(FleetTable::Servers, 9, { { "s1", 9, "200" } });
-  member_.OnToldLeaving("s1", 100);
+  member_.OnToldLeaving(now_, "s1", 100);
   EXPECT_EQ(events_.CountOf(Event::ServerToldLeaving), 1);
-  member_.OnToldLeaving("s1", 200);
+  member_.OnToldLeaving(now_, "s1", 200);
   EXPECT_EQ(events_.CountOf(Event::ServerToldLeaving), 2);
 }
 
+// Without its moves, the keys of such a server would have no owner to the end.
+TEST_F(MemberOfAFleet, PlacerIsToldByAnAnswerThatAServerLeaves_GivesItsKeysToOthers)
+{
+  BecomePlacer();
+  Pass(seconds(2));
+  ASSERT_EQ(fleet_.transactions_.size(), 2U);
+  Done(11);
+  const auto changes = fleet_.directoryChanges_;
+  member_.OnToldLeaving(now_, "s1", 0);
+  EXPECT_EQ(fleet_.directoryChanges_, changes + 1);
+  Pass(seconds(1));
+  ASSERT_EQ(fleet_.transactions_.size(), 3U);
+  const auto written = ParseOwnership(fleet_.transactions_.back().writes_.front().value_).value();
+  for (const auto& range : written.ranges_) {
+    EXPECT_EQ(range.owner_, "s2");
+  }
+}
+
 TEST_F(MemberOfAFleet, TablesAreKnown_IsReady)
 {
   EXPECT_FALSE(member_.IsReady());
--- a/Tests/LibGateway/TestRequestDesk.cpp
+++ b/Tests/LibGateway/TestRequestDesk.cpp
@@ -735,6 +735,19 @@
   }
 }
 
+// Guards against requests that are held for a move which does not come while the store is
+// away.
+TEST_F(DeskOfThreeServers, OwnerLeavesAndItsKeysDoNotMove_RequestsAreSoonRefusedAtOnce)
+{
+  directory_.NoteLeaving(now_, "k1", 0);
+  desk_.OnDirectoryChanged(now_);
+  Pass(seconds(1));
+  const auto request = Ask("/key/1", 5);
+  ASSERT_TRUE(actions_.refused_.contains(request));
+  EXPECT_EQ(actions_.refused_.at(request).reason_, RefusalReason::NoOwner);
+  EXPECT_TRUE(actions_.refused_.at(request).isNotRun_);
+}
+
 TEST_F(DeskOfThreeServers, ServerAsksForRestTwiceInOne_IsLoggedOnce)
 {
   const auto first = Ask("/key/1", 5);
--- a/Tests/LibGateway/TestServerDirectory.cpp
+++ b/Tests/LibGateway/TestServerDirectory.cpp
@@ -224,7 +224,7 @@
 // Guards against a leaving server that is used since its record does not say so.
 TEST_F(DirectoryOfTwoServers, AnswerSaysThatAServerLeaves_TakesNoWorkWhateverRecordsOfItsLifeSay)
 {
-  EXPECT_TRUE(directory_.NoteLeaving("s1", 0));
+  EXPECT_TRUE(directory_.NoteLeaving(kNow, "s1", 0));
   EXPECT_FALSE(directory_.Find("s1")->TakesWork());
   EXPECT_TRUE(directory_.Find("s2")->TakesWork());
   Put("s1", "10.0.0.1:80", 9);
@@ -233,7 +233,9 @@
   EXPECT_FALSE(IsListedAt("s1", seconds(1)));
   Put("s1", "10.0.0.1:80", 12);
   EXPECT_FALSE(directory_.Find("s1")->TakesWork());
-  directory_.Put(kNow, { "s1", "rates", "10.0.0.1:80", "hall", 4, false, 13, {}, {}, {}, {}, 200 });
+  ServerRecord nextLife{ "s1", "rates", "10.0.0.1:80", "hall", 4, false, 13 };
+  nextLife.life_ = 200;
+  directory_.Put(kNow, nextLife);
   EXPECT_TRUE(directory_.Find("s1")->TakesWork());
 }
 
