LibGateway: Send nothing to a server that asked this instance for rest

Cause: a server that turned a request away was left alone for 20 ms, whatever it asked for; its own word was read nowhere.

A rest is now kept with what the instance knows of the server: no first send, retry or permit of this instance goes there before its end, also when the server's record goes and comes back. Requests that only resting servers could take are refused at once, with the rest as the time to come back, and take nothing from the retry budget; those that can wait for its end are sent then. The end of a send tells the dispatcher, which gives that instance no permit for that server and passes its asks over for those of others; a dispatcher that was not there learns of it from the permit that is given back.

--- a/Libraries/LibGateway/PermitAsks.cpp
+++ b/Libraries/LibGateway/PermitAsks.cpp
@@ -32,6 +32,10 @@
       return false;
     }
   }
+  if (RestLeft(aNow, aPending) > Duration(0)) {
+    aPending.obstacle_ = RefusalReason::NoCapacity;
+    return false;
+  }
   LeaveQueue(aPending);
   aPending.ask_ = ++lastAttempt_;
   aPending.isPromised_ = false;
@@ -88,7 +92,9 @@
       return std::nullopt;
     }
   }
-  return ServerCandidate{ record, &LoadOf(*record, *aPending.service_) };
+  auto& load = LoadOf(*record, *aPending.service_);
+  return load.RestLeft(aNow) > Duration(0) ? std::nullopt
+                                           : std::optional(ServerCandidate{ record, &load });
 }
 
 void
@@ -105,7 +111,10 @@
     SendTo(aNow, *pending, *server, aNumber, *timeLeft);
     return;
   }
-  permits_.TellEnd(CancelledSend(aNumber));
+  // A dispatcher that was not there when the server asked for rest learns of it now.
+  const auto load = loads_.find(aServer);
+  const auto rest = load == loads_.end() ? Duration(0) : load->second.RestLeft(aNow);
+  permits_.TellEnd(CancelledSend(aNumber, rest));
   pending->notBefore_ = aNow + kDisagreementPause;
   WaitOrRefuse(aNow, *pending);
 }
--- a/Libraries/LibGateway/PermitMessages.h
+++ b/Libraries/LibGateway/PermitMessages.h
@@ -65,15 +65,18 @@
   // From the send to its end.
   Duration latency_{ 0 };
   std::optional<ServerStatus> status_;
+  // For how long the server wants nothing from the instance that tells; zero when it did not
+  // ask for that.
+  Duration rest_{ 0 };
 
   bool operator==(const SendEnd&) const = default;
 };
 
 // The end of a send that was given up, or of a permit that is not used.
 inline SendEnd
-CancelledSend(AttemptNumber aNumber)
+CancelledSend(AttemptNumber aNumber, Duration aRest = Duration(0))
 {
-  return { aNumber, SendResult::Cancelled, Duration(0), std::nullopt };
+  return { aNumber, SendResult::Cancelled, Duration(0), std::nullopt, aRest };
 }
 
 // Asks for a sign of life.
--- a/Libraries/LibGateway/RequestDesk.cpp
+++ b/Libraries/LibGateway/RequestDesk.cpp
@@ -168,7 +168,11 @@
   }
   const auto service = pending.service_->name_;
   const auto result = ToSendResult(aOutcome);
-  permits_.TellEnd({ aAttempt, result, aNow - pending.sentAt_, aOutcome.server_ });
+  permits_.TellEnd({ aAttempt,
+                     result,
+                     aNow - pending.sentAt_,
+                     aOutcome.server_,
+                     aOutcome.rest_.value_or(Duration(0)) });
   if (const auto load = loads_.find(pending.server_); load != loads_.end()) {
     load->second.OnEnded(aNow, aAttempt, result);
     if (aOutcome.isOtherLife_) {
@@ -257,6 +261,9 @@
   if (!isAllowed || !hasAttempts || aNow + kLeastSendTime >= aPending.deadline_) {
     return false;
   }
+  if (aNow + RestLeft(aNow, aPending) + kLeastSendTime >= aPending.deadline_) {
+    return false;
+  }
   // What never reached a server is no second arrival.
   return aOutcome.end_ == AttemptEnd::NotSent ||
          StateOf(aPending.service_->name_).budget_.TryTake(aNow, instances_);
@@ -328,7 +335,7 @@
 {
   actions_.Cancel(aPending.attempt_);
   permits_.TellEnd(
-    { aPending.attempt_, SendResult::Broken, aNow - aPending.sentAt_, std::nullopt });
+    { aPending.attempt_, SendResult::Broken, aNow - aPending.sentAt_, std::nullopt, Duration(0) });
   tally_.OnAttempt(aPending.server_, AttemptEnd::Broken);
   if (const auto load = loads_.find(aPending.server_); load != loads_.end()) {
     load->second.OnTimeOut(aNow, aPending.attempt_);
@@ -372,7 +379,7 @@
 }
 
 Duration
-RequestDesk::RetryAfterOf(Instant aNow, const PendingRequest& aPending)
+RequestDesk::RetryAfterOf(Instant aNow, PendingRequest& aPending)
 {
   std::uniform_real_distribution<double> draw(kLeastSpread, kMostSpread);
   if (!aPending.routes_) {
@@ -510,14 +517,36 @@
 }
 
 std::optional<Duration>
-RequestDesk::ExpectedWait(Instant aNow, const PendingRequest& aPending)
+RequestDesk::ExpectedWait(Instant aNow, PendingRequest& aPending)
 {
   const auto wait = aPending.service_->isKeyed_ ? ExpectedWaitForOwner(aNow, aPending)
                                                 : ExpectedWaitForAny(aNow, aPending);
-  if (!wait || aNow >= aPending.notBefore_) {
+  if (!wait) {
     return wait;
   }
-  return std::max(*wait, Duration(aPending.notBefore_ - aNow));
+  const Duration pause = std::max(aPending.notBefore_, aNow) - aNow;
+  return std::max({ *wait, RestLeft(aNow, aPending), pause });
+}
+
+Duration
+RequestDesk::RestLeft(Instant aNow, PendingRequest& aPending)
+{
+  if (aPending.service_->isKeyed_) {
+    ServerCandidate owner{};
+    const bool hasOwner = ChooseOwner(aNow, aPending, owner) != Choice::NoOwner;
+    return hasOwner ? owner.load_->RestLeft(aNow) : Duration(0);
+  }
+  auto least = Duration::max();
+  for (const auto& server : StateOf(aPending.service_->name_).servers_) {
+    if (!server.record_->TakesWork()) {
+      continue;
+    }
+    least = std::min(least, server.load_->RestLeft(aNow));
+    if (least == Duration(0)) {
+      break;
+    }
+  }
+  return least == Duration::max() ? Duration(0) : least;
 }
 
 std::optional<Duration>
@@ -612,6 +641,10 @@
   if (aNow < aPending.notBefore_) {
     time = std::min(time, aPending.notBefore_);
   }
+  // Nothing else may happen at the end of a rest.
+  if (const auto rest = RestLeft(aNow, aPending); rest > Duration(0)) {
+    time = std::min(time, aNow + rest);
+  }
   SetTimer(aPending, time);
 }
 
--- a/Libraries/LibGateway/RequestDesk.h
+++ b/Libraries/LibGateway/RequestDesk.h
@@ -162,9 +162,12 @@
   // will not be served while that is worth waiting for.
   void WaitOrRefuse(Instant aNow, PendingRequest& aPending);
   void Queue(Instant aNow, PendingRequest& aPending);
+  // How much longer all servers that may have the request want rest; zero when one does
+  // not, or there is none.
+  Duration RestLeft(Instant aNow, PendingRequest& aPending);
   // How long the request is expected to wait until it can be sent; no value when
   // nothing tells.
-  std::optional<Duration> ExpectedWait(Instant aNow, const PendingRequest& aPending);
+  std::optional<Duration> ExpectedWait(Instant aNow, PendingRequest& aPending);
   std::optional<Duration> ExpectedWaitForOwner(Instant aNow, const PendingRequest& aPending);
   // For how long a range has been moving, or should have been since its owner leaves. The
   // owner may be null.
@@ -198,7 +201,7 @@
   void GiveUp(Instant aNow, PendingRequest& aPending);
   void Refuse(Instant aNow, PendingRequest& aPending, RefusalReason aReason);
   // When a refused client should come back.
-  Duration RetryAfterOf(Instant aNow, const PendingRequest& aPending);
+  Duration RetryAfterOf(Instant aNow, PendingRequest& aPending);
   // Forgets the request.
   void Finish(RequestNumber aRequest);
   // Instant::max() for no timer.
--- a/Libraries/LibGateway/ServerChoice.cpp
+++ b/Libraries/LibGateway/ServerChoice.cpp
@@ -133,7 +133,9 @@
     }
   }
   std::erase_if(loads_, [&](const auto& aEntry) {
-    return directory_.Find(aEntry.first) == nullptr && aEntry.second.UnderWay() == 0;
+    // A server that is listed again before its rest is over still wants it.
+    return directory_.Find(aEntry.first) == nullptr && aEntry.second.UnderWay() == 0 &&
+           aEntry.second.RestLeft(aNow) == Duration(0);
   });
   std::erase_if(spells_, [&](const auto& aEntry) {
     return !loads_.contains(aEntry.first) && routes_->FindService(aEntry.first) == nullptr;
--- a/Libraries/LibGateway/ServerLoad.cpp
+++ b/Libraries/LibGateway/ServerLoad.cpp
@@ -126,7 +126,7 @@
 bool
 ServerLoad::HasRoom(Instant aNow) const
 {
-  if (health_.IsSuspended(aNow) || !slowStart_.HasRoom(aNow)) {
+  if (RestLeft(aNow) > Duration(0) || health_.IsSuspended(aNow) || !slowStart_.HasRoom(aNow)) {
     return false;
   }
   return underWay_.size() < Limit() && !IsOverdue(aNow);
--- a/Libraries/LibNet/Generated/Permit.capnp.h
+++ b/Libraries/LibNet/Generated/Permit.capnp.h
@@ -69,7 +69,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d9c28957aea22448, 5, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(d9c28957aea22448, 6, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -437,6 +437,8 @@
 
   inline double getPace() const;
 
+  inline  ::int64_t getRestMicros() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -489,6 +491,9 @@
   inline double getPace();
   inline void setPace(double value);
 
+  inline  ::int64_t getRestMicros();
+  inline void setRestMicros( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1427,6 +1432,20 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t SendEnd::Reader::getRestMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t SendEnd::Builder::getRestMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void SendEnd::Builder::setRestMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Permit::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Libraries/LibNet/Permit.capnp
+++ b/Libraries/LibNet/Permit.capnp
@@ -34,6 +34,7 @@
   waiting @5 :UInt32;
   slots @6 :UInt32;
   pace @7 :Float64;
+  restMicros @8 :Int64;
 }
 
 struct Permit {
--- a/Libraries/LibNet/PermitCodec.cpp
+++ b/Libraries/LibNet/PermitCodec.cpp
@@ -53,6 +53,7 @@
   out.setNumber(aEnd.number_);
   out.setResult(static_cast<std::uint8_t>(aEnd.result_));
   out.setLatencyMicros(aEnd.latency_.count());
+  out.setRestMicros(aEnd.rest_.count());
   out.setHasStatus(aEnd.status_.has_value());
   if (aEnd.status_) {
     out.setRunning(aEnd.status_->running_);
@@ -133,6 +134,7 @@
   end.number_ = aIn.getNumber();
   end.result_ = static_cast<SendResult>(aIn.getResult());
   end.latency_ = Duration(aIn.getLatencyMicros());
+  end.rest_ = Duration(aIn.getRestMicros());
   if (aIn.getHasStatus()) {
     end.status_ = ServerStatus{ aIn.getRunning(), aIn.getWaiting(), aIn.getSlots(), aIn.getPace() };
   }
--- a/Libraries/LibPermit/DispatchedServer.cpp
+++ b/Libraries/LibPermit/DispatchedServer.cpp
@@ -47,6 +47,7 @@
   health_ = {};
   slowStartSends_.clear();
   answered_.clear();
+  rests_.clear();
   work_ = Duration(0);
   pace_ = 1;
   others_ = 0;
@@ -81,6 +82,9 @@
   if (aEnd.result_ == SendResult::Answered) {
     NoteAnswer(aNow, aCaller);
   }
+  if (aEnd.rest_ > Duration(0)) {
+    BeginRest(aNow, aCaller, aEnd.rest_);
+  }
   Learn(aNow, aFound, aEnd);
 }
 
@@ -94,6 +98,21 @@
   }
 }
 
+void
+DispatchedServer::BeginRest(Instant aNow, CallerId aCaller, Duration aRest)
+{
+  std::erase_if(rests_, [&](const auto& aEntry) { return aEntry.second <= aNow; });
+  auto& until = rests_.try_emplace(aCaller, Instant::min()).first->second;
+  until = std::max(until, aNow + aRest);
+}
+
+bool
+DispatchedServer::IsResting(Instant aNow, CallerId aCaller) const
+{
+  const auto rest = rests_.find(aCaller);
+  return rest != rests_.end() && aNow < rest->second;
+}
+
 bool
 DispatchedServer::IsConnected(Instant aNow, CallerId aCaller) const
 {
--- a/Libraries/LibPermit/DispatchedServer.h
+++ b/Libraries/LibPermit/DispatchedServer.h
@@ -33,6 +33,8 @@
   // Whether it may get one more request; aUsual is the work time to count with when none
   // is known.
   bool HasRoom(Instant aNow, Duration aUsual) const;
+  // Whether it wants nothing from that instance at the moment.
+  bool IsResting(Instant aNow, CallerId aCaller) const;
   // Whether a request would find a free slot.
   bool HasFreeSlot(Instant aNow) const { return Load(aNow) < slots_; }
   // How long one more request would take there, its wait for a slot included.
@@ -64,6 +66,7 @@
   double WaitsBehind(std::size_t aFound) const;
   double Pace(Instant aNow) const;
   void NoteAnswer(Instant aNow, CallerId aCaller);
+  void BeginRest(Instant aNow, CallerId aCaller, Duration aRest);
   void Learn(Instant aNow, std::size_t aFound, const SendEnd& aEnd);
 
   std::string hall_;
@@ -80,6 +83,8 @@
   std::deque<Instant> slowStartSends_;
   // When each instance last got an answer from it.
   std::map<CallerId, Instant> answered_;
+  // Until when it wants nothing from an instance, of those from which it does.
+  std::map<CallerId, Instant> rests_;
   Duration work_{ 0 };
   double pace_ = 1;
   std::size_t others_ = 0;
--- a/Libraries/LibPermit/PermitDispatcher.cpp
+++ b/Libraries/LibPermit/PermitDispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <variant>
 #include <vector>
 
@@ -238,7 +239,8 @@
 {
   const auto usual = aService.UsualWork();
   const auto isFit = [&](const DispatchedServer& aServer) {
-    return aServer.HasRoom(aNow, usual) && (!aIsLate || aServer.HasFreeSlot(aNow));
+    return aServer.HasRoom(aNow, usual) && !aServer.IsResting(aNow, aCaller) &&
+           (!aIsLate || aServer.HasFreeSlot(aNow));
   };
   if (!aAsk.server_.empty()) {
     const auto server = aService.servers_.find(aAsk.server_);
@@ -365,15 +367,21 @@
 void
 PermitDispatcher::Pump(Instant aNow, Service& aService, const std::string& aLane)
 {
+  // Asks of instances from which a server wants rest do not keep others from it.
+  std::ptrdiff_t passedOver = 0;
   for (;;) {
     const auto lane = aService.lanes_.find(aLane);
-    if (lane == aService.lanes_.end() || lane->second.empty()) {
+    if (lane == aService.lanes_.end() || std::ssize(lane->second) <= passedOver) {
       return;
     }
-    const auto place = *lane->second.begin();
+    const auto place = *std::next(lane->second.begin(), passedOver);
     const auto waiting = waiting_.find(place.key_);
     if (!TryGrant(aNow, aService, place.key_, waiting->second.ask_, place.isLate_)) {
-      return;
+      if (!IsAnyResting(aNow, aService, place.key_.first)) {
+        return;
+      }
+      ++passedOver;
+      continue;
     }
     if (place.isLate_) {
       aService.patience_.OnServed();
@@ -382,6 +390,14 @@
   }
 }
 
+bool
+PermitDispatcher::IsAnyResting(Instant aNow, const Service& aService, CallerId aCaller)
+{
+  return std::any_of(aService.servers_.begin(), aService.servers_.end(), [&](const auto& aEntry) {
+    return aEntry.second.IsResting(aNow, aCaller);
+  });
+}
+
 void
 PermitDispatcher::PumpAll(Instant aNow)
 {
--- a/Tests/LibGateway/TestPermitAsks.cpp
+++ b/Tests/LibGateway/TestPermitAsks.cpp
@@ -74,6 +74,16 @@
     desk_.OnPermit(now_, permits_.asks_.back().number_, aServer);
   }
 
+  // The server of the last send turns it away and asks for rest.
+  void TurnAway(Duration aRest)
+  {
+    AttemptOutcome outcome;
+    outcome.end_ = AttemptEnd::NotRun;
+    outcome.status_ = 503;
+    outcome.rest_ = aRest;
+    desk_.OnAttemptEnded(now_, actions_.sent_.back().number_, outcome);
+  }
+
   void Pass(Duration aTime)
   {
     const auto end = now_ + aTime;
@@ -125,6 +135,40 @@
   EXPECT_EQ(permits_.asks_.size(), 1U) << "nobody owns that key";
 }
 
+TEST_F(DeskWithADispatcher, OwnerAsksForRest_DispatcherIsToldAndNoPermitIsAskedFor)
+{
+  Request("/keyed/1", 50);
+  Permit("k1");
+  TurnAway(seconds(3));
+  ASSERT_EQ(permits_.ends_.size(), 1U);
+  EXPECT_EQ(permits_.ends_[0].rest_, seconds(3));
+  const auto request = Request("/keyed/1", 50);
+  EXPECT_EQ(permits_.asks_.size(), 1U);
+  ASSERT_TRUE(actions_.refused_.contains(request));
+  EXPECT_TRUE(actions_.refused_[request].isNotRun_);
+  Pass(seconds(3));
+  Request("/keyed/1", 50);
+  EXPECT_EQ(permits_.asks_.size(), 2U);
+}
+
+// Guards against permits of a dispatcher that was not told of the rest, such as a new one.
+TEST_F(DeskWithADispatcher, PermitIsForAServerThatWantsRest_IsGivenBackWithTheRestThatIsLeft)
+{
+  Request("/plain/1");
+  Permit("p1");
+  TurnAway(seconds(3));
+  permits_.ends_.clear();
+  const auto sent = actions_.sent_.size();
+  Permit("p1");
+  EXPECT_EQ(actions_.sent_.size(), sent);
+  ASSERT_EQ(permits_.ends_.size(), 1U);
+  EXPECT_EQ(permits_.ends_[0], CancelledSend(permits_.asks_.back().number_, seconds(3)));
+  Pass(milliseconds(40));
+  Permit("p2");
+  ASSERT_EQ(actions_.sent_.size(), sent + 1);
+  EXPECT_EQ(actions_.sent_.back().server_, "p2");
+}
+
 TEST_F(DeskWithADispatcher, PermitIsDenied_IsRefusedAtOnceAsNotRun)
 {
   const auto request = Request("/plain/1");
--- a/Tests/LibNet/TestPermitCodec.cpp
+++ b/Tests/LibNet/TestPermitCodec.cpp
@@ -27,6 +27,7 @@
     SendNotice{ 9, "svc", "s1", milliseconds(3), milliseconds(70) },
     SendEnd{ 10, SendResult::Shed, milliseconds(4), ServerStatus{ 3, 1, 4, 2.5 } },
     SendEnd{ 11, SendResult::Cancelled, Duration(0), std::nullopt },
+    SendEnd{ 12, SendResult::Shed, milliseconds(4), std::nullopt, seconds(3) },
     DispatcherProbe{}
   };
   batch.fromDispatcher_ = {
--- a/Tests/LibPermit/TestPermitDispatcher.cpp
+++ b/Tests/LibPermit/TestPermitDispatcher.cpp
@@ -91,6 +91,22 @@
   EXPECT_EQ(PermittedTo(Ask()), "");
 }
 
+TEST_F(DispatcherOfAService, ServerWantsRestFromOneInstance_OnlyThatOneGetsNoPermitForIt)
+{
+  constexpr CallerId kOther = 2;
+  Put("s1");
+  dispatcher_.OnMessage(
+    now_, kCaller, SendEnd{ Ask(), SendResult::Shed, milliseconds(4), std::nullopt, seconds(3) });
+  Pass(milliseconds(100));
+  EXPECT_EQ(PermittedTo(Ask()), "");
+  const auto ask = Ask("", milliseconds(300), 1, kOther);
+  Pass(milliseconds(10));
+  EXPECT_EQ(PermittedTo(ask), "s1");
+  End(ask, SendResult::Answered, milliseconds(50), std::nullopt, kOther);
+  Pass(milliseconds(2950));
+  EXPECT_EQ(PermittedTo(Ask()), "s1");
+}
+
 TEST_F(DispatcherOfAService, ServerOfTheOwnHallIsFree_ItIsPreferred)
 {
   Put("a1", "other-hall");
