LibGateway: Remember a dropped server as it was last

A server that was dropped from the list, came back and was dropped again was remembered as it was the first time: its address then, and not that it had said that it leaves.

--- a/Libraries/LibGateway/ServerDirectory.cpp
+++ b/Libraries/LibGateway/ServerDirectory.cpp
@@ -256,6 +256,8 @@
       });
     former_.erase(oldest);
   }
+  // What was remembered of an earlier listing holds no more.
+  former_.erase(aRecord->first);
   former_.insert(records_.extract(aRecord));
 }
 
--- a/Tests/LibGateway/TestServerDirectory.cpp
+++ b/Tests/LibGateway/TestServerDirectory.cpp
@@ -239,6 +239,20 @@
   EXPECT_TRUE(directory_.Find("s1")->TakesWork());
 }
 
+// Guards against a dropped record that hides what was learnt of the server since.
+TEST_F(DirectoryOfTwoServers, ServerIsDroppedAgain_IsRememberedAsItWasLast)
+{
+  directory_.Remove(kNow, "s1");
+  ASSERT_FALSE(IsListedAt("s1", seconds(1)));
+  Put("s1", "10.0.0.9:80", 9);
+  directory_.NoteLeaving(kNow, "s1", 0);
+  directory_.Remove(kNow, "s1");
+  ASSERT_FALSE(IsListedAt("s1", seconds(1)));
+  EXPECT_EQ(directory_.FindAny("s1")->address_, "10.0.0.9:80");
+  Put("s1", "10.0.0.9:80", 12);
+  EXPECT_FALSE(directory_.Find("s1")->TakesWork());
+}
+
 } // namespace
 
 } // namespace latchslip
