Tests/Soak: Servers that say in their answers that they leave or want rest

From what clients passed on and servers answered, the soak checks while it runs that no instance sends there beyond the bounds.

A server that leaves is no longer healed to be ready again under its id: none does that on the platform, and its answers would go on saying that it leaves. It begins another life instead, as after a crash; the check of leaving servers after all faults does not list its server as ready again for the same reason.

--- a/Tests/Platform/Soak/CalmChecks.cpp
+++ b/Tests/Platform/Soak/CalmChecks.cpp
@@ -67,7 +67,7 @@
   if (world_.Kept().ArrivalsOf(server.Id()) != before) {
     world_.Kept().Break("DRAIN " + server.Id() + " still gets requests");
   }
-  server.Relist();
+  // It never takes that back, and the stops that follow need only the others.
 }
 
 void
--- a/Tests/Platform/Soak/FaultPlan.cpp
+++ b/Tests/Platform/Soak/FaultPlan.cpp
@@ -27,6 +27,13 @@
 constexpr int kMostLost = 5;
 // Of so many faults one goes with a return of the store.
 constexpr unsigned kFaultsAReturn = 5;
+// Of so many faults one goes with a server that says something of itself in its answers.
+constexpr unsigned kFaultsATelling = 3;
+// How long the store is away when a server tells only its clients that it leaves.
+constexpr Duration kTellingAway = milliseconds(4000);
+// The rest that servers ask for.
+constexpr Duration kLeastRest = milliseconds(600);
+constexpr Duration kMostRest = milliseconds(3000);
 // How long the store is away before it returns.
 constexpr Duration kMostAway = milliseconds(1500);
 // Writes of others that a return loses: a second of what a store of a small fleet takes.
@@ -44,11 +51,12 @@
 
 } // namespace
 
-FaultPlan::FaultPlan(SoakWorld& aWorld, std::uint32_t aSeed, bool aStoreReturns)
+FaultPlan::FaultPlan(SoakWorld& aWorld, std::uint32_t aSeed, Extras aExtras)
   : world_(aWorld)
   , random_(aSeed)
-  , storeReturns_(aStoreReturns)
+  , extras_(aExtras)
   , returnsRandom_(aSeed)
+  , tellsRandom_(aSeed)
   , startedAt_(MonotonicNow())
 {
 }
@@ -59,9 +67,17 @@
   const auto end = MonotonicNow() + aTime;
   while (MonotonicNow() < end) {
     Inject(static_cast<SoakFault>(DrawIndex(kDrawnFaults)));
-    if (storeReturns_ && returnsRandom_() % kFaultsAReturn == 0) {
+    if (extras_.storeReturns_ && returnsRandom_() % kFaultsAReturn == 0) {
       ReturnStore();
     }
+    if (extras_.serversTell_ && tellsRandom_() % kFaultsATelling == 0) {
+      auto& server = world_.Servers()[tellsRandom_() % world_.Servers().size()];
+      if (tellsRandom_() % 2 == 0) {
+        LetServerTellLeaving(server);
+      } else {
+        LetServerRest(server);
+      }
+    }
     world_.Run(Draw(kLeastGap, kMostGap));
   }
 }
@@ -124,7 +140,8 @@
     case SoakFault::StoreLink:
       return HarmLink(*instance.storeLink_, aFault, instance.name_);
     case SoakFault::ServerLink:
-      return HarmLink(*server.link_, aFault, server.backend_->Id());
+      HarmLink(*server.link_, aFault, server.backend_->Id());
+      return;
     case SoakFault::StoreDown:
       return TakeStoreDown(time);
     case SoakFault::StoreSlow:
@@ -143,6 +160,10 @@
       return ChangeConfiguration();
     case SoakFault::StoreReturns:
       return ReturnStore();
+    case SoakFault::ServerTellsLeaving:
+      return LetServerTellLeaving(server);
+    case SoakFault::ServerAsksForRest:
+      return LetServerRest(server);
   }
 }
 
@@ -216,6 +237,7 @@
   aInstance.process_->Signal(SIGSTOP);
   world_.After(aTime, [this, &aInstance, run = aInstance.runs_] {
     if (aInstance.runs_ == run && aInstance.isPaused_) {
+      world_.Kept().Answers().ExcuseInstance(aInstance.Run());
       aInstance.isPaused_ = false;
       aInstance.process_->Signal(SIGCONT);
       world_.NoteHealed();
@@ -241,9 +263,11 @@
     return;
   }
   Note(aFault, aWhat + " " + std::string(kLinkFaultNames.NameOf(kind)), time);
+  world_.Kept().Answers().SetHarmed(aWhat, true);
   aLink.SetFault(kind, Draw(Duration(0), kMostDelay));
-  world_.After(time, [this, &aLink, kind] {
+  world_.After(time, [this, &aLink, kind, aWhat] {
     if (aLink.Fault() == kind) {
+      world_.Kept().Answers().SetHarmed(aWhat, false);
       aLink.SetFault(LinkFault::None);
       world_.NoteHealed();
     }
@@ -322,11 +346,48 @@
     return;
   }
   aServer.backend_->Leave();
-  world_.After(kServesOn, [this, &aServer, id = aServer.backend_->Id()] {
+  world_.After(kServesOn,
+               [this, &aServer, id = aServer.backend_->Id()] { EndLeaving(aServer, id); });
+}
+
+void
+FaultPlan::EndLeaving(SoakWorld::Server& aServer, const std::string& aId)
+{
+  if (aServer.backend_->Id() != aId || !aServer.backend_->IsUp()) {
+    return;
+  }
+  Crash(aServer);
+  aServer.backend_->Unlist();
+  world_.After(kServesOn, [this, &aServer] { BeginLife(aServer); });
+}
+
+void
+FaultPlan::LetServerTellLeaving(SoakWorld::Server& aServer)
+{
+  Note(SoakFault::ServerTellsLeaving, aServer.backend_->Id(), kTellingAway);
+  if (!aServer.backend_->IsUp()) {
+    return;
+  }
+  world_.Store().SetDown(true);
+  aServer.backend_->TellLeaving();
+  world_.After(kTellingAway, [this, &aServer, id = aServer.backend_->Id()] {
+    world_.Store().SetDown(false);
     if (aServer.backend_->Id() == id && aServer.backend_->IsUp()) {
-      Crash(aServer);
-      aServer.backend_->Unlist();
-      world_.After(kServesOn, [this, &aServer] { BeginLife(aServer); });
+      LetServerLeave(aServer);
+    }
+  });
+}
+
+void
+FaultPlan::LetServerRest(SoakWorld::Server& aServer)
+{
+  const auto rest = DrawFrom(tellsRandom_, kLeastRest, kMostRest);
+  const auto time = DrawFrom(tellsRandom_, kLeastTime, kMostTime);
+  Note(SoakFault::ServerAsksForRest, aServer.backend_->Id(), rest);
+  aServer.backend_->SetRest(rest);
+  world_.After(time, [&aServer, id = aServer.backend_->Id()] {
+    if (aServer.backend_->Id() == id) {
+      aServer.backend_->SetRest(std::nullopt);
     }
   });
 }
@@ -399,6 +460,7 @@
 {
   aInstance.storeLink_->SetFault(LinkFault::None);
   if (aInstance.isPaused_) {
+    world_.Kept().Answers().ExcuseInstance(aInstance.Run());
     aInstance.isPaused_ = false;
     aInstance.process_->Signal(SIGCONT);
   }
@@ -411,9 +473,18 @@
 void
 FaultPlan::Heal(SoakWorld::Server& aServer)
 {
-  aServer.link_->SetFault(LinkFault::None);
-  if (aServer.backend_->IsUp()) {
-    aServer.backend_->Relist();
+  auto& backend = *aServer.backend_;
+  if (aServer.link_->Fault() != LinkFault::None) {
+    world_.Kept().Answers().SetHarmed(backend.Id(), false);
+    aServer.link_->SetFault(LinkFault::None);
+  }
+  backend.SetRest(std::nullopt);
+  if (backend.IsUp() && backend.IsLeaving()) {
+    // No server takes its leaving back.
+    Crash(aServer);
+  }
+  if (backend.IsUp()) {
+    backend.Relist();
   } else {
     BeginLife(aServer);
   }
--- a/Tests/Platform/Soak/FaultPlan.h
+++ b/Tests/Platform/Soak/FaultPlan.h
@@ -28,12 +28,15 @@
   ConfigurationChange,
   // Only where it is asked for: the seeds of before draw what they drew.
   StoreReturns,
+  // Likewise.
+  ServerTellsLeaving,
+  ServerAsksForRest,
 };
 
 // Those that are drawn with equal chances.
 inline constexpr std::size_t kDrawnFaults = static_cast<std::size_t>(SoakFault::StoreReturns);
 
-inline constexpr NameTable<SoakFault, 16> kSoakFaultNames{ { "kill-instance",
+inline constexpr NameTable<SoakFault, 18> kSoakFaultNames{ { "kill-instance",
                                                              "stop-instance",
                                                              "pause-instance",
                                                              "settings-signal",
@@ -48,7 +51,9 @@
                                                              "server-leaves",
                                                              "server-unlisted",
                                                              "configuration-change",
-                                                             "store-returns" } };
+                                                             "store-returns",
+                                                             "server-tells-leaving",
+                                                             "server-asks-for-rest" } };
 
 // Draws faults from a seed and brings them on: in series, overlapping, on one thing
 // or another. The same seed draws the same faults; how they meet what the processes
@@ -56,8 +61,16 @@
 class FaultPlan
 {
 public:
-  // With aStoreReturns, the store comes back from older copies as well.
-  FaultPlan(SoakWorld& aWorld, std::uint32_t aSeed, bool aStoreReturns);
+  // Faults that are left out unless they are asked for.
+  struct Extras
+  {
+    // The store comes back from older copies.
+    bool storeReturns_ = false;
+    // Servers say in their answers that they leave while the store is away, or ask for rest.
+    bool serversTell_ = false;
+  };
+
+  FaultPlan(SoakWorld& aWorld, std::uint32_t aSeed, Extras aExtras);
 
   // Brings on faults for so long; some end later.
   void Run(Duration aTime);
@@ -96,11 +109,17 @@
   void ChangeConfiguration();
   // The store goes away some time after a copy was taken and comes back from that.
   void ReturnStore();
+  // The server says so in its answers only, as the store is away, and ends.
+  void LetServerTellLeaving(SoakWorld::Server& aServer);
+  // The server turns all requests away for a while.
+  void LetServerRest(SoakWorld::Server& aServer);
 
   void Kill(SoakWorld::Instance& aInstance, Duration aDown);
   void Stop(SoakWorld::Instance& aInstance);
   // Ends the server at once; connections to it are reset from then on.
   static void Crash(SoakWorld::Server& aServer);
+  // Ends a leaving server, unless it has ended meanwhile, and starts it again some time later.
+  void EndLeaving(SoakWorld::Server& aServer, const std::string& aId);
   // Starts the server again under the next name, unless it runs.
   void BeginLife(SoakWorld::Server& aServer);
   void HealStore();
@@ -109,8 +128,9 @@
 
   SoakWorld& world_;
   std::minstd_rand random_;
-  bool storeReturns_;
+  Extras extras_;
   std::minstd_rand returnsRandom_;
+  std::minstd_rand tellsRandom_;
   Instant startedAt_;
   std::string story_;
 };
--- a/Tests/Platform/Soak/Promises.cpp
+++ b/Tests/Platform/Soak/Promises.cpp
@@ -24,9 +24,10 @@
 }
 
 void
-Promises::OnAsked(const std::string& aRequest, bool aIsBooking)
+Promises::OnAsked(const std::string& aRequest, bool aIsBooking, const std::string& aInstance)
 {
   requests_[aRequest].isBooking_ = aIsBooking;
+  answers_.OnAsked(aRequest, aInstance);
 }
 
 void
@@ -57,6 +58,9 @@
     Break("UNASKED " + aRequest + " at " + aBackend.Id());
   }
   ++requests_[aRequest].arrivals_;
+  if (const auto broken = answers_.OnArrival(aBackend.Id(), aRequest)) {
+    Break(*broken);
+  }
 }
 
 void
@@ -64,6 +68,7 @@
 {
   auto& request = requests_[aRequest];
   ++request.runs_;
+  answers_.OnRun(aBackend.Id(), aRequest);
   if (!request.isBooking_) {
     return;
   }
--- a/Tests/Platform/Soak/Promises.h
+++ b/Tests/Platform/Soak/Promises.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "AnswerPromises.h"
 #include "platform/StandIn/StandInBackend.h"
 
 #include <functional>
@@ -23,8 +24,11 @@
   {
   }
 
-  // A client is about to send a request.
-  void OnAsked(const std::string& aRequest, bool aIsBooking);
+  // A client is about to send a request to that start of an instance.
+  void OnAsked(const std::string& aRequest, bool aIsBooking, const std::string& aInstance);
+  // It got an answer which says that the server leaves that ran the request last.
+  void OnLeavingPassedOn(const std::string& aRequest) { answers_.OnLeavingPassedOn(aRequest); }
+  AnswerPromises& Answers() { return answers_; }
   // It was told that the request has not run and never will.
   void OnRefused(const std::string& aRequest);
   // It got a success with that body and signature.
@@ -34,6 +38,12 @@
 
   void OnArrival(const StandInBackend& aBackend, const std::string& aRequest) override;
   void OnRun(const StandInBackend& aBackend, const std::string& aRequest) override;
+  void OnTurnedAway(const StandInBackend& aBackend,
+                    const std::string& aRequest,
+                    Duration aRest) override
+  {
+    answers_.OnTurnedAway(aBackend.Id(), aRequest, aRest);
+  }
   void OnGrant(StandInBackend& aBackend, KeyNumber aFirst, KeyNumber aLast) override;
 
   // Something else that must not be.
@@ -56,6 +66,7 @@
 
   ListServers listServers_;
   std::map<std::string, Request> requests_;
+  AnswerPromises answers_;
   std::map<std::string, std::size_t> arrivals_;
   std::vector<std::string> broken_;
 };
--- a/Tests/Platform/Soak/SoakWorld.cpp
+++ b/Tests/Platform/Soak/SoakWorld.cpp
@@ -275,7 +275,7 @@
     { "X-Deadline-Ms", std::to_string(duration_cast<milliseconds>(kClientTime).count()) },
     { "X-Shard-Key", std::to_string(std::uniform_int_distribution<int>(0, kLastKey)(random_)) }
   };
-  promises_.OnAsked(id, aIsBooking);
+  promises_.OnAsked(id, aIsBooking, aInstance.Run());
   client_->Send(Loopback(aInstance.port_),
                 std::move(request),
                 kClientTime + kClientSlack,
@@ -304,6 +304,9 @@
     return 0;
   }
   const auto& answer = aExchange.response_;
+  if (!answer.Header("Server-Leaving").empty()) {
+    promises_.OnLeavingPassedOn(aRequest);
+  }
   if (answer.status_ == kOk) {
     ++answered_;
     promises_.OnSuccess(
--- a/Tests/Platform/Soak/SoakWorld.h
+++ b/Tests/Platform/Soak/SoakWorld.h
@@ -48,6 +48,9 @@
     bool isExpected_ = false;
     bool isPaused_ = false;
     std::size_t runs_ = 0;
+
+    // Names this start of it.
+    std::string Run() const { return name_ + "#" + std::to_string(runs_); }
   };
 
   // A backend server and the link to it.
