Tests/LibFleet: Fail, not abort, when no owners are written for a leaving server

With the mutant told-leaving-not-believed the last row that is written is another one, and reading it as owners ended the whole test program. The test now says so and fails.

--- a/Tests/LibFleet/TestFleetMember.cpp
+++ b/Tests/LibFleet/TestFleetMember.cpp
@@ -60,8 +60,9 @@
   EXPECT_EQ(fleet_.directoryChanges_, changes + 1);
   Pass(seconds(1));
   ASSERT_EQ(fleet_.transactions_.size(), 3U);
-  const auto written = ParseOwnership(fleet_.transactions_.back().writes_.front().value_).value();
-  for (const auto& range : written.ranges_) {
+  const auto written = ParseOwnership(fleet_.transactions_.back().writes_.front().value_);
+  ASSERT_TRUE(written) << "no owners are written";
+  for (const auto& range : written.value().ranges_) {
     EXPECT_EQ(range.owner_, "s2");
   }
 }
