LibPermit: Look at one server, not all, when an owner's lane is blocked by a rest

Found on reading the change once more. When a lane could not be granted, the dispatcher looked through all servers of the service for one that wants rest from the front ask's instance, also for a lane that waits for one owner of keys: lanes times servers at each look, every 5 ms, where a full lane cost one search before. The check now concerns the ask: its own server when it names one, all when any may have it, as the choice itself does. An ask is no longer passed over because some other server rests, so the order in an owner's lane is as it was before rests.

--- a/Libraries/LibPermit/PermitDispatcher.cpp
+++ b/Libraries/LibPermit/PermitDispatcher.cpp
@@ -380,7 +380,7 @@
     const auto place = *std::next(lane->second.begin(), passedOver);
     const auto waiting = waiting_.find(place.key_);
     if (!TryGrant(aNow, aService, place.key_, waiting->second.ask_, place.isLate_)) {
-      if (!IsAnyResting(aNow, aService, place.key_.first)) {
+      if (!IsRestInTheWay(aNow, aService, place.key_.first, waiting->second.ask_)) {
         return;
       }
       ++passedOver;
@@ -394,8 +394,16 @@
 }
 
 bool
-PermitDispatcher::IsAnyResting(Instant aNow, const Service& aService, CallerId aCaller)
+PermitDispatcher::IsRestInTheWay(Instant aNow,
+                                 const Service& aService,
+                                 CallerId aCaller,
+                                 const PermitAsk& aAsk)
 {
+  // A lane of one owner does not look at all servers of the service.
+  if (!aAsk.server_.empty()) {
+    const auto server = aService.servers_.find(aAsk.server_);
+    return server != aService.servers_.end() && server->second.IsResting(aNow, aCaller);
+  }
   return std::any_of(aService.servers_.begin(), aService.servers_.end(), [&](const auto& aEntry) {
     return aEntry.second.IsResting(aNow, aCaller);
   });
--- a/Libraries/LibPermit/PermitDispatcher.h
+++ b/Libraries/LibPermit/PermitDispatcher.h
@@ -127,8 +127,11 @@
   static Duration ExpectedWork(Instant aNow, const Service& aService, const PermitAsk& aAsk);
   // Grants what waits in that lane and can be granted now.
   void Pump(Instant aNow, Service& aService, const std::string& aLane);
-  // Whether a server of the service wants nothing from that instance at the moment.
-  static bool IsAnyResting(Instant aNow, const Service& aService, CallerId aCaller);
+  // Whether a server that may have the request wants nothing from that instance at the moment.
+  static bool IsRestInTheWay(Instant aNow,
+                             const Service& aService,
+                             CallerId aCaller,
+                             const PermitAsk& aAsk);
   void PumpAll(Instant aNow);
   // Takes an ask out of its lane.
   void Leave(WaitingAsks::iterator aWaiting);
