LibGateway: Read and log the rate limits that servers name in their answers

The platform's codec reads it into a typed field of a send's outcome: what is no decimal number counts as not told, that of another life at the address is not believed, and a 421 without the header does not end a limit. An answer without a limit ends it only if its request was sent after the limit was last heard, since answers may pass each other on the way. E604 is logged when a limit begins or ends; the end of a send tells it to the dispatcher.

Nothing is decided by it yet.

--- a/Libraries/LibBase/Event.cpp
+++ b/Libraries/LibBase/Event.cpp
@@ -61,6 +61,7 @@
   EventName{ Event::GatewayRetry, "GatewayRetry" },
   EventName{ Event::GatewayAnswer, "GatewayAnswer" },
   EventName{ Event::ServerAskedForRest, "ServerAskedForRest" },
+  EventName{ Event::ServerLimitsRate, "ServerLimitsRate" },
   EventName{ Event::RoutesInForce, "RoutesInForce" },
   EventName{ Event::RoutesRejected, "RoutesRejected" },
   EventName{ Event::ServerListed, "ServerListed" },
--- a/Libraries/LibBase/Event.h
+++ b/Libraries/LibBase/Event.h
@@ -63,6 +63,7 @@
   GatewayRetry = 601,
   GatewayAnswer = 602,
   ServerAskedForRest = 603,
+  ServerLimitsRate = 604,
   RoutesInForce = 610,
   RoutesRejected = 611,
   ServerListed = 612,
--- a/Libraries/LibGateway/Messages.h
+++ b/Libraries/LibGateway/Messages.h
@@ -2,6 +2,7 @@
 
 #include "LibBase/NameTable.h"
 #include "LibBase/Time.h"
+#include "LibGateway/RateLimit.h"
 #include "LibGateway/ServerLoad.h"
 #include "LibKeys/KeyOwnership.h"
 
@@ -90,6 +91,9 @@
   bool isLeaving_ = false;
   // It turned the request away and wants nothing from this instance for that long.
   std::optional<Duration> rest_{};
+  // The requests a second that the server takes from all instances together, kNoRateLimit when
+  // it names no limit. No value when that life of the server told nothing of it.
+  std::optional<double> rateLimit_{};
 };
 
 // Why a request gets an answer of our own.
--- a/Libraries/LibGateway/PermitMessages.h
+++ b/Libraries/LibGateway/PermitMessages.h
@@ -70,6 +70,8 @@
   Duration rest_{ 0 };
   // The life of the server, as in ServerRecord, when that life said that it is about to end.
   std::optional<std::uint64_t> leavingLife_{};
+  // As in AttemptOutcome.
+  std::optional<double> rateLimit_{};
 
   bool operator==(const SendEnd&) const = default;
 };
--- a/Libraries/LibGateway/RequestDesk.cpp
+++ b/Libraries/LibGateway/RequestDesk.cpp
@@ -173,13 +173,15 @@
                      aNow - pending.sentAt_,
                      aOutcome.server_,
                      aOutcome.rest_.value_or(Duration(0)),
-                     aOutcome.isLeaving_ ? std::optional(pending.serverLife_) : std::nullopt });
+                     aOutcome.isLeaving_ ? std::optional(pending.serverLife_) : std::nullopt,
+                     aOutcome.rateLimit_ });
   if (const auto load = loads_.find(pending.server_); load != loads_.end()) {
     load->second.OnEnded(aNow, aAttempt, result);
     if (aOutcome.isOtherLife_) {
       load->second.Suspend(aNow, kOtherLifePause);
     }
     NoteRest(aNow, pending, aOutcome, load->second);
+    NoteRateLimit(aNow, pending, aOutcome, load->second);
   }
   tally_.OnAttempt(pending.server_, aOutcome.end_);
   pending.attempt_ = 0;
@@ -205,6 +207,23 @@
   }
 }
 
+void
+RequestDesk::NoteRateLimit(Instant aNow,
+                           const PendingRequest& aPending,
+                           const AttemptOutcome& aOutcome,
+                           ServerLoad& aLoad)
+{
+  if (!aOutcome.rateLimit_) {
+    return;
+  }
+  const auto rate = *aOutcome.rateLimit_;
+  if (aLoad.NamedLimit().OnTold(aNow, aPending.sentAt_, rate)) {
+    events_.Record(Event::ServerLimitsRate,
+                   "server=" + aPending.server_ + " request=" + aPending.request_.id_ +
+                     " rate_per_s=" + (rate == kNoRateLimit ? "none" : std::to_string(rate)));
+  }
+}
+
 void
 RequestDesk::SettleAttempt(Instant aNow, PendingRequest& aPending, const AttemptOutcome& aOutcome)
 {
--- a/Libraries/LibGateway/RequestDesk.h
+++ b/Libraries/LibGateway/RequestDesk.h
@@ -194,6 +194,11 @@
                 const PendingRequest& aPending,
                 const AttemptOutcome& aOutcome,
                 ServerLoad& aLoad);
+  // Notes how many requests a second a server takes from all, if it said so.
+  void NoteRateLimit(Instant aNow,
+                     const PendingRequest& aPending,
+                     const AttemptOutcome& aOutcome,
+                     ServerLoad& aLoad);
   // What happens to a request whose attempt has ended.
   void SettleAttempt(Instant aNow, PendingRequest& aPending, const AttemptOutcome& aOutcome);
   void Retry(Instant aNow, PendingRequest& aPending, const AttemptOutcome& aOutcome);
--- a/Libraries/LibGateway/ServerLoad.cpp
+++ b/Libraries/LibGateway/ServerLoad.cpp
@@ -56,6 +56,7 @@
   health_ = {};
   lateAt_ = Instant::min();
   restUntil_ = Instant::min();
+  rateLimit_ = {};
   limit_ = std::min(firstLimit_, mostLimit_);
   shrunkAt_ = Instant::min();
 }
--- a/Libraries/LibGateway/ServerLoad.h
+++ b/Libraries/LibGateway/ServerLoad.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibBase/Time.h"
+#include "LibGateway/RateLimit.h"
 #include "LibGateway/ServerHealth.h"
 #include "LibGateway/ServerWork.h"
 #include "LibGateway/SlowStartShare.h"
@@ -41,6 +42,8 @@
   void SetLife(std::uint64_t aLife);
 
   SlowStartShare& SlowStart() { return slowStart_; }
+  // The limit of requests a second that the server names.
+  RateLimit& NamedLimit() { return rateLimit_; }
 
   // Whether one more request may be sent now.
   bool HasRoom(Instant aNow) const;
@@ -89,6 +92,7 @@
   Instant restUntil_ = Instant::min();
   std::uint64_t life_ = 0;
   SlowStartShare slowStart_;
+  RateLimit rateLimit_;
   Instant shrunkAt_ = Instant::min();
 };
 
--- a/Libraries/LibNet/Permit.capnp
+++ b/Libraries/LibNet/Permit.capnp
@@ -37,6 +37,8 @@
   restMicros @8 :Int64;
   isLeaving @9 :Bool;
   life @10 :UInt64;
+  hasRateLimit @11 :Bool;
+  rateLimit @12 :Float64;
 }
 
 struct Permit {
--- a/Libraries/LibNet/PermitCodec.cpp
+++ b/Libraries/LibNet/PermitCodec.cpp
@@ -56,6 +56,8 @@
   out.setRestMicros(aEnd.rest_.count());
   out.setIsLeaving(aEnd.leavingLife_.has_value());
   out.setLife(aEnd.leavingLife_.value_or(0));
+  out.setHasRateLimit(aEnd.rateLimit_.has_value());
+  out.setRateLimit(aEnd.rateLimit_.value_or(kNoRateLimit));
   out.setHasStatus(aEnd.status_.has_value());
   if (aEnd.status_) {
     out.setRunning(aEnd.status_->running_);
@@ -140,6 +142,9 @@
   if (aIn.getIsLeaving()) {
     end.leavingLife_ = aIn.getLife();
   }
+  if (aIn.getHasRateLimit() && aIn.getRateLimit() >= 0) {
+    end.rateLimit_ = aIn.getRateLimit();
+  }
   if (aIn.getHasStatus()) {
     end.status_ = ServerStatus{ aIn.getRunning(), aIn.getWaiting(), aIn.getSlots(), aIn.getPace() };
   }
--- a/Tests/LibGateway/TestRequestDesk.cpp
+++ b/Tests/LibGateway/TestRequestDesk.cpp
@@ -114,6 +114,16 @@
     desk_.OnAttemptEnded(now_, SendOf(aRequest).number_, outcome);
   }
 
+  // Answers, and names how many requests a second the server takes.
+  void AnswerWithLimit(RequestNumber aRequest, double aRateLimit)
+  {
+    AttemptOutcome outcome;
+    outcome.end_ = AttemptEnd::Answered;
+    outcome.status_ = 200;
+    outcome.rateLimit_ = aRateLimit;
+    desk_.OnAttemptEnded(now_, SendOf(aRequest).number_, outcome);
+  }
+
   void Answer(RequestNumber aRequest, unsigned aStatus)
   {
     End(aRequest, AttemptEnd::Answered, aStatus);
@@ -762,6 +772,15 @@
   EXPECT_EQ(events_.CountOf(Event::ServerAskedForRest), 1);
 }
 
+TEST_F(DeskOfThreeServers, ServerNamesARateLimit_ItsBeginAndItsEndAreLogged)
+{
+  for (const double limit : { 8.7, 8.2, kNoRateLimit, kNoRateLimit }) {
+    AnswerWithLimit(Ask("/key/1", 5), limit);
+    Pass(seconds(1));
+  }
+  EXPECT_EQ(events_.CountOf(Event::ServerLimitsRate), 2);
+}
+
 } // namespace
 
 } // namespace latchslip
--- a/Tests/LibNet/TestPermitCodec.cpp
+++ b/Tests/LibNet/TestPermitCodec.cpp
@@ -29,6 +29,14 @@
     SendEnd{ 11, SendResult::Cancelled, Duration(0), std::nullopt },
     SendEnd{ 12, SendResult::Shed, milliseconds(4), std::nullopt, seconds(3) },
     SendEnd{ 13, SendResult::Answered, milliseconds(4), std::nullopt, Duration(0), 1700 },
+    SendEnd{ 14, SendResult::Answered, milliseconds(4), std::nullopt, Duration(0), 1700, 8.7 },
+    SendEnd{ 15,
+             SendResult::Answered,
+             milliseconds(4),
+             std::nullopt,
+             Duration(0),
+             std::nullopt,
+             kNoRateLimit },
     DispatcherProbe{}
   };
   batch.fromDispatcher_ = {
--- a/Tests/Platform/TestPlatformCodec.cpp
+++ b/Tests/Platform/TestPlatformCodec.cpp
@@ -141,6 +141,23 @@
   }
 }
 
+TEST_F(CodecOfOneAttempt, ServerNamesARateLimit_IsReadFromAnyAnswerOfTheLifeThatWasMeant)
+{
+  EXPECT_EQ(Decode(500, { { "Server-Limit", "8.7" } }).rateLimit_, 8.7);
+  EXPECT_EQ(Decode(503, { { "server-limit", "12" }, { "X-Not-Executed", "1" } }).rateLimit_, 12);
+  EXPECT_EQ(Decode(421, { { "Server-Limit", "3" }, { "X-Instance-Id", "i-1" } }).rateLimit_, 3);
+  EXPECT_FALSE(Decode(421, { { "Server-Limit", "3" }, { "X-Instance-Id", "i-2" } }).rateLimit_);
+}
+
+TEST_F(CodecOfOneAttempt, ServerNamesNoRateLimit_HasNoneUnlessItSaysWhatMakesNoSense)
+{
+  EXPECT_EQ(Decode(500, {}).rateLimit_, kNoRateLimit);
+  EXPECT_FALSE(Decode(421, { { "X-Instance-Id", "i-1" } }).rateLimit_);
+  for (const auto* text : { "-1", "few", "3 a second", "nan", "inf", "1e3", "8,7" }) {
+    EXPECT_FALSE(Decode(500, { { "Server-Limit", text } }).rateLimit_) << text;
+  }
+}
+
 TEST_F(CodecOfOneAttempt, RefusalsForTheCallersSake_HaveTheirOwnStatus)
 {
   EXPECT_EQ(StatusOf(RefusalReason::UnknownApiKey, true), 401U);
