Tests: Reproduce requests beyond the rate limits of servers (failing)

Three instances before the stand-ins, two servers that name a limit of 6 requests a second: from 3 s on 119 requests reach the one without keys and 128 the owner of keys in some 4 s, where one and a half times the limit and five are 41. The log of that run has E604 `rate_per_s=6.000000` on all three instances, so they have heard it and send on: what an answer says is not acted on, on either kind of service.

Five tests without network hold the decisions alone: an instance without a dispatcher (160 sends in 8 s, its part 20), and the dispatcher (320 permits in 8 s, limit 64), each also where other servers may have the request.

--- a/Tests/LibGateway/TestRequestDesk.cpp
+++ b/Tests/LibGateway/TestRequestDesk.cpp
@@ -729,6 +729,59 @@
   EXPECT_EQ(actions_.sent_.size(), 1U);
 }
 
+// Guards against an instance without a dispatcher that sends an owner more than its part of
+// what the owner takes.
+TEST_F(DeskOfThreeServers, OwnerNamesARateLimit_GetsItsPartOfItOnly)
+{
+  constexpr double kLimit = 10;
+  constexpr std::size_t kInstances = 4;
+  constexpr int kSeconds = 8;
+  desk_.SetInstances(kInstances);
+  AnswerWithLimit(Ask("/key/1", 5), kLimit);
+  actions_.sent_.clear();
+  std::size_t sent = 0;
+  for (int index = 0; index < kSeconds * 20; ++index) {
+    Ask("/key/1", 5);
+    Pass(milliseconds(50));
+    while (sent < actions_.sent_.size()) {
+      AnswerWithLimit(actions_.sent_[sent++].request_, kLimit);
+    }
+  }
+  const auto part = static_cast<std::size_t>(kLimit) / kInstances * kSeconds;
+  EXPECT_LE(sent, part + 1 + kSeconds / 2);
+  EXPECT_GE(sent, part - 1);
+}
+
+// Guards against callers that are held for a server which takes the next request in seconds.
+TEST_F(DeskOfThreeServers, OwnerNamesALowRateLimit_RequestsBeyondItAreRefusedAtOnce)
+{
+  desk_.SetInstances(8);
+  AnswerWithLimit(Ask("/key/1", 5), 0.5);
+  AnswerWithLimit(Ask("/key/1", 5), 0.5);
+  const auto request = Ask("/key/1", 5);
+  ASSERT_TRUE(actions_.refused_.contains(request));
+  EXPECT_EQ(actions_.refused_.at(request).reason_, RefusalReason::NoCapacity);
+  EXPECT_TRUE(actions_.refused_.at(request).isNotRun_);
+}
+
+// Guards against the same where any server may have the request.
+TEST_F(DeskOfThreeServers, AServerNamesARateLimit_OthersGetTheRequestsBeyondIt)
+{
+  const auto first = Ask("/read/1");
+  const auto limited = SendOf(first).server_;
+  AnswerWithLimit(first, 1);
+  int atLimited = 0;
+  for (int index = 0; index < 100; ++index) {
+    const auto request = Ask("/read/1");
+    ASSERT_EQ(SendsOf(request), 1U);
+    const bool isLimited = SendOf(request).server_ == limited;
+    atLimited += isLimited ? 1 : 0;
+    AnswerWithLimit(request, isLimited ? 1 : kNoRateLimit);
+    Pass(milliseconds(50));
+  }
+  EXPECT_LE(atLimited, 6);
+}
+
 // Guards against the same where any server may have the request.
 TEST_F(DeskOfThreeServers, AServerAsksForRest_OthersGetTheRequests)
 {
--- a/Tests/LibPermit/DispatcherFixture.h
+++ b/Tests/LibPermit/DispatcherFixture.h
@@ -86,6 +86,14 @@
     dispatcher_.OnMessage(now_, aCaller, SendEnd{ aNumber, aResult, aLatency, aStatus });
   }
 
+  // Ends a send whose answer names how many requests a second the server takes.
+  void EndWithLimit(AttemptNumber aNumber, double aRateLimit, CallerId aCaller = kCaller)
+  {
+    SendEnd end{ aNumber, SendResult::Answered, milliseconds(20), std::nullopt };
+    end.rateLimit_ = aRateLimit;
+    dispatcher_.OnMessage(now_, aCaller, end);
+  }
+
   // The server that an ask was permitted; empty for none.
   std::string PermittedTo(AttemptNumber aNumber) const
   {
--- a/Tests/LibPermit/TestPermitDispatcher.cpp
+++ b/Tests/LibPermit/TestPermitDispatcher.cpp
@@ -107,6 +107,47 @@
   EXPECT_EQ(PermittedTo(Ask()), "s1");
 }
 
+// Guards against a dispatcher that permits more than a server takes from all instances.
+TEST_F(DispatcherOfAService, ServerNamesARateLimit_AllTogetherGetNoMorePermits)
+{
+  constexpr double kLimit = 8;
+  constexpr int kSeconds = 8;
+  Put("s1");
+  EndWithLimit(Ask("s1"), kLimit);
+  std::vector<AttemptNumber> asks;
+  for (int index = 0; index < kSeconds * 40; ++index) {
+    const CallerId caller = kCaller + index % 2;
+    asks.push_back(Ask("s1", milliseconds(300), 1, caller));
+    Pass(milliseconds(25));
+    if (PermittedTo(asks.back()) == "s1") {
+      EndWithLimit(asks.back(), kLimit, caller);
+    }
+  }
+  const auto permitted =
+    std::count_if(asks.begin(), asks.end(), [&](auto aAsk) { return PermittedTo(aAsk) == "s1"; });
+  EXPECT_LE(permitted, kLimit * kSeconds + kLimit);
+  EXPECT_GE(permitted, kLimit * (kSeconds - 1));
+}
+
+// Guards against requests that are held or refused for a server which takes few, though
+// others take them.
+TEST_F(DispatcherOfAService, OneServerNamesARateLimit_OthersGetTheRequestsBeyondIt)
+{
+  Put("s1");
+  Put("s2");
+  EndWithLimit(Ask("s1"), 1);
+  int atLimited = 0;
+  for (int index = 0; index < 100; ++index) {
+    const auto ask = Ask();
+    const auto server = PermittedTo(ask);
+    ASSERT_NE(server, "");
+    atLimited += server == "s1" ? 1 : 0;
+    EndWithLimit(ask, server == "s1" ? 1 : kNoRateLimit);
+    Pass(milliseconds(50));
+  }
+  EXPECT_LE(atLimited, 6);
+}
+
 // Guards against permits for a leaving server that each instance which knows it gives back.
 TEST_F(DispatcherOfAService, PermitIsGivenBackSinceItsServerLeaves_TheFleetIsTold)
 {
--- a/Tests/Platform/TestEntryProcesses.cpp
+++ b/Tests/Platform/TestEntryProcesses.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
 #include <cstdlib>
+#include <deque>
 #include <functional>
 #include <gtest/gtest.h>
 #include <sys/wait.h>
@@ -237,6 +238,24 @@
     return most;
   }
 
+  // The most requests that came to that server in any such time, from aSince on.
+  std::size_t MostArrivalsIn(const std::string& aBackend, Instant aSince, Duration aWindow) const
+  {
+    std::deque<Instant> recent;
+    std::size_t most = 0;
+    for (const auto& arrival : backends_.at(aBackend)->Arrivals()) {
+      if (arrival.time_ < aSince) {
+        continue;
+      }
+      recent.push_back(arrival.time_);
+      while (recent.front() + aWindow <= arrival.time_) {
+        recent.pop_front();
+      }
+      most = std::max(most, recent.size());
+    }
+    return most;
+  }
+
   // What a client asked: of which instance, and when.
   struct Asked
   {
@@ -388,6 +407,33 @@
   ExpectNothingRanTwice();
 }
 
+// Guards against requests that come faster than a server takes them, from instances which it
+// has told in its answers how many it takes from all of them together.
+TEST_F(FleetOfThreeProcesses, ServersNameARateLimit_GetNoMoreThanThatFromAllTogether)
+{
+  constexpr double kLimit = 6;
+  constexpr Duration kUntilKept = seconds(3);
+  constexpr Duration kWindow = seconds(4);
+  // Half as many again, and five, are allowed: instances hear of it one after another.
+  const auto allowed = static_cast<std::size_t>(1.5 * kLimit * ToSeconds(kWindow)) + 5;
+  const auto since = MonotonicNow() + kUntilKept;
+  backends_["b0"]->SetRateLimit(kLimit);
+  backends_["k0"]->SetRateLimit(kLimit);
+  Load(seconds(10), { 1, 2, 3 });
+  EXPECT_LE(MostArrivalsIn("b0", since, kWindow), allowed);
+  EXPECT_LE(MostArrivalsIn("k0", since, kWindow), allowed);
+  EXPECT_GT(MostArrivalsIn("b0", since, kWindow), 0U);
+  // Two other servers can have these requests.
+  EXPECT_EQ(bookingStatuses_.size(), 1U);
+  backends_["b0"]->SetRateLimit(std::nullopt);
+  backends_["k0"]->SetRateLimit(std::nullopt);
+  Load(seconds(2), { 1, 2, 3 });
+  const auto ended = MonotonicNow();
+  Load(kWindow, { 1, 2, 3 });
+  EXPECT_GT(MostArrivalsIn("b0", ended, kWindow), allowed);
+  ExpectNothingRanTwice();
+}
+
 TEST_F(FleetOfThreeProcesses, RouteMovesToAnotherService_InForceEverywhereInTwoSeconds)
 {
   store_->Put("op", "config", MakeManifest(5, "others"));
