LibFleet: Pass keys of an owner that takes few requests to others

Callers saw, once an owner of keys got no more than the rate that it names: their requests for its keys were refused though the other owners had room (86 of some 700 requests for keys in the last 4 of 12 s, three processes, one of three owners at 6 a second). Cause: the placer weighs servers by their slots and how long they work at a request, by which a limited server can do as much as ever.

Reports now tell the limit beside the work, and a server weighs no more than what its limit bears at the typical time of work. The limit is forgotten 15 s after the last report of its answers: a server without keys has no answers by which it could tell the end of it.

FleetOfThreeProcesses.OwnerNamesARateLimit_ItsKeysPassToOthersAndAllIsServed failed on the commit before with those 86 and passes; MemberOfAFleet.OwnerNamesARateLimit_... fails without the change (no owners are written) and passes. Ruled out: passing all its keys on, which costs more moves and leaves it nothing to do while it can do some.

--- a/Libraries/LibFleet/FleetMember.h
+++ b/Libraries/LibFleet/FleetMember.h
@@ -209,7 +209,7 @@
   void OnOwnershipWritten(Instant aNow, RowVersion aVersion, const WaitingWrite& aWrite);
   void OnWriteDone(Instant aNow, const WaitingWrite& aWrite, const StoreReply& aReply);
   void OnWriteConflict(Instant aNow, const WaitingWrite& aWrite, const StoreReply& aReply);
-  std::vector<KeyServer> KeyServersOf(const std::string& aService) const;
+  std::vector<KeyServer> KeyServersOf(Instant aNow, const std::string& aService) const;
   // The median time of work of a service's servers; no value when none is known.
   std::optional<Duration> TypicalWorkTimeOf(const std::string& aService) const;
   // How fast a server is compared with the typical one.
--- a/Libraries/LibFleet/FleetReport.cpp
+++ b/Libraries/LibFleet/FleetReport.cpp
@@ -103,18 +103,28 @@
   return counts;
 }
 
-// Answers, and the microseconds that they took together.
+// Answers, the microseconds that they took together, and the rate limit if there is one.
 FieldResult<ServerWork>
 ParseWork(const boost::json::value& aValue)
 {
   constexpr std::uint64_t kMostBusy = 3'600'000'000'000;
-  if (!aValue.is_array() || aValue.as_array().size() != 2) {
-    return FieldError{ "work", "must be pairs of answers and their time" };
+  constexpr std::size_t kWithoutLimit = 2;
+  constexpr std::size_t kWithLimit = 3;
+  const auto* list = aValue.if_array();
+  if (list == nullptr || (list->size() != kWithoutLimit && list->size() != kWithLimit)) {
+    return FieldError{ "work", "must be lists of answers, their time and a rate limit" };
   }
   ServerWork work;
-  BOOST_OUTCOME_TRY(work.answers_, WholeNumber(aValue.as_array()[0], "work", kMostCount));
-  BOOST_OUTCOME_TRY(const auto busy, WholeNumber(aValue.as_array()[1], "work", kMostBusy));
+  BOOST_OUTCOME_TRY(work.answers_, WholeNumber(list->at(0), "work", kMostCount));
+  BOOST_OUTCOME_TRY(const auto busy, WholeNumber(list->at(1), "work", kMostBusy));
   work.busy_ = Duration(busy);
+  if (list->size() == kWithLimit) {
+    const auto& limit = list->at(2);
+    if (!limit.is_number() || limit.to_number<double>() <= 0) {
+      return FieldError{ "work", "must name a rate limit above zero" };
+    }
+    work.rateLimit_ = limit.to_number<double>();
+  }
   return work;
 }
 
@@ -141,7 +151,11 @@
   }
   boost::json::object works;
   for (const auto& [server, work] : aReport.work_) {
-    works[server] = boost::json::array{ work.answers_, work.busy_.count() };
+    boost::json::array values{ work.answers_, work.busy_.count() };
+    if (work.rateLimit_ < kNoRateLimit) {
+      values.emplace_back(work.rateLimit_);
+    }
+    works[server] = std::move(values);
   }
   return boost::json::serialize(
     boost::json::object{ { "instance", aReport.instance_ },
--- a/Libraries/LibFleet/PlacerDuty.cpp
+++ b/Libraries/LibFleet/PlacerDuty.cpp
@@ -95,7 +95,7 @@
   for (const auto& [service, placer] : placers_) {
     if (aNow >= placer->placer_.NextTime()) {
       placer->placer_.SetEpoch(view_.Epoch());
-      placer->placer_.SetServers(aNow, KeyServersOf(service));
+      placer->placer_.SetServers(aNow, KeyServersOf(aNow, service));
       placer->placer_.OnTime(aNow, !isStoreLost_);
     }
   }
@@ -120,7 +120,7 @@
 }
 
 std::vector<KeyServer>
-FleetMember::KeyServersOf(const std::string& aService) const
+FleetMember::KeyServersOf(Instant aNow, const std::string& aService) const
 {
   std::vector<KeyServer> servers;
   const auto typical = TypicalWorkTimeOf(aService);
@@ -134,7 +134,8 @@
     server.life_ = record.life_;
     server.isUsable_ = record.TakesWork() && !view_.Directory().HasEnded(id);
     if (typical) {
-      server.weight_ = record.slots_ * SpeedOf(record, *typical);
+      const double atLimit = speeds_.RateLimitOf(aNow, id) * ToSeconds(*typical);
+      server.weight_ = std::min(record.slots_ * SpeedOf(record, *typical), atLimit);
     }
     servers.push_back(std::move(server));
   }
--- a/Libraries/LibFleet/ServerSpeeds.cpp
+++ b/Libraries/LibFleet/ServerSpeeds.cpp
@@ -15,6 +15,9 @@
 constexpr double kLeastAnswers = 4;
 // The first report of a server tells of about this time.
 constexpr Duration kFirstSpan = milliseconds(800);
+// A server that has lost all its keys cannot tell the end of its limit. It gets some again
+// after this time.
+constexpr Duration kLimitMemory = seconds(15);
 
 } // namespace
 
@@ -31,6 +34,7 @@
   const auto past = static_cast<double>(Duration(aNow - recent.updatedAt_).count());
   const double factor = std::exp2(-past / halfLife);
   recent.updatedAt_ = aNow;
+  recent.rateLimit_ = aWork.rateLimit_;
   recent.answers_ = recent.answers_ * factor + static_cast<double>(aWork.answers_);
   recent.busy_ = recent.busy_ * factor + static_cast<double>(aWork.busy_.count());
   recent.span_ = recent.span_ * factor + (1 - factor) * halfLife / std::numbers::ln2;
@@ -55,4 +59,12 @@
   return Duration(static_cast<Duration::rep>(std::min(recent.busy_, most) / recent.answers_));
 }
 
+double
+ServerSpeeds::RateLimitOf(Instant aNow, const std::string& aServer) const
+{
+  const auto found = servers_.find(aServer);
+  const bool isKnown = found != servers_.end() && aNow - found->second.updatedAt_ < kLimitMemory;
+  return isKnown ? found->second.rateLimit_ : kNoRateLimit;
+}
+
 } // namespace latchslip
--- a/Libraries/LibGateway/ServerLoad.cpp
+++ b/Libraries/LibGateway/ServerLoad.cpp
@@ -1,6 +1,7 @@
 #include "LibGateway/ServerLoad.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace latchslip {
 
@@ -171,6 +172,14 @@
   return std::max(first, health_.PauseLeft(aNow)) + interval * static_cast<Duration::rep>(aAhead);
 }
 
+ServerWork
+ServerLoad::TakeWork()
+{
+  auto work = std::exchange(work_, {});
+  work.rateLimit_ = rateLimit_.Rate();
+  return work;
+}
+
 void
 ServerLoad::LearnLatency(Duration aLatency)
 {
--- a/Libraries/LibGateway/ServerLoad.h
+++ b/Libraries/LibGateway/ServerLoad.h
@@ -9,7 +9,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <utility>
 
 namespace latchslip {
 
@@ -63,7 +62,7 @@
   // Mean latency of answers; zero when none was seen yet.
   Duration MeanLatency() const { return mean_; }
   // What the server did since the last call.
-  ServerWork TakeWork() { return std::exchange(work_, {}); }
+  ServerWork TakeWork();
   // Recent share of sends that failed, 0 to 1.
   double FailureShare() const { return health_.FailureShare(); }
   std::size_t UnderWay() const { return underWay_.size(); }
--- a/Libraries/LibGateway/ServerWork.h
+++ b/Libraries/LibGateway/ServerWork.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibBase/Time.h"
+#include "LibGateway/RateLimit.h"
 
 #include <cstdint>
 
@@ -13,6 +14,9 @@
   std::uint64_t answers_ = 0;
   // How long they were there, one after the other.
   Duration busy_{ 0 };
+  // Requests a second that it takes from all instances, as it last named them;
+  // kNoRateLimit when it names no limit.
+  double rateLimit_ = kNoRateLimit;
 
   bool operator==(const ServerWork&) const = default;
 };
--- a/Tests/LibFleet/TestFleetMember.cpp
+++ b/Tests/LibFleet/TestFleetMember.cpp
@@ -67,6 +67,44 @@
   }
 }
 
+// Guards against an owner that takes few requests a second and keeps as many keys as others.
+// The pattern: all keys are asked for alike, and both owners could work equally fast.
+TEST_F(MemberOfAFleet, OwnerNamesARateLimit_PlacerPassesMostOfItsKeysToOthers)
+{
+  BecomePlacer();
+  Pass(seconds(2));
+  Done(11);
+  auto report = ReportOf("i2", kOther);
+  for (KeyNumber key = 0; key < kLastKey; key += 256) {
+    report.keyCounts_["rates"].push_back({ key, 1 });
+  }
+  report.work_["s1"] = { 40, milliseconds(800), 5 };
+  report.work_["s2"] = { 40, milliseconds(800) };
+  RowVersion version = 12;
+  for (int round = 0; round < 10; ++round) {
+    member_.OnReport(now_, report);
+    for (int step = 0; step < 16; ++step) {
+      const auto written = fleet_.transactions_.size();
+      fleet_.orders_.clear();
+      Pass(milliseconds(50));
+      if (fleet_.transactions_.size() > written) {
+        Done(version++);
+      }
+      const auto orders = fleet_.orders_;
+      for (const auto& order : orders) {
+        member_.OnOrderEnded(now_, "rates", order.number_, { OrderEnd::Done });
+      }
+    }
+  }
+  const auto written = ParseOwnership(fleet_.transactions_.back().writes_.front().value_);
+  ASSERT_TRUE(written) << "no owners are written";
+  KeyNumber kept = 0;
+  for (const auto& range : written.value().ranges_) {
+    kept += range.owner_ == "s1" ? range.last_ - range.first_ + 1 : 0;
+  }
+  EXPECT_LT(kept, (kLastKey + 1) / 4);
+}
+
 TEST_F(MemberOfAFleet, TablesAreKnown_IsReady)
 {
   EXPECT_FALSE(member_.IsReady());
--- a/Tests/LibFleet/TestFleetParts.cpp
+++ b/Tests/LibFleet/TestFleetParts.cpp
@@ -259,6 +259,7 @@
   report.address_ = "10.0.0.1:1";
   report.keyCounts_["rates"] = { { 5, 2 }, { 700, 1 } };
   report.work_["s1"] = { 3, milliseconds(40) };
+  report.work_["s2"] = { 1, milliseconds(20), 8.7 };
   report.processorShare_ = 0.2;
   report.hall_ = "north";
   report.rosterDigest_ = 0xfedcba9876543210;
@@ -276,6 +277,9 @@
   EXPECT_FALSE(ParseReport(R"({"instance":"i","address":"a","key_counts":{"s":[70000,1]}})"));
   EXPECT_FALSE(ParseReport(R"({"instance":"i","address":"a","work":{"s":[1]}})"));
   EXPECT_FALSE(ParseReport(R"({"instance":"i","address":"a","work":{"s":[1,"x"]}})"));
+  EXPECT_FALSE(ParseReport(R"({"instance":"i","address":"a","work":{"s":[1,2,"x"]}})"));
+  EXPECT_FALSE(ParseReport(R"({"instance":"i","address":"a","work":{"s":[1,2,0]}})"));
+  EXPECT_FALSE(ParseReport(R"({"instance":"i","address":"a","work":{"s":[1,2,3,4]}})"));
 }
 
 TEST(ReportAnswer, WrittenAndRead_IsTheSame)
--- a/Tests/LibFleet/TestServerSpeeds.cpp
+++ b/Tests/LibFleet/TestServerSpeeds.cpp
@@ -56,6 +56,16 @@
   EXPECT_GT(WorkMilliseconds(4), 150);
 }
 
+TEST_F(SpeedOfAServer, NamesARateLimit_IsToldUntilItNamesNoneOrIsLongSilent)
+{
+  EXPECT_EQ(speeds_.RateLimitOf(now_, "s1"), kNoRateLimit);
+  speeds_.Add(now_, "s1", { 1, milliseconds(50), 8.7 });
+  EXPECT_EQ(speeds_.RateLimitOf(now_ + seconds(14), "s1"), 8.7);
+  EXPECT_EQ(speeds_.RateLimitOf(now_ + seconds(16), "s1"), kNoRateLimit);
+  speeds_.Add(now_ + seconds(1), "s1", { 1, milliseconds(50) });
+  EXPECT_EQ(speeds_.RateLimitOf(now_ + seconds(1), "s1"), kNoRateLimit);
+}
+
 TEST_F(SpeedOfAServer, IsListedNoMore_IsForgotten)
 {
   Report(seconds(10), 2, milliseconds(50));
--- a/Tests/Platform/TestEntryProcesses.cpp
+++ b/Tests/Platform/TestEntryProcesses.cpp
@@ -434,6 +434,18 @@
   ExpectNothingRanTwice();
 }
 
+// Guards against an owner that takes few requests a second and keeps the keys of many, which
+// are refused though the other owners have room.
+TEST_F(FleetOfThreeProcesses, OwnerNamesARateLimit_ItsKeysPassToOthersAndAllIsServed)
+{
+  backends_["k0"]->SetRateLimit(6);
+  Load(seconds(8), { 1, 2, 3 });
+  statuses_.clear();
+  Load(seconds(4), { 1, 2, 3 });
+  EXPECT_GT(statuses_[200], 0);
+  EXPECT_LE(statuses_[503], statuses_[200] / 100);
+}
+
 TEST_F(FleetOfThreeProcesses, RouteMovesToAnotherService_InForceEverywhereInTwoSeconds)
 {
   store_->Put("op", "config", MakeManifest(5, "others"));
