LibFleet: Count on six tenths of an owner's rate limit only

Callers saw: single requests for the keys of a limited owner refused long after most of its keys had passed on. Cause: the placer filled such an owner up to its limit, with some more for chance, and requests that come unevenly then find no room; a full slot only makes them wait.

--- a/Libraries/LibFleet/PlacerDuty.cpp
+++ b/Libraries/LibFleet/PlacerDuty.cpp
@@ -23,6 +23,9 @@
 // so that a noisy mean cannot empty or flood one. Keys that a server has to load first
 // take it several times as long.
 constexpr double kMostSpeed = 4;
+// The part of its rate limit that a server is counted on for. Requests that come unevenly wait
+// for a slot, but those that a limit leaves no room for are mostly refused.
+constexpr double kCountedOnLimit = 0.6;
 
 } // namespace
 
@@ -134,7 +137,7 @@
     server.life_ = record.life_;
     server.isUsable_ = record.TakesWork() && !view_.Directory().HasEnded(id);
     if (typical) {
-      const double atLimit = speeds_.RateLimitOf(aNow, id) * ToSeconds(*typical);
+      const double atLimit = kCountedOnLimit * speeds_.RateLimitOf(aNow, id) * ToSeconds(*typical);
       server.weight_ = std::min(record.slots_ * SpeedOf(record, *typical), atLimit);
     }
     servers.push_back(std::move(server));
