Tests: Ask of limited servers what does not hang on who is preferred

FleetOfThreeProcesses.ServersNameARateLimit_... failed once after and in three of three runs more: "3 where more than 41 are expected" at b0 after the end of its limit. Traced by the logs of such a run: the servers without keys have so little to do that one of the three gets one request in 1.5 s from the beginning, as all others go where connections are open, and in these runs it was b0. That is allowed, and the check was wrong, as was the bound for a server that nobody used.

Now two of the three are limited, so that one of them is used, and then all three: each must get at least half and at most one and a half times its limit and five; when the limits end, all requests must be served. The product is as it was.

--- a/Tests/Platform/TestEntryProcesses.cpp
+++ b/Tests/Platform/TestEntryProcesses.cpp
@@ -416,21 +416,32 @@
   constexpr Duration kWindow = seconds(4);
   // Half as many again, and five, are allowed: instances hear of it one after another.
   const auto allowed = static_cast<std::size_t>(1.5 * kLimit * ToSeconds(kWindow)) + 5;
-  const auto since = MonotonicNow() + kUntilKept;
-  backends_["b0"]->SetRateLimit(kLimit);
-  backends_["k0"]->SetRateLimit(kLimit);
-  Load(seconds(10), { 1, 2, 3 });
-  EXPECT_LE(MostArrivalsIn("b0", since, kWindow), allowed);
-  EXPECT_LE(MostArrivalsIn("k0", since, kWindow), allowed);
-  EXPECT_GT(MostArrivalsIn("b0", since, kWindow), 0U);
-  // Two other servers can have these requests.
+  auto since = MonotonicNow() + kUntilKept;
+  for (const auto* id : { "b0", "b1", "k0" }) {
+    backends_[id]->SetRateLimit(kLimit);
+  }
+  Load(seconds(8), { 1, 2, 3 });
+  for (const auto* id : { "b0", "b1", "k0" }) {
+    EXPECT_LE(MostArrivalsIn(id, since, kWindow), allowed) << id;
+  }
+  // Another server can have these requests.
   EXPECT_EQ(bookingStatuses_.size(), 1U);
-  backends_["b0"]->SetRateLimit(std::nullopt);
-  backends_["k0"]->SetRateLimit(std::nullopt);
+  backends_["b2"]->SetRateLimit(kLimit);
+  since = MonotonicNow() + kUntilKept;
+  Load(seconds(8), { 1, 2, 3 });
+  for (const auto* id : { "b0", "b1", "b2" }) {
+    const auto most = MostArrivalsIn(id, since, kWindow);
+    EXPECT_LE(most, allowed) << id;
+    EXPECT_GT(most, static_cast<std::size_t>(kLimit * ToSeconds(kWindow)) / 2) << id;
+  }
+  for (const auto* id : { "b0", "b1", "b2", "k0" }) {
+    backends_[id]->SetRateLimit(std::nullopt);
+  }
+  Load(seconds(2), { 1, 2, 3 });
+  bookingStatuses_.clear();
   Load(seconds(2), { 1, 2, 3 });
-  const auto ended = MonotonicNow();
-  Load(kWindow, { 1, 2, 3 });
-  EXPECT_GT(MostArrivalsIn("b0", ended, kWindow), allowed);
+  EXPECT_EQ(bookingStatuses_.size(), 1U);
+  EXPECT_GT(bookingStatuses_[200], 0);
   ExpectNothingRanTwice();
 }
 
