LibGateway, LibFleet, Tests/Soak: Name limits in the soak; suit the linter

The linter takes a choice between a number and the infinite limit for a narrowing; both places say the same without it. Behaviour is as before.

The soak brings on servers that name 1 to 6 requests a second for 5 to 12 s (--limits) and checks from outside, as clients and servers see it, that no 4 s from 3 s after the first instance passed that on have more than half as many again and five, from starts of instances that had passed it on half a second before. Instances that were paused or started since and servers whose link is harmed are left out.

--- a/Libraries/LibFleet/ServerSpeeds.cpp
+++ b/Libraries/LibFleet/ServerSpeeds.cpp
@@ -63,8 +63,10 @@
 ServerSpeeds::RateLimitOf(Instant aNow, const std::string& aServer) const
 {
   const auto found = servers_.find(aServer);
-  const bool isKnown = found != servers_.end() && aNow - found->second.updatedAt_ < kLimitMemory;
-  return isKnown ? found->second.rateLimit_ : kNoRateLimit;
+  if (found == servers_.end() || aNow - found->second.updatedAt_ >= kLimitMemory) {
+    return kNoRateLimit;
+  }
+  return found->second.rateLimit_;
 }
 
 } // namespace latchslip
--- a/Libraries/LibGateway/RateLimit.cpp
+++ b/Libraries/LibGateway/RateLimit.cpp
@@ -23,7 +23,7 @@
     return false;
   }
   const bool isNews = isNamed != IsNamed();
-  rate_ = isNamed ? std::max(aRate, kLeastRate) : kNoRateLimit;
+  rate_ = std::max(aRate, kLeastRate);
   if (!isNamed) {
     return isNews;
   }
--- a/Tests/Platform/Soak/AnswerPromises.cpp
+++ b/Tests/Platform/Soak/AnswerPromises.cpp
@@ -15,6 +15,12 @@
 constexpr Duration kUnderWay = milliseconds(500);
 // So many requests may come in a rest beside these.
 constexpr int kMostInRest = 2;
+// From so long after a limit was first passed on, no such time may have more requests than
+// half as many again as the limit allows, and some more.
+constexpr Duration kLimitBound = seconds(3);
+constexpr Duration kLimitWindow = seconds(4);
+constexpr double kLimitFactor = 1.5;
+constexpr double kLimitExtra = 5;
 
 } // namespace
 
@@ -38,6 +44,55 @@
   passedOn = passedOn.value_or(MonotonicNow());
 }
 
+void
+AnswerPromises::OnRateLimitPassedOn(const std::string& aRequest)
+{
+  const auto& request = requests_[aRequest];
+  const auto limit = limits_.find(request.ranAt_);
+  if (limit == limits_.end()) {
+    return;
+  }
+  const auto now = MonotonicNow();
+  auto& passedOn = words_[{ request.instance_, request.ranAt_ }].limitPassedOn_;
+  passedOn = passedOn.value_or(now);
+  limit->second.firstPassedOn_ = limit->second.firstPassedOn_.value_or(now);
+}
+
+void
+AnswerPromises::OnRateLimitNamed(const std::string& aServer, std::optional<double> aLimit)
+{
+  limits_.erase(aServer);
+  for (auto& [who, word] : words_) {
+    if (who.second == aServer) {
+      word.limitPassedOn_.reset();
+    }
+  }
+  if (aLimit) {
+    limits_[aServer].limit_ = *aLimit;
+  }
+}
+
+std::optional<std::string>
+AnswerPromises::CountAtLimit(NamedLimit& aLimit, const Word& aWord, const std::string& aServer)
+{
+  const auto now = MonotonicNow();
+  const bool isBound = aLimit.firstPassedOn_ && now >= *aLimit.firstPassedOn_ + kLimitBound;
+  if (!isBound || !aWord.limitPassedOn_ || now < *aWord.limitPassedOn_ + kUnderWay) {
+    return std::nullopt;
+  }
+  auto& arrivals = aLimit.arrivals_;
+  arrivals.push_back(now);
+  while (arrivals.front() + kLimitWindow <= now) {
+    arrivals.pop_front();
+  }
+  const auto allowed = kLimitFactor * aLimit.limit_ * ToSeconds(kLimitWindow) + kLimitExtra;
+  if (static_cast<double>(arrivals.size()) <= allowed) {
+    return std::nullopt;
+  }
+  return "LIMIT " + std::to_string(arrivals.size()) + " requests at " + aServer + ", which takes " +
+         std::to_string(aLimit.limit_) + " a second";
+}
+
 std::optional<std::string>
 AnswerPromises::OnArrival(const std::string& aServer, const std::string& aRequest)
 {
@@ -51,6 +106,11 @@
   if (word.leavingPassedOn_ && request.at_ > *word.leavingPassedOn_ + kDrainBound) {
     return "DRAIN " + who + ", which it had passed on as leaving";
   }
+  if (const auto limit = limits_.find(aServer); limit != limits_.end()) {
+    if (auto broken = CountAtLimit(limit->second, word, aServer)) {
+      return broken;
+    }
+  }
   const auto now = MonotonicNow();
   word.arrivals_ += now > word.restFrom_ + kUnderWay && now < word.restUntil_ ? 1 : 0;
   return word.arrivals_ > kMostInRest
@@ -85,6 +145,9 @@
 AnswerPromises::SetHarmed(const std::string& aServer, bool aIsHarmed)
 {
   std::erase_if(words_, [&](const auto& aEntry) { return aEntry.first.second == aServer; });
+  if (const auto limit = limits_.find(aServer); limit != limits_.end()) {
+    limit->second.arrivals_.clear();
+  }
   if (aIsHarmed) {
     harmed_.insert(aServer);
   } else {
--- a/Tests/Platform/Soak/FaultPlan.cpp
+++ b/Tests/Platform/Soak/FaultPlan.cpp
@@ -34,6 +34,13 @@
 // The rest that servers ask for.
 constexpr Duration kLeastRest = milliseconds(600);
 constexpr Duration kMostRest = milliseconds(3000);
+// Of so many faults one goes with a server that names a rate limit, of so many requests a
+// second, for so long. Usually it gets some 17 a second.
+constexpr unsigned kFaultsALimit = 3;
+constexpr unsigned kLeastLimit = 1;
+constexpr unsigned kMostLimit = 6;
+constexpr Duration kLeastLimitTime = milliseconds(5000);
+constexpr Duration kMostLimitTime = milliseconds(12000);
 // How long the store is away before it returns.
 constexpr Duration kMostAway = milliseconds(1500);
 // Writes of others that a return loses: a second of what a store of a small fleet takes.
@@ -57,6 +64,7 @@
   , extras_(aExtras)
   , returnsRandom_(aSeed)
   , tellsRandom_(aSeed)
+  , limitsRandom_(aSeed)
   , startedAt_(MonotonicNow())
 {
 }
@@ -78,6 +86,9 @@
         LetServerRest(server);
       }
     }
+    if (extras_.serversLimit_ && limitsRandom_() % kFaultsALimit == 0) {
+      LimitServer(world_.Servers()[limitsRandom_() % world_.Servers().size()]);
+    }
     world_.Run(Draw(kLeastGap, kMostGap));
   }
 }
@@ -164,6 +175,8 @@
       return LetServerTellLeaving(server);
     case SoakFault::ServerAsksForRest:
       return LetServerRest(server);
+    case SoakFault::ServerNamesRateLimit:
+      return LimitServer(server);
   }
 }
 
@@ -392,6 +405,29 @@
   });
 }
 
+void
+FaultPlan::LimitServer(SoakWorld::Server& aServer)
+{
+  const double limit = kLeastLimit + limitsRandom_() % (kMostLimit - kLeastLimit + 1);
+  const auto time = DrawFrom(limitsRandom_, kLeastLimitTime, kMostLimitTime);
+  const auto id = aServer.backend_->Id();
+  Note(SoakFault::ServerNamesRateLimit, id + " at " + std::to_string(limit), time);
+  aServer.backend_->SetRateLimit(limit);
+  world_.Kept().Answers().OnRateLimitNamed(id, limit);
+  world_.After(time, [this, &aServer, id] {
+    if (aServer.backend_->Id() == id) {
+      EndLimit(aServer);
+    }
+  });
+}
+
+void
+FaultPlan::EndLimit(SoakWorld::Server& aServer)
+{
+  aServer.backend_->SetRateLimit(std::nullopt);
+  world_.Kept().Answers().OnRateLimitNamed(aServer.backend_->Id(), std::nullopt);
+}
+
 void
 FaultPlan::UnlistServer(SoakWorld::Server& aServer, Duration aTime)
 {
@@ -479,6 +515,7 @@
     aServer.link_->SetFault(LinkFault::None);
   }
   backend.SetRest(std::nullopt);
+  EndLimit(aServer);
   if (backend.IsUp() && backend.IsLeaving()) {
     // No server takes its leaving back.
     Crash(aServer);
--- a/Tests/Platform/Soak/FaultPlan.h
+++ b/Tests/Platform/Soak/FaultPlan.h
@@ -31,12 +31,14 @@
   // Likewise.
   ServerTellsLeaving,
   ServerAsksForRest,
+  // Likewise.
+  ServerNamesRateLimit,
 };
 
 // Those that are drawn with equal chances.
 inline constexpr std::size_t kDrawnFaults = static_cast<std::size_t>(SoakFault::StoreReturns);
 
-inline constexpr NameTable<SoakFault, 18> kSoakFaultNames{ { "kill-instance",
+inline constexpr NameTable<SoakFault, 19> kSoakFaultNames{ { "kill-instance",
                                                              "stop-instance",
                                                              "pause-instance",
                                                              "settings-signal",
@@ -53,7 +55,8 @@
                                                              "configuration-change",
                                                              "store-returns",
                                                              "server-tells-leaving",
-                                                             "server-asks-for-rest" } };
+                                                             "server-asks-for-rest",
+                                                             "server-names-rate-limit" } };
 
 // Draws faults from a seed and brings them on: in series, overlapping, on one thing
 // or another. The same seed draws the same faults; how they meet what the processes
@@ -68,6 +71,8 @@
     bool storeReturns_ = false;
     // Servers say in their answers that they leave while the store is away, or ask for rest.
     bool serversTell_ = false;
+    // Servers name limits of requests a second in their answers.
+    bool serversLimit_ = false;
   };
 
   FaultPlan(SoakWorld& aWorld, std::uint32_t aSeed, Extras aExtras);
@@ -113,6 +118,9 @@
   void LetServerTellLeaving(SoakWorld::Server& aServer);
   // The server turns all requests away for a while.
   void LetServerRest(SoakWorld::Server& aServer);
+  // The server names a limit of requests a second for a while.
+  void LimitServer(SoakWorld::Server& aServer);
+  void EndLimit(SoakWorld::Server& aServer);
 
   void Kill(SoakWorld::Instance& aInstance, Duration aDown);
   void Stop(SoakWorld::Instance& aInstance);
@@ -131,6 +139,7 @@
   Extras extras_;
   std::minstd_rand returnsRandom_;
   std::minstd_rand tellsRandom_;
+  std::minstd_rand limitsRandom_;
   Instant startedAt_;
   std::string story_;
 };
--- a/Tests/Platform/Soak/Promises.h
+++ b/Tests/Platform/Soak/Promises.h
@@ -28,6 +28,8 @@
   void OnAsked(const std::string& aRequest, bool aIsBooking, const std::string& aInstance);
   // It got an answer which says that the server leaves that ran the request last.
   void OnLeavingPassedOn(const std::string& aRequest) { answers_.OnLeavingPassedOn(aRequest); }
+  // As above, for a rate limit.
+  void OnRateLimitPassedOn(const std::string& aRequest) { answers_.OnRateLimitPassedOn(aRequest); }
   AnswerPromises& Answers() { return answers_; }
   // It was told that the request has not run and never will.
   void OnRefused(const std::string& aRequest);
--- a/Tests/Platform/Soak/SoakWorld.cpp
+++ b/Tests/Platform/Soak/SoakWorld.cpp
@@ -307,6 +307,9 @@
   if (!answer.Header("Server-Leaving").empty()) {
     promises_.OnLeavingPassedOn(aRequest);
   }
+  if (!answer.Header("Server-Limit").empty()) {
+    promises_.OnRateLimitPassedOn(aRequest);
+  }
   if (answer.status_ == kOk) {
     ++answered_;
     promises_.OnSuccess(
--- a/Tests/Platform/Soak/main.cpp
+++ b/Tests/Platform/Soak/main.cpp
@@ -19,6 +19,7 @@
 ABSL_FLAG(int, servers, 5, "Servers of the keyed service, and as many for bookings.");
 ABSL_FLAG(bool, returns, false, "Whether the store comes back from older copies as well.");
 ABSL_FLAG(bool, tells, false, "Whether servers say in their answers that they leave or want rest.");
+ABSL_FLAG(bool, limits, false, "Whether servers name limits of requests a second as well.");
 ABSL_FLAG(int, port, 25000, "The first of some thousand ports; below those that the system draws.");
 ABSL_FLAG(std::string, logs, "", "Folder for the logs of the instances; none if empty.");
 
@@ -53,7 +54,10 @@
     std::cout << "seed " << aSeed << " cannot start: " << started.error().Describe() << '\n';
     return false;
   }
-  FaultPlan plan(world, aSeed, { absl::GetFlag(FLAGS_returns), absl::GetFlag(FLAGS_tells) });
+  FaultPlan plan(
+    world,
+    aSeed,
+    { absl::GetFlag(FLAGS_returns), absl::GetFlag(FLAGS_tells), absl::GetFlag(FLAGS_limits) });
   RunFaults(world, plan, aTime);
   const auto broken = world.Kept().Broken().size();
   std::cout << "seed " << aSeed << ": " << world.Asked() << " requests, " << world.Answered()
