--- a/Tests/Platform/TestTableFollower.cpp
+++ b/Tests/Platform/TestTableFollower.cpp
@@ -1,7 +1,6 @@
 #include "platform/TableFollower.h"
 
 #include <gtest/gtest.h>
-#include <thread>
 
 namespace latchslip::platform {
 
@@ -18,6 +17,7 @@
     return targets_.size();
   }
   void Cancel(ExchangeId) override { callback_ = nullptr; }
+  Instant Now() const override { return now_; }
   bool IsStopped() const override { return false; }
   void OnView(const TableView& aView) override { views_.push_back(aView); }
   void OnFailure(FleetTable) override { ++failures_; }
@@ -41,6 +41,7 @@
     callback(exchange);
   }
 
+  Instant now_ = seconds(100);
   std::vector<std::string> targets_;
   HttpCallback callback_;
   std::vector<TableView> views_;
@@ -101,13 +102,13 @@
 {
   store_.Answer(200, R"({"rows":[],"ver":100})");
   RunUntilAsked();
-  std::this_thread::sleep_for(std::chrono::milliseconds(2600));
+  store_.now_ += milliseconds(2600);
   store_.Answer(200, R"({"rows":[],"ver":110})");
   RunUntilAsked();
   store_.Answer(200, R"({"rows":[],"ver":111})");
   RunUntilAsked();
   EXPECT_EQ(LastAfter(), "90");
-  std::this_thread::sleep_for(std::chrono::milliseconds(2600));
+  store_.now_ += milliseconds(2600);
   store_.Answer(200, R"({"rows":[],"ver":120})");
   RunUntilAsked();
   EXPECT_EQ(LastAfter(), "110");
