--- a/Tests/LibGateway/TestRequestDesk.cpp
+++ b/Tests/LibGateway/TestRequestDesk.cpp
@@ -764,6 +764,19 @@
   EXPECT_TRUE(actions_.refused_.at(request).isNotRun_);
 }
 
+// Guards against a request that waits for the next one that its owner takes and is forgotten
+// while nothing else happens.
+TEST_F(DeskOfThreeServers, OwnerNamesARateLimit_WhatWaitsForItsTurnIsSentThen)
+{
+  AnswerWithLimit(Ask("/key/1", 5), 10);
+  actions_.sent_.clear();
+  Pass(milliseconds(50));
+  const auto request = Ask("/key/1", 5);
+  EXPECT_TRUE(actions_.sent_.empty());
+  Pass(milliseconds(60));
+  EXPECT_EQ(SendsOf(request), 1U);
+}
+
 // Guards against the same where any server may have the request.
 TEST_F(DeskOfThreeServers, AServerNamesARateLimit_OthersGetTheRequestsBeyondIt)
 {
