--- a/Tests/LibGateway/TestRequestDesk.cpp
+++ b/Tests/LibGateway/TestRequestDesk.cpp
@@ -107,9 +107,7 @@
   // The server turns the request away and asks for rest.
   void TurnAway(RequestNumber aRequest, Duration aRest)
   {
-    AttemptOutcome outcome;
-    outcome.end_ = AttemptEnd::NotRun;
-    outcome.status_ = 503;
+    auto outcome = OutcomeOf(AttemptEnd::NotRun, 503);
     outcome.rest_ = aRest;
     desk_.OnAttemptEnded(now_, SendOf(aRequest).number_, outcome);
   }
@@ -117,13 +115,19 @@
   // Answers, and names how many requests a second the server takes.
   void AnswerWithLimit(RequestNumber aRequest, double aRateLimit)
   {
-    AttemptOutcome outcome;
-    outcome.end_ = AttemptEnd::Answered;
-    outcome.status_ = 200;
+    auto outcome = OutcomeOf(AttemptEnd::Answered, 200);
     outcome.rateLimit_ = aRateLimit;
     desk_.OnAttemptEnded(now_, SendOf(aRequest).number_, outcome);
   }
 
+  static AttemptOutcome OutcomeOf(AttemptEnd aEnd, unsigned aStatus)
+  {
+    AttemptOutcome outcome;
+    outcome.end_ = aEnd;
+    outcome.status_ = aStatus;
+    return outcome;
+  }
+
   void Answer(RequestNumber aRequest, unsigned aStatus)
   {
     End(aRequest, AttemptEnd::Answered, aStatus);
