LibDaemon: Tell how late the event loop runs and which tasks held it

A placer whose loop is held for a second answers no report and looks lost; no line and no metric said so, nor by what it was held.

LoopMonitor measures the delay of the periodic timer and the processor time of each kind of task (periodic work, placing keys, reading tables, ends of writes and of commands, reports, updates). E106 names a delay of 100 ms or more with the tasks since the timer's last run; the metrics have a histogram of the delays, and sum and maximum of each task. No decision changes. The two functions that write the metrics' text moved to MetricsText so that both writers use them.

--- a/Libraries/LibBase/Event.cpp
+++ b/Libraries/LibBase/Event.cpp
@@ -14,6 +14,7 @@
   EventName{ Event::SettingsReloaded, "SettingsReloaded" },
   EventName{ Event::SettingsRejected, "SettingsRejected" },
   EventName{ Event::LogLinesDropped, "LogLinesDropped" },
+  EventName{ Event::LoopDelayed, "LoopDelayed" },
   EventName{ Event::PeerConnected, "PeerConnected" },
   EventName{ Event::PeerDisconnected, "PeerDisconnected" },
   EventName{ Event::PeerSuspected, "PeerSuspected" },
--- a/Libraries/LibBase/Event.h
+++ b/Libraries/LibBase/Event.h
@@ -16,6 +16,7 @@
   SettingsReloaded = 103,
   SettingsRejected = 104,
   LogLinesDropped = 105,
+  LoopDelayed = 106,
   PeerConnected = 110,
   PeerDisconnected = 111,
   PeerSuspected = 112,
--- a/Libraries/LibDaemon/GatewayHost.cpp
+++ b/Libraries/LibDaemon/GatewayHost.cpp
@@ -56,6 +56,7 @@
     , codec_(aCodec)
     , store_(aStore)
     , events_(aEvents)
+    , loop_(aEvents, ProcessorTimeUsed)
     , member_(settings_.member_, aDecoder, *this, aEvents)
     , permits_(aContext,
                settings_.peerAddress_,
@@ -74,7 +75,7 @@
         [this](const std::string& aService, KeyNumber aKey) { member_.CountKey(aService, aKey); },
         MakeLeavingObserver())
     , commandClient_(HttpClient::Create(aContext, kMaxCommandConnections))
-    , peers_(aContext, member_, [this] { return RenderMetrics(); })
+    , peers_(aContext, member_, loop_, [this] { return RenderMetrics(); })
     , timer_(aContext)
   {
     permits_.Client().SetListener(*this);
@@ -146,6 +147,7 @@
       events_,
       frontend_.Router().Statistics(),
       store_.Calls(),
+      loop_,
       { { "requests_under_way", static_cast<double>(frontend_.Router().InFlight()) },
         { "requests_waiting", static_cast<double>(frontend_.Router().Waiting()) },
         { "is_placer", member_.IsPlacer() ? 1 : 0 },
@@ -156,18 +158,12 @@
   void Tick()
   {
     const auto now = MonotonicNow();
-    member_.OnTime(now);
-    permits_.OnTime();
-    if (now >= nextPrune_) {
-      nextPrune_ = now + kPruneInterval;
-      frontend_.PruneIdle();
-      commandClient_->PruneIdle();
-    }
-    frontend_.ArmTimer();
-    events_.Flush();
+    loop_.OnTimer(now, nextTick_);
+    RunPeriodicTasks(now);
     if (AdvanceStop(now)) {
       return;
     }
+    nextTick_ = MonotonicNow() + kTickInterval;
     timer_.expires_after(kTickInterval);
     timer_.async_wait([this](boost::system::error_code aError) {
       if (!aError) {
@@ -176,6 +172,20 @@
     });
   }
 
+  void RunPeriodicTasks(Instant aNow)
+  {
+    const LoopTaskScope task(loop_, LoopTask::Tick);
+    member_.OnTime(aNow);
+    permits_.OnTime();
+    if (aNow >= nextPrune_) {
+      nextPrune_ = aNow + kPruneInterval;
+      frontend_.PruneIdle();
+      commandClient_->PruneIdle();
+    }
+    frontend_.ArmTimer();
+    events_.Flush();
+  }
+
   // Advances a planned stop, if one has begun. Returns true once the stop is complete.
   bool AdvanceStop(Instant aNow)
   {
@@ -224,6 +234,7 @@
   void Transact(const Transaction& aTransaction) override
   {
     store_.Transact(aTransaction, [this](const StoreReply& aReply) {
+      const LoopTaskScope task(loop_, LoopTask::EndWrite);
       member_.OnTransactEnded(MonotonicNow(), aReply);
     });
   }
@@ -246,6 +257,7 @@
       codec_.EncodeCommand(aCommand),
       std::move(options),
       [this, aService, aCommand](const HttpExchange& aExchange) {
+        const LoopTaskScope task(loop_, LoopTask::EndCommand);
         const auto outcome = codec_.DecodeCommand(aCommand, aExchange);
         if (outcome.isLeaving_) {
           member_.OnServerReportedLeaving(MonotonicNow(), aCommand.server_, aCommand.incarnation_);
@@ -348,8 +360,14 @@
     return frontend_.Router().TakeWorkOf(aServer);
   }
 
+  LoopTaskObserver& TaskObserver() override { return loop_; }
+
   // FleetStoreListener: passes changes of the store to FleetMember.
-  void OnView(const TableView& aView) override { member_.OnView(MonotonicNow(), aView); }
+  void OnView(const TableView& aView) override
+  {
+    const LoopTaskScope task(loop_, LoopTask::ReadTables);
+    member_.OnView(MonotonicNow(), aView);
+  }
   void OnStoreLost() override { member_.OnStoreLost(MonotonicNow()); }
   void OnStoreRegained() override { member_.OnStoreRegained(MonotonicNow()); }
 
@@ -358,6 +376,7 @@
   const GatewayCodec& codec_;
   FleetStore& store_;
   LineLog& events_;
+  LoopMonitor loop_;
   FleetMember member_;
   GatewayMetrics metrics_;
   PermitLinks permits_;
@@ -370,6 +389,8 @@
   std::unique_ptr<HttpServer> peerServer_;
   asio::steady_timer timer_;
   Instant nextPrune_ = Instant::min();
+  // When the periodic timer is due.
+  Instant nextTick_ = MonotonicNow();
   StopSequence stop_;
   // Whether the client listener has been closed.
   bool isClosing_ = false;
--- a/Libraries/LibDaemon/GatewayMetrics.cpp
+++ b/Libraries/LibDaemon/GatewayMetrics.cpp
@@ -1,40 +1,13 @@
 #include "LibDaemon/GatewayMetrics.h"
 
+#include "LibDaemon/MetricsText.h"
+
 #include <sstream>
 
 namespace latchslip {
 
 namespace {
 
-// The functions below write the Prometheus text format: one line per value, labels in braces.
-void
-WriteType(std::ostream& aText, std::string_view aName, std::string_view aType)
-{
-  aText << "# TYPE latchslip_" << aName << ' ' << aType << '\n';
-}
-
-// Writes the cumulative buckets, sum and count. aLabels ends with a comma unless it is empty.
-void
-WriteHistogram(std::ostream& aText,
-               std::string_view aName,
-               const std::string& aLabels,
-               const LatencyHistogram& aLatency)
-{
-  std::uint64_t total = 0;
-  const auto& buckets = aLatency.Buckets();
-  for (std::size_t index = 0; index < LatencyHistogram::kBounds.size(); ++index) {
-    total += buckets.at(index);
-    aText << "latchslip_" << aName << "_bucket{" << aLabels << "le=\""
-          << LatencyHistogram::kBounds.at(index) << "\"} " << total << '\n';
-  }
-  total += buckets.back();
-  const auto labels =
-    aLabels.empty() ? std::string() : "{" + aLabels.substr(0, aLabels.size() - 1) + "}";
-  aText << "latchslip_" << aName << "_bucket{" << aLabels << "le=\"+Inf\"} " << total << '\n'
-        << "latchslip_" << aName << "_sum" << labels << ' ' << aLatency.Sum() << '\n'
-        << "latchslip_" << aName << "_count" << labels << ' ' << total << '\n';
-}
-
 // Writes a line for each nonzero counter. aLabels ends with a comma; label aLabel has the
 // counter's name from aNames as its value.
 template<typename Names, typename Counts>
@@ -131,6 +104,7 @@
 GatewayMetrics::Render(const LineLog& aLog,
                        const RequestStatistics& aStatistics,
                        const StoreCallCounts& aCalls,
+                       const LoopMonitor& aLoop,
                        const std::map<std::string, double>& aGauges) const
 {
   std::ostringstream text;
@@ -144,6 +118,7 @@
   WriteGroups(text, aStatistics);
   WriteServers(text, aStatistics);
   WriteStoreCalls(text, aCalls);
+  aLoop.Render(text);
   WriteType(text, "events_total", "counter");
   for (const auto& entry : AllEvents()) {
     if (const auto count = aLog.CountOf(entry.event_); count > 0) {
--- a/Libraries/LibDaemon/GatewayMetrics.h
+++ b/Libraries/LibDaemon/GatewayMetrics.h
@@ -2,6 +2,7 @@
 
 #include "LibBase/Time.h"
 #include "LibDaemon/LineLog.h"
+#include "LibDaemon/LoopMonitor.h"
 #include "LibFleet/FleetStore.h"
 #include "LibGateway/RequestStatistics.h"
 
@@ -21,10 +22,12 @@
   void OnAnswer(unsigned aStatus, Duration aLatency);
 
   // Renders the metrics page. aLog supplies the event counters, aStatistics the counters per
-  // route, group and server, aCalls the store calls; aGauges are further values by name.
+  // route, group and server, aCalls the store calls, aLoop the load of the event loop; aGauges are
+  // further values by name.
   std::string Render(const LineLog& aLog,
                      const RequestStatistics& aStatistics,
                      const StoreCallCounts& aCalls,
+                     const LoopMonitor& aLoop,
                      const std::map<std::string, double>& aGauges) const;
 
 private:
--- a/Libraries/LibDaemon/PeerRpc.cpp
+++ b/Libraries/LibDaemon/PeerRpc.cpp
@@ -81,8 +81,12 @@
 
 } // namespace
 
-PeerRpc::PeerRpc(boost::asio::io_context& aContext, FleetMember& aMember, MetricsPage aMetrics)
+PeerRpc::PeerRpc(boost::asio::io_context& aContext,
+                 FleetMember& aMember,
+                 LoopTaskObserver& aTasks,
+                 MetricsPage aMetrics)
   : member_(aMember)
+  , tasks_(aTasks)
   , metrics_(std::move(aMetrics))
   , client_(HttpClient::Create(aContext, kMaxConnections))
 {
@@ -147,6 +151,7 @@
                 MakePost(kFetchPath, SerializeVersions(aVersions)),
                 kPeerTimeout,
                 [this, aAddress, sentAt = MonotonicNow()](const HttpExchange& aExchange) {
+                  const LoopTaskScope task(tasks_, LoopTask::ApplyUpdate);
                   const auto update = ParseAnswer(aExchange, UnpackUpdate);
                   const auto now = MonotonicNow();
                   member_.OnUpdateFetched(now, update, now - sentAt, aAddress);
@@ -188,6 +193,7 @@
 HttpResponse
 PeerRpc::HandleReport(const HttpRequest& aRequest)
 {
+  const LoopTaskScope task(tasks_, LoopTask::AnswerReport);
   const auto report = ParseReport(*aRequest.body_);
   if (!report) {
     return MakeHttpResponse(kBadRequest, report.error().Describe());
@@ -211,6 +217,7 @@
 HttpResponse
 PeerRpc::HandleUpdate(const HttpRequest& aRequest)
 {
+  const LoopTaskScope task(tasks_, LoopTask::ApplyUpdate);
   auto message = DecodeUpdateMessage(*aRequest.body_);
   if (!message) {
     return MakeHttpResponse(kBadRequest, message.error().Describe());
--- a/Libraries/LibDaemon/PeerRpc.h
+++ b/Libraries/LibDaemon/PeerRpc.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibBase/LoopTask.h"
 #include "LibFleet/FleetMember.h"
 #include "LibFleet/UnresponsivePeers.h"
 #include "LibNet/HttpClient.h"
@@ -20,7 +21,10 @@
   // Renders the metrics page.
   using MetricsPage = std::function<std::string()>;
 
-  PeerRpc(boost::asio::io_context& aContext, FleetMember& aMember, MetricsPage aMetrics);
+  PeerRpc(boost::asio::io_context& aContext,
+          FleetMember& aMember,
+          LoopTaskObserver& aTasks,
+          MetricsPage aMetrics);
 
   // Sends a report; the answer, or its absence after the timeout, goes to the FleetMember.
   void SendReport(const std::string& aAddress, const InstanceReport& aReport);
@@ -47,6 +51,7 @@
   HttpResponse HandleFetch(const HttpRequest& aRequest) const;
 
   FleetMember& member_;
+  LoopTaskObserver& tasks_;
   MetricsPage metrics_;
   std::unique_ptr<HttpClient> client_;
   UnresponsivePeers unresponsivePeers_;
--- a/Libraries/LibFleet/FleetMember.h
+++ b/Libraries/LibFleet/FleetMember.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibBase/Event.h"
+#include "LibBase/LoopTask.h"
 #include "LibFleet/ConfigurationProof.h"
 #include "LibFleet/FleetReport.h"
 #include "LibFleet/FleetView.h"
@@ -67,6 +68,8 @@
   virtual void OnStalenessChanged(bool aIsStale) = 0;
   // Returns and resets the counters of the work that aServer did for this instance.
   virtual ServerWork TakeWorkOf(const std::string& aServer) = 0;
+  // Told of the tasks that hold the event loop.
+  virtual LoopTaskObserver& TaskObserver() = 0;
 };
 
 // Static parameters of a FleetMember.
--- a/Libraries/LibFleet/FleetMemberPlacer.cpp
+++ b/Libraries/LibFleet/FleetMemberPlacer.cpp
@@ -94,6 +94,7 @@
   if (!MaySendCommands(aNow)) {
     return;
   }
+  const LoopTaskScope task(actions_.TaskObserver(), LoopTask::PlaceKeys);
   if (view_.IsKnown(FleetTable::Servers)) {
     StartPlacers(aNow);
   }
--- a/Tests/LibDaemon/TestLineLog.cpp
+++ b/Tests/LibDaemon/TestLineLog.cpp
@@ -101,7 +101,9 @@
   statistics.OnAttempt("s1", AttemptEnd::WrongServer);
   StoreCallCounts calls{};
   calls[1][2] = 7;
-  const auto text = metrics.Render(log, statistics, calls, { { "requests_waiting", 3 } });
+  LoopMonitor loop(log, [] { return Duration(0); });
+  loop.OnTimer(milliseconds(30), milliseconds(20));
+  const auto text = metrics.Render(log, statistics, calls, loop, { { "requests_waiting", 3 } });
   EXPECT_NE(text.find("latchslip_answers_total{status=\"200\"} 2\n"), std::string::npos) << text;
   EXPECT_NE(text.find("latchslip_latency_ms_bucket{le=\"50\"} 2\n"), std::string::npos) << text;
   EXPECT_NE(text.find("latchslip_latency_ms_bucket{le=\"+Inf\"} 3\n"), std::string::npos);
@@ -114,6 +116,7 @@
          "latchslip_route_latency_ms_count{route=\"a.example/rates/\"} 2\n",
          "latchslip_server_sends_total{server=\"s1\",end=\"wrong-server\"} 1\n",
          "latchslip_store_calls_total{kind=\"follow\",end=\"lost\"} 7\n",
+         "latchslip_loop_delay_ms_bucket{le=\"20\"} 1\n",
        }) {
     EXPECT_NE(text.find(line), std::string::npos) << line << text;
   }
--- a/Tests/LibFleet/FleetMemberFixture.h
+++ b/Tests/LibFleet/FleetMemberFixture.h
@@ -53,7 +53,9 @@
 };
 
 // Records the actions that a member requests.
-class RecordingFleetActions : public FleetActions
+class RecordingFleetActions
+  : public FleetActions
+  , private LoopTaskObserver
 {
 public:
   void Transact(const Transaction& aTransaction) override { transactions_.push_back(aTransaction); }
@@ -104,6 +106,7 @@
     instances_ = aPeers.size();
   }
   ServerWork TakeWorkOf(const std::string&) override { return { 1, milliseconds(20) }; }
+  LoopTaskObserver& TaskObserver() override { return *this; }
 
   std::vector<Transaction> transactions_;
   StorePollMode pollMode_ = StorePollMode::LongWaits;
@@ -123,6 +126,10 @@
   std::optional<KeyOwnership> ownership_;
   std::size_t instances_ = 0;
   bool isStale_ = false;
+
+private:
+  void OnTaskBegun(LoopTask) override {}
+  void OnTaskEnded() override {}
 };
 
 inline constexpr const char* kSelf = "10.0.0.1:9";
