--- a/Libraries/LibBase/LoopTask.h
+++ b/Libraries/LibBase/LoopTask.h
@@ -21,15 +21,18 @@
   AnswerReport,
   // An update pushed by another instance, or fetched from it.
   ApplyUpdate,
+  // A request of another instance for updates.
+  AnswerFetch,
 };
 
-inline constexpr NameTable<LoopTask, 7> kLoopTaskNames{ { "tick",
+inline constexpr NameTable<LoopTask, 8> kLoopTaskNames{ { "tick",
                                                           "place-keys",
                                                           "read-tables",
                                                           "end-write",
                                                           "end-command",
                                                           "answer-report",
-                                                          "apply-update" } };
+                                                          "apply-update",
+                                                          "answer-fetch" } };
 
 // Told when work begins and ends on the event loop. Tasks may be nested.
 class LoopTaskObserver
--- a/Libraries/LibDaemon/PeerRpc.cpp
+++ b/Libraries/LibDaemon/PeerRpc.cpp
@@ -236,6 +236,7 @@
 HttpResponse
 PeerRpc::HandleFetch(const HttpRequest& aRequest) const
 {
+  const LoopTaskScope task(tasks_, LoopTask::AnswerFetch);
   const auto versions = ParseVersions(*aRequest.body_);
   if (!versions) {
     return MakeHttpResponse(kBadRequest, versions.error().Describe());
