LibKeys: Let a round of moving keys cost what it moves, not the square of the servers

What callers saw: a change that had been confirmed was not in force in time; with it many requests for keys refused.

Cause: a round searched all servers for the most and the least loaded one, and all ranges for those of one server, for each of up to half as many moves as there are servers; giving keys of lost servers on searched all servers for each range, twenty times a second. At 946 servers one round took 0.17 to 0.3 s of processor time, which is 0.85 to 1.5 s at a fifth of a processor. The placer answered nobody meanwhile, was given up after 1.8 s, and its successor began with the same round.

Now LoadDistribution keeps the servers in the order of their levels, BalanceRound keeps the ranges by owner, KeyServers finds a server by its id, and nothing is built when nothing is to be moved.

--- a/Libraries/LibKeys/BalanceRound.cpp
+++ b/Libraries/LibKeys/BalanceRound.cpp
@@ -30,6 +30,7 @@
                            const KeyLoad& aLoad,
                            BalanceLimits aLimits)
   : ownership_(aOwnership)
+  , lastFence_(aOwnership.lastFence_)
   , distribution_(std::move(aDistribution))
   , load_(aLoad)
   , limits_(aLimits)
@@ -39,6 +40,10 @@
 std::optional<KeyOwnership>
 BalanceRound::Run()
 {
+  if (IsBalanced()) {
+    return std::nullopt;
+  }
+  IndexRanges();
   std::map<std::string, std::size_t> taken;
   std::size_t moves = 0;
   while (moves < limits_.maxMoves_ && distribution_.HasCandidate() && !IsBalanced()) {
@@ -55,10 +60,46 @@
   if (moves == 0) {
     return std::nullopt;
   }
-  if (ownership_.ranges_.size() > limits_.maxRanges_ / 2) {
-    MergeAdjacentRanges();
+  auto result = TakeResult();
+  if (result.ranges_.size() > limits_.maxRanges_ / 2) {
+    MergeAdjacentRanges(result);
+  }
+  return result;
+}
+
+void
+BalanceRound::IndexRanges()
+{
+  for (const auto& range : ownership_.ranges_) {
+    Insert(range);
+  }
+}
+
+void
+BalanceRound::Insert(KeyRange aRange)
+{
+  rangesOf_[aRange.owner_].insert(aRange.first_);
+  const auto first = aRange.first_;
+  ranges_.insert_or_assign(first, std::move(aRange));
+}
+
+const std::set<KeyNumber>&
+BalanceRound::RangesOf(const std::string& aServer) const
+{
+  static const std::set<KeyNumber> kNone;
+  const auto found = rangesOf_.find(aServer);
+  return found == rangesOf_.end() ? kNone : found->second;
+}
+
+KeyOwnership
+BalanceRound::TakeResult()
+{
+  KeyOwnership result{ ownership_.service_, lastFence_, {}, ownership_.epoch_ };
+  result.ranges_.reserve(ranges_.size());
+  for (auto& [first, range] : ranges_) {
+    result.ranges_.push_back(std::move(range));
   }
-  return std::move(ownership_);
+  return result;
 }
 
 // Checks both ends: after a server has joined, it can be far below its fair share while no other
@@ -81,10 +122,9 @@
 }
 
 bool
-BalanceRound::IsMovable(const KeyRange& aRange, const std::string& aServer) const
+BalanceRound::IsMovable(const KeyRange& aRange) const
 {
-  return aRange.owner_ == aServer && aRange.previous_.empty() &&
-         aRange.fence_ <= limits_.maxMovableFence_;
+  return aRange.previous_.empty() && aRange.fence_ <= limits_.maxMovableFence_;
 }
 
 // The receiver is filled only up to the tolerance of its fair share, because load that it has
@@ -119,12 +159,12 @@
 BalanceRound::FindBestPart(const std::string& aServer, double aMaxLoad) const
 {
   std::optional<RangePart> best;
-  for (std::size_t index = 0; index < ownership_.ranges_.size(); ++index) {
-    const auto& range = ownership_.ranges_[index];
-    if (!IsMovable(range, aServer)) {
+  for (const auto first : RangesOf(aServer)) {
+    const auto& range = ranges_.at(first);
+    if (!IsMovable(range)) {
       continue;
     }
-    const auto part = LongestPrefix(index, aMaxLoad);
+    const auto part = LongestPrefix(range, aMaxLoad);
     const bool isWhole = part && part->last_ == range.last_;
     if (part && (isWhole || CanSplit()) && (!best || part->load_ > best->load_)) {
       best = part;
@@ -134,39 +174,38 @@
 }
 
 std::optional<BalanceRound::RangePart>
-BalanceRound::LongestPrefix(std::size_t aRange, double aMaxLoad) const
+BalanceRound::LongestPrefix(const KeyRange& aRange, double aMaxLoad) const
 {
-  const auto& range = ownership_.ranges_[aRange];
-  KeyNumber low = range.first_;
-  KeyNumber high = range.last_ + 1;
+  KeyNumber low = aRange.first_;
+  KeyNumber high = aRange.last_ + 1;
   // The part is [first, low); low only advances to ends that fit.
   while (low < high) {
     const auto middle = low + (high - low + 1) / 2;
-    if (load_.Between(range.first_, middle - 1) <= aMaxLoad) {
+    if (load_.Between(aRange.first_, middle - 1) <= aMaxLoad) {
       low = middle;
     } else {
       high = middle - 1;
     }
   }
-  if (low == range.first_) {
+  if (low == aRange.first_) {
     return std::nullopt;
   }
-  return RangePart{ aRange, range.first_, low - 1, load_.Between(range.first_, low - 1) };
+  return RangePart{ aRange.first_, aRange.first_, low - 1, load_.Between(aRange.first_, low - 1) };
 }
 
 std::optional<BalanceRound::RangePart>
 BalanceRound::FindHottestKey(const std::string& aServer, double aMaxLoad) const
 {
   std::optional<RangePart> hottest;
-  for (std::size_t index = 0; index < ownership_.ranges_.size(); ++index) {
-    const auto& range = ownership_.ranges_[index];
-    if (!IsMovable(range, aServer)) {
+  for (const auto first : RangesOf(aServer)) {
+    const auto& range = ranges_.at(first);
+    if (!IsMovable(range)) {
       continue;
     }
     for (KeyNumber key = range.first_; key <= range.last_; ++key) {
       const double load = load_.Between(key, key);
       if (load <= aMaxLoad && (!hottest || load > hottest->load_)) {
-        hottest = RangePart{ index, key, key, load };
+        hottest = RangePart{ first, key, key, load };
       }
     }
   }
@@ -184,38 +223,38 @@
 void
 BalanceRound::Reassign(const RangePart& aPart, const std::string& aTo)
 {
-  auto& ranges = ownership_.ranges_;
-  const auto range = ranges[aPart.range_];
-  std::vector<KeyRange> parts;
+  const auto node = ranges_.extract(aPart.range_);
+  const auto& range = node.mapped();
+  rangesOf_.at(range.owner_).erase(range.first_);
   if (range.first_ < aPart.first_) {
-    parts.push_back(range);
-    parts.back().last_ = aPart.first_ - 1;
+    auto before = range;
+    before.last_ = aPart.first_ - 1;
+    Insert(std::move(before));
   }
-  parts.push_back({ aPart.first_, aPart.last_, aTo, ++ownership_.lastFence_, range.owner_ });
+  Insert({ aPart.first_, aPart.last_, aTo, ++lastFence_, range.owner_ });
   if (aPart.last_ < range.last_) {
-    parts.push_back(range);
-    parts.back().first_ = aPart.last_ + 1;
+    auto after = range;
+    after.first_ = aPart.last_ + 1;
+    Insert(std::move(after));
   }
-  const auto at = ranges.begin() + static_cast<std::ptrdiff_t>(aPart.range_);
-  ranges.insert(ranges.erase(at), parts.begin(), parts.end());
 }
 
 void
-BalanceRound::MergeAdjacentRanges()
+BalanceRound::MergeAdjacentRanges(KeyOwnership& aOwnership)
 {
   std::vector<KeyRange> merged;
-  for (auto& range : ownership_.ranges_) {
+  for (auto& range : aOwnership.ranges_) {
     const bool isMergeable = !merged.empty() && merged.back().last_ + 1 == range.first_ &&
                              merged.back().owner_ == range.owner_ && range.previous_.empty() &&
                              merged.back().previous_.empty();
     if (isMergeable) {
       merged.back().last_ = range.last_;
-      merged.back().fence_ = ++ownership_.lastFence_;
+      merged.back().fence_ = ++aOwnership.lastFence_;
     } else {
       merged.push_back(std::move(range));
     }
   }
-  ownership_.ranges_ = std::move(merged);
+  aOwnership.ranges_ = std::move(merged);
 }
 
 } // namespace latchslip
--- a/Libraries/LibKeys/BalanceRound.h
+++ b/Libraries/LibKeys/BalanceRound.h
@@ -5,7 +5,9 @@
 #include "LibKeys/LoadDistribution.h"
 
 #include <cstddef>
+#include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace latchslip {
@@ -25,13 +27,14 @@
 };
 
 // One rebalancing round: greedily moves ranges, or parts of them, from the most loaded servers to
-// the least loaded ones until the load is balanced within the tolerance or a limit is reached. Used
-// by KeyBalancer.
+// the least loaded ones until the load is balanced within the tolerance or a limit is reached. A
+// move looks at the ranges of one server only, so that a round grows with the number of servers,
+// not with its square. Used by KeyBalancer.
 class BalanceRound
 {
 public:
-  // aShares is the load of the servers under aOwnership and aLoad. It must not be empty. aLoad must
-  // outlive the round.
+  // aDistribution is the load of the servers under aOwnership and aLoad. It must not be empty.
+  // aOwnership and aLoad must outlive the round.
   BalanceRound(const KeyOwnership& aOwnership,
                LoadDistribution aDistribution,
                const KeyLoad& aLoad,
@@ -45,7 +48,8 @@
   // A contiguous part of one range.
   struct RangePart
   {
-    std::size_t range_ = 0;
+    // First key of the range.
+    KeyNumber range_ = 0;
     KeyNumber first_ = 0;
     KeyNumber last_ = 0;
     double load_ = 0;
@@ -58,12 +62,14 @@
     std::string to_;
   };
 
+  // Builds the indexes of the ranges.
+  void IndexRanges();
   bool IsBalanced() const;
   // Whether a range may be split without exceeding the limit on the number of ranges.
-  bool CanSplit() const { return ownership_.ranges_.size() < limits_.maxRanges_; }
-  // Whether the range may be moved away from aServer to balance load: aServer owns it, no former
-  // owner has yet to release it, and it is not in its cooldown.
-  bool IsMovable(const KeyRange& aRange, const std::string& aServer) const;
+  bool CanSplit() const { return ranges_.size() < limits_.maxRanges_; }
+  // Whether the range may be moved away from its owner to balance load: no former owner has yet to
+  // release it, and it is not in its cooldown.
+  bool IsMovable(const KeyRange& aRange) const;
   // The move off the most loaded server that improves the balance most; no value when no move gains
   // enough to justify the interruption of its keys.
   std::optional<Move> ChooseMove() const;
@@ -71,7 +77,7 @@
   std::optional<RangePart> FindBestPart(const std::string& aServer, double aMaxLoad) const;
   // The longest prefix of a range with a load of at most aMost; no value when the first key alone
   // exceeds it.
-  std::optional<RangePart> LongestPrefix(std::size_t aRange, double aMaxLoad) const;
+  std::optional<RangePart> LongestPrefix(const KeyRange& aRange, double aMaxLoad) const;
   // The single key of aServer with the highest load of at most aMost, as a part of its range.
   std::optional<RangePart> FindHottestKey(const std::string& aServer, double aMaxLoad) const;
   // Applies the move to the ownership and to the accounted load of both servers.
@@ -79,12 +85,22 @@
   // Assigns part of a range to another server under a new fence; the remainder keeps its owner and
   // fence.
   void Reassign(const RangePart& aPart, const std::string& aTo);
+  void Insert(KeyRange aRange);
+  // The first keys of the server's ranges.
+  const std::set<KeyNumber>& RangesOf(const std::string& aServer) const;
+  // The ownership with the moves made.
+  KeyOwnership TakeResult();
   // Merges adjacent ranges of one owner under a new fence. The owner keeps serving the keys under
   // either fence, so the merge does not interrupt them.
-  void MergeAdjacentRanges();
+  static void MergeAdjacentRanges(KeyOwnership& aOwnership);
 
-  // The ownership with the moves made so far.
-  KeyOwnership ownership_;
+  const KeyOwnership& ownership_;
+  // The ranges with the moves made so far, by their first key.
+  std::map<KeyNumber, KeyRange> ranges_;
+  // The first keys of each server's ranges, by owner.
+  std::map<std::string, std::set<KeyNumber>> rangesOf_;
+  // The highest fence issued so far.
+  FenceNumber lastFence_ = 0;
   LoadDistribution distribution_;
   const KeyLoad& load_;
   BalanceLimits limits_;
--- a/Libraries/LibKeys/KeyBalancer.cpp
+++ b/Libraries/LibKeys/KeyBalancer.cpp
@@ -30,7 +30,7 @@
 KeyOwnership
 KeyBalancer::AssignAll(const std::string& aService,
                        FenceNumber aLastFence,
-                       const std::vector<KeyServer>& aServers)
+                       const KeyServers& aServers)
 {
   KeyOwnership ownership;
   ownership.service_ = aService;
@@ -57,18 +57,23 @@
 
 std::optional<KeyOwnership>
 KeyBalancer::ReplaceOwners(const KeyOwnership& aOwnership,
-                           const std::vector<KeyServer>& aServers,
+                           const KeyServers& aServers,
                            const KeyLoad& aLoad)
 {
+  // A range whose former owner may still hold it is reassigned only once that owner is cleared.
+  const auto isReplaced = [&](const KeyRange& aRange) {
+    return aRange.previous_.empty() && aServers.FindUsable(aRange.owner_) == nullptr;
+  };
+  if (std::none_of(aOwnership.ranges_.begin(), aOwnership.ranges_.end(), isReplaced)) {
+    return std::nullopt;
+  }
   LoadDistribution distribution(aOwnership, aServers, aLoad);
   if (distribution.IsEmpty()) {
     return std::nullopt;
   }
   auto next = aOwnership;
-  bool isChanged = false;
   for (auto& range : next.ranges_) {
-    // A range whose former owner may still hold it is reassigned only once that owner is cleared.
-    if (FindUsable(aServers, range.owner_) != nullptr || !range.previous_.empty()) {
+    if (!isReplaced(range)) {
       continue;
     }
     const auto to = distribution.LeastLoaded();
@@ -76,14 +81,13 @@
     range.previous_ = range.owner_;
     range.owner_ = to;
     range.fence_ = ++next.lastFence_;
-    isChanged = true;
   }
-  return isChanged ? std::optional(std::move(next)) : std::nullopt;
+  return next;
 }
 
 std::optional<KeyOwnership>
 KeyBalancer::Rebalance(const KeyOwnership& aOwnership,
-                       const std::vector<KeyServer>& aServers,
+                       const KeyServers& aServers,
                        const KeyLoad& aLoad,
                        FenceNumber aMaxMovableFence) const
 {
--- a/Libraries/LibKeys/KeyBalancer.h
+++ b/Libraries/LibKeys/KeyBalancer.h
@@ -32,18 +32,18 @@
   // usable.
   static KeyOwnership AssignAll(const std::string& aService,
                                 FenceNumber aLastFence,
-                                const std::vector<KeyServer>& aServers);
+                                const KeyServers& aServers);
 
   // Reassigns the ranges of unusable servers to the least loaded usable ones. No value when nothing
   // changes or no server is usable.
   static std::optional<KeyOwnership> ReplaceOwners(const KeyOwnership& aOwnership,
-                                                   const std::vector<KeyServer>& aServers,
+                                                   const KeyServers& aServers,
                                                    const KeyLoad& aLoad);
 
   // Rebalances the load in one BalanceRound. Ranges with a fence above aMaxMovableFence moved
   // recently and stay. No value when the load is balanced or no move is possible.
   std::optional<KeyOwnership> Rebalance(const KeyOwnership& aOwnership,
-                                        const std::vector<KeyServer>& aServers,
+                                        const KeyServers& aServers,
                                         const KeyLoad& aLoad,
                                         FenceNumber aMaxMovableFence) const;
 
--- a/Libraries/LibKeys/KeyServer.h
+++ b/Libraries/LibKeys/KeyServer.h
@@ -2,6 +2,8 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace latchslip {
@@ -20,8 +22,31 @@
   std::uint64_t incarnation_ = 0;
 };
 
-// The server with that id; null when it is not listed or not usable.
-const KeyServer*
-FindUsable(const std::vector<KeyServer>& aServers, const std::string& aId);
+// The listed servers of a service, usable or not, in the order given, with an index by id. Cannot
+// be copied, because the index refers to the ids.
+class KeyServers
+{
+public:
+  KeyServers() = default;
+  // Not explicit: a list of servers is a set of them.
+  KeyServers(std::vector<KeyServer> aServers);
+  ~KeyServers() = default;
+  KeyServers(KeyServers&&) = default;
+  KeyServers& operator=(KeyServers&&) = default;
+  KeyServers(const KeyServers&) = delete;
+  KeyServers& operator=(const KeyServers&) = delete;
+
+  // The server with that id; null when it is not listed or not usable.
+  const KeyServer* FindUsable(std::string_view aId) const;
+
+  std::size_t size() const { return servers_.size(); }
+  auto begin() const { return servers_.begin(); }
+  auto end() const { return servers_.end(); }
+
+private:
+  std::vector<KeyServer> servers_;
+  // Positions in servers_ by id.
+  std::unordered_map<std::string_view, std::size_t> positions_;
+};
 
 } // namespace latchslip
--- a/Libraries/LibKeys/LoadDistribution.cpp
+++ b/Libraries/LibKeys/LoadDistribution.cpp
@@ -1,6 +1,5 @@
 #include "LibKeys/LoadDistribution.h"
 
-#include <algorithm>
 #include <cmath>
 
 namespace latchslip {
@@ -15,7 +14,7 @@
 } // namespace
 
 LoadDistribution::LoadDistribution(const KeyOwnership& aOwnership,
-                                   const std::vector<KeyServer>& aServers,
+                                   const KeyServers& aServers,
                                    const KeyLoad& aLoad)
   : requestCount_(aLoad.RequestCount())
 {
@@ -26,26 +25,50 @@
     }
   }
   for (const auto& range : aOwnership.ranges_) {
-    Add(range.owner_, aLoad.Between(range.first_, range.last_));
+    const double load = aLoad.Between(range.first_, range.last_);
+    if (const auto entry = servers_.find(range.owner_); entry != servers_.end()) {
+      entry->second.load_ += load;
+    }
+    totalLoad_ += load;
   }
+  InsertRanks();
 }
 
 void
-LoadDistribution::Add(const std::string& aServer, double aLoad)
+LoadDistribution::InsertRanks()
 {
-  if (const auto entry = servers_.find(aServer); entry != servers_.end()) {
-    entry->second.load_ += aLoad;
+  double highest = 0;
+  for (const auto& [server, entry] : servers_) {
+    byLevel_.emplace(entry.Level(), server);
+    candidates_.emplace(-entry.Level(), server);
+    if (highestWeight_.empty() || entry.weight_ > highest) {
+      highestWeight_ = server;
+      highest = entry.weight_;
+    }
   }
+}
+
+void
+LoadDistribution::Add(const std::string& aServer, double aLoad)
+{
   totalLoad_ += aLoad;
+  const auto entry = servers_.find(aServer);
+  if (entry == servers_.end()) {
+    return;
+  }
+  byLevel_.erase({ entry->second.Level(), aServer });
+  const bool isCandidate = candidates_.erase({ -entry->second.Level(), aServer }) > 0;
+  entry->second.load_ += aLoad;
+  byLevel_.emplace(entry->second.Level(), aServer);
+  if (isCandidate) {
+    candidates_.emplace(-entry->second.Level(), aServer);
+  }
 }
 
-std::string
-LoadDistribution::HighestWeight() const
+void
+LoadDistribution::Exclude(const std::string& aServer)
 {
-  const auto weaker = [](const auto& aLeft, const auto& aRight) {
-    return aLeft.second.weight_ < aRight.second.weight_;
-  };
-  return std::max_element(servers_.begin(), servers_.end(), weaker)->first;
+  candidates_.erase({ -servers_.at(aServer).Level(), aServer });
 }
 
 double
@@ -80,28 +103,4 @@
   return std::sqrt(mean / 2);
 }
 
-std::string
-LoadDistribution::LeastLoaded() const
-{
-  const auto lower = [](const auto& aLeft, const auto& aRight) {
-    return aLeft.second.Level() < aRight.second.Level();
-  };
-  return std::min_element(servers_.begin(), servers_.end(), lower)->first;
-}
-
-std::string
-LoadDistribution::MostLoaded() const
-{
-  const std::string* most = nullptr;
-  double highest = 0;
-  for (const auto& [server, entry] : servers_) {
-    const double level = entry.Level();
-    if (!excluded_.contains(server) && (most == nullptr || level > highest)) {
-      most = &server;
-      highest = level;
-    }
-  }
-  return *most;
-}
-
 } // namespace latchslip
--- a/Libraries/LibKeys/OwnershipPlacer.cpp
+++ b/Libraries/LibKeys/OwnershipPlacer.cpp
@@ -121,7 +121,7 @@
 }
 
 void
-OwnershipPlacer::SetServers(Instant aNow, std::vector<KeyServer> aServers)
+OwnershipPlacer::SetServers(Instant aNow, KeyServers aServers)
 {
   if (aServers.size() != servers_.size()) {
     serversChangedAt_ = aNow;
@@ -131,7 +131,7 @@
 }
 
 void
-OwnershipPlacer::DetectRestarts(const std::vector<KeyServer>& aServers)
+OwnershipPlacer::DetectRestarts(const KeyServers& aServers)
 {
   for (const auto& server : aServers) {
     if (server.incarnation_ == 0) {
@@ -305,10 +305,12 @@
   for (std::size_t index = 0; index < committed_.ranges_.size(); ++index) {
     const auto& range = committed_.ranges_[index];
     const auto& state = states_[index];
+    if (range.previous_.empty()) {
+      continue;
+    }
     // An owner that has since been lost is not waited for; its range is reassigned next.
-    const bool isOwnerLost = FindUsable(servers_, range.owner_) == nullptr;
-    const bool isSettled = state.isGranted_ || (state.isCleared_ && isOwnerLost);
-    if (range.previous_.empty() || !isSettled) {
+    const bool isOwnerLost = servers_.FindUsable(range.owner_) == nullptr;
+    if (!state.isGranted_ && !(state.isCleared_ && isOwnerLost)) {
       continue;
     }
     if (!next) {
@@ -427,7 +429,7 @@
 void
 OwnershipPlacer::SendGrant(Instant aNow, const KeyRange& aRange, RangeState& aState)
 {
-  const auto* server = FindUsable(servers_, aRange.owner_);
+  const auto* server = servers_.FindUsable(aRange.owner_);
   if (server == nullptr) {
     aState.nextCommandAt_ = aNow + kCommandRetryDelay;
     return;
--- a/Libraries/LibKeys/OwnershipPlacer.h
+++ b/Libraries/LibKeys/OwnershipPlacer.h
@@ -69,7 +69,7 @@
   // duration.
   void OnFormerPlacerStopped(Instant aNow);
   // Sets the listed servers of the service, usable or not. Their incarnations reveal restarts.
-  void SetServers(Instant aNow, std::vector<KeyServer> aServers);
+  void SetServers(Instant aNow, KeyServers aServers);
   // Adds the requests per key from the load report of one instance.
   void OnLoad(Instant aNow, const std::vector<KeyCount>& aCounts) { load_.Add(aNow, aCounts); }
   // The outstanding write succeeded.
@@ -112,7 +112,7 @@
   // cooldown.
   FenceNumber MaxMovableFence(Instant aNow);
   // Detects servers that have restarted under the same id.
-  void DetectRestarts(const std::vector<KeyServer>& aServers);
+  void DetectRestarts(const KeyServers& aServers);
   // Removes from restarted_ the servers all of whose ranges get a higher fence in the ownership
   // just written.
   void DropRaisedServers();
@@ -148,7 +148,7 @@
   EventSink& events_;
   KeyBalancer balancer_;
   KeyLoad load_;
-  std::vector<KeyServer> servers_;
+  KeyServers servers_;
   // Last known incarnation by server id. Includes unlisted servers, since they may return.
   std::map<std::string, std::uint64_t> incarnations_;
   // Restarted servers whose ranges still need a higher fence, by id.
