LibFleet, LibKeys: Do not walk all servers or ranges for each report, grant and server

Found by reading each step of the loop: - whether a server has ended was searched in all records, for each server, twenty times a second (the square of the servers); ServerDirectory now keeps the revisions at each address; - each report walked all servers to drop those that are gone; now once in 0.2 s; - each acknowledged grant walked all ranges, twice; now those of the command, and those of its server while bounds of a former placer are left; - each instance compared all its ranges with all changes; now in one pass, as both are sorted; - the servers and their weights were gathered twenty times a second; now when the directory changes, and twice a second.

--- a/Benchmarks/BenchGateway.cpp
+++ b/Benchmarks/BenchGateway.cpp
@@ -176,7 +176,7 @@
     static_cast<double>(SerializeOwnership(ownership).size()) /
     static_cast<double>(ownership.ranges_.size());
 }
-BENCHMARK(BM_EvenOutKeys)->Arg(10)->Arg(100)->Arg(400);
+BENCHMARK(BM_EvenOutKeys)->Arg(10)->Arg(100)->Arg(400)->Arg(1000)->Arg(3000);
 
 } // namespace
 
--- a/Libraries/LibFleet/FleetMember.cpp
+++ b/Libraries/LibFleet/FleetMember.cpp
@@ -214,6 +214,15 @@
   const bool isListedAsLeaving = view_.Directory().Find(aServer)->isLeaving_;
   events_.Record(Event::ServerToldLeaving,
                  "server=" + aServer + " listed_so=" + (isListedAsLeaving ? "true" : "false"));
+  OnDirectoryChanged();
+}
+
+void
+FleetMember::OnDirectoryChanged()
+{
+  for (const auto& [service, placer] : placers_) {
+    placer->nextServersAt_ = Instant::min();
+  }
   actions_.OnDirectoryChanged();
 }
 
@@ -230,7 +239,7 @@
   if (view_.Directory().Expire(aNow)) {
     events_.Record(Event::ServerUnlisted,
                    "servers=" + std::to_string(view_.Directory().All().size()));
-    actions_.OnDirectoryChanged();
+    OnDirectoryChanged();
   }
   if (!isStoreLost_ && writes_.empty() && election_.ShouldClaim(aNow)) {
     ClaimPlacerRole();
--- a/Libraries/LibFleet/FleetMember.h
+++ b/Libraries/LibFleet/FleetMember.h
@@ -187,7 +187,7 @@
 
   // FleetViewListener.
   void OnRoutes(Instant aNow, std::shared_ptr<const RouteTable> aRoutes) override;
-  void OnDirectoryChanged() override { actions_.OnDirectoryChanged(); }
+  void OnDirectoryChanged() override;
   void OnOwnership(const KeyOwnership& aOwnership) override { actions_.OnOwnership(aOwnership); }
   void OnPlacer(Instant aNow, const std::optional<PlacerRow>& aPlacer) override;
 
--- a/Libraries/LibFleet/FleetMemberPlacer.cpp
+++ b/Libraries/LibFleet/FleetMemberPlacer.cpp
@@ -18,6 +18,8 @@
 constexpr Duration kTablesResendInterval = seconds(2);
 // Delay before a failed write is retried.
 constexpr Duration kWriteRetryDelay = milliseconds(200);
+// Interval between estimates of the servers' weights; keys are moved by them at most as often.
+constexpr Duration kServersRefreshInterval = milliseconds(500);
 // All instances of a fleet have reported to its placer within this time.
 constexpr Duration kSizeSettleTime = seconds(2);
 // Bound on the factor between a server's speed and the median, so that a noisy mean cannot remove
@@ -101,7 +103,10 @@
   for (const auto& [service, placer] : placers_) {
     if (aNow >= placer->placer_.NextTime()) {
       placer->placer_.SetEpoch(view_.Epoch());
-      placer->placer_.SetServers(aNow, KeyServersOf(aNow, service));
+      if (aNow >= placer->nextServersAt_) {
+        placer->nextServersAt_ = aNow + kServersRefreshInterval;
+        placer->placer_.SetServers(aNow, KeyServersOf(aNow, service));
+      }
       placer->placer_.OnTime(aNow, !isStoreLost_);
     }
   }
--- a/Libraries/LibFleet/FleetMemberReports.cpp
+++ b/Libraries/LibFleet/FleetMemberReports.cpp
@@ -25,8 +25,8 @@
 constexpr Duration kStoreContactTime = milliseconds(1500);
 // An instance that has not reported for this long is removed from the roster.
 constexpr Duration kRemovalTimeout = seconds(4);
-// Interval between searches for such instances: one at each report would cost a placer of 295
-// instances as many steps as their count squared every 0.8 s.
+// Interval between searches for such instances, and for servers that are no longer listed: one at
+// each report would cost a placer as many steps as the square of their number.
 constexpr Duration kRemovalInterval = milliseconds(200);
 
 } // namespace
@@ -100,6 +100,8 @@
   if (aNow >= nextRemovalAt_) {
     nextRemovalAt_ = aNow + kRemovalInterval;
     RemoveSilentInstances(aNow);
+    speeds_.Keep(
+      [this](const std::string& aServer) { return view_.Directory().Find(aServer) != nullptr; });
   }
 }
 
@@ -165,8 +167,6 @@
   for (const auto& [server, work] : aWork) {
     speeds_.Add(aNow, server, work);
   }
-  speeds_.Keep(
-    [this](const std::string& aServer) { return view_.Directory().Find(aServer) != nullptr; });
 }
 
 void
--- a/Libraries/LibFleet/ServicePlacer.h
+++ b/Libraries/LibFleet/ServicePlacer.h
@@ -39,6 +39,9 @@
   void Write(const KeyOwnership& aOwnership) override { member_.QueueWrite(aOwnership); }
 
   OwnershipPlacer placer_;
+  // When the placer is next given the servers. Their weights change slowly; a change of the
+  // directory makes it due at once.
+  Instant nextServersAt_ = Instant::min();
 
 private:
   FleetMember& member_;
--- a/Libraries/LibGateway/ServerDirectory.cpp
+++ b/Libraries/LibGateway/ServerDirectory.cpp
@@ -64,10 +64,24 @@
     aRecord.slowStartUntil_ = aNow + aRecord.slowStartLeft_;
   }
   removals_.erase(aRecord.id_);
+  if (const auto* listed = Find(aRecord.id_)) {
+    DropRevision(*listed);
+  }
+  revisionsAt_[aRecord.address_].emplace(aRecord.revision_, aRecord.id_);
   auto id = aRecord.id_;
   records_.insert_or_assign(std::move(id), std::move(aRecord));
 }
 
+void
+ServerDirectory::DropRevision(const ServerRecord& aRecord)
+{
+  const auto revisions = revisionsAt_.find(aRecord.address_);
+  revisions->second.erase({ aRecord.revision_, aRecord.id_ });
+  if (revisions->second.empty()) {
+    revisionsAt_.erase(revisions);
+  }
+}
+
 bool
 ServerDirectory::RecordLeaving(Instant aNow, const std::string& aId, std::uint64_t aIncarnation)
 {
@@ -257,6 +271,7 @@
       });
     droppedRecords_.erase(oldest);
   }
+  DropRevision(aRecord->second);
   // The record of an earlier listing is obsolete.
   droppedRecords_.erase(aRecord->first);
   droppedRecords_.insert(records_.extract(aRecord));
@@ -266,12 +281,15 @@
 ServerDirectory::HasEnded(std::string_view aId) const
 {
   const auto* record = FindAny(aId);
-  return record != nullptr &&
-         std::any_of(records_.begin(), records_.end(), [&](const auto& aEntry) {
-           const auto& other = aEntry.second;
-           return other.address_ == record->address_ && other.id_ != record->id_ &&
-                  other.revision_ > record->revision_;
-         });
+  if (record == nullptr) {
+    return false;
+  }
+  const auto revisions = revisionsAt_.find(record->address_);
+  if (revisions == revisionsAt_.end()) {
+    return false;
+  }
+  const auto& [latest, id] = *revisions->second.rbegin();
+  return latest > record->revision_ && id != record->id_;
 }
 
 } // namespace latchslip
--- a/Libraries/LibGateway/ServerDirectory.h
+++ b/Libraries/LibGateway/ServerDirectory.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace latchslip {
@@ -109,8 +110,12 @@
   // Applies all deferred changes; returns whether there were any.
   bool ApplyDeferred(Instant aNow);
   void DropRecord(std::map<std::string, ServerRecord, std::less<>>::iterator aRecord);
+  // Removes a listed record from revisionsAt_.
+  void DropRevision(const ServerRecord& aRecord);
 
   std::map<std::string, ServerRecord, std::less<>> records_;
+  // The revisions and ids of the listed servers by address, oldest first.
+  std::map<std::string, std::set<std::pair<std::uint64_t, std::string>>, std::less<>> revisionsAt_;
   // The most recently dropped records.
   std::map<std::string, ServerRecord, std::less<>> droppedRecords_;
   std::set<std::string> drainedHalls_;
--- a/Libraries/LibKeys/KeyOwnership.cpp
+++ b/Libraries/LibKeys/KeyOwnership.cpp
@@ -119,20 +119,23 @@
   KeyOwnership result{ aOld.service_, std::max(aOld.lastFence_, aChanges.lastFence_), {}, 0 };
   result.epoch_ = std::max(aOld.epoch_, aChanges.epoch_);
   result.ranges_ = aChanges.ranges_;
+  auto change = aChanges.ranges_.begin();
   for (const auto& range : aOld.ranges_) {
     // Keep the parts of this range that no change covers.
     KeyNumber next = range.first_;
-    for (const auto& change : aChanges.ranges_) {
-      if (change.last_ < next || change.first_ > range.last_) {
-        continue;
-      }
-      if (change.first_ > next) {
+    while (change != aChanges.ranges_.end() && change->last_ < next) {
+      ++change;
+    }
+    for (auto covering = change;
+         covering != aChanges.ranges_.end() && covering->first_ <= range.last_;
+         ++covering) {
+      if (covering->first_ > next) {
         auto piece = range;
         piece.first_ = next;
-        piece.last_ = change.first_ - 1;
+        piece.last_ = covering->first_ - 1;
         result.ranges_.push_back(std::move(piece));
       }
-      next = change.last_ + 1;
+      next = covering->last_ + 1;
     }
     if (next <= range.last_) {
       auto piece = range;
--- a/Libraries/LibKeys/KeyOwnership.h
+++ b/Libraries/LibKeys/KeyOwnership.h
@@ -74,7 +74,7 @@
 ChangesBetween(const KeyOwnership& aOld, const KeyOwnership& aNew);
 
 // Applies the result of ChangesBetween to aOld: keys in aChanges get their new owner, all other
-// keys keep theirs.
+// keys keep theirs. Both must be sorted.
 KeyOwnership
 Overlay(const KeyOwnership& aOld, const KeyOwnership& aChanges);
 
--- a/Libraries/LibKeys/LeaseBounds.h
+++ b/Libraries/LibKeys/LeaseBounds.h
@@ -35,6 +35,11 @@
   // acknowledged fences of this placer on all ranges that it owns and has released all others:
   // earlier grants are then superseded, and late ones fail against the higher fence.
   void DropFormer(const std::string& aServer);
+  // Whether there are bounds that DropFormer would drop.
+  bool HasFormer(const std::string& aServer) const
+  {
+    return formerGrants_.contains(aServer) || uncertainLeases_.contains(aServer);
+  }
 
   // The time by which all grants of these keys to the server have expired; Instant::min() when
   // there are none.
--- a/Libraries/LibKeys/OwnershipPlacer.cpp
+++ b/Libraries/LibKeys/OwnershipPlacer.cpp
@@ -161,6 +161,20 @@
   }
   committed_ = std::move(aOwnership);
   states_ = std::move(states);
+  IndexServers();
+}
+
+void
+OwnershipPlacer::IndexServers()
+{
+  positionsOf_.clear();
+  for (std::size_t index = 0; index < committed_.ranges_.size(); ++index) {
+    const auto& range = committed_.ranges_[index];
+    positionsOf_[range.owner_].push_back(index);
+    if (!range.previous_.empty()) {
+      positionsOf_[range.previous_].push_back(index);
+    }
+  }
 }
 
 bool
@@ -344,21 +358,23 @@
 void
 OwnershipPlacer::DropFormerBounds(const std::string& aServer)
 {
-  if (hasFormerFences_) {
+  if (hasFormerFences_ || !leaseBounds_.HasFormer(aServer)) {
     return;
   }
-  for (std::size_t index = 0; index < committed_.ranges_.size(); ++index) {
-    const auto& range = committed_.ranges_[index];
-    const auto& state = states_[index];
+  const auto isOpen = [&](std::size_t aIndex) {
+    const auto& range = committed_.ranges_[aIndex];
+    const auto& state = states_[aIndex];
     const bool isUnconfirmed = range.owner_ == aServer && !state.isGranted_;
     // The server still holds such a range under the former placer's grant. With more ranges than
     // commands may be outstanding, some releases are sent after all of the server's grants.
     const bool isUnreleased = range.previous_ == aServer && !state.isCleared_;
-    if (isUnconfirmed || isUnreleased) {
-      return;
-    }
+    return isUnconfirmed || isUnreleased;
+  };
+  const auto positions = positionsOf_.find(aServer);
+  if (positions == positionsOf_.end() ||
+      std::none_of(positions->second.begin(), positions->second.end(), isOpen)) {
+    leaseBounds_.DropFormer(aServer);
   }
-  leaseBounds_.DropFormer(aServer);
 }
 
 void
@@ -452,15 +468,6 @@
   actions_.SendCommand(command);
 }
 
-OwnershipPlacer::RangeState*
-OwnershipPlacer::FindState(CommandNumber aCommand)
-{
-  const auto state = std::find_if(states_.begin(), states_.end(), [&](const RangeState& aState) {
-    return aState.command_ == aCommand;
-  });
-  return state == states_.end() ? nullptr : &*state;
-}
-
 void
 OwnershipPlacer::OnCommandEnded(Instant aNow,
                                 CommandNumber aCommand,
@@ -474,15 +481,7 @@
   if (!command.isRelease_) {
     ExtendLeaseBound(aNow, command, aOutcome.end_);
   }
-  // NOTE: When a range is split while its command is outstanding, each part inherits the state.
-  for (auto* state = FindState(aCommand); state != nullptr; state = FindState(aCommand)) {
-    state->command_ = 0;
-    if (command.isRelease_) {
-      OnReleaseEnded(aNow, *state, aOutcome);
-    } else {
-      OnGrantEnded(aNow, *state, aOutcome.end_);
-    }
-  }
+  ApplyCommandEnd(aNow, command, aOutcome);
   if (!command.isRelease_ && aOutcome.end_ == CommandStatus::Done) {
     DropFormerBounds(command.server_);
   }
@@ -490,6 +489,31 @@
   nextTime_ = aNow;
 }
 
+// A range keeps the state of its command only while it lies within the range of that command.
+void
+OwnershipPlacer::ApplyCommandEnd(Instant aNow,
+                                 const KeyCommand& aCommand,
+                                 const CommandOutcome& aOutcome)
+{
+  const auto& ranges = committed_.ranges_;
+  const auto first = std::lower_bound(
+    ranges.begin(), ranges.end(), aCommand.first_, [](const KeyRange& aRange, KeyNumber aKey) {
+      return aRange.first_ < aKey;
+    });
+  for (auto range = first; range != ranges.end() && range->last_ <= aCommand.last_; ++range) {
+    auto& state = states_[static_cast<std::size_t>(range - ranges.begin())];
+    if (state.command_ != aCommand.number_) {
+      continue;
+    }
+    state.command_ = 0;
+    if (aCommand.isRelease_) {
+      OnReleaseEnded(aNow, state, aOutcome);
+    } else {
+      OnGrantEnded(aNow, state, aOutcome.end_);
+    }
+  }
+}
+
 void
 OwnershipPlacer::OnReleaseEnded(Instant aNow, RangeState& aState, const CommandOutcome& aOutcome)
 {
--- a/Libraries/LibKeys/OwnershipPlacer.h
+++ b/Libraries/LibKeys/OwnershipPlacer.h
@@ -16,6 +16,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace latchslip {
@@ -138,9 +139,10 @@
   void RecordCommandEnd(const KeyCommand& aCommand, CommandStatus aEnd);
   // Records until when the server may hold the keys after a grant that ended in aEnd.
   void ExtendLeaseBound(Instant aNow, const KeyCommand& aGrant, CommandStatus aEnd);
-  // The state of a range that waits for this command; null when there is none. A range that was
-  // split has several.
-  RangeState* FindState(CommandNumber aCommand);
+  // Applies the end of a command to the ranges that wait for it: several if the range was split.
+  void ApplyCommandEnd(Instant aNow, const KeyCommand& aCommand, const CommandOutcome& aOutcome);
+  // Builds positionsOf_ for the committed ranges.
+  void IndexServers();
 
   std::string service_;
   OwnershipPlacerSettings settings_;
@@ -157,6 +159,8 @@
   KeyOwnership committed_;
   // Parallel to committed_.ranges_.
   std::vector<RangeState> states_;
+  // Positions in committed_.ranges_ by server: the ranges that it owns or has yet to release.
+  std::unordered_map<std::string, std::vector<std::size_t>> positionsOf_;
   // The outstanding write.
   std::optional<KeyOwnership> writing_;
   OutstandingCommands commands_;
