LibDaemon, LibFleet: Serialize the answer to a burst of fetches once

What callers saw: as with the placer; here old configurations at the instances that depend on a reader that is held.

Cause: each instance that starts fetches all tables from a reader of its hall, which built, serialized and compressed them anew for each.

A large answer is now kept in its serialized form for half a second, by the versions of the caller and of this instance, and serves all that ask the same. A proof of the configuration is left out of such an answer, since its age would be wrong in a later one; the next answer brings it.

--- a/Libraries/LibDaemon/PeerRpc.cpp
+++ b/Libraries/LibDaemon/PeerRpc.cpp
@@ -26,6 +26,9 @@
 constexpr std::size_t kMinDeflateBytes = 1024;
 // Upper bound of a decompressed update; the tables of 10,000 servers are about 3 MB.
 constexpr std::size_t kMaxUpdateBytes = 64UL * 1024 * 1024;
+// Answers to fetches with at least this many rows are cached; shorter ones take less than a
+// millisecond.
+constexpr std::size_t kMinCachedRows = 100;
 constexpr std::size_t kMaxConnections = 4;
 constexpr unsigned kOk = 200;
 constexpr unsigned kBadRequest = 400;
@@ -51,6 +54,20 @@
   return ParseUpdate(text);
 }
 
+// The number of rows and of ranges of keys in an update.
+std::size_t
+CountRows(const FleetUpdate& aUpdate)
+{
+  std::size_t rows = 0;
+  for (const auto& view : aUpdate.views_) {
+    rows += view.rows_.size();
+  }
+  for (const auto& update : aUpdate.owners_) {
+    rows += update.ownership_.ranges_.size();
+  }
+  return rows;
+}
+
 HttpRequest
 MakePost(std::string_view aPath, std::string aBody)
 {
@@ -234,14 +251,32 @@
 }
 
 HttpResponse
-PeerRpc::HandleFetch(const HttpRequest& aRequest) const
+PeerRpc::HandleFetch(const HttpRequest& aRequest)
 {
   const LoopTaskScope task(tasks_, LoopTask::AnswerFetch);
   const auto versions = ParseVersions(*aRequest.body_);
   if (!versions) {
     return MakeHttpResponse(kBadRequest, versions.error().Describe());
   }
-  return MakeHttpResponse(kOk, PackUpdate(member_.UpdateSince(MonotonicNow(), versions.value())));
+  const auto now = MonotonicNow();
+  const auto key = member_.KeyOfUpdateSince(versions.value());
+  HttpResponse response = MakeHttpResponse(kOk, "");
+  if (auto known = updateCache_.Find(now, key)) {
+    response.body_ = std::move(known);
+    return response;
+  }
+  auto update = member_.UpdateSince(now, versions.value());
+  const bool isCached = CountRows(update) >= kMinCachedRows;
+  if (isCached) {
+    // The age of a proof would be wrong in a later answer; the caller gets one with the next
+    // answer to a report or fetch.
+    update.proof_.reset();
+  }
+  response.body_ = std::make_shared<const std::string>(PackUpdate(update));
+  if (isCached) {
+    updateCache_.Put(now, key, response.body_);
+  }
+  return response;
 }
 
 } // namespace latchslip
--- a/Libraries/LibDaemon/PeerRpc.h
+++ b/Libraries/LibDaemon/PeerRpc.h
@@ -3,6 +3,7 @@
 #include "LibBase/LoopTask.h"
 #include "LibFleet/FleetMember.h"
 #include "LibFleet/UnresponsivePeers.h"
+#include "LibFleet/UpdateCache.h"
 #include "LibNet/HttpClient.h"
 #include "LibNet/HttpServer.h"
 
@@ -48,13 +49,14 @@
   HttpResponse HandleReport(const HttpRequest& aRequest);
   HttpResponse HandleUsage(const HttpRequest& aRequest);
   HttpResponse HandleUpdate(const HttpRequest& aRequest);
-  HttpResponse HandleFetch(const HttpRequest& aRequest) const;
+  HttpResponse HandleFetch(const HttpRequest& aRequest);
 
   FleetMember& member_;
   LoopTaskObserver& tasks_;
   MetricsPage metrics_;
   std::unique_ptr<HttpClient> client_;
   UnresponsivePeers unresponsivePeers_;
+  UpdateCache updateCache_;
 };
 
 } // namespace latchslip
--- a/Libraries/LibFleet/FleetMember.cpp
+++ b/Libraries/LibFleet/FleetMember.cpp
@@ -87,14 +87,25 @@
 {
   auto update = view_.UpdateSince(aVersions);
   update.proof_ = freshness_.CurrentProof(aNow);
-  const bool isPolling = pollMode_ != StorePollMode::Off && pollMode_ != StorePollMode::Starting;
-  if (isPolling) {
-    update.storeReachability_ =
-      isStoreLost_ ? StoreReachability::Unreachable : StoreReachability::Reachable;
-  }
+  update.storeReachability_ = Reachability();
   return update;
 }
 
+UpdateKey
+FleetMember::KeyOfUpdateSince(const TableVersions& aVersions) const
+{
+  return { aVersions, view_.Versions(), Reachability() };
+}
+
+StoreReachability
+FleetMember::Reachability() const
+{
+  if (pollMode_ == StorePollMode::Off || pollMode_ == StorePollMode::Starting) {
+    return StoreReachability::NotPolling;
+  }
+  return isStoreLost_ ? StoreReachability::Unreachable : StoreReachability::Reachable;
+}
+
 void
 FleetMember::OnUpdateFetched(Instant aNow,
                              const std::optional<FleetUpdate>& aUpdate,
--- a/Libraries/LibFleet/FleetMember.h
+++ b/Libraries/LibFleet/FleetMember.h
@@ -10,6 +10,7 @@
 #include "LibFleet/ReaderPoller.h"
 #include "LibFleet/ServerSpeeds.h"
 #include "LibFleet/StartupDeadline.h"
+#include "LibFleet/UpdateCache.h"
 #include "LibKeys/OwnershipPlacer.h"
 #include "LibLimit/LimitCoordinator.h"
 #include "LibLimit/LimitEnforcer.h"
@@ -135,6 +136,8 @@
                         Duration aRoundTrip = Duration(0));
   // Returns everything newer than aVersions, for an instance that has those.
   FleetUpdate UpdateSince(Instant aNow, const TableVersions& aVersions) const;
+  // Identifies the tables in the result of UpdateSince.
+  UpdateKey KeyOfUpdateSince(const TableVersions& aVersions) const;
   // Handles an update pushed by another instance.
   void OnUpdate(Instant aNow, const FleetUpdate& aUpdate);
   // Result of FleetActions::FetchUpdate; no value if no response arrived. aFrom is the address that
@@ -201,6 +204,8 @@
   // Whether readers poll the store on behalf of this instance.
   bool DependsOnReaders() const;
   FleetPeer SelfAsPeer() const;
+  // Whether this instance reaches the store, as others are told.
+  StoreReachability Reachability() const;
   // Pushes an update to the instances of this instance's data hall.
   void SendUpdateToHall(const FleetUpdate& aUpdate);
   // Requests updates from a reader while the placer cannot be relied on.
