LibKeys: Split keys into no more ranges than a placer can renew

Cause: each range costs a command every 1.7 s, and up to eight ranges a server were made. Rounds that cost the square of the servers had hidden that; with short rounds 946 servers had 3,477 ranges after 32 s without a fault, 2,100 renewals a second, and a takeover had to renew 4,248.

The number of ranges is now bounded by what can be renewed (1,500), and beyond by a quarter more than there are servers; services of up to 187 servers keep their eight ranges each.

Evidence: PlacerOfManyServers.HotKeysMoveOn_RangesStayFewEnoughToRenew failed before (4,346 ranges).

--- a/Libraries/LibKeys/KeyBalancer.cpp
+++ b/Libraries/LibKeys/KeyBalancer.cpp
@@ -16,10 +16,21 @@
 // No range is split further beyond this many ranges per server (but at least twice the number
 // above): each range costs a command at every renewal.
 constexpr std::size_t kMaxRangesPerServer = 8;
+// Nor beyond this many ranges in all, which a placer with a fifth of a processor can renew with
+// half of it; but a service with more servers may always split some.
+constexpr std::size_t kMaxRenewedRanges = 1500;
+constexpr std::size_t kServersPerSplit = 4;
 // One round may move one range per this many servers. Keys that become hot are neighbours, most of
 // them at one server, and their load exceeds what the other servers can absorb in a few moves.
 constexpr std::size_t kServersPerMove = 2;
 
+std::size_t
+MaxRanges(std::size_t aServers)
+{
+  const auto renewable = std::max(kMaxRenewedRanges, aServers + aServers / kServersPerSplit);
+  return std::max(2 * kInitialRanges, std::min(kMaxRangesPerServer * aServers, renewable));
+}
+
 } // namespace
 
 KeyBalancer::KeyBalancer(KeyBalancerSettings aSettings)
@@ -97,7 +108,7 @@
   }
   BalanceLimits limits;
   limits.tolerance_ = settings_.tolerance_;
-  limits.maxRanges_ = std::max(2 * kInitialRanges, kMaxRangesPerServer * aServers.size());
+  limits.maxRanges_ = MaxRanges(aServers.size());
   limits.maxMoves_ = std::max(settings_.minMoves_, aServers.size() / kServersPerMove);
   limits.maxMovableFence_ = aMaxMovableFence;
   return BalanceRound(aOwnership, std::move(distribution), aLoad, limits).Run();
--- a/Tests/LibKeys/TestManyServers.cpp
+++ b/Tests/LibKeys/TestManyServers.cpp
@@ -143,6 +143,18 @@
   EXPECT_LE(TimePerSecond(), kMaxTimePerSecond);
 }
 
+// Guards against a placer that spends its processor on renewals: each range costs a command every
+// 1.7 s.
+TEST_F(PlacerOfManyServers, HotKeysMoveOn_RangesStayFewEnoughToRenew)
+{
+  constexpr std::size_t kMaxRanges = 1500;
+  TakeOver(std::nullopt);
+  for (KeyNumber first = 1000; first < 60000; first += 6000) {
+    Pass(seconds(2), first, first + 3000, 400);
+  }
+  EXPECT_LE(stored_->ranges_.size(), kMaxRanges + 2);
+}
+
 // Guards against a loss of many servers that holds the placer while it gives their keys on.
 TEST_F(PlacerOfManyServers, ThirdOfTheServersIsLost_NoStepHoldsTheLoopForLong)
 {
