LibKeys: Keep the bound of the ranges when the hottest key is cut out

Evidence: HotKeysMoveOn_RangesStayFewEnoughToRenew, now with servers of two weights, failed before with 1,658 ranges where 1,502 are allowed.

--- a/Libraries/LibKeys/BalanceRound.cpp
+++ b/Libraries/LibKeys/BalanceRound.cpp
@@ -127,6 +127,13 @@
   return aRange.previous_.empty() && aRange.fence_ <= limits_.maxMovableFence_;
 }
 
+bool
+BalanceRound::IsWholeRange(const RangePart& aPart) const
+{
+  const auto& range = ranges_.at(aPart.range_);
+  return range.first_ == aPart.first_ && range.last_ == aPart.last_;
+}
+
 // The receiver is filled only up to the tolerance of its fair share, because load that it has
 // received cannot move on before the former owner has released it. A key that exceeds this limit is
 // moved on its own.
@@ -149,7 +156,8 @@
   }
   const auto strongest = distribution_.HighestWeight();
   const auto hottest = FindHottestKey(from, kAnyLoad);
-  if (hottest && distribution_.FitsBetter(from, strongest, hottest->load_)) {
+  if (hottest && (CanSplit() || IsWholeRange(*hottest)) &&
+      distribution_.FitsBetter(from, strongest, hottest->load_)) {
     return Move{ *hottest, strongest };
   }
   return std::nullopt;
--- a/Libraries/LibKeys/BalanceRound.h
+++ b/Libraries/LibKeys/BalanceRound.h
@@ -70,6 +70,7 @@
   // Whether the range may be moved away from its owner to balance load: no former owner has yet to
   // release it, and it is not in its cooldown.
   bool IsMovable(const KeyRange& aRange) const;
+  bool IsWholeRange(const RangePart& aPart) const;
   // The move off the most loaded server that improves the balance most; no value when no move gains
   // enough to justify the interruption of its keys.
   std::optional<Move> ChooseMove() const;
--- a/Tests/LibKeys/TestManyServers.cpp
+++ b/Tests/LibKeys/TestManyServers.cpp
@@ -39,7 +39,8 @@
   {
     for (std::size_t index = 0; index < kServers; ++index) {
       const auto id = "i-" + std::to_string(1000000 + index);
-      servers_.push_back({ id, "10.0.0.1:" + std::to_string(index), 4, true, 1 });
+      const double weight = index % 3 == 0 ? 6.4 : 2.8;
+      servers_.push_back({ id, "10.0.0.1:" + std::to_string(index), weight, true, 1 });
     }
   }
 
