LibDaemon: Hold back the signals that arrive while a program starts

What was seen: an instance that was starting got SIGHUP, to read its settings again, and was killed by it; SIGTERM in the same moment killed it in place of a planned stop.

Cause: the handlers stand only after the settings were read and the listeners opened; until then the default action of both signals is to kill. It is the class of a state that is announced by a signal before anybody can take it in. An ignored signal would be lost, and the settings were read before.

SIGHUP, SIGTERM and SIGINT are now blocked before the shared libraries are initialized (the section .preinit_array), stay pending, and are delivered once the handlers stand. latchslipd and the stand-ins do the same for SIGTERM and SIGINT; latchslipctl and latchslip-load have no handlers, and a signal ends them at any time.

--- a/Libraries/LibStandIn/ServeStandIn.cpp
+++ b/Libraries/LibStandIn/ServeStandIn.cpp
@@ -1,5 +1,7 @@
 #include "LibStandIn/ServeStandIn.h"
 
+#include "LibDaemon/StartupSignals.h"
+
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <iostream>
@@ -28,6 +30,7 @@
   }
   boost::asio::signal_set signals(aContext, SIGTERM, SIGINT);
   signals.async_wait([&](boost::system::error_code, int) { aContext.stop(); });
+  ReleaseStartupSignals();
   aContext.run();
   return 0;
 }
--- a/Services/Latchslipd/main.cpp
+++ b/Services/Latchslipd/main.cpp
@@ -1,4 +1,5 @@
 #include "LibDaemon/InstanceHost.h"
+#include "LibDaemon/StartupSignals.h"
 
 #include <absl/flags/usage.h>
 #include <boost/asio/signal_set.hpp>
@@ -42,6 +43,7 @@
       host.value()->BeginLeaving();
     }
   });
+  latchslip::ReleaseStartupSignals();
   context.run();
   return 0;
 }
--- a/Tests/Platform/EntryProcess.cpp
+++ b/Tests/Platform/EntryProcess.cpp
@@ -30,6 +30,15 @@
           ".json");
 }
 
+// Writes the settings to a new file and returns its name.
+std::filesystem::path
+WriteSettings(const std::string& aName, const std::string& aSettings)
+{
+  auto file = NextSettingsFile(aName);
+  std::ofstream(file) << aSettings;
+  return file;
+}
+
 // Returns this process's environment plus one variable, in the form that posix_spawn takes.
 std::vector<char*>
 EnvironmentWith(std::string& aVariable)
@@ -71,9 +80,15 @@
                            const std::string& aName,
                            const std::string& aSettings,
                            const std::string& aLog)
-  : settingsFile_(NextSettingsFile(aName))
+  : EntryProcess(aProgram, SettingsFile{ WriteSettings(aName, aSettings) }, aLog)
+{
+}
+
+EntryProcess::EntryProcess(const std::string& aProgram,
+                           SettingsFile aSettings,
+                           const std::string& aLog)
+  : settingsFile_(std::move(aSettings.path_))
 {
-  std::ofstream(settingsFile_) << aSettings;
   id_ = Spawn(aProgram, "LATCHSLIP_CONFIG=" + settingsFile_.string(), aLog);
   if (id_ == 0) {
     // The id 0 would address this process's own group in kill and waitpid.
--- a/Tests/Platform/EntryProcess.h
+++ b/Tests/Platform/EntryProcess.h
@@ -11,12 +11,20 @@
 class EntryProcess
 {
 public:
+  // The path of a settings file.
+  struct SettingsFile
+  {
+    std::filesystem::path path_;
+  };
+
   // Writes aSettings to a temporary file and starts aProgram with it; standard output is appended
   // to aLog. If the start fails, Wait() returns exit code 127.
   EntryProcess(const std::string& aProgram,
                const std::string& aName,
                const std::string& aSettings,
                const std::string& aLog = "/dev/null");
+  // As above with a settings file that exists, and that the destructor removes.
+  EntryProcess(const std::string& aProgram, SettingsFile aSettings, const std::string& aLog);
   ~EntryProcess();
   EntryProcess(const EntryProcess&) = delete;
   EntryProcess& operator=(const EntryProcess&) = delete;
