LibKeys: Give the list of servers by a name of the house style

The linter rejects size, begin and end as names of methods; KeyServers gives its list by All() instead. No behaviour changes.

--- a/Libraries/LibKeys/KeyBalancer.cpp
+++ b/Libraries/LibKeys/KeyBalancer.cpp
@@ -47,7 +47,7 @@
   ownership.service_ = aService;
   ownership.lastFence_ = aLastFence;
   std::vector<const KeyServer*> usable;
-  for (const auto& server : aServers) {
+  for (const auto& server : aServers.All()) {
     if (server.isUsable_) {
       usable.push_back(&server);
     }
@@ -108,8 +108,8 @@
   }
   BalanceLimits limits;
   limits.tolerance_ = settings_.tolerance_;
-  limits.maxRanges_ = MaxRanges(aServers.size());
-  limits.maxMoves_ = std::max(settings_.minMoves_, aServers.size() / kServersPerMove);
+  limits.maxRanges_ = MaxRanges(aServers.All().size());
+  limits.maxMoves_ = std::max(settings_.minMoves_, aServers.All().size() / kServersPerMove);
   limits.maxMovableFence_ = aMaxMovableFence;
   return BalanceRound(aOwnership, std::move(distribution), aLoad, limits).Run();
 }
--- a/Libraries/LibKeys/KeyServer.h
+++ b/Libraries/LibKeys/KeyServer.h
@@ -39,9 +39,7 @@
   // The server with that id; null when it is not listed or not usable.
   const KeyServer* FindUsable(std::string_view aId) const;
 
-  std::size_t size() const { return servers_.size(); }
-  auto begin() const { return servers_.begin(); }
-  auto end() const { return servers_.end(); }
+  const std::vector<KeyServer>& All() const { return servers_; }
 
 private:
   std::vector<KeyServer> servers_;
--- a/Libraries/LibKeys/LoadDistribution.cpp
+++ b/Libraries/LibKeys/LoadDistribution.cpp
@@ -18,7 +18,7 @@
                                    const KeyLoad& aLoad)
   : requestCount_(aLoad.RequestCount())
 {
-  for (const auto& server : aServers) {
+  for (const auto& server : aServers.All()) {
     if (server.isUsable_) {
       servers_[server.id_] = { 0, server.weight_ };
       totalWeight_ += server.weight_;
--- a/Libraries/LibKeys/OwnershipPlacer.cpp
+++ b/Libraries/LibKeys/OwnershipPlacer.cpp
@@ -123,7 +123,7 @@
 void
 OwnershipPlacer::SetServers(Instant aNow, KeyServers aServers)
 {
-  if (aServers.size() != servers_.size()) {
+  if (aServers.All().size() != servers_.All().size()) {
     serversChangedAt_ = aNow;
   }
   DetectRestarts(aServers);
@@ -133,7 +133,7 @@
 void
 OwnershipPlacer::DetectRestarts(const KeyServers& aServers)
 {
-  for (const auto& server : aServers) {
+  for (const auto& server : aServers.All()) {
     if (server.incarnation_ == 0) {
       continue;
     }
