--- a/Libraries/LibDaemon/LoopMonitor.cpp
+++ b/Libraries/LibDaemon/LoopMonitor.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <ctime>
 #include <string>
+#include <utility>
 
 namespace latchslip {
 
@@ -53,22 +54,29 @@
   const auto used = clock_();
   delays_.Add(delay);
   if (delay >= kLoggedDelay) {
-    std::string detail = "late_us=" + std::to_string(delay.count()) +
-                         " processor_us=" + std::to_string((used - usedAtTimer_).count());
-    for (std::size_t task = 0; task < sinceTimer_.size(); ++task) {
-      const auto& time = sinceTimer_.at(task);
-      if (time.count_ > 0) {
-        detail += " " + std::string(kLoopTaskNames.names_.at(task)) + "=" +
-                  std::to_string(time.count_) + ":" + std::to_string(time.processorTime_.count()) +
-                  ":" + std::to_string(time.longest_.count());
-      }
-    }
-    events_.Record(Event::LoopDelayed, detail);
+    events_.Record(Event::LoopDelayed,
+                   "late_us=" + std::to_string(delay.count()) + " processor_us=" +
+                     std::to_string((used - usedAtTimer_).count()) + DescribeTasks());
   }
   usedAtTimer_ = used;
   sinceTimer_ = {};
 }
 
+std::string
+LoopMonitor::DescribeTasks() const
+{
+  std::string text;
+  for (std::size_t task = 0; task < sinceTimer_.size(); ++task) {
+    const auto& time = sinceTimer_.at(task);
+    if (time.count_ > 0) {
+      text += " " + std::string(kLoopTaskNames.names_.at(task)) + "=" +
+              std::to_string(time.count_) + ":" + std::to_string(time.processorTime_.count()) +
+              ":" + std::to_string(time.longest_.count());
+    }
+  }
+  return text;
+}
+
 void
 LoopMonitor::Render(std::ostream& aText) const
 {
--- a/Libraries/LibDaemon/LoopMonitor.h
+++ b/Libraries/LibDaemon/LoopMonitor.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <ostream>
+#include <string>
 #include <vector>
 
 namespace latchslip {
@@ -52,6 +53,10 @@
     Duration nested_{ 0 };
   };
 
+  // The count, processor time and longest run of each kind of task since the timer's last run, as
+  // logged.
+  std::string DescribeTasks() const;
+
   EventSink& events_;
   ProcessorClock clock_;
   // Innermost last.
--- a/Libraries/LibKeys/KeyBalancer.cpp
+++ b/Libraries/LibKeys/KeyBalancer.cpp
@@ -24,6 +24,7 @@
 // them at one server, and their load exceeds what the other servers can absorb in a few moves.
 constexpr std::size_t kServersPerMove = 2;
 
+// The number of ranges beyond which the keys of a service with that many servers are not split.
 std::size_t
 MaxRanges(std::size_t aServers)
 {
