LibNet, LibGateway: Know a request again, and tell when a server closes under it

Now each request has a fingerprint of what its repetitions share (method, host, path, key, API key, body), and E605 names it with each connection that a server closed before any part of an answer. Refusals (E600) name it too.

HttpOnLoopback.ServerClosesWithoutAnswer_ConnectionCountsAsLost holds the distinction.

--- a/Libraries/LibBase/Event.cpp
+++ b/Libraries/LibBase/Event.cpp
@@ -63,6 +63,7 @@
   EventName{ Event::GatewayAnswer, "GatewayAnswer" },
   EventName{ Event::ServerAskedForRest, "ServerAskedForRest" },
   EventName{ Event::ServerLimitsRate, "ServerLimitsRate" },
+  EventName{ Event::ServerClosedConnection, "ServerClosedConnection" },
   EventName{ Event::RoutesInForce, "RoutesInForce" },
   EventName{ Event::RoutesRejected, "RoutesRejected" },
   EventName{ Event::ServerListed, "ServerListed" },
--- a/Libraries/LibBase/Event.h
+++ b/Libraries/LibBase/Event.h
@@ -65,6 +65,7 @@
   GatewayAnswer = 602,
   ServerAskedForRest = 603,
   ServerLimitsRate = 604,
+  ServerClosedConnection = 605,
   RoutesInForce = 610,
   RoutesRejected = 611,
   ServerListed = 612,
--- a/Libraries/LibGateway/GatewayRouter.cpp
+++ b/Libraries/LibGateway/GatewayRouter.cpp
@@ -183,6 +183,9 @@
     RecordBackoff(aNow, pending, aOutcome, load->second);
     RecordRateLimit(aNow, pending, aOutcome, load->second);
   }
+  if (aOutcome.isConnectionLost_) {
+    RecordConnectionLost(aNow, pending);
+  }
   statistics_.OnAttempt(pending.server_, aOutcome.end_);
   pending.attempt_ = 0;
   pending.runs_ += MayHaveRun(aOutcome.end_) ? 1 : 0;
@@ -194,6 +197,16 @@
   SendQueued(aNow, service);
 }
 
+void
+GatewayRouter::RecordConnectionLost(Instant aNow, const PendingRequest& aPending)
+{
+  events_.Record(Event::ServerClosedConnection,
+                 "server=" + aPending.server_ + " request=" + aPending.request_.id_ +
+                   " fingerprint=" + FormatFingerprint(aPending.request_.fingerprint_) +
+                   " sent_ago_us=" + std::to_string((aNow - aPending.sentAt_).count()) +
+                   " sends=" + std::to_string(aPending.sends_));
+}
+
 void
 GatewayRouter::RecordBackoff(Instant aNow,
                              const PendingRequest& aPending,
@@ -389,6 +402,7 @@
   events_.Record(
     Event::GatewayRefusal,
     "request=" + aPending.request_.id_ +
+      " fingerprint=" + FormatFingerprint(aPending.request_.fingerprint_) +
       " reason=" + std::string(kRefusalReasonNames.NameOf(aReason)) +
       " group=" + (aPending.group_ == nullptr ? "-" : aPending.group_->name_) +
       " service=" + (aPending.service_ == nullptr ? "-" : aPending.service_->name_) +
--- a/Libraries/LibGateway/GatewayRouter.h
+++ b/Libraries/LibGateway/GatewayRouter.h
@@ -211,6 +211,8 @@
   void LeaveQueue(const PendingRequest& aPending);
   // Sends queued requests of a service as far as servers can take them now.
   void SendQueued(Instant aNow, const std::string& aService);
+  // Records that a server closed the connection of an attempt without an answer.
+  void RecordConnectionLost(Instant aNow, const PendingRequest& aPending);
   // Records the backoff that a server requested, if it did.
   void RecordBackoff(Instant aNow,
                      const PendingRequest& aPending,
--- a/Libraries/LibGateway/Messages.h
+++ b/Libraries/LibGateway/Messages.h
@@ -3,6 +3,7 @@
 #include "LibBase/NameTable.h"
 #include "LibBase/Time.h"
 #include "LibGateway/RateLimit.h"
+#include "LibGateway/RequestFingerprint.h"
 #include "LibGateway/ServerLoad.h"
 #include "LibKeys/KeyOwnership.h"
 
@@ -29,6 +30,7 @@
   std::string apiKey_;
   // Time until the client gives up, counted from arrival, if the client announced it.
   std::optional<Duration> timeLeft_;
+  RequestFingerprint fingerprint_ = kNoFingerprint;
 };
 
 // Command to send a request to one server, once.
@@ -97,6 +99,9 @@
   // kNoRateLimit if it advertises that it has none. No value if that incarnation of the server
   // reported nothing about it.
   std::optional<double> rateLimit_{};
+  // Set with Broken if the server closed the connection before it sent any part of an answer, as
+  // when its process ends.
+  bool isConnectionLost_ = false;
 };
 
 // Why the gateway refuses a request instead of delivering a server's answer.
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -30,6 +30,8 @@
   bool isRefused_ = false;
   // The exchange or the connect timed out.
   bool isTimeout_ = false;
+  // Set with Broken if the server closed the connection before it sent any part of a response.
+  bool isConnectionLost_ = false;
 };
 
 using HttpCallback = std::function<void(HttpExchange)>;
--- a/Libraries/LibNet/HttpConnection.cpp
+++ b/Libraries/LibNet/HttpConnection.cpp
@@ -41,6 +41,13 @@
   return std::max<Duration>(seconds(named) - kIdleMargin, Duration(0));
 }
 
+bool
+IsClosedByPeer(error_code aError)
+{
+  return aError == http::error::end_of_stream || aError == asio::error::eof ||
+         aError == asio::error::connection_reset || aError == asio::error::broken_pipe;
+}
+
 // Moves the body out of the message.
 HttpExchange
 ToExchange(http::response<http::string_body>& aMessage)
@@ -212,6 +219,8 @@
   exchange.problem_ = aError.message();
   exchange.isRefused_ = aError == asio::error::connection_refused;
   exchange.isTimeout_ = aError == beast::error::timeout;
+  exchange.isConnectionLost_ =
+    aEnd == ExchangeEnd::Broken && IsClosedByPeer(aError) && !(parser_ && parser_->got_some());
   Finish(std::move(exchange));
 }
 
--- a/Tests/LibNet/TestHttp.cpp
+++ b/Tests/LibNet/TestHttp.cpp
@@ -181,6 +181,14 @@
   EXPECT_EQ(Send("/echo", "y").end_, ExchangeEnd::Complete);
 }
 
+TEST_F(HttpOnLoopback, ServerClosesWithoutAnswer_ConnectionCountsAsLost)
+{
+  const auto exchange = Send("/drop", "x");
+  EXPECT_EQ(exchange.end_, ExchangeEnd::Broken);
+  EXPECT_TRUE(exchange.isConnectionLost_) << exchange.problem_;
+  EXPECT_FALSE(Send("/never", "x").isConnectionLost_) << "it timed out";
+}
+
 TEST_F(HttpOnLoopback, ExchangeTimesOut_BrokenAndHandlerIsNotified)
 {
   EXPECT_EQ(Send("/never", "x").end_, ExchangeEnd::Broken);
