Tests, platform: Show a request that crashes one server after the other

A client repeats a request that crashes each server that runs it, with a key and without, every 0.3 s at another instance.

Instances inherited the listening sockets of the stand-ins, so a stand-in that had closed its port left its callers hanging until their time was over, and could not open it again; they get no open files now.

--- a/Tests/Platform/EntryProcess.cpp
+++ b/Tests/Platform/EntryProcess.cpp
@@ -63,6 +63,9 @@
   posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, "/dev/null", O_WRONLY, 0);
   posix_spawn_file_actions_addopen(
     &actions, STDOUT_FILENO, aLog.c_str(), O_WRONLY | O_CREAT | O_APPEND, kLogMode);
+  // An instance with a copy of a listening socket would keep a test double's port open after the
+  // test double has closed it.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   pid_t id = 0;
   const int error =
     posix_spawn(&id, aProgram.c_str(), &actions, nullptr, arguments.data(), environment.data());
--- a/Tests/Platform/TestEntryProcesses.cpp
+++ b/Tests/Platform/TestEntryProcesses.cpp
@@ -7,12 +7,14 @@
 #include "LibNet/MonotonicClock.h"
 #include "platform/StandIn/StandInBackend.h"
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
 #include <cstdlib>
 #include <deque>
 #include <functional>
 #include <gtest/gtest.h>
+#include <set>
 #include <sys/wait.h>
 
 namespace latchslip::platform {
@@ -91,6 +93,62 @@
     sentRequests_[id] = { aInstance, MonotonicNow(), aIsBooking };
   }
 
+  // Sends a request that is the same each time but for its id, as a client that repeats it, and
+  // returns the id.
+  std::string SendRepeated(int aInstance, const std::string& aMethod, const std::string& aPath)
+  {
+    const auto id = "r" + std::to_string(++repeatedCount_);
+    HttpRequest request;
+    request.method_ = aMethod;
+    request.target_ = aPath;
+    request.headers_ = { { "Host", "a.example" },
+                         { "X-Request-Id", id },
+                         { "X-Deadline-Ms", "4000" },
+                         { "X-Shard-Key", "4711" } };
+    client_->Send(
+      Loopback(kFirstPort + 10 * aInstance),
+      std::move(request),
+      seconds(5),
+      [this, id](const HttpExchange& aExchange) { repeatedAnswers_[id] = aExchange.response_; });
+    return id;
+  }
+
+  // Times at which these requests arrived at a server, in order.
+  std::vector<Instant> ArrivalsOf(const std::set<std::string>& aRequests) const
+  {
+    std::vector<Instant> times;
+    for (const auto& [id, backend] : backends_) {
+      for (const auto& arrival : backend->Arrivals()) {
+        if (aRequests.contains(arrival.request_)) {
+          times.push_back(arrival.time_);
+        }
+      }
+    }
+    std::sort(times.begin(), times.end());
+    return times;
+  }
+
+  // Number of these requests' arrivals later than aBound after the third of them crashed its
+  // server.
+  std::size_t ArrivalsAfterThirdCrash(const std::set<std::string>& aRequests,
+                                      const std::vector<std::string>& aBackends,
+                                      Duration aBound) const
+  {
+    std::vector<Instant> crashes;
+    for (const auto& id : aBackends) {
+      const auto& times = backends_.at(id)->Crashes();
+      crashes.insert(crashes.end(), times.begin(), times.end());
+    }
+    std::sort(crashes.begin(), crashes.end());
+    constexpr std::size_t kThird = 2;
+    if (crashes.size() <= kThird) {
+      return 0;
+    }
+    const auto times = ArrivalsOf(aRequests);
+    return static_cast<std::size_t>(std::count_if(
+      times.begin(), times.end(), [&](Instant aTime) { return aTime > crashes[kThird] + aBound; }));
+  }
+
   void OnEnd(const std::string& aId, const HttpExchange& aExchange)
   {
     ++endedCount_;
@@ -139,7 +197,7 @@
   }
 
   // Alternates bookings and keyed requests over the given instances, one every 5 ms.
-  void RunLoad(Duration aTime, const std::vector<int>& aInstances)
+  void SendLoad(Duration aTime, const std::vector<int>& aInstances)
   {
     const auto end = MonotonicNow() + aTime;
     std::size_t turn = 0;
@@ -149,6 +207,12 @@
       context_.run_for(std::chrono::milliseconds(5));
       context_.restart();
     }
+  }
+
+  // As SendLoad(), and waits for the answers.
+  void RunLoad(Duration aTime, const std::vector<int>& aInstances)
+  {
+    SendLoad(aTime, aInstances);
     RunUntil([&] { return endedCount_ == sentCount_; }, seconds(6));
   }
 
@@ -181,6 +245,16 @@
     return runs;
   }
 
+  int RunsOfRequest(const std::string& aId) const
+  {
+    int runs = 0;
+    for (const auto& [id, backend] : backends_) {
+      const auto run = backend->Runs().find(aId);
+      runs += run == backend->Runs().end() ? 0 : run->second;
+    }
+    return runs;
+  }
+
   void ExpectNothingRanTwice() const
   {
     for (const auto& [id, backend] : backends_) {
@@ -289,6 +363,9 @@
   std::map<std::string, Instant> leavingAnswers_;
   // Statuses of the bookings only.
   std::map<unsigned, int> bookingStatuses_;
+  std::size_t repeatedCount_ = 0;
+  // Answers to the requests of SendRepeated(), by request id.
+  std::map<std::string, HttpResponse> repeatedAnswers_;
 };
 
 class FleetOfThreeProcesses : public EntryFleet
@@ -466,6 +543,41 @@
   EXPECT_LE(statuses_[503], statuses_[200] / 100);
 }
 
+// Guards against a request that crashes each server that runs it: a client repeats it at any
+// instance, and each time it was sent to a server again, with a key and without.
+TEST_F(FleetOfThreeProcesses, RequestCrashesEachServerThatRunsIt_IsHeldBackAfterTheThird)
+{
+  // A repetition is a retry of the request like any other: three are allowed later than this after
+  // the third crash.
+  constexpr Duration kBound = seconds(3);
+  constexpr std::size_t kAllowed = 3;
+  constexpr int kRepetitions = 50;
+  std::set<std::string> keyed;
+  std::set<std::string> unkeyed;
+  for (auto& [id, backend] : backends_) {
+    backend->SetCrashPath(id.starts_with("k") ? "/rates/crash" : "/book/crash");
+  }
+  for (int number = 0; number < kRepetitions; ++number) {
+    const auto instance = 1 + number % instances_;
+    keyed.insert(SendRepeated(instance, "GET", "/rates/crash"));
+    unkeyed.insert(SendRepeated(instance, "POST", "/book/crash"));
+    SendLoad(milliseconds(300), { 1, 2, 3 });
+  }
+  EXPECT_LE(ArrivalsAfterThirdCrash(keyed, { "k0", "k1", "k2" }, kBound), kAllowed);
+  EXPECT_LE(ArrivalsAfterThirdCrash(unkeyed, { "b0", "b1", "b2" }, kBound), kAllowed);
+  for (const auto& [id, answer] : repeatedAnswers_) {
+    EXPECT_NE(answer.status_, 200U);
+    EXPECT_TRUE(answer.status_ != 503 || RunsOfRequest(id) == 0) << id << " has run";
+    EXPECT_TRUE(keyed.contains(id) || RunsOfRequest(id) <= 1) << id << " ran twice";
+  }
+  // All other requests are served once the servers are back.
+  RunLoad(seconds(5), { 1, 2, 3 });
+  statuses_.clear();
+  RunLoad(seconds(2), { 1, 2, 3 });
+  EXPECT_EQ(statuses_.size(), 1U);
+  EXPECT_GT(statuses_[200], 0);
+}
+
 TEST_F(FleetOfThreeProcesses, RouteMovesToAnotherService_InForceEverywhereInTwoSeconds)
 {
   store_->Put("op", "config", MakeManifest(5, "others"));
