--- a/Libraries/LibBase/Event.cpp
+++ b/Libraries/LibBase/Event.cpp
@@ -83,6 +83,8 @@
   EventName{ Event::PlacerSilent, "PlacerSilent" },
   EventName{ Event::DispatcherChosen, "DispatcherChosen" },
   EventName{ Event::DispatcherSilent, "DispatcherSilent" },
+  EventName{ Event::RequestQuarantined, "RequestQuarantined" },
+  EventName{ Event::QuarantineLifted, "QuarantineLifted" },
   EventName{ Event::ApiKeysProven, "ApiKeysProven" },
   EventName{ Event::ApiKeysUnproven, "ApiKeysUnproven" },
   EventName{ Event::GroupOverLimit, "GroupOverLimit" },
--- a/Libraries/LibBase/Event.h
+++ b/Libraries/LibBase/Event.h
@@ -85,6 +85,8 @@
   PlacerSilent = 632,
   DispatcherChosen = 640,
   DispatcherSilent = 641,
+  RequestQuarantined = 642,
+  QuarantineLifted = 643,
   ApiKeysProven = 650,
   ApiKeysUnproven = 651,
   GroupOverLimit = 652,
--- a/Libraries/LibDaemon/GatewayHost.cpp
+++ b/Libraries/LibDaemon/GatewayHost.cpp
@@ -355,6 +355,12 @@
     frontend_.ArmTimer();
   }
 
+  void OnQuarantine(Instant aNow, RequestFingerprint aFingerprint) override
+  {
+    frontend_.Router().OnQuarantine(aNow, aFingerprint);
+    frontend_.ArmTimer();
+  }
+
   ServerWork TakeWorkOf(const std::string& aServer) override
   {
     return frontend_.Router().TakeWorkOf(aServer);
--- a/Libraries/LibGateway/GatewayRouter.cpp
+++ b/Libraries/LibGateway/GatewayRouter.cpp
@@ -139,6 +139,10 @@
   requestAge.OnRequest(timeLeft);
   aPending.inTimeUntil_ = aPending.arrival_ + route.latencyTarget_ - requestAge.AgeOf(timeLeft);
   aPending.isLate_ = aPending.inTimeUntil_ <= aNow;
+  if (IsQuarantined(aNow, aPending)) {
+    Refuse(aNow, aPending, RefusalReason::Quarantined);
+    return;
+  }
   if (!TryAdmitToGroup(aNow, aPending)) {
     return;
   }
@@ -174,7 +178,9 @@
       aOutcome.server_,
       aOutcome.backoff_.value_or(Duration(0)),
       aOutcome.isLeaving_ ? std::optional(pending.serverIncarnation_) : std::nullopt,
-      aOutcome.rateLimit_ });
+      aOutcome.rateLimit_,
+      aOutcome.isConnectionLost_,
+      pending.serverIncarnation_ });
   if (const auto load = loads_.find(pending.server_); load != loads_.end()) {
     load->second.OnEnded(aNow, aAttempt, result);
     if (aOutcome.isOtherIncarnation_) {
@@ -290,8 +296,8 @@
 GatewayRouter::TryTakeRetry(Instant aNow, PendingRequest& aPending, const AttemptOutcome& aOutcome)
 {
   const auto& route = *aPending.route_;
-  const bool isAllowed =
-    (route.isRepeatable_ || !MayHaveRun(aOutcome.end_)) && IsApiKeyProven(aNow, aPending);
+  const bool isAllowed = (route.isRepeatable_ || !MayHaveRun(aOutcome.end_)) &&
+                         IsApiKeyProven(aNow, aPending) && !IsQuarantined(aNow, aPending);
   const bool hasAttempts =
     aPending.runs_ < route.maxAttempts_ && aPending.sends_ < route.maxAttempts_ + kExtraSends;
   if (!isAllowed || !hasAttempts || aNow + kMinSendTime >= aPending.deadline_) {
@@ -306,6 +312,29 @@
          StateOf(aPending.service_->name_).budget_.TryTake(aNow, instances_);
 }
 
+bool
+GatewayRouter::IsQuarantined(Instant aNow, const PendingRequest& aPending) const
+{
+  return permits_.RemainingQuarantine(aNow, aPending.request_.fingerprint_) > Duration(0);
+}
+
+void
+GatewayRouter::OnQuarantine(Instant aNow, RequestFingerprint aFingerprint)
+{
+  std::vector<RequestNumber> waiting;
+  for (const auto& [number, pending] : pending_) {
+    if (pending.request_.fingerprint_ == aFingerprint && pending.attempt_ == 0 &&
+        pending.service_ != nullptr) {
+      waiting.push_back(number);
+    }
+  }
+  for (const auto number : waiting) {
+    auto& pending = pending_.at(number);
+    pending.blockReason_ = RefusalReason::Quarantined;
+    RefuseWaiting(aNow, pending);
+  }
+}
+
 void
 GatewayRouter::OnClientGone(Instant aNow, RequestNumber aRequest)
 {
@@ -421,6 +450,9 @@
 GatewayRouter::RetryAfterOf(Instant aNow, PendingRequest& aPending)
 {
   std::uniform_real_distribution<double> draw(kMinJitter, kMaxJitter);
+  if (IsQuarantined(aNow, aPending)) {
+    return permits_.RemainingQuarantine(aNow, aPending.request_.fingerprint_);
+  }
   if (!aPending.routes_) {
     return Scale(kAssumedTimeLeft, kRetryDelayPerTimeLeft);
   }
@@ -484,8 +516,13 @@
     return false;
   }
   const auto attempt = ++lastAttempt_;
-  permits_.ReportSend(
-    aNow, { attempt, aPending.service_->name_, chosen.record_->id_, Duration(0), *timeLeft });
+  permits_.ReportSend(aNow,
+                      { attempt,
+                        aPending.service_->name_,
+                        chosen.record_->id_,
+                        Duration(0),
+                        *timeLeft,
+                        aPending.request_.fingerprint_ });
   SendTo(aNow, aPending, chosen, attempt, *timeLeft);
   return true;
 }
--- a/Libraries/LibGateway/GatewayRouter.h
+++ b/Libraries/LibGateway/GatewayRouter.h
@@ -63,6 +63,8 @@
   void OnPermitDelayed(Instant aNow, AttemptNumber aNumber);
   void OnPermitDenied(Instant aNow, AttemptNumber aNumber, Duration aWait);
   void OnPermitRequestLost(Instant aNow, AttemptNumber aNumber);
+  // The request must not be sent to any server for some time: refuses its repetitions that wait.
+  void OnQuarantine(Instant aNow, RequestFingerprint aFingerprint);
 
   // Applies a new configuration, and routes the requests that waited for the first one.
   void SetRoutes(Instant aNow, std::shared_ptr<const RouteTable> aRoutes);
@@ -108,6 +110,8 @@
   bool TryIdentify(Instant aNow, PendingRequest& aPending);
   // Whether the rate limit of its group admits the request; refuses the request if not.
   bool TryAdmitToGroup(Instant aNow, PendingRequest& aPending);
+  // Whether the request must not be sent to any server because it crashed others.
+  bool IsQuarantined(Instant aNow, const PendingRequest& aPending) const;
   // Refuses a request because of its caller, and counts that for the group.
   void RejectCaller(Instant aNow, PendingRequest& aPending, RefusalReason aReason);
   // Why the caller may not use the route, which is null if none matched; no value if it may.
--- a/Libraries/LibGateway/Messages.h
+++ b/Libraries/LibGateway/Messages.h
@@ -120,9 +120,11 @@
   NoCapacity,
   OutOfTime,
   OutcomeUnknown,
+  // The request crashed the servers that ran it.
+  Quarantined,
 };
 
-inline constexpr NameTable<RefusalReason, 10> kRefusalReasonNames{ { "no-configuration",
+inline constexpr NameTable<RefusalReason, 11> kRefusalReasonNames{ { "no-configuration",
                                                                      "unknown-api-key",
                                                                      "api-keys-unproven",
                                                                      "over-limit",
@@ -131,7 +133,8 @@
                                                                      "no-owner",
                                                                      "no-capacity",
                                                                      "out-of-time",
-                                                                     "outcome-unknown" } };
+                                                                     "outcome-unknown",
+                                                                     "quarantined" } };
 
 // The answer that a client gets when its request is refused.
 struct Refusal
--- a/Libraries/LibGateway/PermitMessages.h
+++ b/Libraries/LibGateway/PermitMessages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibGateway/CrashSuspects.h"
 #include "LibGateway/Messages.h"
 #include "LibGateway/ServerLoad.h"
 
@@ -32,6 +33,7 @@
   Duration inTime_{ 0 };
   // Time until the client gives up.
   Duration timeLeft_{ 0 };
+  RequestFingerprint fingerprint_ = kNoFingerprint;
 
   bool operator==(const PermitRequest&) const = default;
 };
@@ -54,6 +56,7 @@
   Duration ago_{ 0 };
   // Time until the client gives up.
   Duration timeLeft_{ 0 };
+  RequestFingerprint fingerprint_ = kNoFingerprint;
 
   bool operator==(const SendNotice&) const = default;
 };
@@ -74,10 +77,28 @@
   std::optional<std::uint64_t> leavingIncarnation_{};
   // As in AttemptOutcome.
   std::optional<double> rateLimit_{};
+  // As in AttemptOutcome.
+  bool isConnectionLost_ = false;
+  // Incarnation of the server, as in ServerRecord.
+  std::uint64_t incarnation_ = 0;
 
   bool operator==(const SendEnd&) const = default;
 };
 
+// Tells a new dispatcher of a crash that the reporting instance saw earlier.
+struct CrashNotice
+{
+  RequestFingerprint fingerprint_ = kNoFingerprint;
+  std::string server_;
+  std::uint64_t incarnation_ = 0;
+  // Time since the request was sent.
+  Duration sentAgo_{ 0 };
+  // Time since the server closed the connection.
+  Duration crashedAgo_{ 0 };
+
+  bool operator==(const CrashNotice&) const = default;
+};
+
 // Report for a cancelled attempt or an unused permit.
 inline SendEnd
 CancelledSend(AttemptNumber aNumber)
@@ -124,8 +145,14 @@
   bool operator==(const DispatcherSign&) const = default;
 };
 
-using MessageToDispatcher =
-  std::variant<PermitRequest, PermitWithdrawal, SendNotice, SendEnd, DispatcherProbe>;
-using MessageFromDispatcher = std::variant<Permit, PermitDelay, PermitDenial, DispatcherSign>;
+using MessageToDispatcher = std::variant<PermitRequest,
+                                         PermitWithdrawal,
+                                         SendNotice,
+                                         SendEnd,
+                                         DispatcherProbe,
+                                         CrashNotice,
+                                         Quarantine>;
+using MessageFromDispatcher =
+  std::variant<Permit, PermitDelay, PermitDenial, DispatcherSign, Quarantine>;
 
 } // namespace latchslip
--- a/Libraries/LibGateway/PermitRequests.cpp
+++ b/Libraries/LibGateway/PermitRequests.cpp
@@ -49,7 +49,8 @@
                            aPending.tried_,
                            aPending.Rank(),
                            aPending.inTimeUntil_ - aNow,
-                           aPending.deadline_ - aNow });
+                           aPending.deadline_ - aNow,
+                           aPending.request_.fingerprint_ });
   return true;
 }
 
@@ -152,7 +153,8 @@
 {
   if (auto* pending = TakePermitRequest(aNumber)) {
     pending->dispatcherWait_ = aWait;
-    pending->blockReason_ = RefusalReason::NoCapacity;
+    pending->blockReason_ =
+      IsQuarantined(aNow, *pending) ? RefusalReason::Quarantined : RefusalReason::NoCapacity;
     RefuseWaiting(aNow, *pending);
   }
 }
--- a/Libraries/LibGateway/PermitSource.h
+++ b/Libraries/LibGateway/PermitSource.h
@@ -14,6 +14,8 @@
   // Whether the dispatcher of the service accepts permit requests; if not, the instance chooses
   // servers by its local state alone.
   virtual bool CanRequestPermit(const std::string& aService) const = 0;
+  // Remaining time for which the request must not be sent to any server; zero for none.
+  virtual Duration RemainingQuarantine(Instant aNow, RequestFingerprint aFingerprint) const = 0;
   // Sends a permit request.
   virtual void RequestPermit(Instant aNow, const PermitRequest& aRequest) = 0;
   virtual void Withdraw(AttemptNumber aNumber) = 0;
@@ -30,6 +32,7 @@
 {
 public:
   bool CanRequestPermit(const std::string&) const override { return false; }
+  Duration RemainingQuarantine(Instant, RequestFingerprint) const override { return Duration(0); }
   void RequestPermit(Instant, const PermitRequest&) override {}
   void Withdraw(AttemptNumber) override {}
   void OnPermitTimeout(Instant, const std::string&) override {}
--- a/Libraries/LibNet/Generated/Permit.capnp.h
+++ b/Libraries/LibNet/Generated/Permit.capnp.h
@@ -7,10 +7,10 @@
 #include <kj/windows-sanity.h>
 
 #if CAPNP_VERSION != 9002
-#error                                                                                             \
-  "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
+#error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
+
 CAPNP_BEGIN_HEADER
 
 namespace capnp {
@@ -19,579 +19,543 @@
 CAPNP_DECLARE_SCHEMA(a901270793e8cd47);
 CAPNP_DECLARE_SCHEMA(a8fcbea6e54a9ab1);
 CAPNP_DECLARE_SCHEMA(d9c28957aea22448);
+CAPNP_DECLARE_SCHEMA(a57eb85fdb43c995);
+CAPNP_DECLARE_SCHEMA(86c26087bf15654b);
 CAPNP_DECLARE_SCHEMA(e4845296c8d55edf);
 CAPNP_DECLARE_SCHEMA(a876a31239456726);
 CAPNP_DECLARE_SCHEMA(ae720506c90af3d0);
 CAPNP_DECLARE_SCHEMA(f978ab7ac531419e);
 CAPNP_DECLARE_SCHEMA(8b2025d1e9c849e1);
 
-} // namespace schemas
-} // namespace capnp
+}  // namespace schemas
+}  // namespace capnp
 
 namespace latchslip {
 namespace wire {
 
-struct PermitAsk
-{
+struct PermitAsk {
   PermitAsk() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
-  struct _capnpPrivate
-  {
-    CAPNP_DECLARE_STRUCT_HEADER(a901270793e8cd47, 4, 4)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand()
-    {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a901270793e8cd47, 5, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
-struct SendNotice
-{
+struct SendNotice {
   SendNotice() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
-  struct _capnpPrivate
-  {
-    CAPNP_DECLARE_STRUCT_HEADER(a8fcbea6e54a9ab1, 3, 2)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand()
-    {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a8fcbea6e54a9ab1, 4, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
-struct SendEnd
-{
+struct SendEnd {
   SendEnd() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
-  struct _capnpPrivate
-  {
-    CAPNP_DECLARE_STRUCT_HEADER(d9c28957aea22448, 8, 0)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand()
-    {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d9c28957aea22448, 9, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct CrashNotice {
+  CrashNotice() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a57eb85fdb43c995, 4, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Quarantine {
+  Quarantine() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(86c26087bf15654b, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
-struct Permit
-{
+struct Permit {
   Permit() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
-  struct _capnpPrivate
-  {
+  struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(e4845296c8d55edf, 1, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand()
-    {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
-struct PermitDenial
-{
+struct PermitDenial {
   PermitDenial() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
-  struct _capnpPrivate
-  {
+  struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(a876a31239456726, 2, 0)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand()
-    {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
-struct ToDispatcher
-{
+struct ToDispatcher {
   ToDispatcher() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
-  enum Which : uint16_t
-  {
+  enum Which: uint16_t {
     ASK,
     WITHDRAWAL,
     NOTICE,
     END,
     PROBE,
+    CRASH,
+    QUARANTINE,
   };
 
-  struct _capnpPrivate
-  {
+  struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(ae720506c90af3d0, 2, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand()
-    {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
-struct FromDispatcher
-{
+struct FromDispatcher {
   FromDispatcher() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
-  enum Which : uint16_t
-  {
+  enum Which: uint16_t {
     PERMIT,
     DELAY,
     DENIAL,
     SIGN,
+    QUARANTINE,
   };
 
-  struct _capnpPrivate
-  {
+  struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(f978ab7ac531419e, 2, 1)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand()
-    {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
-struct PermitBatch
-{
+struct PermitBatch {
   PermitBatch() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
-  struct _capnpPrivate
-  {
+  struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(8b2025d1e9c849e1, 0, 2)
-#if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand()
-    {
-      return &schema->defaultBrand;
-    }
-#endif // !CAPNP_LITE
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
   };
 };
 
 // =======================================================================================
 
-class PermitAsk::Reader
-{
+class PermitAsk::Reader {
 public:
   typedef PermitAsk Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base)
-    : _reader(base)
-  {
-  }
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
+  inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-  inline ::uint64_t getNumber() const;
+  inline  ::uint64_t getNumber() const;
 
   inline bool hasService() const;
-  inline ::capnp::Text::Reader getService() const;
+  inline  ::capnp::Text::Reader getService() const;
 
   inline bool hasServer() const;
-  inline ::capnp::Text::Reader getServer() const;
+  inline  ::capnp::Text::Reader getServer() const;
 
   inline bool hasHall() const;
-  inline ::capnp::Text::Reader getHall() const;
+  inline  ::capnp::Text::Reader getHall() const;
 
   inline bool hasTried() const;
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader getTried() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getTried() const;
+
+  inline  ::uint32_t getPriority() const;
 
-  inline ::uint32_t getPriority() const;
+  inline  ::int64_t getInTimeMicros() const;
 
-  inline ::int64_t getInTimeMicros() const;
+  inline  ::int64_t getTimeLeftMicros() const;
 
-  inline ::int64_t getTimeLeftMicros() const;
+  inline  ::uint64_t getFingerprint() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
 
-class PermitAsk::Builder
-{
+class PermitAsk::Builder {
 public:
   typedef PermitAsk Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base)
-    : _builder(base)
-  {
-  }
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
   inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
-    return asReader().toString();
-  }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-  inline ::uint64_t getNumber();
-  inline void setNumber(::uint64_t value);
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
 
   inline bool hasService();
-  inline ::capnp::Text::Builder getService();
-  inline void setService(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
 
   inline bool hasServer();
-  inline ::capnp::Text::Builder getServer();
-  inline void setServer(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initServer(unsigned int size);
-  inline void adoptServer(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownServer();
+  inline  ::capnp::Text::Builder getServer();
+  inline void setServer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initServer(unsigned int size);
+  inline void adoptServer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownServer();
 
   inline bool hasHall();
-  inline ::capnp::Text::Builder getHall();
-  inline void setHall(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initHall(unsigned int size);
-  inline void adoptHall(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownHall();
+  inline  ::capnp::Text::Builder getHall();
+  inline void setHall( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHall(unsigned int size);
+  inline void adoptHall(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHall();
 
   inline bool hasTried();
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder getTried();
-  inline void setTried(::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value);
-  inline void setTried(::kj::ArrayPtr<const ::capnp::Text::Reader> value);
-  inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder initTried(unsigned int size);
-  inline void adoptTried(
-    ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>> disownTried();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getTried();
+  inline void setTried( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setTried(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initTried(unsigned int size);
+  inline void adoptTried(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownTried();
 
-  inline ::uint32_t getPriority();
-  inline void setPriority(::uint32_t value);
+  inline  ::uint32_t getPriority();
+  inline void setPriority( ::uint32_t value);
 
-  inline ::int64_t getInTimeMicros();
-  inline void setInTimeMicros(::int64_t value);
+  inline  ::int64_t getInTimeMicros();
+  inline void setInTimeMicros( ::int64_t value);
 
-  inline ::int64_t getTimeLeftMicros();
-  inline void setTimeLeftMicros(::int64_t value);
+  inline  ::int64_t getTimeLeftMicros();
+  inline void setTimeLeftMicros( ::int64_t value);
+
+  inline  ::uint64_t getFingerprint();
+  inline void setFingerprint( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class PermitAsk::Pipeline
-{
+class PermitAsk::Pipeline {
 public:
   typedef PermitAsk Pipelines;
 
-  inline Pipeline(decltype(nullptr))
-    : _typeless(nullptr)
-  {
-  }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-    : _typeless(kj::mv(typeless))
-  {
-  }
+      : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class SendNotice::Reader
-{
+class SendNotice::Reader {
 public:
   typedef SendNotice Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base)
-    : _reader(base)
-  {
-  }
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
+  inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-  inline ::uint64_t getNumber() const;
+  inline  ::uint64_t getNumber() const;
 
   inline bool hasService() const;
-  inline ::capnp::Text::Reader getService() const;
+  inline  ::capnp::Text::Reader getService() const;
 
   inline bool hasServer() const;
-  inline ::capnp::Text::Reader getServer() const;
+  inline  ::capnp::Text::Reader getServer() const;
+
+  inline  ::int64_t getAgoMicros() const;
 
-  inline ::int64_t getAgoMicros() const;
+  inline  ::int64_t getTimeLeftMicros() const;
 
-  inline ::int64_t getTimeLeftMicros() const;
+  inline  ::uint64_t getFingerprint() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
 
-class SendNotice::Builder
-{
+class SendNotice::Builder {
 public:
   typedef SendNotice Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base)
-    : _builder(base)
-  {
-  }
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
   inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
-    return asReader().toString();
-  }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-  inline ::uint64_t getNumber();
-  inline void setNumber(::uint64_t value);
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
 
   inline bool hasService();
-  inline ::capnp::Text::Builder getService();
-  inline void setService(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
 
   inline bool hasServer();
-  inline ::capnp::Text::Builder getServer();
-  inline void setServer(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initServer(unsigned int size);
-  inline void adoptServer(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownServer();
+  inline  ::capnp::Text::Builder getServer();
+  inline void setServer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initServer(unsigned int size);
+  inline void adoptServer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownServer();
+
+  inline  ::int64_t getAgoMicros();
+  inline void setAgoMicros( ::int64_t value);
 
-  inline ::int64_t getAgoMicros();
-  inline void setAgoMicros(::int64_t value);
+  inline  ::int64_t getTimeLeftMicros();
+  inline void setTimeLeftMicros( ::int64_t value);
 
-  inline ::int64_t getTimeLeftMicros();
-  inline void setTimeLeftMicros(::int64_t value);
+  inline  ::uint64_t getFingerprint();
+  inline void setFingerprint( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class SendNotice::Pipeline
-{
+class SendNotice::Pipeline {
 public:
   typedef SendNotice Pipelines;
 
-  inline Pipeline(decltype(nullptr))
-    : _typeless(nullptr)
-  {
-  }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-    : _typeless(kj::mv(typeless))
-  {
-  }
+      : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class SendEnd::Reader
-{
+class SendEnd::Reader {
 public:
   typedef SendEnd Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base)
-    : _reader(base)
-  {
-  }
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
+  inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-  inline ::uint64_t getNumber() const;
+  inline  ::uint64_t getNumber() const;
 
-  inline ::uint8_t getResult() const;
+  inline  ::uint8_t getResult() const;
 
-  inline ::int64_t getLatencyMicros() const;
+  inline  ::int64_t getLatencyMicros() const;
 
   inline bool getHasStatus() const;
 
-  inline ::uint32_t getRunning() const;
+  inline  ::uint32_t getRunning() const;
 
-  inline ::uint32_t getWaiting() const;
+  inline  ::uint32_t getWaiting() const;
 
-  inline ::uint32_t getSlots() const;
+  inline  ::uint32_t getSlots() const;
 
   inline double getPace() const;
 
-  inline ::int64_t getRestMicros() const;
+  inline  ::int64_t getRestMicros() const;
 
   inline bool getIsLeaving() const;
 
-  inline ::uint64_t getLife() const;
+  inline  ::uint64_t getLife() const;
 
   inline bool getHasRateLimit() const;
 
   inline double getRateLimit() const;
 
+  inline bool getIsConnectionLost() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
 private:
   ::capnp::_::StructReader _reader;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
 
-class SendEnd::Builder
-{
+class SendEnd::Builder {
 public:
   typedef SendEnd Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base)
-    : _builder(base)
-  {
-  }
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
   inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
-    return asReader().toString();
-  }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-  inline ::uint64_t getNumber();
-  inline void setNumber(::uint64_t value);
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
 
-  inline ::uint8_t getResult();
-  inline void setResult(::uint8_t value);
+  inline  ::uint8_t getResult();
+  inline void setResult( ::uint8_t value);
 
-  inline ::int64_t getLatencyMicros();
-  inline void setLatencyMicros(::int64_t value);
+  inline  ::int64_t getLatencyMicros();
+  inline void setLatencyMicros( ::int64_t value);
 
   inline bool getHasStatus();
   inline void setHasStatus(bool value);
 
-  inline ::uint32_t getRunning();
-  inline void setRunning(::uint32_t value);
+  inline  ::uint32_t getRunning();
+  inline void setRunning( ::uint32_t value);
 
-  inline ::uint32_t getWaiting();
-  inline void setWaiting(::uint32_t value);
+  inline  ::uint32_t getWaiting();
+  inline void setWaiting( ::uint32_t value);
 
-  inline ::uint32_t getSlots();
-  inline void setSlots(::uint32_t value);
+  inline  ::uint32_t getSlots();
+  inline void setSlots( ::uint32_t value);
 
   inline double getPace();
   inline void setPace(double value);
 
-  inline ::int64_t getRestMicros();
-  inline void setRestMicros(::int64_t value);
+  inline  ::int64_t getRestMicros();
+  inline void setRestMicros( ::int64_t value);
 
   inline bool getIsLeaving();
   inline void setIsLeaving(bool value);
 
-  inline ::uint64_t getLife();
-  inline void setLife(::uint64_t value);
+  inline  ::uint64_t getLife();
+  inline void setLife( ::uint64_t value);
 
   inline bool getHasRateLimit();
   inline void setHasRateLimit(bool value);
@@ -599,1974 +563,2131 @@
   inline double getRateLimit();
   inline void setRateLimit(double value);
 
+  inline bool getIsConnectionLost();
+  inline void setIsConnectionLost(bool value);
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class SendEnd::Pipeline
-{
+class SendEnd::Pipeline {
 public:
   typedef SendEnd Pipelines;
 
-  inline Pipeline(decltype(nullptr))
-    : _typeless(nullptr)
-  {
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class CrashNotice::Reader {
+public:
+  typedef CrashNotice Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
   }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getFingerprint() const;
+
+  inline bool hasServer() const;
+  inline  ::capnp::Text::Reader getServer() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline  ::int64_t getSentAgoMicros() const;
+
+  inline  ::int64_t getCrashedAgoMicros() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CrashNotice::Builder {
+public:
+  typedef CrashNotice Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getFingerprint();
+  inline void setFingerprint( ::uint64_t value);
+
+  inline bool hasServer();
+  inline  ::capnp::Text::Builder getServer();
+  inline void setServer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initServer(unsigned int size);
+  inline void adoptServer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownServer();
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline  ::int64_t getSentAgoMicros();
+  inline void setSentAgoMicros( ::int64_t value);
+
+  inline  ::int64_t getCrashedAgoMicros();
+  inline void setCrashedAgoMicros( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CrashNotice::Pipeline {
+public:
+  typedef CrashNotice Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-    : _typeless(kj::mv(typeless))
-  {
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Quarantine::Reader {
+public:
+  typedef Quarantine Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getFingerprint() const;
+
+  inline  ::int64_t getRemainingMicros() const;
+
+  inline  ::uint32_t getCrashes() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Quarantine::Builder {
+public:
+  typedef Quarantine Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getFingerprint();
+  inline void setFingerprint( ::uint64_t value);
+
+  inline  ::int64_t getRemainingMicros();
+  inline void setRemainingMicros( ::int64_t value);
+
+  inline  ::uint32_t getCrashes();
+  inline void setCrashes( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Quarantine::Pipeline {
+public:
+  typedef Quarantine Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class Permit::Reader
-{
+class Permit::Reader {
 public:
   typedef Permit Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base)
-    : _reader(base)
-  {
-  }
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
+  inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-  inline ::uint64_t getNumber() const;
+  inline  ::uint64_t getNumber() const;
 
   inline bool hasServer() const;
-  inline ::capnp::Text::Reader getServer() const;
+  inline  ::capnp::Text::Reader getServer() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
 
-class Permit::Builder
-{
+class Permit::Builder {
 public:
   typedef Permit Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base)
-    : _builder(base)
-  {
-  }
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
   inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
-    return asReader().toString();
-  }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-  inline ::uint64_t getNumber();
-  inline void setNumber(::uint64_t value);
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
 
   inline bool hasServer();
-  inline ::capnp::Text::Builder getServer();
-  inline void setServer(::capnp::Text::Reader value);
-  inline ::capnp::Text::Builder initServer(unsigned int size);
-  inline void adoptServer(::capnp::Orphan<::capnp::Text>&& value);
-  inline ::capnp::Orphan<::capnp::Text> disownServer();
+  inline  ::capnp::Text::Builder getServer();
+  inline void setServer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initServer(unsigned int size);
+  inline void adoptServer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownServer();
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class Permit::Pipeline
-{
+class Permit::Pipeline {
 public:
   typedef Permit Pipelines;
 
-  inline Pipeline(decltype(nullptr))
-    : _typeless(nullptr)
-  {
-  }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-    : _typeless(kj::mv(typeless))
-  {
-  }
+      : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class PermitDenial::Reader
-{
+class PermitDenial::Reader {
 public:
   typedef PermitDenial Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base)
-    : _reader(base)
-  {
-  }
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
+  inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-  inline ::uint64_t getNumber() const;
+  inline  ::uint64_t getNumber() const;
 
-  inline ::int64_t getWaitMicros() const;
+  inline  ::int64_t getWaitMicros() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
 
-class PermitDenial::Builder
-{
+class PermitDenial::Builder {
 public:
   typedef PermitDenial Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base)
-    : _builder(base)
-  {
-  }
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
   inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
-    return asReader().toString();
-  }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-  inline ::uint64_t getNumber();
-  inline void setNumber(::uint64_t value);
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
 
-  inline ::int64_t getWaitMicros();
-  inline void setWaitMicros(::int64_t value);
+  inline  ::int64_t getWaitMicros();
+  inline void setWaitMicros( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class PermitDenial::Pipeline
-{
+class PermitDenial::Pipeline {
 public:
   typedef PermitDenial Pipelines;
 
-  inline Pipeline(decltype(nullptr))
-    : _typeless(nullptr)
-  {
-  }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-    : _typeless(kj::mv(typeless))
-  {
-  }
+      : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class ToDispatcher::Reader
-{
+class ToDispatcher::Reader {
 public:
   typedef ToDispatcher Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base)
-    : _reader(base)
-  {
-  }
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
+  inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline Which which() const;
   inline bool isAsk() const;
   inline bool hasAsk() const;
-  inline ::latchslip::wire::PermitAsk::Reader getAsk() const;
+  inline  ::latchslip::wire::PermitAsk::Reader getAsk() const;
 
   inline bool isWithdrawal() const;
-  inline ::uint64_t getWithdrawal() const;
+  inline  ::uint64_t getWithdrawal() const;
 
   inline bool isNotice() const;
   inline bool hasNotice() const;
-  inline ::latchslip::wire::SendNotice::Reader getNotice() const;
+  inline  ::latchslip::wire::SendNotice::Reader getNotice() const;
 
   inline bool isEnd() const;
   inline bool hasEnd() const;
-  inline ::latchslip::wire::SendEnd::Reader getEnd() const;
+  inline  ::latchslip::wire::SendEnd::Reader getEnd() const;
 
   inline bool isProbe() const;
-  inline ::capnp::Void getProbe() const;
+  inline  ::capnp::Void getProbe() const;
+
+  inline bool isCrash() const;
+  inline bool hasCrash() const;
+  inline  ::latchslip::wire::CrashNotice::Reader getCrash() const;
+
+  inline bool isQuarantine() const;
+  inline bool hasQuarantine() const;
+  inline  ::latchslip::wire::Quarantine::Reader getQuarantine() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
 
-class ToDispatcher::Builder
-{
+class ToDispatcher::Builder {
 public:
   typedef ToDispatcher Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base)
-    : _builder(base)
-  {
-  }
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
   inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
-    return asReader().toString();
-  }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
   inline Which which();
   inline bool isAsk();
   inline bool hasAsk();
-  inline ::latchslip::wire::PermitAsk::Builder getAsk();
-  inline void setAsk(::latchslip::wire::PermitAsk::Reader value);
-  inline ::latchslip::wire::PermitAsk::Builder initAsk();
-  inline void adoptAsk(::capnp::Orphan<::latchslip::wire::PermitAsk>&& value);
-  inline ::capnp::Orphan<::latchslip::wire::PermitAsk> disownAsk();
+  inline  ::latchslip::wire::PermitAsk::Builder getAsk();
+  inline void setAsk( ::latchslip::wire::PermitAsk::Reader value);
+  inline  ::latchslip::wire::PermitAsk::Builder initAsk();
+  inline void adoptAsk(::capnp::Orphan< ::latchslip::wire::PermitAsk>&& value);
+  inline ::capnp::Orphan< ::latchslip::wire::PermitAsk> disownAsk();
 
   inline bool isWithdrawal();
-  inline ::uint64_t getWithdrawal();
-  inline void setWithdrawal(::uint64_t value);
+  inline  ::uint64_t getWithdrawal();
+  inline void setWithdrawal( ::uint64_t value);
 
   inline bool isNotice();
   inline bool hasNotice();
-  inline ::latchslip::wire::SendNotice::Builder getNotice();
-  inline void setNotice(::latchslip::wire::SendNotice::Reader value);
-  inline ::latchslip::wire::SendNotice::Builder initNotice();
-  inline void adoptNotice(::capnp::Orphan<::latchslip::wire::SendNotice>&& value);
-  inline ::capnp::Orphan<::latchslip::wire::SendNotice> disownNotice();
+  inline  ::latchslip::wire::SendNotice::Builder getNotice();
+  inline void setNotice( ::latchslip::wire::SendNotice::Reader value);
+  inline  ::latchslip::wire::SendNotice::Builder initNotice();
+  inline void adoptNotice(::capnp::Orphan< ::latchslip::wire::SendNotice>&& value);
+  inline ::capnp::Orphan< ::latchslip::wire::SendNotice> disownNotice();
 
   inline bool isEnd();
   inline bool hasEnd();
-  inline ::latchslip::wire::SendEnd::Builder getEnd();
-  inline void setEnd(::latchslip::wire::SendEnd::Reader value);
-  inline ::latchslip::wire::SendEnd::Builder initEnd();
-  inline void adoptEnd(::capnp::Orphan<::latchslip::wire::SendEnd>&& value);
-  inline ::capnp::Orphan<::latchslip::wire::SendEnd> disownEnd();
+  inline  ::latchslip::wire::SendEnd::Builder getEnd();
+  inline void setEnd( ::latchslip::wire::SendEnd::Reader value);
+  inline  ::latchslip::wire::SendEnd::Builder initEnd();
+  inline void adoptEnd(::capnp::Orphan< ::latchslip::wire::SendEnd>&& value);
+  inline ::capnp::Orphan< ::latchslip::wire::SendEnd> disownEnd();
 
   inline bool isProbe();
-  inline ::capnp::Void getProbe();
-  inline void setProbe(::capnp::Void value = ::capnp::VOID);
+  inline  ::capnp::Void getProbe();
+  inline void setProbe( ::capnp::Void value = ::capnp::VOID);
+
+  inline bool isCrash();
+  inline bool hasCrash();
+  inline  ::latchslip::wire::CrashNotice::Builder getCrash();
+  inline void setCrash( ::latchslip::wire::CrashNotice::Reader value);
+  inline  ::latchslip::wire::CrashNotice::Builder initCrash();
+  inline void adoptCrash(::capnp::Orphan< ::latchslip::wire::CrashNotice>&& value);
+  inline ::capnp::Orphan< ::latchslip::wire::CrashNotice> disownCrash();
+
+  inline bool isQuarantine();
+  inline bool hasQuarantine();
+  inline  ::latchslip::wire::Quarantine::Builder getQuarantine();
+  inline void setQuarantine( ::latchslip::wire::Quarantine::Reader value);
+  inline  ::latchslip::wire::Quarantine::Builder initQuarantine();
+  inline void adoptQuarantine(::capnp::Orphan< ::latchslip::wire::Quarantine>&& value);
+  inline ::capnp::Orphan< ::latchslip::wire::Quarantine> disownQuarantine();
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class ToDispatcher::Pipeline
-{
+class ToDispatcher::Pipeline {
 public:
   typedef ToDispatcher Pipelines;
 
-  inline Pipeline(decltype(nullptr))
-    : _typeless(nullptr)
-  {
-  }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-    : _typeless(kj::mv(typeless))
-  {
-  }
+      : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class FromDispatcher::Reader
-{
+class FromDispatcher::Reader {
 public:
   typedef FromDispatcher Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base)
-    : _reader(base)
-  {
-  }
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
+  inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline Which which() const;
   inline bool isPermit() const;
   inline bool hasPermit() const;
-  inline ::latchslip::wire::Permit::Reader getPermit() const;
+  inline  ::latchslip::wire::Permit::Reader getPermit() const;
 
   inline bool isDelay() const;
-  inline ::uint64_t getDelay() const;
+  inline  ::uint64_t getDelay() const;
 
   inline bool isDenial() const;
   inline bool hasDenial() const;
-  inline ::latchslip::wire::PermitDenial::Reader getDenial() const;
+  inline  ::latchslip::wire::PermitDenial::Reader getDenial() const;
 
   inline bool isSign() const;
-  inline ::capnp::Void getSign() const;
+  inline  ::capnp::Void getSign() const;
+
+  inline bool isQuarantine() const;
+  inline bool hasQuarantine() const;
+  inline  ::latchslip::wire::Quarantine::Reader getQuarantine() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
 
-class FromDispatcher::Builder
-{
+class FromDispatcher::Builder {
 public:
   typedef FromDispatcher Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base)
-    : _builder(base)
-  {
-  }
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
   inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
-    return asReader().toString();
-  }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
   inline Which which();
   inline bool isPermit();
   inline bool hasPermit();
-  inline ::latchslip::wire::Permit::Builder getPermit();
-  inline void setPermit(::latchslip::wire::Permit::Reader value);
-  inline ::latchslip::wire::Permit::Builder initPermit();
-  inline void adoptPermit(::capnp::Orphan<::latchslip::wire::Permit>&& value);
-  inline ::capnp::Orphan<::latchslip::wire::Permit> disownPermit();
+  inline  ::latchslip::wire::Permit::Builder getPermit();
+  inline void setPermit( ::latchslip::wire::Permit::Reader value);
+  inline  ::latchslip::wire::Permit::Builder initPermit();
+  inline void adoptPermit(::capnp::Orphan< ::latchslip::wire::Permit>&& value);
+  inline ::capnp::Orphan< ::latchslip::wire::Permit> disownPermit();
 
   inline bool isDelay();
-  inline ::uint64_t getDelay();
-  inline void setDelay(::uint64_t value);
+  inline  ::uint64_t getDelay();
+  inline void setDelay( ::uint64_t value);
 
   inline bool isDenial();
   inline bool hasDenial();
-  inline ::latchslip::wire::PermitDenial::Builder getDenial();
-  inline void setDenial(::latchslip::wire::PermitDenial::Reader value);
-  inline ::latchslip::wire::PermitDenial::Builder initDenial();
-  inline void adoptDenial(::capnp::Orphan<::latchslip::wire::PermitDenial>&& value);
-  inline ::capnp::Orphan<::latchslip::wire::PermitDenial> disownDenial();
+  inline  ::latchslip::wire::PermitDenial::Builder getDenial();
+  inline void setDenial( ::latchslip::wire::PermitDenial::Reader value);
+  inline  ::latchslip::wire::PermitDenial::Builder initDenial();
+  inline void adoptDenial(::capnp::Orphan< ::latchslip::wire::PermitDenial>&& value);
+  inline ::capnp::Orphan< ::latchslip::wire::PermitDenial> disownDenial();
 
   inline bool isSign();
-  inline ::capnp::Void getSign();
-  inline void setSign(::capnp::Void value = ::capnp::VOID);
+  inline  ::capnp::Void getSign();
+  inline void setSign( ::capnp::Void value = ::capnp::VOID);
+
+  inline bool isQuarantine();
+  inline bool hasQuarantine();
+  inline  ::latchslip::wire::Quarantine::Builder getQuarantine();
+  inline void setQuarantine( ::latchslip::wire::Quarantine::Reader value);
+  inline  ::latchslip::wire::Quarantine::Builder initQuarantine();
+  inline void adoptQuarantine(::capnp::Orphan< ::latchslip::wire::Quarantine>&& value);
+  inline ::capnp::Orphan< ::latchslip::wire::Quarantine> disownQuarantine();
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class FromDispatcher::Pipeline
-{
+class FromDispatcher::Pipeline {
 public:
   typedef FromDispatcher Pipelines;
 
-  inline Pipeline(decltype(nullptr))
-    : _typeless(nullptr)
-  {
-  }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-    : _typeless(kj::mv(typeless))
-  {
-  }
+      : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
-class PermitBatch::Reader
-{
+class PermitBatch::Reader {
 public:
   typedef PermitBatch Reads;
 
   Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base)
-    : _reader(base)
-  {
-  }
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline ::capnp::MessageSize totalSize() const { return _reader.totalSize().asPublic(); }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
+  inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
   inline bool hasTo() const;
-  inline ::capnp::List<::latchslip::wire::ToDispatcher, ::capnp::Kind::STRUCT>::Reader getTo()
-    const;
+  inline  ::capnp::List< ::latchslip::wire::ToDispatcher,  ::capnp::Kind::STRUCT>::Reader getTo() const;
 
   inline bool hasFrom() const;
-  inline ::capnp::List<::latchslip::wire::FromDispatcher, ::capnp::Kind::STRUCT>::Reader getFrom()
-    const;
+  inline  ::capnp::List< ::latchslip::wire::FromDispatcher,  ::capnp::Kind::STRUCT>::Reader getFrom() const;
 
 private:
   ::capnp::_::StructReader _reader;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::List;
   friend class ::capnp::MessageBuilder;
   friend class ::capnp::Orphanage;
 };
 
-class PermitBatch::Builder
-{
+class PermitBatch::Builder {
 public:
   typedef PermitBatch Builds;
 
-  Builder() = delete; // Deleted to discourage incorrect usage.
-                      // You can explicitly initialize to nullptr instead.
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
   inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base)
-    : _builder(base)
-  {
-  }
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
   inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-  inline ::kj::StringTree toString() const
-  {
-    return asReader().toString();
-  }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
   inline bool hasTo();
-  inline ::capnp::List<::latchslip::wire::ToDispatcher, ::capnp::Kind::STRUCT>::Builder getTo();
-  inline void setTo(
-    ::capnp::List<::latchslip::wire::ToDispatcher, ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::latchslip::wire::ToDispatcher, ::capnp::Kind::STRUCT>::Builder initTo(
-    unsigned int size);
-  inline void adoptTo(
-    ::capnp::Orphan<::capnp::List<::latchslip::wire::ToDispatcher, ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan<::capnp::List<::latchslip::wire::ToDispatcher, ::capnp::Kind::STRUCT>>
-  disownTo();
+  inline  ::capnp::List< ::latchslip::wire::ToDispatcher,  ::capnp::Kind::STRUCT>::Builder getTo();
+  inline void setTo( ::capnp::List< ::latchslip::wire::ToDispatcher,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::latchslip::wire::ToDispatcher,  ::capnp::Kind::STRUCT>::Builder initTo(unsigned int size);
+  inline void adoptTo(::capnp::Orphan< ::capnp::List< ::latchslip::wire::ToDispatcher,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::latchslip::wire::ToDispatcher,  ::capnp::Kind::STRUCT>> disownTo();
 
   inline bool hasFrom();
-  inline ::capnp::List<::latchslip::wire::FromDispatcher, ::capnp::Kind::STRUCT>::Builder getFrom();
-  inline void setFrom(
-    ::capnp::List<::latchslip::wire::FromDispatcher, ::capnp::Kind::STRUCT>::Reader value);
-  inline ::capnp::List<::latchslip::wire::FromDispatcher, ::capnp::Kind::STRUCT>::Builder initFrom(
-    unsigned int size);
-  inline void adoptFrom(
-    ::capnp::Orphan<::capnp::List<::latchslip::wire::FromDispatcher, ::capnp::Kind::STRUCT>>&&
-      value);
-  inline ::capnp::Orphan<::capnp::List<::latchslip::wire::FromDispatcher, ::capnp::Kind::STRUCT>>
-  disownFrom();
+  inline  ::capnp::List< ::latchslip::wire::FromDispatcher,  ::capnp::Kind::STRUCT>::Builder getFrom();
+  inline void setFrom( ::capnp::List< ::latchslip::wire::FromDispatcher,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::latchslip::wire::FromDispatcher,  ::capnp::Kind::STRUCT>::Builder initFrom(unsigned int size);
+  inline void adoptFrom(::capnp::Orphan< ::capnp::List< ::latchslip::wire::FromDispatcher,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::latchslip::wire::FromDispatcher,  ::capnp::Kind::STRUCT>> disownFrom();
 
 private:
   ::capnp::_::StructBuilder _builder;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
   friend class ::capnp::Orphanage;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
-class PermitBatch::Pipeline
-{
+class PermitBatch::Pipeline {
 public:
   typedef PermitBatch Pipelines;
 
-  inline Pipeline(decltype(nullptr))
-    : _typeless(nullptr)
-  {
-  }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-    : _typeless(kj::mv(typeless))
-  {
-  }
+      : _typeless(kj::mv(typeless)) {}
 
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
-  template<typename, ::capnp::Kind>
+  template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 // =======================================================================================
 
-inline ::uint64_t
-PermitAsk::Reader::getNumber() const
-{
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline ::uint64_t
-PermitAsk::Builder::getNumber()
-{
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void
-PermitAsk::Builder::setNumber(::uint64_t value)
-{
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool
-PermitAsk::Reader::hasService() const
-{
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool
-PermitAsk::Builder::hasService()
-{
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::Text::Reader
-PermitAsk::Reader::getService() const
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder
-PermitAsk::Builder::getService()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void
-PermitAsk::Builder::setService(::capnp::Text::Reader value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::Text::Builder
-PermitAsk::Builder::initService(unsigned int size)
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void
-PermitAsk::Builder::adoptService(::capnp::Orphan<::capnp::Text>&& value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::Text>
-PermitAsk::Builder::disownService()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool
-PermitAsk::Reader::hasServer() const
-{
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool
-PermitAsk::Builder::hasServer()
-{
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::Text::Reader
-PermitAsk::Reader::getServer() const
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder
-PermitAsk::Builder::getServer()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void
-PermitAsk::Builder::setServer(::capnp::Text::Reader value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::Text::Builder
-PermitAsk::Builder::initServer(unsigned int size)
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void
-PermitAsk::Builder::adoptServer(::capnp::Orphan<::capnp::Text>&& value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::Text>
-PermitAsk::Builder::disownServer()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline bool
-PermitAsk::Reader::hasHall() const
-{
-  return !_reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool
-PermitAsk::Builder::hasHall()
-{
-  return !_builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::Text::Reader
-PermitAsk::Reader::getHall() const
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _reader.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder
-PermitAsk::Builder::getHall()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void
-PermitAsk::Builder::setHall(::capnp::Text::Reader value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-    _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::Text::Builder
-PermitAsk::Builder::initHall(unsigned int size)
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-    _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void
-PermitAsk::Builder::adoptHall(::capnp::Orphan<::capnp::Text>&& value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-    _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::Text>
-PermitAsk::Builder::disownHall()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-    _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
-inline bool
-PermitAsk::Reader::hasTried() const
-{
-  return !_reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline bool
-PermitAsk::Builder::hasTried()
-{
-  return !_builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader
-PermitAsk::Reader::getTried() const
-{
-  return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-    _reader.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-PermitAsk::Builder::getTried()
-{
-  return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::get(
-    _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline void
-PermitAsk::Builder::setTried(::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Reader value)
-{
-  ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-    _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline void
-PermitAsk::Builder::setTried(::kj::ArrayPtr<const ::capnp::Text::Reader> value)
-{
-  ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::set(
-    _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>::Builder
-PermitAsk::Builder::initTried(unsigned int size)
-{
-  return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::init(
-    _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), size);
-}
-inline void
-PermitAsk::Builder::adoptTried(
-  ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>&& value)
-{
-  ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::adopt(
-    _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>
-PermitAsk::Builder::disownTried()
-{
-  return ::capnp::_::PointerHelpers<::capnp::List<::capnp::Text, ::capnp::Kind::BLOB>>::disown(
-    _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-
-inline ::uint32_t
-PermitAsk::Reader::getPriority() const
-{
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline ::uint32_t
-PermitAsk::Builder::getPriority()
-{
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void
-PermitAsk::Builder::setPriority(::uint32_t value)
-{
-  _builder.setDataField<::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline ::int64_t
-PermitAsk::Reader::getInTimeMicros() const
-{
-  return _reader.getDataField<::int64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline ::int64_t
-PermitAsk::Builder::getInTimeMicros()
-{
-  return _builder.getDataField<::int64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void
-PermitAsk::Builder::setInTimeMicros(::int64_t value)
-{
-  _builder.setDataField<::int64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline ::int64_t
-PermitAsk::Reader::getTimeLeftMicros() const
-{
-  return _reader.getDataField<::int64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-
-inline ::int64_t
-PermitAsk::Builder::getTimeLeftMicros()
-{
-  return _builder.getDataField<::int64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void
-PermitAsk::Builder::setTimeLeftMicros(::int64_t value)
-{
-  _builder.setDataField<::int64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
-
-inline ::uint64_t
-SendNotice::Reader::getNumber() const
-{
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline ::uint64_t
-SendNotice::Builder::getNumber()
-{
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void
-SendNotice::Builder::setNumber(::uint64_t value)
-{
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool
-SendNotice::Reader::hasService() const
-{
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool
-SendNotice::Builder::hasService()
-{
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::Text::Reader
-SendNotice::Reader::getService() const
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder
-SendNotice::Builder::getService()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void
-SendNotice::Builder::setService(::capnp::Text::Reader value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline  ::uint64_t PermitAsk::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PermitAsk::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PermitAsk::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PermitAsk::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PermitAsk::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader PermitAsk::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder PermitAsk::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PermitAsk::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder PermitAsk::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PermitAsk::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> PermitAsk::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PermitAsk::Reader::hasServer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool PermitAsk::Builder::hasServer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader PermitAsk::Reader::getServer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder PermitAsk::Builder::getServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void PermitAsk::Builder::setServer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder PermitAsk::Builder::initServer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void PermitAsk::Builder::adoptServer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> PermitAsk::Builder::disownServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool PermitAsk::Reader::hasHall() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool PermitAsk::Builder::hasHall() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader PermitAsk::Reader::getHall() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder PermitAsk::Builder::getHall() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void PermitAsk::Builder::setHall( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder PermitAsk::Builder::initHall(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void PermitAsk::Builder::adoptHall(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> PermitAsk::Builder::disownHall() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool PermitAsk::Reader::hasTried() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool PermitAsk::Builder::hasTried() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader PermitAsk::Reader::getTried() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder PermitAsk::Builder::getTried() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void PermitAsk::Builder::setTried( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void PermitAsk::Builder::setTried(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder PermitAsk::Builder::initTried(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void PermitAsk::Builder::adoptTried(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> PermitAsk::Builder::disownTried() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t PermitAsk::Reader::getPriority() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PermitAsk::Builder::getPriority() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PermitAsk::Builder::setPriority( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t PermitAsk::Reader::getInTimeMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t PermitAsk::Builder::getInTimeMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PermitAsk::Builder::setInTimeMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t PermitAsk::Reader::getTimeLeftMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t PermitAsk::Builder::getTimeLeftMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void PermitAsk::Builder::setTimeLeftMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PermitAsk::Reader::getFingerprint() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PermitAsk::Builder::getFingerprint() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void PermitAsk::Builder::setFingerprint( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t SendNotice::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SendNotice::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SendNotice::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SendNotice::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool SendNotice::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SendNotice::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SendNotice::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void SendNotice::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SendNotice::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void SendNotice::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SendNotice::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool SendNotice::Reader::hasServer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool SendNotice::Builder::hasServer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SendNotice::Reader::getServer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SendNotice::Builder::getServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void SendNotice::Builder::setServer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SendNotice::Builder::initServer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void SendNotice::Builder::adoptServer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SendNotice::Builder::disownServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t SendNotice::Reader::getAgoMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t SendNotice::Builder::getAgoMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void SendNotice::Builder::setAgoMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t SendNotice::Reader::getTimeLeftMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t SendNotice::Builder::getTimeLeftMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void SendNotice::Builder::setTimeLeftMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t SendNotice::Reader::getFingerprint() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SendNotice::Builder::getFingerprint() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void SendNotice::Builder::setFingerprint( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t SendEnd::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SendEnd::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SendEnd::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t SendEnd::Reader::getResult() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t SendEnd::Builder::getResult() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void SendEnd::Builder::setResult( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t SendEnd::Reader::getLatencyMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t SendEnd::Builder::getLatencyMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Text::Builder
-SendNotice::Builder::initService(unsigned int size)
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline void SendEnd::Builder::setLatencyMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
-inline void
-SendNotice::Builder::adoptService(::capnp::Orphan<::capnp::Text>&& value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::Text>
-SendNotice::Builder::disownService()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline bool SendEnd::Reader::getHasStatus() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<72>() * ::capnp::ELEMENTS);
 }
 
-inline bool
-SendNotice::Reader::hasServer() const
-{
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline bool SendEnd::Builder::getHasStatus() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<72>() * ::capnp::ELEMENTS);
+}
+inline void SendEnd::Builder::setHasStatus(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<72>() * ::capnp::ELEMENTS, value);
 }
-inline bool
-SendNotice::Builder::hasServer()
-{
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::Text::Reader
-SendNotice::Reader::getServer() const
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline  ::uint32_t SendEnd::Reader::getRunning() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Text::Builder
-SendNotice::Builder::getServer()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline  ::uint32_t SendEnd::Builder::getRunning() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void SendEnd::Builder::setRunning( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t SendEnd::Reader::getWaiting() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-inline void
-SendNotice::Builder::setServer(::capnp::Text::Reader value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::Text::Builder
-SendNotice::Builder::initServer(unsigned int size)
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
+
+inline  ::uint32_t SendEnd::Builder::getWaiting() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void SendEnd::Builder::setWaiting( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t SendEnd::Reader::getSlots() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t SendEnd::Builder::getSlots() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
-inline void
-SendNotice::Builder::adoptServer(::capnp::Orphan<::capnp::Text>&& value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void SendEnd::Builder::setSlots( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
-inline ::capnp::Orphan<::capnp::Text>
-SendNotice::Builder::disownServer()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-    _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline ::int64_t
-SendNotice::Reader::getAgoMicros() const
-{
-  return _reader.getDataField<::int64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+
+inline double SendEnd::Reader::getPace() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-
-inline ::int64_t
-SendNotice::Builder::getAgoMicros()
-{
-  return _builder.getDataField<::int64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+
+inline double SendEnd::Builder::getPace() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void
-SendNotice::Builder::setAgoMicros(::int64_t value)
-{
-  _builder.setDataField<::int64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void SendEnd::Builder::setPace(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
-
-inline ::int64_t
-SendNotice::Reader::getTimeLeftMicros() const
-{
-  return _reader.getDataField<::int64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+
+inline  ::int64_t SendEnd::Reader::getRestMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t
-SendNotice::Builder::getTimeLeftMicros()
-{
-  return _builder.getDataField<::int64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::int64_t SendEnd::Builder::getRestMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void
-SendNotice::Builder::setTimeLeftMicros(::int64_t value)
-{
-  _builder.setDataField<::int64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void SendEnd::Builder::setRestMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t
-SendEnd::Reader::getNumber() const
-{
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool SendEnd::Reader::getIsLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<73>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t
-SendEnd::Builder::getNumber()
-{
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool SendEnd::Builder::getIsLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<73>() * ::capnp::ELEMENTS);
 }
-inline void
-SendEnd::Builder::setNumber(::uint64_t value)
-{
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void SendEnd::Builder::setIsLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<73>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint8_t
-SendEnd::Reader::getResult() const
-{
-  return _reader.getDataField<::uint8_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline  ::uint64_t SendEnd::Reader::getLife() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint8_t
-SendEnd::Builder::getResult()
-{
-  return _builder.getDataField<::uint8_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline  ::uint64_t SendEnd::Builder::getLife() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-inline void
-SendEnd::Builder::setResult(::uint8_t value)
-{
-  _builder.setDataField<::uint8_t>(::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline void SendEnd::Builder::setLife( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::int64_t
-SendEnd::Reader::getLatencyMicros() const
-{
-  return _reader.getDataField<::int64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool SendEnd::Reader::getHasRateLimit() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<74>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t
-SendEnd::Builder::getLatencyMicros()
-{
-  return _builder.getDataField<::int64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool SendEnd::Builder::getHasRateLimit() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<74>() * ::capnp::ELEMENTS);
 }
-inline void
-SendEnd::Builder::setLatencyMicros(::int64_t value)
-{
-  _builder.setDataField<::int64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void SendEnd::Builder::setHasRateLimit(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<74>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool
-SendEnd::Reader::getHasStatus() const
-{
-  return _reader.getDataField<bool>(::capnp::bounded<72>() * ::capnp::ELEMENTS);
+inline double SendEnd::Reader::getRateLimit() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
 
-inline bool
-SendEnd::Builder::getHasStatus()
-{
-  return _builder.getDataField<bool>(::capnp::bounded<72>() * ::capnp::ELEMENTS);
+inline double SendEnd::Builder::getRateLimit() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
-inline void
-SendEnd::Builder::setHasStatus(bool value)
-{
-  _builder.setDataField<bool>(::capnp::bounded<72>() * ::capnp::ELEMENTS, value);
+inline void SendEnd::Builder::setRateLimit(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t
-SendEnd::Reader::getRunning() const
-{
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool SendEnd::Reader::getIsConnectionLost() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<75>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t
-SendEnd::Builder::getRunning()
-{
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool SendEnd::Builder::getIsConnectionLost() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<75>() * ::capnp::ELEMENTS);
 }
-inline void
-SendEnd::Builder::setRunning(::uint32_t value)
-{
-  _builder.setDataField<::uint32_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void SendEnd::Builder::setIsConnectionLost(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<75>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t
-SendEnd::Reader::getWaiting() const
-{
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline  ::uint64_t SendEnd::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t
-SendEnd::Builder::getWaiting()
-{
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline  ::uint64_t SendEnd::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline void
-SendEnd::Builder::setWaiting(::uint32_t value)
-{
-  _builder.setDataField<::uint32_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+inline void SendEnd::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint32_t
-SendEnd::Reader::getSlots() const
-{
-  return _reader.getDataField<::uint32_t>(::capnp::bounded<7>() * ::capnp::ELEMENTS);
+inline  ::uint64_t CrashNotice::Reader::getFingerprint() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint32_t
-SendEnd::Builder::getSlots()
-{
-  return _builder.getDataField<::uint32_t>(::capnp::bounded<7>() * ::capnp::ELEMENTS);
+inline  ::uint64_t CrashNotice::Builder::getFingerprint() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void
-SendEnd::Builder::setSlots(::uint32_t value)
-{
-  _builder.setDataField<::uint32_t>(::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+inline void CrashNotice::Builder::setFingerprint( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline double
-SendEnd::Reader::getPace() const
-{
-  return _reader.getDataField<double>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline bool CrashNotice::Reader::hasServer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashNotice::Builder::hasServer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader CrashNotice::Reader::getServer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder CrashNotice::Builder::getServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CrashNotice::Builder::setServer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder CrashNotice::Builder::initServer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CrashNotice::Builder::adoptServer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> CrashNotice::Builder::disownServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline double
-SendEnd::Builder::getPace()
-{
-  return _builder.getDataField<double>(::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::uint64_t CrashNotice::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void
-SendEnd::Builder::setPace(double value)
-{
-  _builder.setDataField<double>(::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+
+inline  ::uint64_t CrashNotice::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void CrashNotice::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::int64_t
-SendEnd::Reader::getRestMicros() const
-{
-  return _reader.getDataField<::int64_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::int64_t CrashNotice::Reader::getSentAgoMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t
-SendEnd::Builder::getRestMicros()
-{
-  return _builder.getDataField<::int64_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::int64_t CrashNotice::Builder::getSentAgoMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void
-SendEnd::Builder::setRestMicros(::int64_t value)
-{
-  _builder.setDataField<::int64_t>(::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline void CrashNotice::Builder::setSentAgoMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool
-SendEnd::Reader::getIsLeaving() const
-{
-  return _reader.getDataField<bool>(::capnp::bounded<73>() * ::capnp::ELEMENTS);
+inline  ::int64_t CrashNotice::Reader::getCrashedAgoMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline bool
-SendEnd::Builder::getIsLeaving()
-{
-  return _builder.getDataField<bool>(::capnp::bounded<73>() * ::capnp::ELEMENTS);
+inline  ::int64_t CrashNotice::Builder::getCrashedAgoMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void
-SendEnd::Builder::setIsLeaving(bool value)
-{
-  _builder.setDataField<bool>(::capnp::bounded<73>() * ::capnp::ELEMENTS, value);
+inline void CrashNotice::Builder::setCrashedAgoMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t
-SendEnd::Reader::getLife() const
-{
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Quarantine::Reader::getFingerprint() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t
-SendEnd::Builder::getLife()
-{
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Quarantine::Builder::getFingerprint() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void
-SendEnd::Builder::setLife(::uint64_t value)
-{
-  _builder.setDataField<::uint64_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+inline void Quarantine::Builder::setFingerprint( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool
-SendEnd::Reader::getHasRateLimit() const
-{
-  return _reader.getDataField<bool>(::capnp::bounded<74>() * ::capnp::ELEMENTS);
+inline  ::int64_t Quarantine::Reader::getRemainingMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline bool
-SendEnd::Builder::getHasRateLimit()
-{
-  return _builder.getDataField<bool>(::capnp::bounded<74>() * ::capnp::ELEMENTS);
+inline  ::int64_t Quarantine::Builder::getRemainingMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void
-SendEnd::Builder::setHasRateLimit(bool value)
-{
-  _builder.setDataField<bool>(::capnp::bounded<74>() * ::capnp::ELEMENTS, value);
+inline void Quarantine::Builder::setRemainingMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline double
-SendEnd::Reader::getRateLimit() const
-{
-  return _reader.getDataField<double>(::capnp::bounded<7>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Quarantine::Reader::getCrashes() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline double
-SendEnd::Builder::getRateLimit()
-{
-  return _builder.getDataField<double>(::capnp::bounded<7>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Quarantine::Builder::getCrashes() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void
-SendEnd::Builder::setRateLimit(double value)
-{
-  _builder.setDataField<double>(::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+inline void Quarantine::Builder::setCrashes( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t
-Permit::Reader::getNumber() const
-{
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Permit::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t
-Permit::Builder::getNumber()
-{
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Permit::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void
-Permit::Builder::setNumber(::uint64_t value)
-{
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Permit::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool
-Permit::Reader::hasServer() const
-{
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Permit::Reader::hasServer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool
-Permit::Builder::hasServer()
-{
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+inline bool Permit::Builder::hasServer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader
-Permit::Reader::getServer() const
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Permit::Reader::getServer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder
-Permit::Builder::getServer()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::get(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Permit::Builder::getServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void
-Permit::Builder::setServer(::capnp::Text::Reader value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::set(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Permit::Builder::setServer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder
-Permit::Builder::initServer(unsigned int size)
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::init(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder Permit::Builder::initServer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void
-Permit::Builder::adoptServer(::capnp::Orphan<::capnp::Text>&& value)
-{
-  ::capnp::_::PointerHelpers<::capnp::Text>::adopt(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Permit::Builder::adoptServer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text>
-Permit::Builder::disownServer()
-{
-  return ::capnp::_::PointerHelpers<::capnp::Text>::disown(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Permit::Builder::disownServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t
-PermitDenial::Reader::getNumber() const
-{
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t PermitDenial::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t
-PermitDenial::Builder::getNumber()
-{
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t PermitDenial::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void
-PermitDenial::Builder::setNumber(::uint64_t value)
-{
-  _builder.setDataField<::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void PermitDenial::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::int64_t
-PermitDenial::Reader::getWaitMicros() const
-{
-  return _reader.getDataField<::int64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::int64_t PermitDenial::Reader::getWaitMicros() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t
-PermitDenial::Builder::getWaitMicros()
-{
-  return _builder.getDataField<::int64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::int64_t PermitDenial::Builder::getWaitMicros() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void
-PermitDenial::Builder::setWaitMicros(::int64_t value)
-{
-  _builder.setDataField<::int64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void PermitDenial::Builder::setWaitMicros( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::latchslip::wire::ToDispatcher::Which
-ToDispatcher::Reader::which() const
-{
-  return _reader.getDataField<Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::latchslip::wire::ToDispatcher::Which ToDispatcher::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline  ::latchslip::wire::ToDispatcher::Which ToDispatcher::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::latchslip::wire::ToDispatcher::Which
-ToDispatcher::Builder::which()
-{
-  return _builder.getDataField<Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline bool
-ToDispatcher::Reader::isAsk() const
-{
+
+inline bool ToDispatcher::Reader::isAsk() const {
   return which() == ToDispatcher::ASK;
 }
-inline bool
-ToDispatcher::Builder::isAsk()
-{
+inline bool ToDispatcher::Builder::isAsk() {
   return which() == ToDispatcher::ASK;
 }
-inline bool
-ToDispatcher::Reader::hasAsk() const
-{
-  if (which() != ToDispatcher::ASK)
-    return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool
-ToDispatcher::Builder::hasAsk()
-{
-  if (which() != ToDispatcher::ASK)
-    return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline ::latchslip::wire::PermitAsk::Reader
-ToDispatcher::Reader::getAsk() const
-{
-  KJ_IREQUIRE((which() == ToDispatcher::ASK), "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::latchslip::wire::PermitAsk>::get(
-    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::latchslip::wire::PermitAsk::Builder
-ToDispatcher::Builder::getAsk()
-{
-  KJ_IREQUIRE((which() == ToDispatcher::ASK), "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::latchslip::wire::PermitAsk>::get(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void
-ToDispatcher::Builder::setAsk(::latchslip::wire::PermitAsk::Reader value)
-{
-  _builder.setDataField<ToDispatcher::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                             ToDispatcher::ASK);
-  ::capnp::_::PointerHelpers<::latchslip::wire::PermitAsk>::set(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::latchslip::wire::PermitAsk::Builder
-ToDispatcher::Builder::initAsk()
-{
-  _builder.setDataField<ToDispatcher::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                             ToDispatcher::ASK);
-  return ::capnp::_::PointerHelpers<::latchslip::wire::PermitAsk>::init(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void
-ToDispatcher::Builder::adoptAsk(::capnp::Orphan<::latchslip::wire::PermitAsk>&& value)
-{
-  _builder.setDataField<ToDispatcher::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                             ToDispatcher::ASK);
-  ::capnp::_::PointerHelpers<::latchslip::wire::PermitAsk>::adopt(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::latchslip::wire::PermitAsk>
-ToDispatcher::Builder::disownAsk()
-{
-  KJ_IREQUIRE((which() == ToDispatcher::ASK), "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::latchslip::wire::PermitAsk>::disown(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool
-ToDispatcher::Reader::isWithdrawal() const
-{
+inline bool ToDispatcher::Reader::hasAsk() const {
+  if (which() != ToDispatcher::ASK) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ToDispatcher::Builder::hasAsk() {
+  if (which() != ToDispatcher::ASK) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::latchslip::wire::PermitAsk::Reader ToDispatcher::Reader::getAsk() const {
+  KJ_IREQUIRE((which() == ToDispatcher::ASK),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::latchslip::wire::PermitAsk>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::latchslip::wire::PermitAsk::Builder ToDispatcher::Builder::getAsk() {
+  KJ_IREQUIRE((which() == ToDispatcher::ASK),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::latchslip::wire::PermitAsk>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ToDispatcher::Builder::setAsk( ::latchslip::wire::PermitAsk::Reader value) {
+  _builder.setDataField<ToDispatcher::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ToDispatcher::ASK);
+  ::capnp::_::PointerHelpers< ::latchslip::wire::PermitAsk>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::latchslip::wire::PermitAsk::Builder ToDispatcher::Builder::initAsk() {
+  _builder.setDataField<ToDispatcher::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ToDispatcher::ASK);
+  return ::capnp::_::PointerHelpers< ::latchslip::wire::PermitAsk>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ToDispatcher::Builder::adoptAsk(
+    ::capnp::Orphan< ::latchslip::wire::PermitAsk>&& value) {
+  _builder.setDataField<ToDispatcher::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ToDispatcher::ASK);
+  ::capnp::_::PointerHelpers< ::latchslip::wire::PermitAsk>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::latchslip::wire::PermitAsk> ToDispatcher::Builder::disownAsk() {
+  KJ_IREQUIRE((which() == ToDispatcher::ASK),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::latchslip::wire::PermitAsk>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool ToDispatcher::Reader::isWithdrawal() const {
   return which() == ToDispatcher::WITHDRAWAL;
 }
-inline bool
-ToDispatcher::Builder::isWithdrawal()
-{
+inline bool ToDispatcher::Builder::isWithdrawal() {
   return which() == ToDispatcher::WITHDRAWAL;
 }
-inline ::uint64_t
-ToDispatcher::Reader::getWithdrawal() const
-{
+inline  ::uint64_t ToDispatcher::Reader::getWithdrawal() const {
   KJ_IREQUIRE((which() == ToDispatcher::WITHDRAWAL),
               "Must check which() before get()ing a union member.");
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t
-ToDispatcher::Builder::getWithdrawal()
-{
+inline  ::uint64_t ToDispatcher::Builder::getWithdrawal() {
   KJ_IREQUIRE((which() == ToDispatcher::WITHDRAWAL),
               "Must check which() before get()ing a union member.");
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void
-ToDispatcher::Builder::setWithdrawal(::uint64_t value)
-{
-  _builder.setDataField<ToDispatcher::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                             ToDispatcher::WITHDRAWAL);
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void ToDispatcher::Builder::setWithdrawal( ::uint64_t value) {
+  _builder.setDataField<ToDispatcher::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ToDispatcher::WITHDRAWAL);
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool
-ToDispatcher::Reader::isNotice() const
-{
+inline bool ToDispatcher::Reader::isNotice() const {
   return which() == ToDispatcher::NOTICE;
 }
-inline bool
-ToDispatcher::Builder::isNotice()
-{
+inline bool ToDispatcher::Builder::isNotice() {
   return which() == ToDispatcher::NOTICE;
 }
-inline bool
-ToDispatcher::Reader::hasNotice() const
-{
-  if (which() != ToDispatcher::NOTICE)
-    return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool
-ToDispatcher::Builder::hasNotice()
-{
-  if (which() != ToDispatcher::NOTICE)
-    return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline ::latchslip::wire::SendNotice::Reader
-ToDispatcher::Reader::getNotice() const
-{
+inline bool ToDispatcher::Reader::hasNotice() const {
+  if (which() != ToDispatcher::NOTICE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ToDispatcher::Builder::hasNotice() {
+  if (which() != ToDispatcher::NOTICE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::latchslip::wire::SendNotice::Reader ToDispatcher::Reader::getNotice() const {
   KJ_IREQUIRE((which() == ToDispatcher::NOTICE),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::latchslip::wire::SendNotice>::get(
-    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::latchslip::wire::SendNotice>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::latchslip::wire::SendNotice::Builder
-ToDispatcher::Builder::getNotice()
-{
+inline  ::latchslip::wire::SendNotice::Builder ToDispatcher::Builder::getNotice() {
   KJ_IREQUIRE((which() == ToDispatcher::NOTICE),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::latchslip::wire::SendNotice>::get(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void
-ToDispatcher::Builder::setNotice(::latchslip::wire::SendNotice::Reader value)
-{
-  _builder.setDataField<ToDispatcher::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                             ToDispatcher::NOTICE);
-  ::capnp::_::PointerHelpers<::latchslip::wire::SendNotice>::set(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::latchslip::wire::SendNotice::Builder
-ToDispatcher::Builder::initNotice()
-{
-  _builder.setDataField<ToDispatcher::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                             ToDispatcher::NOTICE);
-  return ::capnp::_::PointerHelpers<::latchslip::wire::SendNotice>::init(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void
-ToDispatcher::Builder::adoptNotice(::capnp::Orphan<::latchslip::wire::SendNotice>&& value)
-{
-  _builder.setDataField<ToDispatcher::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                             ToDispatcher::NOTICE);
-  ::capnp::_::PointerHelpers<::latchslip::wire::SendNotice>::adopt(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::latchslip::wire::SendNotice>
-ToDispatcher::Builder::disownNotice()
-{
+  return ::capnp::_::PointerHelpers< ::latchslip::wire::SendNotice>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ToDispatcher::Builder::setNotice( ::latchslip::wire::SendNotice::Reader value) {
+  _builder.setDataField<ToDispatcher::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ToDispatcher::NOTICE);
+  ::capnp::_::PointerHelpers< ::latchslip::wire::SendNotice>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::latchslip::wire::SendNotice::Builder ToDispatcher::Builder::initNotice() {
+  _builder.setDataField<ToDispatcher::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ToDispatcher::NOTICE);
+  return ::capnp::_::PointerHelpers< ::latchslip::wire::SendNotice>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ToDispatcher::Builder::adoptNotice(
+    ::capnp::Orphan< ::latchslip::wire::SendNotice>&& value) {
+  _builder.setDataField<ToDispatcher::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ToDispatcher::NOTICE);
+  ::capnp::_::PointerHelpers< ::latchslip::wire::SendNotice>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::latchslip::wire::SendNotice> ToDispatcher::Builder::disownNotice() {
   KJ_IREQUIRE((which() == ToDispatcher::NOTICE),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::latchslip::wire::SendNotice>::disown(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::latchslip::wire::SendNotice>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool
-ToDispatcher::Reader::isEnd() const
-{
+inline bool ToDispatcher::Reader::isEnd() const {
   return which() == ToDispatcher::END;
 }
-inline bool
-ToDispatcher::Builder::isEnd()
-{
+inline bool ToDispatcher::Builder::isEnd() {
   return which() == ToDispatcher::END;
 }
-inline bool
-ToDispatcher::Reader::hasEnd() const
-{
-  if (which() != ToDispatcher::END)
-    return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool
-ToDispatcher::Builder::hasEnd()
-{
-  if (which() != ToDispatcher::END)
-    return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline ::latchslip::wire::SendEnd::Reader
-ToDispatcher::Reader::getEnd() const
-{
-  KJ_IREQUIRE((which() == ToDispatcher::END), "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::latchslip::wire::SendEnd>::get(
-    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::latchslip::wire::SendEnd::Builder
-ToDispatcher::Builder::getEnd()
-{
-  KJ_IREQUIRE((which() == ToDispatcher::END), "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::latchslip::wire::SendEnd>::get(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void
-ToDispatcher::Builder::setEnd(::latchslip::wire::SendEnd::Reader value)
-{
-  _builder.setDataField<ToDispatcher::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                             ToDispatcher::END);
-  ::capnp::_::PointerHelpers<::latchslip::wire::SendEnd>::set(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::latchslip::wire::SendEnd::Builder
-ToDispatcher::Builder::initEnd()
-{
-  _builder.setDataField<ToDispatcher::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                             ToDispatcher::END);
-  return ::capnp::_::PointerHelpers<::latchslip::wire::SendEnd>::init(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void
-ToDispatcher::Builder::adoptEnd(::capnp::Orphan<::latchslip::wire::SendEnd>&& value)
-{
-  _builder.setDataField<ToDispatcher::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                             ToDispatcher::END);
-  ::capnp::_::PointerHelpers<::latchslip::wire::SendEnd>::adopt(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::latchslip::wire::SendEnd>
-ToDispatcher::Builder::disownEnd()
-{
-  KJ_IREQUIRE((which() == ToDispatcher::END), "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::latchslip::wire::SendEnd>::disown(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool
-ToDispatcher::Reader::isProbe() const
-{
+inline bool ToDispatcher::Reader::hasEnd() const {
+  if (which() != ToDispatcher::END) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ToDispatcher::Builder::hasEnd() {
+  if (which() != ToDispatcher::END) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::latchslip::wire::SendEnd::Reader ToDispatcher::Reader::getEnd() const {
+  KJ_IREQUIRE((which() == ToDispatcher::END),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::latchslip::wire::SendEnd>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::latchslip::wire::SendEnd::Builder ToDispatcher::Builder::getEnd() {
+  KJ_IREQUIRE((which() == ToDispatcher::END),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::latchslip::wire::SendEnd>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ToDispatcher::Builder::setEnd( ::latchslip::wire::SendEnd::Reader value) {
+  _builder.setDataField<ToDispatcher::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ToDispatcher::END);
+  ::capnp::_::PointerHelpers< ::latchslip::wire::SendEnd>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::latchslip::wire::SendEnd::Builder ToDispatcher::Builder::initEnd() {
+  _builder.setDataField<ToDispatcher::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ToDispatcher::END);
+  return ::capnp::_::PointerHelpers< ::latchslip::wire::SendEnd>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ToDispatcher::Builder::adoptEnd(
+    ::capnp::Orphan< ::latchslip::wire::SendEnd>&& value) {
+  _builder.setDataField<ToDispatcher::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ToDispatcher::END);
+  ::capnp::_::PointerHelpers< ::latchslip::wire::SendEnd>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::latchslip::wire::SendEnd> ToDispatcher::Builder::disownEnd() {
+  KJ_IREQUIRE((which() == ToDispatcher::END),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::latchslip::wire::SendEnd>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool ToDispatcher::Reader::isProbe() const {
   return which() == ToDispatcher::PROBE;
 }
-inline bool
-ToDispatcher::Builder::isProbe()
-{
+inline bool ToDispatcher::Builder::isProbe() {
   return which() == ToDispatcher::PROBE;
 }
-inline ::capnp::Void
-ToDispatcher::Reader::getProbe() const
-{
+inline  ::capnp::Void ToDispatcher::Reader::getProbe() const {
   KJ_IREQUIRE((which() == ToDispatcher::PROBE),
               "Must check which() before get()ing a union member.");
-  return _reader.getDataField<::capnp::Void>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::capnp::Void
-ToDispatcher::Builder::getProbe()
-{
+inline  ::capnp::Void ToDispatcher::Builder::getProbe() {
   KJ_IREQUIRE((which() == ToDispatcher::PROBE),
               "Must check which() before get()ing a union member.");
-  return _builder.getDataField<::capnp::Void>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void
-ToDispatcher::Builder::setProbe(::capnp::Void value)
-{
-  _builder.setDataField<ToDispatcher::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                             ToDispatcher::PROBE);
-  _builder.setDataField<::capnp::Void>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void ToDispatcher::Builder::setProbe( ::capnp::Void value) {
+  _builder.setDataField<ToDispatcher::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ToDispatcher::PROBE);
+  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::latchslip::wire::FromDispatcher::Which
-FromDispatcher::Reader::which() const
-{
-  return _reader.getDataField<Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool ToDispatcher::Reader::isCrash() const {
+  return which() == ToDispatcher::CRASH;
 }
-inline ::latchslip::wire::FromDispatcher::Which
-FromDispatcher::Builder::which()
-{
-  return _builder.getDataField<Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool ToDispatcher::Builder::isCrash() {
+  return which() == ToDispatcher::CRASH;
+}
+inline bool ToDispatcher::Reader::hasCrash() const {
+  if (which() != ToDispatcher::CRASH) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ToDispatcher::Builder::hasCrash() {
+  if (which() != ToDispatcher::CRASH) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::latchslip::wire::CrashNotice::Reader ToDispatcher::Reader::getCrash() const {
+  KJ_IREQUIRE((which() == ToDispatcher::CRASH),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::latchslip::wire::CrashNotice>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::latchslip::wire::CrashNotice::Builder ToDispatcher::Builder::getCrash() {
+  KJ_IREQUIRE((which() == ToDispatcher::CRASH),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::latchslip::wire::CrashNotice>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ToDispatcher::Builder::setCrash( ::latchslip::wire::CrashNotice::Reader value) {
+  _builder.setDataField<ToDispatcher::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ToDispatcher::CRASH);
+  ::capnp::_::PointerHelpers< ::latchslip::wire::CrashNotice>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::latchslip::wire::CrashNotice::Builder ToDispatcher::Builder::initCrash() {
+  _builder.setDataField<ToDispatcher::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ToDispatcher::CRASH);
+  return ::capnp::_::PointerHelpers< ::latchslip::wire::CrashNotice>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ToDispatcher::Builder::adoptCrash(
+    ::capnp::Orphan< ::latchslip::wire::CrashNotice>&& value) {
+  _builder.setDataField<ToDispatcher::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ToDispatcher::CRASH);
+  ::capnp::_::PointerHelpers< ::latchslip::wire::CrashNotice>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::latchslip::wire::CrashNotice> ToDispatcher::Builder::disownCrash() {
+  KJ_IREQUIRE((which() == ToDispatcher::CRASH),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::latchslip::wire::CrashNotice>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool
-FromDispatcher::Reader::isPermit() const
-{
+inline bool ToDispatcher::Reader::isQuarantine() const {
+  return which() == ToDispatcher::QUARANTINE;
+}
+inline bool ToDispatcher::Builder::isQuarantine() {
+  return which() == ToDispatcher::QUARANTINE;
+}
+inline bool ToDispatcher::Reader::hasQuarantine() const {
+  if (which() != ToDispatcher::QUARANTINE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ToDispatcher::Builder::hasQuarantine() {
+  if (which() != ToDispatcher::QUARANTINE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::latchslip::wire::Quarantine::Reader ToDispatcher::Reader::getQuarantine() const {
+  KJ_IREQUIRE((which() == ToDispatcher::QUARANTINE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::latchslip::wire::Quarantine>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::latchslip::wire::Quarantine::Builder ToDispatcher::Builder::getQuarantine() {
+  KJ_IREQUIRE((which() == ToDispatcher::QUARANTINE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::latchslip::wire::Quarantine>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ToDispatcher::Builder::setQuarantine( ::latchslip::wire::Quarantine::Reader value) {
+  _builder.setDataField<ToDispatcher::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ToDispatcher::QUARANTINE);
+  ::capnp::_::PointerHelpers< ::latchslip::wire::Quarantine>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::latchslip::wire::Quarantine::Builder ToDispatcher::Builder::initQuarantine() {
+  _builder.setDataField<ToDispatcher::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ToDispatcher::QUARANTINE);
+  return ::capnp::_::PointerHelpers< ::latchslip::wire::Quarantine>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ToDispatcher::Builder::adoptQuarantine(
+    ::capnp::Orphan< ::latchslip::wire::Quarantine>&& value) {
+  _builder.setDataField<ToDispatcher::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ToDispatcher::QUARANTINE);
+  ::capnp::_::PointerHelpers< ::latchslip::wire::Quarantine>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::latchslip::wire::Quarantine> ToDispatcher::Builder::disownQuarantine() {
+  KJ_IREQUIRE((which() == ToDispatcher::QUARANTINE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::latchslip::wire::Quarantine>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::latchslip::wire::FromDispatcher::Which FromDispatcher::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline  ::latchslip::wire::FromDispatcher::Which FromDispatcher::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool FromDispatcher::Reader::isPermit() const {
   return which() == FromDispatcher::PERMIT;
 }
-inline bool
-FromDispatcher::Builder::isPermit()
-{
+inline bool FromDispatcher::Builder::isPermit() {
   return which() == FromDispatcher::PERMIT;
 }
-inline bool
-FromDispatcher::Reader::hasPermit() const
-{
-  if (which() != FromDispatcher::PERMIT)
-    return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool
-FromDispatcher::Builder::hasPermit()
-{
-  if (which() != FromDispatcher::PERMIT)
-    return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline ::latchslip::wire::Permit::Reader
-FromDispatcher::Reader::getPermit() const
-{
+inline bool FromDispatcher::Reader::hasPermit() const {
+  if (which() != FromDispatcher::PERMIT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool FromDispatcher::Builder::hasPermit() {
+  if (which() != FromDispatcher::PERMIT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::latchslip::wire::Permit::Reader FromDispatcher::Reader::getPermit() const {
   KJ_IREQUIRE((which() == FromDispatcher::PERMIT),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::latchslip::wire::Permit>::get(
-    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::latchslip::wire::Permit>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::latchslip::wire::Permit::Builder
-FromDispatcher::Builder::getPermit()
-{
+inline  ::latchslip::wire::Permit::Builder FromDispatcher::Builder::getPermit() {
   KJ_IREQUIRE((which() == FromDispatcher::PERMIT),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::latchslip::wire::Permit>::get(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void
-FromDispatcher::Builder::setPermit(::latchslip::wire::Permit::Reader value)
-{
-  _builder.setDataField<FromDispatcher::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                               FromDispatcher::PERMIT);
-  ::capnp::_::PointerHelpers<::latchslip::wire::Permit>::set(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::latchslip::wire::Permit::Builder
-FromDispatcher::Builder::initPermit()
-{
-  _builder.setDataField<FromDispatcher::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                               FromDispatcher::PERMIT);
-  return ::capnp::_::PointerHelpers<::latchslip::wire::Permit>::init(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void
-FromDispatcher::Builder::adoptPermit(::capnp::Orphan<::latchslip::wire::Permit>&& value)
-{
-  _builder.setDataField<FromDispatcher::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                               FromDispatcher::PERMIT);
-  ::capnp::_::PointerHelpers<::latchslip::wire::Permit>::adopt(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::latchslip::wire::Permit>
-FromDispatcher::Builder::disownPermit()
-{
+  return ::capnp::_::PointerHelpers< ::latchslip::wire::Permit>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FromDispatcher::Builder::setPermit( ::latchslip::wire::Permit::Reader value) {
+  _builder.setDataField<FromDispatcher::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FromDispatcher::PERMIT);
+  ::capnp::_::PointerHelpers< ::latchslip::wire::Permit>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::latchslip::wire::Permit::Builder FromDispatcher::Builder::initPermit() {
+  _builder.setDataField<FromDispatcher::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FromDispatcher::PERMIT);
+  return ::capnp::_::PointerHelpers< ::latchslip::wire::Permit>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FromDispatcher::Builder::adoptPermit(
+    ::capnp::Orphan< ::latchslip::wire::Permit>&& value) {
+  _builder.setDataField<FromDispatcher::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FromDispatcher::PERMIT);
+  ::capnp::_::PointerHelpers< ::latchslip::wire::Permit>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::latchslip::wire::Permit> FromDispatcher::Builder::disownPermit() {
   KJ_IREQUIRE((which() == FromDispatcher::PERMIT),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::latchslip::wire::Permit>::disown(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::latchslip::wire::Permit>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool
-FromDispatcher::Reader::isDelay() const
-{
+inline bool FromDispatcher::Reader::isDelay() const {
   return which() == FromDispatcher::DELAY;
 }
-inline bool
-FromDispatcher::Builder::isDelay()
-{
+inline bool FromDispatcher::Builder::isDelay() {
   return which() == FromDispatcher::DELAY;
 }
-inline ::uint64_t
-FromDispatcher::Reader::getDelay() const
-{
+inline  ::uint64_t FromDispatcher::Reader::getDelay() const {
   KJ_IREQUIRE((which() == FromDispatcher::DELAY),
               "Must check which() before get()ing a union member.");
-  return _reader.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t
-FromDispatcher::Builder::getDelay()
-{
+inline  ::uint64_t FromDispatcher::Builder::getDelay() {
   KJ_IREQUIRE((which() == FromDispatcher::DELAY),
               "Must check which() before get()ing a union member.");
-  return _builder.getDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS);
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void
-FromDispatcher::Builder::setDelay(::uint64_t value)
-{
-  _builder.setDataField<FromDispatcher::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                               FromDispatcher::DELAY);
-  _builder.setDataField<::uint64_t>(::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void FromDispatcher::Builder::setDelay( ::uint64_t value) {
+  _builder.setDataField<FromDispatcher::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FromDispatcher::DELAY);
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool
-FromDispatcher::Reader::isDenial() const
-{
+inline bool FromDispatcher::Reader::isDenial() const {
   return which() == FromDispatcher::DENIAL;
 }
-inline bool
-FromDispatcher::Builder::isDenial()
-{
+inline bool FromDispatcher::Builder::isDenial() {
   return which() == FromDispatcher::DENIAL;
 }
-inline bool
-FromDispatcher::Reader::hasDenial() const
-{
-  if (which() != FromDispatcher::DENIAL)
-    return false;
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool
-FromDispatcher::Builder::hasDenial()
-{
-  if (which() != FromDispatcher::DENIAL)
-    return false;
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline ::latchslip::wire::PermitDenial::Reader
-FromDispatcher::Reader::getDenial() const
-{
+inline bool FromDispatcher::Reader::hasDenial() const {
+  if (which() != FromDispatcher::DENIAL) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool FromDispatcher::Builder::hasDenial() {
+  if (which() != FromDispatcher::DENIAL) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::latchslip::wire::PermitDenial::Reader FromDispatcher::Reader::getDenial() const {
   KJ_IREQUIRE((which() == FromDispatcher::DENIAL),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::latchslip::wire::PermitDenial>::get(
-    _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::latchslip::wire::PermitDenial>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::latchslip::wire::PermitDenial::Builder
-FromDispatcher::Builder::getDenial()
-{
+inline  ::latchslip::wire::PermitDenial::Builder FromDispatcher::Builder::getDenial() {
   KJ_IREQUIRE((which() == FromDispatcher::DENIAL),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::latchslip::wire::PermitDenial>::get(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void
-FromDispatcher::Builder::setDenial(::latchslip::wire::PermitDenial::Reader value)
-{
-  _builder.setDataField<FromDispatcher::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                               FromDispatcher::DENIAL);
-  ::capnp::_::PointerHelpers<::latchslip::wire::PermitDenial>::set(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::latchslip::wire::PermitDenial::Builder
-FromDispatcher::Builder::initDenial()
-{
-  _builder.setDataField<FromDispatcher::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                               FromDispatcher::DENIAL);
-  return ::capnp::_::PointerHelpers<::latchslip::wire::PermitDenial>::init(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void
-FromDispatcher::Builder::adoptDenial(::capnp::Orphan<::latchslip::wire::PermitDenial>&& value)
-{
-  _builder.setDataField<FromDispatcher::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                               FromDispatcher::DENIAL);
-  ::capnp::_::PointerHelpers<::latchslip::wire::PermitDenial>::adopt(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::latchslip::wire::PermitDenial>
-FromDispatcher::Builder::disownDenial()
-{
+  return ::capnp::_::PointerHelpers< ::latchslip::wire::PermitDenial>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FromDispatcher::Builder::setDenial( ::latchslip::wire::PermitDenial::Reader value) {
+  _builder.setDataField<FromDispatcher::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FromDispatcher::DENIAL);
+  ::capnp::_::PointerHelpers< ::latchslip::wire::PermitDenial>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::latchslip::wire::PermitDenial::Builder FromDispatcher::Builder::initDenial() {
+  _builder.setDataField<FromDispatcher::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FromDispatcher::DENIAL);
+  return ::capnp::_::PointerHelpers< ::latchslip::wire::PermitDenial>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FromDispatcher::Builder::adoptDenial(
+    ::capnp::Orphan< ::latchslip::wire::PermitDenial>&& value) {
+  _builder.setDataField<FromDispatcher::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FromDispatcher::DENIAL);
+  ::capnp::_::PointerHelpers< ::latchslip::wire::PermitDenial>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::latchslip::wire::PermitDenial> FromDispatcher::Builder::disownDenial() {
   KJ_IREQUIRE((which() == FromDispatcher::DENIAL),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers<::latchslip::wire::PermitDenial>::disown(
-    _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
+  return ::capnp::_::PointerHelpers< ::latchslip::wire::PermitDenial>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool
-FromDispatcher::Reader::isSign() const
-{
+inline bool FromDispatcher::Reader::isSign() const {
   return which() == FromDispatcher::SIGN;
 }
-inline bool
-FromDispatcher::Builder::isSign()
-{
+inline bool FromDispatcher::Builder::isSign() {
   return which() == FromDispatcher::SIGN;
 }
-inline ::capnp::Void
-FromDispatcher::Reader::getSign() const
-{
+inline  ::capnp::Void FromDispatcher::Reader::getSign() const {
   KJ_IREQUIRE((which() == FromDispatcher::SIGN),
               "Must check which() before get()ing a union member.");
-  return _reader.getDataField<::capnp::Void>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::capnp::Void
-FromDispatcher::Builder::getSign()
-{
+inline  ::capnp::Void FromDispatcher::Builder::getSign() {
   KJ_IREQUIRE((which() == FromDispatcher::SIGN),
               "Must check which() before get()ing a union member.");
-  return _builder.getDataField<::capnp::Void>(::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void
-FromDispatcher::Builder::setSign(::capnp::Void value)
-{
-  _builder.setDataField<FromDispatcher::Which>(::capnp::bounded<0>() * ::capnp::ELEMENTS,
-                                               FromDispatcher::SIGN);
-  _builder.setDataField<::capnp::Void>(::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool
-PermitBatch::Reader::hasTo() const
-{
-  return !_reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool
-PermitBatch::Builder::hasTo()
-{
-  return !_builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::List<::latchslip::wire::ToDispatcher, ::capnp::Kind::STRUCT>::Reader
-PermitBatch::Reader::getTo() const
-{
-  return ::capnp::_::
-    PointerHelpers<::capnp::List<::latchslip::wire::ToDispatcher, ::capnp::Kind::STRUCT>>::get(
-      _reader.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::latchslip::wire::ToDispatcher, ::capnp::Kind::STRUCT>::Builder
-PermitBatch::Builder::getTo()
-{
-  return ::capnp::_::
-    PointerHelpers<::capnp::List<::latchslip::wire::ToDispatcher, ::capnp::Kind::STRUCT>>::get(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void
-PermitBatch::Builder::setTo(
-  ::capnp::List<::latchslip::wire::ToDispatcher, ::capnp::Kind::STRUCT>::Reader value)
-{
-  ::capnp::_::
-    PointerHelpers<::capnp::List<::latchslip::wire::ToDispatcher, ::capnp::Kind::STRUCT>>::set(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::List<::latchslip::wire::ToDispatcher, ::capnp::Kind::STRUCT>::Builder
-PermitBatch::Builder::initTo(unsigned int size)
-{
-  return ::capnp::_::
-    PointerHelpers<::capnp::List<::latchslip::wire::ToDispatcher, ::capnp::Kind::STRUCT>>::init(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void
-PermitBatch::Builder::adoptTo(
-  ::capnp::Orphan<::capnp::List<::latchslip::wire::ToDispatcher, ::capnp::Kind::STRUCT>>&& value)
-{
-  ::capnp::_::
-    PointerHelpers<::capnp::List<::latchslip::wire::ToDispatcher, ::capnp::Kind::STRUCT>>::adopt(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::List<::latchslip::wire::ToDispatcher, ::capnp::Kind::STRUCT>>
-PermitBatch::Builder::disownTo()
-{
-  return ::capnp::_::
-    PointerHelpers<::capnp::List<::latchslip::wire::ToDispatcher, ::capnp::Kind::STRUCT>>::disown(
-      _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool
-PermitBatch::Reader::hasFrom() const
-{
-  return !_reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool
-PermitBatch::Builder::hasFrom()
-{
-  return !_builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline ::capnp::List<::latchslip::wire::FromDispatcher, ::capnp::Kind::STRUCT>::Reader
-PermitBatch::Reader::getFrom() const
-{
-  return ::capnp::_::
-    PointerHelpers<::capnp::List<::latchslip::wire::FromDispatcher, ::capnp::Kind::STRUCT>>::get(
-      _reader.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::latchslip::wire::FromDispatcher, ::capnp::Kind::STRUCT>::Builder
-PermitBatch::Builder::getFrom()
-{
-  return ::capnp::_::
-    PointerHelpers<::capnp::List<::latchslip::wire::FromDispatcher, ::capnp::Kind::STRUCT>>::get(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void
-PermitBatch::Builder::setFrom(
-  ::capnp::List<::latchslip::wire::FromDispatcher, ::capnp::Kind::STRUCT>::Reader value)
-{
-  ::capnp::_::
-    PointerHelpers<::capnp::List<::latchslip::wire::FromDispatcher, ::capnp::Kind::STRUCT>>::set(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline ::capnp::List<::latchslip::wire::FromDispatcher, ::capnp::Kind::STRUCT>::Builder
-PermitBatch::Builder::initFrom(unsigned int size)
-{
-  return ::capnp::_::
-    PointerHelpers<::capnp::List<::latchslip::wire::FromDispatcher, ::capnp::Kind::STRUCT>>::init(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void
-PermitBatch::Builder::adoptFrom(
-  ::capnp::Orphan<::capnp::List<::latchslip::wire::FromDispatcher, ::capnp::Kind::STRUCT>>&& value)
-{
-  ::capnp::_::
-    PointerHelpers<::capnp::List<::latchslip::wire::FromDispatcher, ::capnp::Kind::STRUCT>>::adopt(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::List<::latchslip::wire::FromDispatcher, ::capnp::Kind::STRUCT>>
-PermitBatch::Builder::disownFrom()
-{
-  return ::capnp::_::
-    PointerHelpers<::capnp::List<::latchslip::wire::FromDispatcher, ::capnp::Kind::STRUCT>>::disown(
-      _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-} // namespace
-} // namespace
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FromDispatcher::Builder::setSign( ::capnp::Void value) {
+  _builder.setDataField<FromDispatcher::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FromDispatcher::SIGN);
+  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FromDispatcher::Reader::isQuarantine() const {
+  return which() == FromDispatcher::QUARANTINE;
+}
+inline bool FromDispatcher::Builder::isQuarantine() {
+  return which() == FromDispatcher::QUARANTINE;
+}
+inline bool FromDispatcher::Reader::hasQuarantine() const {
+  if (which() != FromDispatcher::QUARANTINE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool FromDispatcher::Builder::hasQuarantine() {
+  if (which() != FromDispatcher::QUARANTINE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::latchslip::wire::Quarantine::Reader FromDispatcher::Reader::getQuarantine() const {
+  KJ_IREQUIRE((which() == FromDispatcher::QUARANTINE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::latchslip::wire::Quarantine>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::latchslip::wire::Quarantine::Builder FromDispatcher::Builder::getQuarantine() {
+  KJ_IREQUIRE((which() == FromDispatcher::QUARANTINE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::latchslip::wire::Quarantine>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FromDispatcher::Builder::setQuarantine( ::latchslip::wire::Quarantine::Reader value) {
+  _builder.setDataField<FromDispatcher::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FromDispatcher::QUARANTINE);
+  ::capnp::_::PointerHelpers< ::latchslip::wire::Quarantine>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::latchslip::wire::Quarantine::Builder FromDispatcher::Builder::initQuarantine() {
+  _builder.setDataField<FromDispatcher::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FromDispatcher::QUARANTINE);
+  return ::capnp::_::PointerHelpers< ::latchslip::wire::Quarantine>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FromDispatcher::Builder::adoptQuarantine(
+    ::capnp::Orphan< ::latchslip::wire::Quarantine>&& value) {
+  _builder.setDataField<FromDispatcher::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FromDispatcher::QUARANTINE);
+  ::capnp::_::PointerHelpers< ::latchslip::wire::Quarantine>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::latchslip::wire::Quarantine> FromDispatcher::Builder::disownQuarantine() {
+  KJ_IREQUIRE((which() == FromDispatcher::QUARANTINE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::latchslip::wire::Quarantine>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PermitBatch::Reader::hasTo() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PermitBatch::Builder::hasTo() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::latchslip::wire::ToDispatcher,  ::capnp::Kind::STRUCT>::Reader PermitBatch::Reader::getTo() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::latchslip::wire::ToDispatcher,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::latchslip::wire::ToDispatcher,  ::capnp::Kind::STRUCT>::Builder PermitBatch::Builder::getTo() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::latchslip::wire::ToDispatcher,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PermitBatch::Builder::setTo( ::capnp::List< ::latchslip::wire::ToDispatcher,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::latchslip::wire::ToDispatcher,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::latchslip::wire::ToDispatcher,  ::capnp::Kind::STRUCT>::Builder PermitBatch::Builder::initTo(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::latchslip::wire::ToDispatcher,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PermitBatch::Builder::adoptTo(
+    ::capnp::Orphan< ::capnp::List< ::latchslip::wire::ToDispatcher,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::latchslip::wire::ToDispatcher,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::latchslip::wire::ToDispatcher,  ::capnp::Kind::STRUCT>> PermitBatch::Builder::disownTo() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::latchslip::wire::ToDispatcher,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool PermitBatch::Reader::hasFrom() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool PermitBatch::Builder::hasFrom() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::latchslip::wire::FromDispatcher,  ::capnp::Kind::STRUCT>::Reader PermitBatch::Reader::getFrom() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::latchslip::wire::FromDispatcher,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::latchslip::wire::FromDispatcher,  ::capnp::Kind::STRUCT>::Builder PermitBatch::Builder::getFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::latchslip::wire::FromDispatcher,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void PermitBatch::Builder::setFrom( ::capnp::List< ::latchslip::wire::FromDispatcher,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::latchslip::wire::FromDispatcher,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::latchslip::wire::FromDispatcher,  ::capnp::Kind::STRUCT>::Builder PermitBatch::Builder::initFrom(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::latchslip::wire::FromDispatcher,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void PermitBatch::Builder::adoptFrom(
+    ::capnp::Orphan< ::capnp::List< ::latchslip::wire::FromDispatcher,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::latchslip::wire::FromDispatcher,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::latchslip::wire::FromDispatcher,  ::capnp::Kind::STRUCT>> PermitBatch::Builder::disownFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::latchslip::wire::FromDispatcher,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+}  // namespace
+}  // namespace
 
 CAPNP_END_HEADER
+
--- a/Libraries/LibNet/Permit.capnp
+++ b/Libraries/LibNet/Permit.capnp
@@ -15,6 +15,7 @@
   priority @5 :UInt32;
   inTimeMicros @6 :Int64;
   timeLeftMicros @7 :Int64;
+  fingerprint @8 :UInt64;
 }
 
 struct SendNotice {
@@ -23,6 +24,7 @@
   server @2 :Text;
   agoMicros @3 :Int64;
   timeLeftMicros @4 :Int64;
+  fingerprint @5 :UInt64;
 }
 
 struct SendEnd {
@@ -39,6 +41,22 @@
   life @10 :UInt64;
   hasRateLimit @11 :Bool;
   rateLimit @12 :Float64;
+  isConnectionLost @13 :Bool;
+  incarnation @14 :UInt64;
+}
+
+struct CrashNotice {
+  fingerprint @0 :UInt64;
+  server @1 :Text;
+  incarnation @2 :UInt64;
+  sentAgoMicros @3 :Int64;
+  crashedAgoMicros @4 :Int64;
+}
+
+struct Quarantine {
+  fingerprint @0 :UInt64;
+  remainingMicros @1 :Int64;
+  crashes @2 :UInt32;
 }
 
 struct Permit {
@@ -58,6 +76,8 @@
     notice @2 :SendNotice;
     end @3 :SendEnd;
     probe @4 :Void;
+    crash @5 :CrashNotice;
+    quarantine @6 :Quarantine;
   }
 }
 
@@ -67,6 +87,7 @@
     delay @1 :UInt64;
     denial @2 :PermitDenial;
     sign @3 :Void;
+    quarantine @4 :Quarantine;
   }
 }
 
--- a/Libraries/LibNet/PermitCodec.cpp
+++ b/Libraries/LibNet/PermitCodec.cpp
@@ -27,6 +27,7 @@
   out.setPriority(aRequest.priority_);
   out.setInTimeMicros(aRequest.inTime_.count());
   out.setTimeLeftMicros(aRequest.timeLeft_.count());
+  out.setFingerprint(aRequest.fingerprint_);
 }
 
 void
@@ -44,6 +45,7 @@
   out.setServer(ToText(aNotice.server_));
   out.setAgoMicros(aNotice.ago_.count());
   out.setTimeLeftMicros(aNotice.timeLeft_.count());
+  out.setFingerprint(aNotice.fingerprint_);
 }
 
 void
@@ -58,6 +60,8 @@
   out.setLife(aEnd.leavingIncarnation_.value_or(0));
   out.setHasRateLimit(aEnd.rateLimit_.has_value());
   out.setRateLimit(aEnd.rateLimit_.value_or(kNoRateLimit));
+  out.setIsConnectionLost(aEnd.isConnectionLost_);
+  out.setIncarnation(aEnd.incarnation_);
   out.setHasStatus(aEnd.status_.has_value());
   if (aEnd.status_) {
     out.setRunning(aEnd.status_->running_);
@@ -67,6 +71,37 @@
   }
 }
 
+void
+Write(wire::ToDispatcher::Builder aOut, const CrashNotice& aNotice)
+{
+  auto out = aOut.initCrash();
+  out.setFingerprint(aNotice.fingerprint_);
+  out.setServer(ToText(aNotice.server_));
+  out.setIncarnation(aNotice.incarnation_);
+  out.setSentAgoMicros(aNotice.sentAgo_.count());
+  out.setCrashedAgoMicros(aNotice.crashedAgo_.count());
+}
+
+void
+WriteQuarantine(wire::Quarantine::Builder aOut, const Quarantine& aQuarantine)
+{
+  aOut.setFingerprint(aQuarantine.fingerprint_);
+  aOut.setRemainingMicros(aQuarantine.remaining_.count());
+  aOut.setCrashes(aQuarantine.crashes_);
+}
+
+void
+Write(wire::ToDispatcher::Builder aOut, const Quarantine& aQuarantine)
+{
+  WriteQuarantine(aOut.initQuarantine(), aQuarantine);
+}
+
+void
+Write(wire::FromDispatcher::Builder aOut, const Quarantine& aQuarantine)
+{
+  WriteQuarantine(aOut.initQuarantine(), aQuarantine);
+}
+
 void
 Write(wire::ToDispatcher::Builder aOut, const DispatcherProbe&)
 {
@@ -115,6 +150,7 @@
   request.priority_ = aIn.getPriority();
   request.inTime_ = Duration(aIn.getInTimeMicros());
   request.timeLeft_ = Duration(aIn.getTimeLeftMicros());
+  request.fingerprint_ = aIn.getFingerprint();
   return request;
 }
 
@@ -125,7 +161,24 @@
            FromText(aIn.getService()),
            FromText(aIn.getServer()),
            Duration(aIn.getAgoMicros()),
-           Duration(aIn.getTimeLeftMicros()) };
+           Duration(aIn.getTimeLeftMicros()),
+           aIn.getFingerprint() };
+}
+
+CrashNotice
+Read(wire::CrashNotice::Reader aIn)
+{
+  return { aIn.getFingerprint(),
+           FromText(aIn.getServer()),
+           aIn.getIncarnation(),
+           Duration(aIn.getSentAgoMicros()),
+           Duration(aIn.getCrashedAgoMicros()) };
+}
+
+Quarantine
+Read(wire::Quarantine::Reader aIn)
+{
+  return { aIn.getFingerprint(), Duration(aIn.getRemainingMicros()), aIn.getCrashes() };
 }
 
 FieldResult<SendEnd>
@@ -145,6 +198,8 @@
   if (aIn.getHasRateLimit() && aIn.getRateLimit() >= 0) {
     end.rateLimit_ = aIn.getRateLimit();
   }
+  end.isConnectionLost_ = aIn.getIsConnectionLost();
+  end.incarnation_ = aIn.getIncarnation();
   if (aIn.getHasStatus()) {
     end.status_ = ServerStatus{ aIn.getRunning(), aIn.getWaiting(), aIn.getSlots(), aIn.getPace() };
   }
@@ -167,6 +222,10 @@
     }
     case wire::ToDispatcher::PROBE:
       return MessageToDispatcher(DispatcherProbe{});
+    case wire::ToDispatcher::CRASH:
+      return MessageToDispatcher(Read(aIn.getCrash()));
+    case wire::ToDispatcher::QUARANTINE:
+      return MessageToDispatcher(Read(aIn.getQuarantine()));
   }
   return FieldError{ "message", "has a type that this release does not support" };
 }
@@ -185,6 +244,8 @@
         PermitDenial{ aIn.getDenial().getNumber(), Duration(aIn.getDenial().getWaitMicros()) });
     case wire::FromDispatcher::SIGN:
       return MessageFromDispatcher(DispatcherSign{});
+    case wire::FromDispatcher::QUARANTINE:
+      return MessageFromDispatcher(Read(aIn.getQuarantine()));
   }
   return FieldError{ "message", "has a type that this release does not support" };
 }
--- a/Libraries/LibPermit/PermitClient.cpp
+++ b/Libraries/LibPermit/PermitClient.cpp
@@ -76,6 +76,7 @@
       DropRequests(aNow, service);
       if (IsUp(next)) {
         ReportRunning(aNow, service);
+        ReportSuspects(aNow, next);
       }
     }
     if (next.empty()) {
@@ -122,7 +123,52 @@
                                    send.service_,
                                    send.server_,
                                    aNow - send.sentAt_,
-                                   std::max(Duration(0), Duration(send.deadline_ - aNow)) });
+                                   std::max(Duration(0), Duration(send.deadline_ - aNow)),
+                                   send.fingerprint_ });
+    }
+  }
+}
+
+void
+PermitClient::ReportSuspects(Instant aNow, const std::string& aDispatcher)
+{
+  for (const auto& crash : suspects_.Crashes()) {
+    actions_.Send(aDispatcher,
+                  CrashNotice{ crash.fingerprint_,
+                               crash.server_,
+                               crash.incarnation_,
+                               aNow - crash.sentAt_,
+                               aNow - crash.crashedAt_ });
+  }
+  for (const auto& quarantine : suspects_.Quarantines(aNow)) {
+    actions_.Send(aDispatcher, quarantine);
+  }
+}
+
+void
+PermitClient::TrackCrashes(const RunningSend& aSend, const SendEnd& aEnd)
+{
+  const auto now = aSend.sentAt_ + aEnd.latency_;
+  ApplyQuarantines(
+    now,
+    suspects_.OnSendEnded(now,
+                          { aSend.fingerprint_, aSend.server_, aEnd.incarnation_, aSend.sentAt_ },
+                          aEnd.result_,
+                          aEnd.latency_,
+                          aEnd.isConnectionLost_));
+}
+
+void
+PermitClient::ApplyQuarantines(Instant aNow, const CrashSuspects::Changes& aChanges)
+{
+  for (const auto& change : aChanges) {
+    const bool isLifted = change.remaining_ <= Duration(0);
+    events_.Record(isLifted ? Event::QuarantineLifted : Event::RequestQuarantined,
+                   "fingerprint=" + FormatFingerprint(change.fingerprint_) +
+                     " crashes=" + std::to_string(change.crashes_) +
+                     " remaining_us=" + std::to_string(change.remaining_.count()));
+    if (!isLifted) {
+      listener_->OnQuarantine(aNow, change.fingerprint_);
     }
   }
 }
@@ -148,6 +194,7 @@
       ReportRunning(aNow, service);
     }
   }
+  ReportSuspects(aNow, aDispatcher);
 }
 
 void
@@ -177,9 +224,11 @@
       actions_.Send(aDispatcher, CancelledSend(permit->number_));
       return;
     }
-    running_[permit->number_] = {
-      request->second.service_, permit->server_, aNow, request->second.deadline_
-    };
+    running_[permit->number_] = { request->second.service_,
+                                  permit->server_,
+                                  aNow,
+                                  request->second.deadline_,
+                                  request->second.fingerprint_ };
     requests_.erase(request);
     listener_->OnPermit(aNow, permit->number_, permit->server_);
   } else if (const auto* delay = std::get_if<PermitDelay>(&aMessage)) {
@@ -190,6 +239,8 @@
     if (requests_.erase(denial->number_) > 0) {
       listener_->OnPermitDenied(aNow, denial->number_, denial->wait_);
     }
+  } else if (const auto* quarantine = std::get_if<Quarantine>(&aMessage)) {
+    ApplyQuarantines(aNow, suspects_.OnQuarantine(aNow, *quarantine));
   }
 }
 
@@ -223,7 +274,9 @@
 void
 PermitClient::RequestPermit(Instant aNow, const PermitRequest& aRequest)
 {
-  requests_[aRequest.number_] = { aRequest.service_, aNow + aRequest.timeLeft_ };
+  requests_[aRequest.number_] = { aRequest.service_,
+                                  aNow + aRequest.timeLeft_,
+                                  aRequest.fingerprint_ };
   SendToDispatcher(aRequest.service_, aRequest);
 }
 
@@ -249,7 +302,9 @@
 void
 PermitClient::ReportSend(Instant aNow, const SendNotice& aNotice)
 {
-  running_[aNotice.number_] = { aNotice.service_, aNotice.server_, aNow, aNow + aNotice.timeLeft_ };
+  running_[aNotice.number_] = {
+    aNotice.service_, aNotice.server_, aNow, aNow + aNotice.timeLeft_, aNotice.fingerprint_
+  };
   SendToDispatcher(aNotice.service_, aNotice);
 }
 
@@ -257,8 +312,10 @@
 PermitClient::ReportSendEnd(const SendEnd& aEnd)
 {
   if (const auto send = running_.find(aEnd.number_); send != running_.end()) {
-    SendToDispatcher(send->second.service_, aEnd);
+    const auto ended = std::move(send->second);
     running_.erase(send);
+    SendToDispatcher(ended.service_, aEnd);
+    TrackCrashes(ended, aEnd);
   }
 }
 
--- a/Libraries/LibPermit/PermitClient.h
+++ b/Libraries/LibPermit/PermitClient.h
@@ -38,6 +38,8 @@
   virtual void OnPermitDenied(Instant aNow, AttemptNumber aNumber, Duration aWait) = 0;
   // The dispatcher was lost. The permit must be requested again, or the request sent without one.
   virtual void OnPermitRequestLost(Instant aNow, AttemptNumber aNumber) = 0;
+  // The request must not be sent to any server for some time.
+  virtual void OnQuarantine(Instant aNow, RequestFingerprint aFingerprint) = 0;
 };
 
 // Requests permits from the dispatchers of services on behalf of one instance. It follows which
@@ -64,6 +66,10 @@
   void OnTime(Instant aNow);
 
   bool CanRequestPermit(const std::string& aService) const override;
+  Duration RemainingQuarantine(Instant aNow, RequestFingerprint aFingerprint) const override
+  {
+    return suspects_.RemainingQuarantine(aNow, aFingerprint);
+  }
   void RequestPermit(Instant aNow, const PermitRequest& aRequest) override;
   void Withdraw(AttemptNumber aNumber) override;
   void OnPermitTimeout(Instant aNow, const std::string& aService) override;
@@ -96,12 +102,14 @@
     std::string server_;
     Instant sentAt_{ 0 };
     Instant deadline_{ 0 };
+    RequestFingerprint fingerprint_ = kNoFingerprint;
   };
 
   struct OpenRequest
   {
     std::string service_;
     Instant deadline_{ 0 };
+    RequestFingerprint fingerprint_ = kNoFingerprint;
   };
 
   // Recomputes the candidates of each service and selects dispatchers.
@@ -113,6 +121,11 @@
   // Marks the link as down and excludes the dispatcher for a while.
   static void MarkFailed(Instant aNow, Link& aLink);
   void ReportRunning(Instant aNow, const std::string& aService);
+  // Tells a dispatcher of the crashes and quarantines that this instance knows.
+  void ReportSuspects(Instant aNow, const std::string& aDispatcher);
+  // Learns of crashes from the end of a send of this instance.
+  void TrackCrashes(const RunningSend& aSend, const SendEnd& aEnd);
+  void ApplyQuarantines(Instant aNow, const CrashSuspects::Changes& aChanges);
   void DropRequests(Instant aNow, const std::string& aService);
   void SendToDispatcher(const std::string& aService, const MessageToDispatcher& aMessage);
 
@@ -127,6 +140,8 @@
   std::map<std::string, Link> links_;
   std::map<AttemptNumber, OpenRequest> requests_;
   std::map<AttemptNumber, RunningSend> running_;
+  // The crashes that this instance saw, and the quarantines that it was told of.
+  CrashSuspects suspects_;
 };
 
 } // namespace latchslip
--- a/Libraries/LibPermit/PermitDispatcher.cpp
+++ b/Libraries/LibPermit/PermitDispatcher.cpp
@@ -85,6 +85,7 @@
       service->second.servers_[id].SetRecord(record, service->second.slowStartRate_);
     }
   }
+  ConfirmCrashes(aNow);
   ServeAllLanes(aNow);
 }
 
@@ -95,6 +96,11 @@
     hasRequests_ = true;
     OnDirectoryChanged(aNow);
   }
+  if (callers_.insert(aCaller).second) {
+    for (const auto& quarantine : suspects_.Quarantines(aNow)) {
+      actions_.Answer(aCaller, quarantine);
+    }
+  }
   if (const auto* request = std::get_if<PermitRequest>(&aMessage)) {
     OnRequest(aNow, aCaller, *request);
   } else if (const auto* withdrawal = std::get_if<PermitWithdrawal>(&aMessage)) {
@@ -103,6 +109,10 @@
     OnNotice(aNow, aCaller, *notice);
   } else if (const auto* end = std::get_if<SendEnd>(&aMessage)) {
     OnEnd(aNow, aCaller, *end);
+  } else if (const auto* crash = std::get_if<CrashNotice>(&aMessage)) {
+    OnCrashNotice(aNow, *crash);
+  } else if (const auto* quarantine = std::get_if<Quarantine>(&aMessage)) {
+    Announce(suspects_.OnQuarantine(aNow, *quarantine));
   } else {
     actions_.Answer(aCaller, DispatcherSign{});
   }
@@ -120,6 +130,11 @@
     actions_.Answer(aCaller, PermitDenial{ aRequest.number_, LateWaitBound::kMin });
     return;
   }
+  const auto quarantine = suspects_.RemainingQuarantine(aNow, aRequest.fingerprint_);
+  if (quarantine > Duration(0)) {
+    actions_.Answer(aCaller, PermitDenial{ aRequest.number_, quarantine });
+    return;
+  }
   auto& lanes = service->second.lanes_;
   const auto lane = lanes.find(aRequest.server_);
   const bool isFirst = lane == lanes.end() || lane->second.empty();
@@ -128,6 +143,10 @@
     return;
   }
   QueueOrDeny(aNow, service->second, key, aRequest);
+  if (!isFirst && !suspects_.IsEmpty()) {
+    // The requests ahead may be suspects that wait for their turn.
+    ServeLane(aNow, service->second, aRequest.server_);
+  }
 }
 
 void
@@ -151,6 +170,7 @@
   send.server_ = aNotice.server_;
   send.sentAt_ = aNow - aNotice.ago_;
   send.expiresAt_ = aNow + aNotice.timeLeft_ + kExpiryDelay;
+  send.fingerprint_ = aNotice.fingerprint_;
   RegisterSend(service->second, key, std::move(send));
 }
 
@@ -163,6 +183,9 @@
   }
   aSend.inFlightAtStart_ = server->second.InFlight();
   server->second.OnSent(aSend.sentAt_);
+  if (suspects_.IsSuspect(aSend.fingerprint_)) {
+    trials_.emplace(aSend.server_, aSend.fingerprint_);
+  }
   permits_.emplace(aKey, std::move(aSend));
 }
 
@@ -180,6 +203,7 @@
   if (aEnd.leavingIncarnation_) {
     actions_.RecordLeaving(send.server_, *aEnd.leavingIncarnation_);
   }
+  TrackCrashes(aNow, send, aEnd);
   auto& service = services_.at(send.service_);
   if (const auto server = service.servers_.find(send.server_); server != service.servers_.end()) {
     server->second.OnEnded(aNow, aCaller, send.sentAt_, send.inFlightAtStart_, aEnd);
@@ -192,9 +216,74 @@
   ServeLane(aNow, service, "");
 }
 
+void
+PermitDispatcher::TrackCrashes(Instant aNow, const RunningSend& aSend, const SendEnd& aEnd)
+{
+  const auto trial = trials_.find(aSend.server_);
+  if (trial != trials_.end() && trial->second == aSend.fingerprint_) {
+    trials_.erase(trial);
+  }
+  // A server that is leaving ends by plan.
+  const auto* record = directory_.Find(aSend.server_);
+  const bool isLeaving = record != nullptr && record->IsLeaving();
+  Announce(
+    suspects_.OnSendEnded(aNow,
+                          { aSend.fingerprint_, aSend.server_, aEnd.incarnation_, aSend.sentAt_ },
+                          aEnd.result_,
+                          aEnd.latency_,
+                          aEnd.isConnectionLost_ && !isLeaving));
+}
+
+void
+PermitDispatcher::OnCrashNotice(Instant aNow, const CrashNotice& aNotice)
+{
+  Announce(suspects_.OnConnectionLost({ aNotice.fingerprint_,
+                                        aNotice.server_,
+                                        aNotice.incarnation_,
+                                        aNow - aNotice.sentAgo_,
+                                        aNow - aNotice.crashedAgo_ }));
+  ConfirmCrashes(aNow);
+}
+
+void
+PermitDispatcher::ConfirmCrashes(Instant aNow)
+{
+  for (const auto& [server, incarnation] : suspects_.SuspectedServers()) {
+    const auto* record = directory_.Find(server);
+    if (record == nullptr || record->incarnation_ != incarnation) {
+      Announce(suspects_.OnServerGone(aNow, server));
+    }
+  }
+}
+
+void
+PermitDispatcher::Announce(const CrashSuspects::Changes& aChanges)
+{
+  for (const auto& change : aChanges) {
+    for (const auto caller : callers_) {
+      actions_.Answer(caller, change);
+    }
+  }
+}
+
+bool
+PermitDispatcher::MayTry(Instant aNow,
+                         const std::string& aServer,
+                         RequestFingerprint aFingerprint) const
+{
+  if (!suspects_.IsSuspect(aFingerprint)) {
+    return true;
+  }
+  const bool isAlone = std::none_of(trials_.begin(), trials_.end(), [&](const auto& aTrial) {
+    return aTrial.first == aServer || aTrial.second == aFingerprint;
+  });
+  return isAlone && suspects_.RemainingQuarantine(aNow, aFingerprint) == Duration(0);
+}
+
 void
 PermitDispatcher::OnCallerGone(Instant aNow, CallerId aCaller)
 {
+  callers_.erase(aCaller);
   const PermitKey first(aCaller, 0);
   for (auto queued = queued_.lower_bound(first);
        queued != queued_.end() && queued->first.first == aCaller;) {
@@ -227,6 +316,7 @@
   send.server_ = *server;
   send.sentAt_ = aNow;
   send.expiresAt_ = aNow + aRequest.timeLeft_ + kExpiryDelay;
+  send.fingerprint_ = aRequest.fingerprint_;
   RegisterSend(aService, aKey, std::move(send));
   actions_.Answer(aKey.first, Permit{ aKey.second, *server });
   return true;
@@ -237,21 +327,23 @@
                                const Service& aService,
                                CallerId aCaller,
                                const PermitRequest& aRequest,
-                               bool aIsLate)
+                               bool aIsLate) const
 {
   const auto defaultWork = aService.DefaultWork();
-  const auto canTake = [&](const DispatchedServer& aServer) {
+  const auto canTake = [&](const std::string& aId, const DispatchedServer& aServer) {
     return aServer.HasCapacity(aNow, defaultWork) && !aServer.IsBackedOff(aNow, aCaller) &&
-           (!aIsLate || aServer.HasFreeSlot(aNow));
+           (!aIsLate || aServer.HasFreeSlot(aNow)) && MayTry(aNow, aId, aRequest.fingerprint_);
   };
   if (!aRequest.server_.empty()) {
     const auto server = aService.servers_.find(aRequest.server_);
-    return server == aService.servers_.end() || !canTake(server->second) ? nullptr : &server->first;
+    return server == aService.servers_.end() || !canTake(server->first, server->second)
+             ? nullptr
+             : &server->first;
   }
   const std::string* best = nullptr;
   double least = 0;
   for (const auto& [id, server] : aService.servers_) {
-    if (!canTake(server)) {
+    if (!canTake(id, server)) {
       continue;
     }
     const double cost = CostOf(aNow, id, server, aCaller, aRequest, defaultWork);
@@ -375,7 +467,8 @@
 void
 PermitDispatcher::ServeLane(Instant aNow, Service& aService, const std::string& aLane)
 {
-  // Requests of instances that are in backoff for a server must not block those of other instances.
+  // Requests of instances that are in backoff for a server must not block those of other instances,
+  // nor a suspect those of others.
   std::ptrdiff_t skipped = 0;
   for (;;) {
     const auto lane = aService.lanes_.find(aLane);
@@ -385,7 +478,9 @@
     const auto position = *std::next(lane->second.begin(), skipped);
     const auto queued = queued_.find(position.key_);
     if (!TryIssue(aNow, aService, position.key_, queued->second.request_, position.isLate_)) {
-      if (!IsBlockedByBackoff(aNow, aService, position.key_.first, queued->second.request_)) {
+      const auto& request = queued->second.request_;
+      if (!IsBlockedByBackoff(aNow, aService, position.key_.first, request) &&
+          !suspects_.IsSuspect(request.fingerprint_)) {
         return;
       }
       ++skipped;
