--- a/Libraries/LibPermit/PermitDispatcher.h
+++ b/Libraries/LibPermit/PermitDispatcher.h
@@ -64,6 +64,7 @@
     std::size_t inFlightAtStart_ = 0;
     // Time after which the send counts as ended even if its end was not reported.
     Instant expiresAt_{ 0 };
+    RequestFingerprint fingerprint_ = kNoFingerprint;
   };
 
   using Position = QueuePosition<PermitKey>;
@@ -98,6 +99,17 @@
   void OnWithdrawal(PermitKey aKey);
   void OnNotice(Instant aNow, CallerId aCaller, const SendNotice& aNotice);
   void OnEnd(Instant aNow, CallerId aCaller, const SendEnd& aEnd);
+  void OnCrashNotice(Instant aNow, const CrashNotice& aNotice);
+  // Learns of crashes from the end of a send.
+  void TrackCrashes(Instant aNow, const RunningSend& aSend, const SendEnd& aEnd);
+  // Learns from the directory which of the servers that seem to have crashed are gone.
+  void ConfirmCrashes(Instant aNow);
+  // Tells all instances of quarantines that have changed.
+  void Announce(const CrashSuspects::Changes& aChanges);
+  // Whether a request may be sent to the server as far as crashes are concerned. Each suspect is
+  // sent to one server at a time, and each server gets one suspect at a time, so that a further
+  // crash shows which request caused it.
+  bool MayTry(Instant aNow, const std::string& aServer, RequestFingerprint aFingerprint) const;
   // Issues a permit if a server can accept the request now.
   bool TryIssue(Instant aNow,
                 Service& aService,
@@ -106,11 +118,11 @@
                 bool aIsLate);
   // The id of the server with the lowest cost among those that can accept the request; null when
   // there is none.
-  static const std::string* ChooseServer(Instant aNow,
-                                         const Service& aService,
-                                         CallerId aCaller,
-                                         const PermitRequest& aRequest,
-                                         bool aIsLate);
+  const std::string* ChooseServer(Instant aNow,
+                                  const Service& aService,
+                                  CallerId aCaller,
+                                  const PermitRequest& aRequest,
+                                  bool aIsLate) const;
   // Cost of sending the request to that server, as a share of the value of its answer.
   static double CostOf(Instant aNow,
                        const std::string& aId,
@@ -149,6 +161,11 @@
   std::map<std::string, Service, std::less<>> services_;
   std::map<PermitKey, RunningSend> permits_;
   QueuedRequests queued_;
+  CrashSuspects suspects_;
+  // The suspects under way, by server.
+  std::map<std::string, RequestFingerprint> trials_;
+  // The instances that have sent a message.
+  std::set<CallerId> callers_;
   // Whether any permit has been requested from this instance. Instances that are not a dispatcher
   // skip the bookkeeping about servers.
   bool hasRequests_ = false;
--- a/Tests/LibGateway/TestPermitRequests.cpp
+++ b/Tests/LibGateway/TestPermitRequests.cpp
@@ -13,6 +13,11 @@
 {
 public:
   bool CanRequestPermit(const std::string&) const override { return isAvailable_; }
+  Duration RemainingQuarantine(Instant, RequestFingerprint aFingerprint) const override
+  {
+    const auto quarantine = quarantines_.find(aFingerprint);
+    return quarantine == quarantines_.end() ? Duration(0) : quarantine->second;
+  }
   void RequestPermit(Instant, const PermitRequest& aRequest) override
   {
     permitRequests_.push_back(aRequest);
@@ -23,6 +28,7 @@
   void ReportSendEnd(const SendEnd& aEnd) override { ends_.push_back(aEnd); }
 
   bool isAvailable_ = true;
+  std::map<RequestFingerprint, Duration> quarantines_;
   std::vector<PermitRequest> permitRequests_;
   std::set<AttemptNumber> withdrawn_;
   std::vector<SendNotice> notices_;
@@ -60,7 +66,11 @@
     router_.SetOwnership(now_, { "keyed", 2, { { 0, 99, "k1", 1, "" } } });
   }
 
-  RequestNumber Request(const std::string& aPath, std::optional<KeyNumber> aKey = std::nullopt)
+  static constexpr RequestFingerprint kPoison = 7;
+
+  RequestNumber Request(const std::string& aPath,
+                        std::optional<KeyNumber> aKey = std::nullopt,
+                        RequestFingerprint aFingerprint = kNoFingerprint)
   {
     RoutedRequest request;
     request.number_ = ++lastRequest_;
@@ -68,6 +78,7 @@
     request.path_ = aPath;
     request.key_ = aKey;
     request.timeLeft_ = milliseconds(400);
+    request.fingerprint_ = aFingerprint;
     router_.OnRequest(now_, std::move(request));
     return lastRequest_;
   }
@@ -292,6 +303,45 @@
   EXPECT_EQ(permits_.permitRequests_[1].tried_, std::vector<std::string>{ "p1" });
 }
 
+TEST_F(RouterWithADispatcher, RequestIsQuarantined_IsRefusedAtOnceAsNotRunForThatLong)
+{
+  permits_.quarantines_[kPoison] = seconds(20);
+  const auto request = Request("/plain/1", std::nullopt, kPoison);
+  EXPECT_TRUE(permits_.permitRequests_.empty());
+  ASSERT_TRUE(actions_.refused_.contains(request));
+  EXPECT_EQ(actions_.refused_[request].reason_, RefusalReason::Quarantined);
+  EXPECT_TRUE(actions_.refused_[request].isNotRun_);
+  EXPECT_EQ(actions_.refused_[request].retryAfter_, seconds(20));
+}
+
+TEST_F(RouterWithADispatcher, RequestIsQuarantinedWhileItWaits_IsRefused)
+{
+  const auto request = Request("/plain/1", std::nullopt, kPoison);
+  const auto other = Request("/plain/1", std::nullopt, kPoison + 1);
+  permits_.quarantines_[kPoison] = seconds(20);
+  router_.OnQuarantine(now_, kPoison);
+  ASSERT_TRUE(actions_.refused_.contains(request));
+  EXPECT_TRUE(actions_.refused_[request].isNotRun_);
+  EXPECT_FALSE(actions_.refused_.contains(other));
+  EXPECT_EQ(permits_.withdrawn_.size(), 1U);
+}
+
+TEST_F(RouterWithADispatcher, RequestIsQuarantinedWhenItsServerEnds_IsNotRetriedNorCalledNotRun)
+{
+  const auto request = Request("/plain/1", std::nullopt, kPoison);
+  Permit("p1");
+  permits_.quarantines_[kPoison] = seconds(20);
+  AttemptOutcome outcome;
+  outcome.end_ = AttemptEnd::Broken;
+  outcome.isConnectionLost_ = true;
+  router_.OnAttemptEnded(now_, actions_.sent_.back().number_, outcome);
+  EXPECT_EQ(permits_.permitRequests_.size(), 1U);
+  ASSERT_TRUE(actions_.refused_.contains(request));
+  EXPECT_EQ(actions_.refused_[request].reason_, RefusalReason::OutcomeUnknown);
+  EXPECT_FALSE(actions_.refused_[request].isNotRun_);
+  EXPECT_TRUE(permits_.ends_.back().isConnectionLost_);
+}
+
 } // namespace
 
 } // namespace latchslip
--- a/Tests/LibNet/TestPermitCodec.cpp
+++ b/Tests/LibNet/TestPermitCodec.cpp
@@ -37,11 +37,26 @@
              Duration(0),
              std::nullopt,
              kNoRateLimit },
+    PermitRequest{ 16, "svc", "s1", "hall", {}, 2, milliseconds(5), milliseconds(900), 0xfeed },
+    SendNotice{ 17, "svc", "s1", milliseconds(3), milliseconds(70), 0xfeed },
+    SendEnd{ 18,
+             SendResult::Broken,
+             milliseconds(4),
+             std::nullopt,
+             Duration(0),
+             std::nullopt,
+             std::nullopt,
+             true,
+             1700 },
+    CrashNotice{ 0xfeed, "s1", 1700, milliseconds(900), milliseconds(800) },
+    Quarantine{ 0xfeed, seconds(60), 2 },
     DispatcherProbe{}
   };
-  batch.fromDispatcher_ = {
-    Permit{ 7, "s1" }, PermitDelay{ 8 }, PermitDenial{ 9, milliseconds(250) }, DispatcherSign{}
-  };
+  batch.fromDispatcher_ = { Permit{ 7, "s1" },
+                            PermitDelay{ 8 },
+                            PermitDenial{ 9, milliseconds(250) },
+                            Quarantine{ 0xfeed, seconds(60), 2 },
+                            DispatcherSign{} };
   const auto read = Decode(EncodePermitBatch(batch));
   ASSERT_TRUE(read);
   EXPECT_EQ(read.value(), batch);
--- a/Tests/LibPermit/TestPermitClient.cpp
+++ b/Tests/LibPermit/TestPermitClient.cpp
@@ -30,6 +30,10 @@
     denied_.insert(aNumber);
   }
   void OnPermitRequestLost(Instant, AttemptNumber aNumber) override { lost_.insert(aNumber); }
+  void OnQuarantine(Instant, RequestFingerprint aFingerprint) override
+  {
+    quarantined_.insert(aFingerprint);
+  }
 
   std::vector<std::pair<std::string, MessageToDispatcher>> sent_;
   std::vector<std::string> connected_;
@@ -38,6 +42,7 @@
   std::set<AttemptNumber> delayed_;
   std::set<AttemptNumber> denied_;
   std::set<AttemptNumber> lost_;
+  std::set<RequestFingerprint> quarantined_;
 };
 
 // A client in a fleet of three instances, each of which may be the dispatcher.
@@ -167,6 +172,34 @@
   EXPECT_EQ(recorded_.connected_.back(), recorded_.connected_.front());
 }
 
+TEST_F(ClientOfADispatcher, DispatcherChanges_CrashesAndQuarantinesAreReportedToTheNext)
+{
+  constexpr RequestFingerprint kCrashing = 7;
+  constexpr RequestFingerprint kQuarantined = 8;
+  LinkUp();
+  const auto first = recorded_.connected_.back();
+  client_.ReportSend(now_, { 1, "plain", "s1", Duration(0), seconds(1), kCrashing });
+  SendEnd end{ 1, SendResult::Broken, milliseconds(50), std::nullopt };
+  end.isConnectionLost_ = true;
+  end.incarnation_ = 1700;
+  client_.ReportSendEnd(end);
+  client_.OnMessage(now_, first, Quarantine{ kQuarantined, seconds(20), 2 });
+  EXPECT_EQ(recorded_.quarantined_, std::set<RequestFingerprint>{ kQuarantined });
+  EXPECT_GT(client_.RemainingQuarantine(now_, kQuarantined), Duration(0));
+  EXPECT_EQ(client_.RemainingQuarantine(now_, kCrashing), Duration(0));
+  now_ += milliseconds(200);
+  client_.OnLinkDown(now_, first);
+  recorded_.sent_.clear();
+  LinkUp();
+  ASSERT_NE(recorded_.connected_.back(), first);
+  const std::vector<std::pair<std::string, MessageToDispatcher>> expected{
+    { recorded_.connected_.back(),
+      CrashNotice{ kCrashing, "s1", 1700, milliseconds(200), milliseconds(150) } },
+    { recorded_.connected_.back(), Quarantine{ kQuarantined, milliseconds(19800), 2 } }
+  };
+  EXPECT_EQ(recorded_.sent_, expected);
+}
+
 } // namespace
 
 } // namespace latchslip
