--- a/Benchmarks/BenchGateway.cpp
+++ b/Benchmarks/BenchGateway.cpp
@@ -1,8 +1,10 @@
 // Benchmarks of the gateway's decisions. Argument: number of servers.
 
+#include "LibGateway/CrashSuspects.h"
 #include "LibGateway/GatewayRouter.h"
 #include "LibKeys/KeyBalancer.h"
 #include "LibKeys/OwnershipPlacer.h"
+#include "LibNet/RequestIdentity.h"
 #include "LibPermit/PermitDispatcher.h"
 
 #include <benchmark/benchmark.h>
@@ -152,6 +154,40 @@
 }
 BENCHMARK(BM_PermitDispatch)->Arg(10)->Arg(100)->Arg(1000);
 
+// The fingerprint of a request with a body of that many bytes.
+void
+BM_RequestFingerprint(benchmark::State& aState)
+{
+  const std::string body(static_cast<std::size_t>(aState.range(0)), 'x');
+  for (auto _ : aState) {
+    benchmark::DoNotOptimize(
+      ComputeFingerprint({ "POST", "a.example", "/book/some/thing", "4711", "key", body }));
+  }
+}
+BENCHMARK(BM_RequestFingerprint)->Arg(0)->Arg(1200)->Arg(65536)->Arg(4194304);
+
+// Whether a request is quarantined, among that many suspects, and whether its answer clears one.
+void
+BM_JudgeRequest(benchmark::State& aState)
+{
+  CrashSuspects suspects;
+  for (RequestFingerprint number = 1; number <= static_cast<std::uint64_t>(aState.range(0));
+       ++number) {
+    suspects.OnConnectionLost({ number, "s1", 0, seconds(1), seconds(2) });
+  }
+  RequestFingerprint fingerprint = 0;
+  for (auto _ : aState) {
+    ++fingerprint;
+    benchmark::DoNotOptimize(suspects.RemainingQuarantine(seconds(3), fingerprint << 32));
+    benchmark::DoNotOptimize(suspects.OnSendEnded(seconds(3),
+                                                  { fingerprint << 32, "s2", 0, seconds(2) },
+                                                  SendResult::Answered,
+                                                  milliseconds(50),
+                                                  false));
+  }
+}
+BENCHMARK(BM_JudgeRequest)->Arg(0)->Arg(10)->Arg(1000);
+
 // One round of rebalancing when a range of adjacent keys is hot.
 void
 BM_EvenOutKeys(benchmark::State& aState)
--- a/Tests/Platform/Soak/SoakEnvironment.cpp
+++ b/Tests/Platform/Soak/SoakEnvironment.cpp
@@ -269,17 +269,27 @@
 SoakEnvironment::SendRequest(Instance& aInstance,
                              bool aIsBooking,
                              const std::function<void(unsigned)>& aDone)
+{
+  const auto key = std::uniform_int_distribution<int>(0, kLastKey)(random_);
+  SendRequest(aInstance, aIsBooking, aIsBooking ? "/book/1" : "/rates/1", key, aDone);
+}
+
+std::string
+SoakEnvironment::SendRequest(Instance& aInstance,
+                             bool aIsBooking,
+                             const std::string& aPath,
+                             int aKey,
+                             const std::function<void(unsigned)>& aDone)
 {
   const auto id = "q" + std::to_string(++sentCount_);
   HttpRequest request;
   request.method_ = aIsBooking ? "POST" : "GET";
-  request.target_ = aIsBooking ? "/book/1" : "/rates/1";
-  request.headers_ = {
-    { "Host", "a.example" },
-    { "X-Request-Id", id },
-    { "X-Deadline-Ms", std::to_string(duration_cast<milliseconds>(kClientTimeout).count()) },
-    { "X-Shard-Key", std::to_string(std::uniform_int_distribution<int>(0, kLastKey)(random_)) }
-  };
+  request.target_ = aPath;
+  request.headers_ = { { "Host", "a.example" },
+                       { "X-Request-Id", id },
+                       { "X-Deadline-Ms",
+                         std::to_string(duration_cast<milliseconds>(kClientTimeout).count()) },
+                       { "X-Shard-Key", std::to_string(aKey) } };
   guarantees_.OnRequestSent(id, aIsBooking, aInstance.RunId());
   client_->Send(Loopback(aInstance.port_),
                 std::move(request),
@@ -291,6 +301,7 @@
                     aDone(status);
                   }
                 });
+  return id;
 }
 
 unsigned
--- a/Tests/Platform/Soak/SoakEnvironment.h
+++ b/Tests/Platform/Soak/SoakEnvironment.h
@@ -89,6 +89,14 @@
   void RepeatWrites();
   const std::string& BookingService() const { return bookingService_; }
 
+  // Sends a client's request and returns its id. aDone receives the status of the answer, or 0 if
+  // there was no complete one.
+  std::string SendRequest(Instance& aInstance,
+                          bool aIsBooking,
+                          const std::string& aPath,
+                          int aKey,
+                          const std::function<void(unsigned)>& aDone = {});
+
   std::vector<Instance>& Instances() { return instances_; }
   std::vector<Server>& Servers() { return servers_; }
   StandInStore& Store() { return *store_; }
@@ -119,7 +127,7 @@
   void WriteConfiguration();
   // Sends the load's requests that are due.
   void SendDue(Instant aNow);
-  // aDone receives the status of the answer, or 0 if there was no complete one.
+  // Sends a request of the load for a random key.
   void SendRequest(Instance& aInstance,
                    bool aIsBooking,
                    const std::function<void(unsigned)>& aDone = {});
--- a/Tests/Platform/Soak/main.cpp
+++ b/Tests/Platform/Soak/main.cpp
@@ -1,6 +1,7 @@
 // Soak test: runs real gateway instances under faults drawn from a seed, and checks the guarantees
 // given to clients and servers. See docs/SOAK.md.
 
+#include "CrashingClient.h"
 #include "FaultInjector.h"
 #include "LibNet/MonotonicClock.h"
 #include "RecoveryChecks.h"
@@ -20,6 +21,10 @@
 ABSL_FLAG(bool, returns, false, "Whether the store comes back from older copies as well.");
 ABSL_FLAG(bool, tells, false, "Whether servers say in their answers that they leave or want rest.");
 ABSL_FLAG(bool, limits, false, "Whether servers name limits of requests a second as well.");
+ABSL_FLAG(bool,
+          crashes,
+          false,
+          "Whether clients repeat requests that crash their servers as well.");
 ABSL_FLAG(int, port, 25000, "The first of some thousand ports; below those that the system draws.");
 ABSL_FLAG(std::string, logs, "", "Folder for the logs of the instances; none if empty.");
 
@@ -31,12 +36,22 @@
 // Time after the last fault until all guarantees with a time limit hold again.
 constexpr Duration kSettleTime = seconds(4);
 
-// Injects faults, removes them all, and checks the guarantees.
+// Injects faults, beside a client that crashes servers if aCrashing is not null, removes them all,
+// and checks the guarantees.
 void
-RunFaults(SoakEnvironment& aEnvironment, FaultInjector& aInjector, Duration aTime)
+RunFaults(SoakEnvironment& aEnvironment,
+          FaultInjector& aInjector,
+          CrashingClient* aCrashing,
+          Duration aTime)
 {
   const auto begin = MonotonicNow();
+  if (aCrashing != nullptr) {
+    aCrashing->Start();
+  }
   aInjector.Run(aTime);
+  if (aCrashing != nullptr) {
+    aCrashing->Stop();
+  }
   aInjector.HealAll();
   aEnvironment.Run(kSettleTime);
   RecoveryChecks(aEnvironment).Run();
@@ -58,7 +73,8 @@
     environment,
     aSeed,
     { absl::GetFlag(FLAGS_returns), absl::GetFlag(FLAGS_tells), absl::GetFlag(FLAGS_limits) });
-  RunFaults(environment, injector, aTime);
+  CrashingClient crashing(environment, aSeed);
+  RunFaults(environment, injector, absl::GetFlag(FLAGS_crashes) ? &crashing : nullptr, aTime);
   const auto violations = environment.Guarantees().Violations().size();
   std::cout << "seed " << aSeed << ": " << environment.SentCount() << " requests, "
             << environment.AnsweredCount() << " answered, " << violations << " violations"
--- a/Tests/Platform/TestEntryProcesses.cpp
+++ b/Tests/Platform/TestEntryProcesses.cpp
@@ -136,8 +136,9 @@
   {
     std::vector<Instant> crashes;
     for (const auto& id : aBackends) {
-      const auto& times = backends_.at(id)->Crashes();
-      crashes.insert(crashes.end(), times.begin(), times.end());
+      for (const auto& crash : backends_.at(id)->Crashes()) {
+        crashes.push_back(crash.time_);
+      }
     }
     std::sort(crashes.begin(), crashes.end());
     constexpr std::size_t kThird = 2;
