LibGateway: Tell of a quarantine that is reported after the end of an earlier one

By reading the diff: two cases of CrashSuspects in which a request would have been sent to one server too many. A quarantine that another instance reports after an earlier one has ended here was kept, but told to nobody, since the number of crashes was the same. And a server that answers after the end of a quarantine took back its crash, but not the number for which the request was held back, so that the next crash began none. SuspectsOfAService.QuarantineIsReportedAgainAfterItsEnd_ItIsTold and ...ServerAnswersAfterTheEndOfTheQuarantine_TheNextCrashQuarantinesAgain failed before.

--- a/Libraries/LibGateway/CrashSuspects.cpp
+++ b/Libraries/LibGateway/CrashSuspects.cpp
@@ -244,14 +244,16 @@
   }
   auto& suspect = suspects_[aQuarantine.fingerprint_];
   suspect.lastCrashAt_ = std::max(suspect.lastCrashAt_, aNow);
+  const bool isNews =
+    suspect.quarantinedUntil_ <= aNow || aQuarantine.crashes_ > suspect.quarantinedFor_;
   suspect.quarantinedUntil_ =
     std::max(suspect.quarantinedUntil_, aNow + std::min(aQuarantine.remaining_, kMaxQuarantine));
   if (aQuarantine.crashes_ > suspect.CountCrashes()) {
     suspect.reportedCrashes_ = aQuarantine.crashes_;
     suspect.reportedAt_ = aNow;
   }
-  if (aQuarantine.crashes_ > suspect.quarantinedFor_) {
-    suspect.quarantinedFor_ = aQuarantine.crashes_;
+  suspect.quarantinedFor_ = std::max(suspect.quarantinedFor_, aQuarantine.crashes_);
+  if (isNews) {
     changes.push_back(Describe(aNow, aQuarantine.fingerprint_, suspect));
   }
   return changes;
@@ -265,9 +267,9 @@
 {
   const auto count = aSuspect.CountCrashes();
   if (count < kCrashesToQuarantine) {
+    aSuspect.quarantinedFor_ = 0;
     if (aSuspect.quarantinedUntil_ > aNow) {
       aSuspect.quarantinedUntil_ = Instant::min();
-      aSuspect.quarantinedFor_ = 0;
       aChanges.push_back(Describe(aNow, aFingerprint, aSuspect));
     }
     return;
--- a/Tests/LibGateway/TestCrashSuspects.cpp
+++ b/Tests/LibGateway/TestCrashSuspects.cpp
@@ -167,6 +167,26 @@
   EXPECT_FALSE(IsQuarantined(kPoison));
 }
 
+// The quarantine has ended here, and another instance counted anew.
+TEST_F(SuspectsOfAService, QuarantineIsReportedAgainAfterItsEnd_ItIsTold)
+{
+  suspects_.OnQuarantine(now_, { kPoison, seconds(10), 2 });
+  now_ += seconds(11);
+  EXPECT_EQ(suspects_.OnQuarantine(now_, { kPoison, seconds(10), 2 }).size(), 1U);
+  EXPECT_TRUE(IsQuarantined(kPoison));
+}
+
+TEST_F(SuspectsOfAService, ServerAnswersAfterTheEndOfTheQuarantine_TheNextCrashQuarantinesAgain)
+{
+  CrashAndGo("s1", { kPoison });
+  Crash("s2", { kPoison });
+  now_ += suspects_.RemainingQuarantine(now_, kPoison);
+  suspects_.OnServerAnswered(now_, "s2", kIncarnation, now_, now_);
+  EXPECT_FALSE(IsQuarantined(kPoison));
+  Crash("s3", { kPoison });
+  EXPECT_TRUE(IsQuarantined(kPoison));
+}
+
 TEST_F(SuspectsOfAService, CrashesAreTakenOverInAnyOrder_TheRequestIsQuarantined)
 {
   CrashSuspects other;
