Tests: Show a living server that counts as ended by a late write of a former one

ServerDirectory::HasEnded takes the record with the latest revision for the one who has the address; a revision tells when a record was last written, not who lives there. Not mended here: the rule of what proves an end, and a placer that starts after the late write, want a design of their own.

--- a/Tests/LibGateway/TestServerDirectory.cpp
+++ b/Tests/LibGateway/TestServerDirectory.cpp
@@ -162,6 +162,17 @@
   EXPECT_FALSE(directory_.HasEnded("s3"));
 }
 
+// Guards against a write of a server that has ended, carried out late, which made the server that
+// lives at its address count as ended: its keys passed to others while it held them.
+TEST_F(DirectoryOfTwoServers, FormerServerWritesItsRecordLate_TheLivingOneHasNotEnded)
+{
+  Put("s3", "10.0.0.1:80", 3);
+  ASSERT_TRUE(directory_.HasEnded("s1"));
+  Put("s1", "10.0.0.1:80", 4);
+  EXPECT_FALSE(directory_.HasEnded("s3"));
+  EXPECT_TRUE(directory_.HasEnded("s1"));
+}
+
 TEST_F(DirectoryOfTwoServers, AddressIsReusedAfterRecordWasDropped_FormerIncarnationHasEnded)
 {
   directory_.Remove(kNow, "s1");
