--- a/Tests/LibGateway/TestCrashSuspects.cpp
+++ b/Tests/LibGateway/TestCrashSuspects.cpp
@@ -227,6 +227,14 @@
   }
 }
 
+TEST_F(SuspectsOfAService, FullServersCloseTheRequestWithinMoments_TheFirstDoesNotCountAsGone)
+{
+  Crash("s1", { kInnocent });
+  suspects_.OnServerSilent(now_ + milliseconds(1), "s1");
+  Crash("s2", { kInnocent });
+  EXPECT_FALSE(IsQuarantined(kInnocent));
+}
+
 // Many different requests are under way at a crash: what is remembered is bounded, and a request
 // that has crashed two servers is not forgotten for others that have not.
 TEST_F(SuspectsOfAService, FloodOfSuspects_QuarantinedRequestIsKept)
