LibGateway, Docs: Say that crashes beyond the eighth of a request are not counted

By reading the whole change: the comment said that later crashes lengthen the quarantine, which they do not, since they are not remembered.

--- a/Libraries/LibGateway/CrashSuspects.cpp
+++ b/Libraries/LibGateway/CrashSuspects.cpp
@@ -11,7 +11,7 @@
 constexpr Duration kSuspectLifetime = std::chrono::minutes(5);
 // Suspects beyond this number are forgotten, those with the fewest crashes first.
 constexpr std::size_t kMaxSuspects = 1024;
-// Crashes remembered of one suspect; later ones only lengthen its quarantine.
+// Crashes remembered of one suspect; later ones are not counted.
 constexpr std::size_t kMaxCrashes = 8;
 constexpr unsigned kCrashesToQuarantine = 2;
 // A server without an answer for this long after it closed a connection, which then closes or
