LibGateway, LibKeys: End a server by its address's answer, not by a record

What callers saw: two servers held a key, and both worked on it (OWNER), for as long as the lease of the living one.

Cause: the server with the record written last counted as the one that has the address. A heartbeat of a server that died behind a cut is carried out after its successor was listed; the successor counted as ended, and its keys were cleared without a release.

The answers carry no X-Instance-Id.

The rule now: which of two servers came first is the order in which they were first listed, not that of their writes, and unknown to who listed both at its start or within 12 s of it; that is enough not to choose a server. Keys are cleared only when the address answers as another: 421, another id, or 400 where a server of a service without keys is listed. E624 logs it, E623 the status of the answer.

Ruled out: an order by the store's versions (a late write has the highest); a time alone (a cut holds bytes for as long as it lasts).

--- a/Libraries/LibBase/Event.cpp
+++ b/Libraries/LibBase/Event.cpp
@@ -78,6 +78,7 @@
   EventName{ Event::OwnershipWritten, "OwnershipWritten" },
   EventName{ Event::KeysCleared, "KeysCleared" },
   EventName{ Event::KeyOrderEnded, "KeyOrderEnded" },
+  EventName{ Event::ServerEndProven, "ServerEndProven" },
   EventName{ Event::PlacerClaimed, "PlacerClaimed" },
   EventName{ Event::PlacerClaimLost, "PlacerClaimLost" },
   EventName{ Event::PlacerSilent, "PlacerSilent" },
--- a/Libraries/LibBase/Event.h
+++ b/Libraries/LibBase/Event.h
@@ -80,6 +80,7 @@
   OwnershipWritten = 621,
   KeysCleared = 622,
   KeyOrderEnded = 623,
+  ServerEndProven = 624,
   PlacerClaimed = 630,
   PlacerClaimLost = 631,
   PlacerSilent = 632,
--- a/Libraries/LibFleet/FleetMember.cpp
+++ b/Libraries/LibFleet/FleetMember.cpp
@@ -228,6 +228,17 @@
   OnDirectoryChanged();
 }
 
+void
+FleetMember::OnServerEnded(const std::string& aServer, std::uint64_t aIncarnation)
+{
+  if (!view_.Directory().RecordEnded(aServer, aIncarnation)) {
+    return;
+  }
+  events_.Record(Event::ServerEndProven,
+                 "server=" + aServer + " address=" + view_.Directory().Find(aServer)->address_);
+  OnDirectoryChanged();
+}
+
 void
 FleetMember::OnDirectoryChanged()
 {
--- a/Libraries/LibFleet/FleetMember.h
+++ b/Libraries/LibFleet/FleetMember.h
@@ -188,6 +188,9 @@
     const std::string& Key() const { return transaction_.writes_.front().key_; }
   };
 
+  // The address of that incarnation of a server answered a command as another one.
+  void OnServerEnded(const std::string& aServer, std::uint64_t aIncarnation);
+
   // FleetViewListener.
   void OnRoutes(Instant aNow, std::shared_ptr<const RouteTable> aRoutes) override;
   void OnDirectoryChanged() override;
--- a/Libraries/LibFleet/FleetView.cpp
+++ b/Libraries/LibFleet/FleetView.cpp
@@ -29,6 +29,9 @@
   if (!changes) {
     return false;
   }
+  if (isNew && aView.table_ == FleetTable::Servers) {
+    directory_.OnFirstList(aNow);
+  }
   for (const auto& change : *changes) {
     switch (aView.table_) {
       case FleetTable::Configuration:
--- a/Libraries/LibFleet/ServicePlacer.h
+++ b/Libraries/LibFleet/ServicePlacer.h
@@ -30,12 +30,17 @@
     return ServerIncarnation{ record->address_,
                               directory.Find(aServer) != nullptr,
                               record->IsLeaving(),
+                              directory.IsProvenEnded(aServer),
                               directory.HasEnded(aServer) };
   }
   void RecordUncertainLease(Instant aNow, const std::string& aServer, Duration aDuration) override
   {
     member_.BroadcastUncertainLease(aNow, { aServer, aDuration });
   }
+  void RecordEnded(const std::string& aServer, std::uint64_t aIncarnation) override
+  {
+    member_.OnServerEnded(aServer, aIncarnation);
+  }
   void Write(const KeyOwnership& aOwnership) override { member_.QueueWrite(aOwnership); }
 
   OwnershipPlacer placer_;
--- a/Libraries/LibGateway/ServerDirectory.cpp
+++ b/Libraries/LibGateway/ServerDirectory.cpp
@@ -20,9 +20,18 @@
 // slow start, if they are: two heartbeats of a second, plus an allowance for the delay to this
 // instance.
 constexpr Duration kRestoredHallSlowStart = milliseconds(2300);
+// Maximum delay after which the store may still execute a write of a server that has ended. Until
+// then, a list does not show which of two servers at one address was there first.
+constexpr Duration kMaxWriteDelay = seconds(12);
 
 } // namespace
 
+void
+ServerDirectory::OnFirstList(Instant aNow)
+{
+  listedSince_ = aNow;
+}
+
 void
 ServerDirectory::Put(Instant aNow, ServerRecord aRecord)
 {
@@ -57,49 +66,69 @@
   const auto* known = FindAny(aRecord.id_);
   const bool isSameIncarnation = known != nullptr && known->incarnation_ == aRecord.incarnation_;
   aRecord.hasAnnouncedLeaving_ = isSameIncarnation && known->hasAnnouncedLeaving_;
+  aRecord.isProvenEnded_ = isSameIncarnation && known->isProvenEnded_;
   if (aRecord.IsLeaving()) {
     aRecord.leavingSince_ = isSameIncarnation ? std::min(known->leavingSince_, aNow) : aNow;
   }
   if (aRecord.slowStartLeft_ > Duration(0)) {
     aRecord.slowStartUntil_ = aNow + aRecord.slowStartLeft_;
   }
+  TrackAddress(aNow, aRecord, known);
   removals_.erase(aRecord.id_);
-  if (const auto* listed = Find(aRecord.id_)) {
-    DropRevision(*listed);
-  }
-  revisionsAt_[aRecord.address_].emplace(aRecord.revision_, aRecord.id_);
   auto id = aRecord.id_;
   records_.insert_or_assign(std::move(id), std::move(aRecord));
 }
 
 void
-ServerDirectory::DropRevision(const ServerRecord& aRecord)
+ServerDirectory::TrackAddress(Instant aNow, const ServerRecord& aRecord, const ServerRecord* aKnown)
 {
-  const auto revisions = revisionsAt_.find(aRecord.address_);
-  revisions->second.erase({ aRecord.revision_, aRecord.id_ });
-  if (revisions->second.empty()) {
-    revisionsAt_.erase(revisions);
+  if (aKnown != nullptr && aKnown->address_ == aRecord.address_ &&
+      aKnown->incarnation_ == aRecord.incarnation_) {
+    return;
+  }
+  bool isOrderKnown = listedSince_ == Instant::min() || aNow >= listedSince_ + kMaxWriteDelay;
+  if (aKnown != nullptr) {
+    addresses_.Remove(aKnown->address_, aKnown->id_);
+    isOrderKnown = true;
   }
+  addresses_.Add(aRecord.address_,
+                 aRecord.id_,
+                 isOrderKnown ? AddressHistory::Order::Later : AddressHistory::Order::Unknown);
 }
 
 bool
 ServerDirectory::RecordLeaving(Instant aNow, const std::string& aId, std::uint64_t aIncarnation)
 {
-  const auto listed = records_.find(aId);
-  const auto former = droppedRecords_.find(aId);
-  if (listed == records_.end()) {
-    if (former != droppedRecords_.end() && former->second.incarnation_ == aIncarnation) {
-      former->second.hasAnnouncedLeaving_ = true;
-    }
+  auto* record = FindMutable(aId);
+  if (record == nullptr || record->incarnation_ != aIncarnation || record->hasAnnouncedLeaving_) {
     return false;
   }
-  auto& record = listed->second;
-  if (record.incarnation_ != aIncarnation || record.hasAnnouncedLeaving_) {
+  record->hasAnnouncedLeaving_ = true;
+  record->leavingSince_ = std::min(record->leavingSince_, aNow);
+  return Find(aId) != nullptr;
+}
+
+bool
+ServerDirectory::RecordEnded(const std::string& aId, std::uint64_t aIncarnation)
+{
+  auto* record = FindMutable(aId);
+  if (record == nullptr || record->incarnation_ != aIncarnation || record->isProvenEnded_) {
     return false;
   }
-  record.hasAnnouncedLeaving_ = true;
-  record.leavingSince_ = std::min(record.leavingSince_, aNow);
-  return true;
+  record->isProvenEnded_ = true;
+  // Whoever was listed before it at this address may be the one that answers.
+  addresses_.Remove(record->address_, aId);
+  return Find(aId) != nullptr;
+}
+
+ServerRecord*
+ServerDirectory::FindMutable(const std::string& aId)
+{
+  if (const auto listed = records_.find(aId); listed != records_.end()) {
+    return &listed->second;
+  }
+  const auto dropped = droppedRecords_.find(aId);
+  return dropped == droppedRecords_.end() ? nullptr : &dropped->second;
 }
 
 void
@@ -264,32 +293,41 @@
 void
 ServerDirectory::DropRecord(std::map<std::string, ServerRecord, std::less<>>::iterator aRecord)
 {
-  if (droppedRecords_.size() >= kMaxDroppedRecords) {
-    const auto oldest = std::min_element(
-      droppedRecords_.begin(), droppedRecords_.end(), [](const auto& aLeft, const auto& aRight) {
-        return aLeft.second.revision_ < aRight.second.revision_;
-      });
-    droppedRecords_.erase(oldest);
-  }
-  DropRevision(aRecord->second);
+  PruneDroppedRecords();
   // The record of an earlier listing is obsolete.
   droppedRecords_.erase(aRecord->first);
   droppedRecords_.insert(records_.extract(aRecord));
 }
 
+void
+ServerDirectory::PruneDroppedRecords()
+{
+  if (droppedRecords_.size() < kMaxDroppedRecords) {
+    return;
+  }
+  const auto oldest = std::min_element(
+    droppedRecords_.begin(), droppedRecords_.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.second.revision_ < aRight.second.revision_;
+    });
+  if (!records_.contains(oldest->first)) {
+    addresses_.Remove(oldest->second.address_, oldest->first);
+  }
+  droppedRecords_.erase(oldest);
+}
+
 bool
 ServerDirectory::HasEnded(std::string_view aId) const
 {
   const auto* record = FindAny(aId);
-  if (record == nullptr) {
-    return false;
-  }
-  const auto revisions = revisionsAt_.find(record->address_);
-  if (revisions == revisionsAt_.end()) {
-    return false;
-  }
-  const auto& [latest, id] = *revisions->second.rbegin();
-  return latest > record->revision_ && id != record->id_;
+  return record != nullptr &&
+         (record->isProvenEnded_ || addresses_.IsSucceeded(record->address_, aId));
+}
+
+bool
+ServerDirectory::IsProvenEnded(std::string_view aId) const
+{
+  const auto* record = FindAny(aId);
+  return record != nullptr && record->isProvenEnded_;
 }
 
 } // namespace latchslip
--- a/Libraries/LibGateway/ServerDirectory.h
+++ b/Libraries/LibGateway/ServerDirectory.h
@@ -1,13 +1,13 @@
 #pragma once
 
 #include "LibBase/Time.h"
+#include "LibGateway/AddressHistory.h"
 
 #include <cstdint>
 #include <map>
 #include <set>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
 namespace latchslip {
@@ -29,8 +29,7 @@
   unsigned slots_ = 1;
   // The server is shutting down and must get no new work.
   bool isLeaving_ = false;
-  // Increases with each change of any record, so that of two incarnations at one address the one
-  // with the higher revision is the later.
+  // Increases with each change of any record.
   std::uint64_t revision_ = 0;
   // Remaining slow start at the time of writing the record.
   Duration slowStartLeft_{ 0 };
@@ -41,6 +40,8 @@
   // An answer of this incarnation announced that it is shutting down, regardless of the record;
   // set by the directory.
   bool hasAnnouncedLeaving_ = false;
+  // Its address answered as another incarnation; set by the directory.
+  bool isProvenEnded_ = false;
   // Time since which it is known to be leaving; set by the directory.
   Instant leavingSince_ = Instant::max();
   // Distinguishes incarnations under one id, the later the higher; 0 if not reported.
@@ -59,6 +60,8 @@
 class ServerDirectory
 {
 public:
+  // The complete list is about to be applied for the first time.
+  void OnFirstList(Instant aNow);
   // Adds or updates a record.
   void Put(Instant aNow, ServerRecord aRecord);
   // A record has disappeared; it is dropped after a delay.
@@ -70,6 +73,10 @@
   // same incarnation reverts this. Returns whether this changed a listed server.
   bool RecordLeaving(Instant aNow, const std::string& aId, std::uint64_t aIncarnation);
 
+  // The address of that server incarnation answered as another one. No record of the same
+  // incarnation reverts this. Returns whether this changed a listed server.
+  bool RecordEnded(const std::string& aId, std::uint64_t aIncarnation);
+
   // Nothing may be sent to the servers of the hall until it is restored.
   void DrainHall(const std::string& aHall);
   // Ends the drain. The servers of the hall begin in slow start, because they may have lost state
@@ -93,9 +100,13 @@
   const ServerRecord* FindAny(std::string_view aId) const;
   // The servers of one service by id, including those that are leaving.
   std::vector<const ServerRecord*> OfService(std::string_view aService) const;
-  // Whether a later incarnation, of any service, uses the address of this server, which has
-  // therefore ended. False for servers that were never listed.
+  // Whether this server has most likely ended: a server of any service was listed at its address
+  // later, or the address answered as another one. Sufficient for not choosing it; a record that is
+  // written late by a server unknown until then can cause it for a running one. False for servers
+  // that were never listed.
   bool HasEnded(std::string_view aId) const;
+  // Whether this server has certainly ended, because its address answered as another one.
+  bool IsProvenEnded(std::string_view aId) const;
   const std::map<std::string, ServerRecord, std::less<>>& All() const { return records_; }
 
 private:
@@ -106,16 +117,22 @@
   // leaving, or gone.
   bool RevertsKnownState(const ServerRecord& aRecord) const;
   void ApplyRecord(Instant aNow, ServerRecord aRecord);
+  // Adds the record to the history of its address, unless this incarnation is in it.
+  void TrackAddress(Instant aNow, const ServerRecord& aRecord, const ServerRecord* aKnown);
+  // The record with that id, listed or dropped; null if there is none.
+  ServerRecord* FindMutable(const std::string& aId);
   void ApplyRestore(Instant aNow, const std::string& aHall);
   // Applies all deferred changes; returns whether there were any.
   bool ApplyDeferred(Instant aNow);
   void DropRecord(std::map<std::string, ServerRecord, std::less<>>::iterator aRecord);
-  // Removes a listed record from revisionsAt_.
-  void DropRevision(const ServerRecord& aRecord);
+  // Forgets the least recent dropped record once there are too many.
+  void PruneDroppedRecords();
 
   std::map<std::string, ServerRecord, std::less<>> records_;
-  // The revisions and ids of the listed servers by address, oldest first.
-  std::map<std::string, std::set<std::pair<std::uint64_t, std::string>>, std::less<>> revisionsAt_;
+  // The listed and dropped servers that are not proven to have ended.
+  AddressHistory addresses_;
+  // Time of the first complete list.
+  Instant listedSince_ = Instant::min();
   // The most recently dropped records.
   std::map<std::string, ServerRecord, std::less<>> droppedRecords_;
   std::set<std::string> drainedHalls_;
--- a/Libraries/LibKeys/KeyCommand.h
+++ b/Libraries/LibKeys/KeyCommand.h
@@ -50,7 +50,7 @@
   // The command was sent but not acknowledged; the server may still execute it, up to some seconds
   // later.
   Unanswered,
-  // The server rejected the command as malformed.
+  // The server rejected the command as malformed, as servers without keys do.
   Malformed,
 };
 
@@ -66,6 +66,8 @@
   std::string handover_;
   // The addressed incarnation announced in its answer that it is shutting down.
   bool isLeaving_ = false;
+  // Status of the answer; 0 if there was none.
+  unsigned status_ = 0;
 };
 
 } // namespace latchslip
--- a/Libraries/LibKeys/OwnershipPlacer.cpp
+++ b/Libraries/LibKeys/OwnershipPlacer.cpp
@@ -478,6 +478,9 @@
     return;
   }
   const auto& command = *found;
+  if (ProvesEnd(command, aOutcome.end_)) {
+    actions_.RecordEnded(command.server_, command.incarnation_);
+  }
   if (!command.isRelease_) {
     ExtendLeaseBound(aNow, command, aOutcome.end_);
   }
@@ -485,10 +488,21 @@
   if (!command.isRelease_ && aOutcome.end_ == CommandStatus::Done) {
     DropFormerBounds(command.server_);
   }
-  RecordCommandEnd(command, aOutcome.end_);
+  RecordCommandEnd(command, aOutcome);
   nextTime_ = aNow;
 }
 
+bool
+OwnershipPlacer::ProvesEnd(const KeyCommand& aCommand, CommandStatus aEnd) const
+{
+  if (aEnd != CommandStatus::Malformed) {
+    return aEnd == CommandStatus::OtherIncarnation;
+  }
+  // The address has passed to a server of a service without keys.
+  const auto incarnation = actions_.FindIncarnation(aCommand.server_);
+  return incarnation && incarnation->isSucceeded_;
+}
+
 // A range keeps the state of its command only while it lies within the range of that command.
 void
 OwnershipPlacer::ApplyCommandEnd(Instant aNow,
@@ -538,17 +552,18 @@
 }
 
 void
-OwnershipPlacer::RecordCommandEnd(const KeyCommand& aCommand, CommandStatus aEnd)
+OwnershipPlacer::RecordCommandEnd(const KeyCommand& aCommand, const CommandOutcome& aOutcome)
 {
   // Successful grants are not logged, because they are renewed all the time.
-  if (aEnd == CommandStatus::Done && !aCommand.isRelease_) {
+  if (aOutcome.end_ == CommandStatus::Done && !aCommand.isRelease_) {
     return;
   }
   events_.Record(Event::KeyOrderEnded,
                  "server=" + aCommand.server_ + " keys=" + std::to_string(aCommand.first_) + ".." +
                    std::to_string(aCommand.last_) + " fence=" + std::to_string(aCommand.fence_) +
                    " order=" + (aCommand.isRelease_ ? "release" : "grant") +
-                   " end=" + std::string(kCommandStatusNames.NameOf(aEnd)));
+                   " end=" + std::string(kCommandStatusNames.NameOf(aOutcome.end_)) +
+                   " status=" + std::to_string(aOutcome.status_));
 }
 
 void
--- a/Libraries/LibKeys/OwnershipPlacer.h
+++ b/Libraries/LibKeys/OwnershipPlacer.h
@@ -136,7 +136,9 @@
   void StartCommand(RangeState& aState, KeyCommand aCommand);
   static void OnReleaseEnded(Instant aNow, RangeState& aState, const CommandOutcome& aOutcome);
   void OnGrantEnded(Instant aNow, RangeState& aState, CommandStatus aEnd) const;
-  void RecordCommandEnd(const KeyCommand& aCommand, CommandStatus aEnd);
+  void RecordCommandEnd(const KeyCommand& aCommand, const CommandOutcome& aOutcome);
+  // Whether the end of a command shows that another server uses the address.
+  bool ProvesEnd(const KeyCommand& aCommand, CommandStatus aEnd) const;
   // Records until when the server may hold the keys after a grant that ended in aEnd.
   void ExtendLeaseBound(Instant aNow, const KeyCommand& aGrant, CommandStatus aEnd);
   // Applies the end of a command to the ranges that wait for it: several if the range was split.
--- a/Libraries/LibKeys/PlacerActions.h
+++ b/Libraries/LibKeys/PlacerActions.h
@@ -3,6 +3,7 @@
 #include "LibKeys/KeyCommand.h"
 #include "LibKeys/KeyOwnership.h"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -16,8 +17,11 @@
   bool isListed_ = false;
   // It announced its shutdown.
   bool isLeaving_ = false;
-  // A later incarnation listens on its address.
+  // Its address answered as another incarnation. That another one is listed there later is no
+  // proof: a record of a server that has ended may be written late.
   bool hasEnded_ = false;
+  // Another incarnation is listed there later.
+  bool isSucceeded_ = false;
 };
 
 // Interface through which an OwnershipPlacer sends commands, writes to the store and looks up
@@ -34,6 +38,8 @@
   virtual void RecordUncertainLease(Instant aNow,
                                     const std::string& aServer,
                                     Duration aDuration) = 0;
+  // The server's address answered as another incarnation, which proves that the server has ended.
+  virtual void RecordEnded(const std::string& aServer, std::uint64_t aIncarnation) = 0;
   // Writes the ownership row, conditional on the row version known to this placer and on this
   // instance still being the placer. Completes in OnWritten or OnWriteFailed.
   virtual void Write(const KeyOwnership& aOwnership) = 0;
--- a/Tests/LibFleet/FleetMemberFixture.h
+++ b/Tests/LibFleet/FleetMemberFixture.h
@@ -11,7 +11,8 @@
 namespace latchslip {
 
 // Decodes rows of a minimal format: the version number for a configuration with one keyed service;
-// "leaving", "ready", "broken" or the number of its incarnation for a server.
+// "leaving", "ready", "broken", the number of its incarnation, or "at:" and an address for a
+// server, which otherwise has an address of its own.
 class MinimalDecoder : public RowDecoder
 {
 public:
@@ -36,6 +37,10 @@
     ServerRecord record{ aRow.key_,    "rates", aRow.key_ + ":80",
                          "hall",       4,       aRow.value_ == "leaving",
                          aRow.version_ };
+    if (aRow.value_.starts_with("at:")) {
+      record.address_ = aRow.value_.substr(3);
+      return record;
+    }
     const bool hasIncarnation = aRow.value_.find_first_not_of("0123456789") == std::string::npos;
     record.incarnation_ = hasIncarnation ? std::stoull(aRow.value_) : 0;
     return record;
--- a/Tests/LibFleet/TestFleetMember.cpp
+++ b/Tests/LibFleet/TestFleetMember.cpp
@@ -48,6 +48,44 @@
   EXPECT_EQ(events_.CountOf(Event::ServerToldLeaving), 2);
 }
 
+// Guards against a write of a server that has ended, carried out late, which made the server that
+// lives at its address count as ended: its keys passed to others while it held them.
+TEST_F(FleetMemberTest, FormerServerWritesItsRecordLate_PlacerLeavesTheKeysOfTheLivingOne)
+{
+  BecomePlacer();
+  Advance(seconds(13));
+  RowVersion version = 20;
+  const auto answer = [&](const std::string& aEnded) {
+    Acknowledge(version++);
+    for (const auto& command : std::exchange(fleet_.commands_, {})) {
+      const auto end =
+        command.server_ == aEnded ? CommandStatus::OtherIncarnation : CommandStatus::Done;
+      member_.OnCommandEnded(now_, "rates", command.number_, { end });
+    }
+    Advance(milliseconds(300));
+  };
+  answer("");
+  Show(FleetTable::Servers,
+       7,
+       { { "s1", 2, "ready" }, { "s2", 3, "ready" }, { "s3", 7, "at:s1:80" } });
+  for (int round = 0; round < 10; ++round) {
+    answer("s1");
+  }
+  const auto owners = *fleet_.ownership_;
+  ASSERT_TRUE(std::any_of(owners.ranges_.begin(), owners.ranges_.end(), [](const KeyRange& aRange) {
+    return aRange.owner_ == "s3";
+  }));
+  const auto cleared = events_.CountOf(Event::KeysCleared);
+  Show(FleetTable::Servers,
+       8,
+       { { "s1", 8, "ready" }, { "s2", 3, "ready" }, { "s3", 7, "at:s1:80" } });
+  for (int round = 0; round < 4; ++round) {
+    answer("s1");
+  }
+  EXPECT_EQ(fleet_.ownership_, owners);
+  EXPECT_EQ(events_.CountOf(Event::KeysCleared), cleared);
+}
+
 // Unless its keys are moved, they have no owner until the server has shut down.
 TEST_F(FleetMemberTest, AnswerAnnouncesThatAServerLeaves_PlacerMovesItsKeys)
 {
--- a/Tests/LibGateway/TestServerDirectory.cpp
+++ b/Tests/LibGateway/TestServerDirectory.cpp
@@ -173,6 +173,79 @@
   EXPECT_TRUE(directory_.HasEnded("s1"));
 }
 
+// As above, for an instance that has started since the former record was dropped.
+TEST_F(DirectoryOfTwoServers, UnknownFormerServerWritesItsRecordLate_TheLivingOneHasNotEnded)
+{
+  directory_.OnFirstList(kNow);
+  Put("s3", "10.0.0.3:80", 3);
+  directory_.Put(kNow + seconds(10), { "s0", "rates", "10.0.0.3:80", "hall", 4, false, 4 });
+  EXPECT_FALSE(directory_.HasEnded("s3"));
+  EXPECT_FALSE(directory_.HasEnded("s0"));
+  directory_.Put(kNow + seconds(20), { "s4", "rates", "10.0.0.3:80", "hall", 4, false, 5 });
+  EXPECT_TRUE(directory_.HasEnded("s3"));
+  EXPECT_TRUE(directory_.HasEnded("s0"));
+}
+
+TEST_F(DirectoryOfTwoServers, FirstListHasTwoServersAtAnAddress_TheOneThatIsNotThereHasEnded)
+{
+  directory_.OnFirstList(kNow);
+  Put("s3", "10.0.0.3:80", 3);
+  Put("s4", "10.0.0.3:80", 4);
+  EXPECT_FALSE(directory_.HasEnded("s3"));
+  EXPECT_FALSE(directory_.HasEnded("s4"));
+  EXPECT_TRUE(directory_.RecordEnded("s4", 0));
+  EXPECT_TRUE(directory_.HasEnded("s4"));
+  EXPECT_FALSE(directory_.HasEnded("s3"));
+}
+
+TEST_F(DirectoryOfTwoServers, LaterListedServerIsNotAtTheAddress_FormerOneHasNotEnded)
+{
+  Put("s3", "10.0.0.1:80", 7);
+  ASSERT_TRUE(directory_.HasEnded("s1"));
+  EXPECT_FALSE(directory_.IsProvenEnded("s1")) << "a record may be written late";
+  EXPECT_TRUE(directory_.RecordEnded("s3", 0));
+  EXPECT_FALSE(directory_.HasEnded("s1"));
+  EXPECT_TRUE(directory_.IsProvenEnded("s3"));
+}
+
+TEST_F(DirectoryOfTwoServers, EndedServerIsListedAgain_HasStillEndedUnlessItIsALaterIncarnation)
+{
+  EXPECT_TRUE(directory_.RecordEnded("s1", 0));
+  EXPECT_FALSE(directory_.RecordEnded("s1", 0)) << "known already";
+  Put("s1", "10.0.0.1:80", 5);
+  EXPECT_TRUE(directory_.IsProvenEnded("s1"));
+  directory_.Remove(kNow, "s1");
+  ASSERT_FALSE(IsListedAt("s1", seconds(1)));
+  Put("s1", "10.0.0.1:80", 6);
+  EXPECT_TRUE(directory_.HasEnded("s1"));
+  ServerRecord later{ "s1", "rates", "10.0.0.1:80", "hall", 4, false, 7 };
+  later.incarnation_ = 2;
+  directory_.Put(kNow, later);
+  EXPECT_FALSE(directory_.HasEnded("s1"));
+  EXPECT_FALSE(directory_.RecordEnded("s1", 1)) << "of the former incarnation";
+}
+
+// The later incarnation under the same id has the address, not the server listed there meanwhile.
+TEST_F(DirectoryOfTwoServers, ServerStartsAgainUnderItsIdAfterAnother_TheOtherHasEnded)
+{
+  Put("s3", "10.0.0.1:80", 7);
+  ServerRecord later{ "s1", "rates", "10.0.0.1:80", "hall", 4, false, 8 };
+  later.incarnation_ = 2;
+  directory_.Put(kNow, later);
+  EXPECT_FALSE(directory_.HasEnded("s1"));
+  EXPECT_TRUE(directory_.HasEnded("s3"));
+}
+
+TEST_F(DirectoryOfTwoServers, FormerServerIsListedAgainAfterItsRecordLapsed_TheLivingOneHasNotEnded)
+{
+  Put("s3", "10.0.0.1:80", 3);
+  directory_.Remove(kNow, "s1");
+  ASSERT_FALSE(IsListedAt("s1", seconds(1)));
+  Put("s1", "10.0.0.1:80", 9);
+  EXPECT_FALSE(directory_.HasEnded("s3"));
+  EXPECT_TRUE(directory_.HasEnded("s1"));
+}
+
 TEST_F(DirectoryOfTwoServers, AddressIsReusedAfterRecordWasDropped_FormerIncarnationHasEnded)
 {
   directory_.Remove(kNow, "s1");
--- a/Tests/LibKeys/PlacerWorld.h
+++ b/Tests/LibKeys/PlacerWorld.h
@@ -33,6 +33,10 @@
     bool isUp_ = true;
     bool isListed_ = true;
     bool isLeaving_ = false;
+    // A placer has learned from the address that this server has ended.
+    bool isProvenEnded_ = false;
+    // Of a service without keys, whose servers do not know commands.
+    bool hasNoKeys_ = false;
     // Partitioned from all placers.
     bool isPartitioned_ = false;
     // Commands are executed late and not acknowledged.
@@ -59,6 +63,10 @@
     {
       world_.uncertainLeases_[aServer] = world_.now_ + aDuration;
     }
+    void RecordEnded(const std::string& aServer, std::uint64_t) override
+    {
+      world_.servers_.at(aServer).isProvenEnded_ = true;
+    }
     void Write(const KeyOwnership& aOwnership) override { written_ = aOwnership; }
     std::optional<ServerIncarnation> FindIncarnation(const std::string& aServer) const override
     {
@@ -203,15 +211,33 @@
     if (found == servers_.end()) {
       return std::nullopt;
     }
-    ServerIncarnation incarnation{
-      found->second.address_, found->second.isListed_, found->second.isLeaving_, false
-    };
-    for (const auto& [id, other] : servers_) {
-      incarnation.hasEnded_ =
-        incarnation.hasEnded_ ||
-        (id > aServer && other.address_ == incarnation.address_ && other.isListed_);
-    }
-    return incarnation;
+    const auto& server = found->second;
+    return ServerIncarnation{ server.address_,
+                              server.isListed_,
+                              server.isLeaving_,
+                              server.isProvenEnded_,
+                              IsSucceeded(server) };
+  }
+
+  // Whether a server with a higher id is listed at the address of this one. Like the order of the
+  // records in the store, it does not prove that this one has ended.
+  bool IsSucceeded(const Server& aServer) const
+  {
+    return std::any_of(servers_.begin(), servers_.end(), [&](const auto& aEntry) {
+      const auto& other = aEntry.second;
+      return other.id_ > aServer.id_ && other.address_ == aServer.address_ && other.isListed_ &&
+             !other.isProvenEnded_;
+    });
+  }
+
+  // Another server that answers at the address of a server that has ended; null if there is none.
+  const Server* FindSuccessor(const Server& aServer) const
+  {
+    const auto other = std::find_if(servers_.begin(), servers_.end(), [&](const auto& aEntry) {
+      const auto& server = aEntry.second;
+      return server.isUp_ && server.address_ == aServer.address_ && !server.isPartitioned_;
+    });
+    return aServer.isUp_ || other == servers_.end() ? nullptr : &other->second;
   }
 
   void Run(Placer& aPlacer)
@@ -221,8 +247,8 @@
     }
     std::vector<KeyServer> listed;
     for (const auto& [id, server] : servers_) {
-      if (server.isListed_) {
-        const bool isUsable = !server.isLeaving_ && !FindIncarnation(id)->hasEnded_;
+      if (server.isListed_ && !server.hasNoKeys_) {
+        const bool isUsable = !server.isLeaving_ && !server.isProvenEnded_ && !IsSucceeded(server);
         listed.push_back({ id, server.address_, 1, isUsable, server.incarnation_ });
       }
     }
@@ -253,6 +279,10 @@
     if (!isReached || isUnsent) {
       pending.isArrival_ = false;
       pending.outcome_.end_ = CommandStatus::NotSent;
+    } else if (const auto* successor = FindSuccessor(found->second)) {
+      pending.isArrival_ = false;
+      pending.outcome_.end_ =
+        successor->hasNoKeys_ ? CommandStatus::Malformed : CommandStatus::OtherIncarnation;
     } else if (!found->second.isUp_) {
       pending.isArrival_ = false;
       pending.outcome_.end_ = CommandStatus::Refused;
--- a/Tests/LibKeys/TestManyServers.cpp
+++ b/Tests/LibKeys/TestManyServers.cpp
@@ -109,6 +109,7 @@
   // PlacerActions.
   void SendCommand(const KeyCommand& aCommand) override { sent_.push_back(aCommand.number_); }
   void RecordUncertainLease(Instant, const std::string&, Duration) override {}
+  void RecordEnded(const std::string&, std::uint64_t) override {}
   void Write(const KeyOwnership& aOwnership) override { written_ = aOwnership; }
   std::optional<ServerIncarnation> FindIncarnation(const std::string&) const override
   {
--- a/Tests/LibKeys/TestOwnershipPlacer.cpp
+++ b/Tests/LibKeys/TestOwnershipPlacer.cpp
@@ -136,6 +136,27 @@
   EXPECT_LT(TimeUntilServed(), milliseconds(500));
 }
 
+TEST_F(PlacedKeysOfThreeServers, ServerWithoutKeysHasTheAddress_KeysMoveAtOnce)
+{
+  world_.servers_.at("s1").isUp_ = false;
+  world_.servers_.at("s1").isListed_ = false;
+  world_.AddServer("s4", "s1:80").hasNoKeys_ = true;
+  world_.Pass(milliseconds(100));
+  EXPECT_LT(TimeUntilServed(), milliseconds(500));
+}
+
+// Guards against two holders of a key: a record of a former server that is written late is listed
+// at the address of a living one, which holds its keys until it has released them.
+TEST_F(PlacedKeysOfThreeServers, FormerServerIsListedLateAtAnAddress_LivingOneReleasesItsKeysFirst)
+{
+  world_.AddServer("s4", "s1:80").isUp_ = false;
+  world_.Pass(seconds(3));
+  EXPECT_TRUE(world_.servers_.at("s4").isProvenEnded_);
+  EXPECT_FALSE(world_.servers_.at("s1").isProvenEnded_);
+  world_.Pass(seconds(10));
+  ExpectAllServed();
+}
+
 TEST_F(PlacedKeysOfThreeServers, ServerStartsAgainUnderItsId_HasItsKeysSoonUnderHigherFences)
 {
   auto& server = world_.servers_.at("s1");
