LibInstance: Count time without an owner from the first refusal

What callers saw: in a store outage, four repeatable requests of 32,500 with 5 s to go were refused as server-refused.

Cause: a request is retried for a second while its key has no reachable owner, and the second was counted from its arrival. A server that stalls for longer than its grant refuses what ran there when it goes on; with a second passed, the request got no retry at all. Four requests are the slots of one server, all refused in one moment.

The second is counted from the first refusal now, and anew whenever a running server refuses. The deadline bounds it as before.

--- a/Libraries/LibInstance/RequestRouter.cpp
+++ b/Libraries/LibInstance/RequestRouter.cpp
@@ -72,7 +72,6 @@
   if (aRequest.NeedsClaim()) {
     pending.request_.sendingToken_ = MakeWriteToken(context_.membership_.Self(), NextTag());
   }
-  pending.arrivedAt_ = aNow;
   const auto entry = pending_.emplace(aCaller, std::move(pending)).first;
   Route(aNow, entry);
 }
@@ -153,9 +152,13 @@
 {
   auto& pending = aEntry->second;
   pending.mayHaveRun_ = pending.mayHaveRun_ || aLastAnswer.outcome_ == RequestOutcome::Unknown;
+  const bool isServerRunning = aLastAnswer.reason_ == Reason::ServerRefused;
+  if (!pending.ownerlessSince_ || isServerRunning) {
+    pending.ownerlessSince_ = aNow;
+  }
   const auto backoff = BackoffAfter(pending.attempts_);
   const bool isTooLate = aNow + backoff >= pending.request_.deadline_ ||
-                         aNow - pending.arrivedAt_ >= context_.timing_.maxParkedTime_;
+                         aNow - *pending.ownerlessSince_ >= context_.timing_.maxParkedTime_;
   if (isTooLate) {
     Finish(aEntry, aLastAnswer);
     return;
--- a/Libraries/LibInstance/RequestRouter.h
+++ b/Libraries/LibInstance/RequestRouter.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace latchslip {
@@ -57,7 +58,9 @@
     unsigned attempts_ = 0;
     // An earlier attempt may have run, so the request must not be answered NotRun any more.
     bool mayHaveRun_ = false;
-    Instant arrivedAt_{ 0 };
+    // Since when its key has had no reachable owner: since the first refusal, or since a running
+    // server last refused it because its grant had expired.
+    std::optional<Instant> ownerlessSince_;
     Instant retryAt_{ 0 };
   };
   using Entry = std::map<CallerId, PendingRequest>::iterator;
