LibInstance: Resume servers that only paused between two failed proposals

Cause: a server that paused for longer than its grant gets a new one only when the placer resumes it, and it did so only in rounds without a proposal. In an outage that begins while keys move, each round proposes the same moves again and fails, so the server got none before the store was back: its callers were refused for the whole outage. Seen by the events of a scenario.

A write that was refused as unavailable has not been done, so nothing is open then, and resuming is as safe as in a round without a proposal.

--- a/Libraries/LibInstance/PlacementController.cpp
+++ b/Libraries/LibInstance/PlacementController.cpp
@@ -130,9 +130,15 @@
     return;
   }
   aRole.idleUntil_ = aNow + kIdleRoundInterval;
-  for (const auto& command : aRole.placer_.TakeResumeCommands(current)) {
-    const auto index = current.FindServer(command.server_);
-    resume_(current.servers_[*index].holder_, command);
+  ResumeReturnedServers(current, aRole);
+}
+
+void
+PlacementController::ResumeReturnedServers(const Placement& aCurrent, Role& aRole)
+{
+  for (const auto& command : aRole.placer_.TakeResumeCommands(aCurrent)) {
+    const auto index = aCurrent.FindServer(command.server_);
+    resume_(aCurrent.servers_[*index].holder_, command);
   }
 }
 
@@ -188,12 +194,18 @@
 }
 
 void
-PlacementController::OnUnavailable(Instant aNow, Role& aRole)
+PlacementController::OnUnavailable(Instant aNow, const std::string& aService, Role& aRole)
 {
   aRole.placer_.OnNotCommitted(*aRole.proposal_);
   aRole.proposal_.reset();
   aRole.isIndeterminate_ = false;
   aRole.notBefore_ = aNow + kOutageBackoff;
+  // The placement did not change. In an outage every round may have something to propose, so that
+  // a server that only paused is resumed between two rounds.
+  const auto* placed = context_.view_.FindPlacement(aService);
+  if (placed != nullptr && placed->placement_.placer_ == context_.membership_.Self()) {
+    ResumeReturnedServers(placed->placement_, aRole);
+  }
 }
 
 void
@@ -277,7 +289,7 @@
         // An earlier attempt may still take effect, so the outcome remains open.
         role.notBefore_ = aNow + kOutageBackoff;
       } else {
-        OnUnavailable(aNow, role);
+        OnUnavailable(aNow, service, role);
       }
       break;
   }
--- a/Libraries/LibInstance/PlacementController.h
+++ b/Libraries/LibInstance/PlacementController.h
@@ -64,7 +64,9 @@
   void Send(const std::string& aService, Role& aRole);
   void ReadBack(const std::string& aService, Role& aRole);
   void OnCommitted(Instant aNow, Role& aRole, const Row& aRow);
-  void OnUnavailable(Instant aNow, Role& aRole);
+  void OnUnavailable(Instant aNow, const std::string& aService, Role& aRole);
+  // Resumes the withheld servers that are reachable again. No change of the placement may be open.
+  void ResumeReturnedServers(const Placement& aCurrent, Role& aRole);
   void OnReadBack(Instant aNow, const std::string& aService, Role& aRole, const StoreReply& aReply);
   // The condition of the write failed; checks whether an earlier attempt had succeeded.
   void OnConflict(Instant aNow, const std::string& aService, Role& aRole, const StoreReply& aReply);
