LibPermit: Hold a suspect back while none of its crashes is confirmed

Cause: after a second crash the dispatcher tried the suspect on the next server at once, and each trial added a crash whose proof was awaited, since all but the last had to be confirmed. The faster the request came, the further its quarantine moved.

Now a request that was under way at crashes one after the other waits until one of these servers is known to be gone or to run, ten seconds at most; and a crash that is not confirmed does not take back the proof of an earlier one. Others are tried as before: those with one crash.

Tests, in virtual time: ten servers, the request from two instances every 20 ms, crashes 60 to 100 ms after each start, confirmed 0.2 or 2 s later (RequestThatRepeatsFast).

--- a/Libraries/LibGateway/CrashSuspects.cpp
+++ b/Libraries/LibGateway/CrashSuspects.cpp
@@ -17,6 +17,9 @@
 // A server without an answer for this long after it closed a connection, which then closes or
 // refuses another one, is gone. A full server answers more often.
 constexpr Duration kSilenceToConfirm = milliseconds(200);
+// A server that is neither known to run nor to be gone for this long after it closed a connection
+// is used by nobody.
+constexpr Duration kMaxProofWait = seconds(10);
 // An answer that arrives up to this long after a crash may have been sent before it.
 constexpr Duration kAnswerMargin = milliseconds(50);
 // Duration of the first quarantine, the factor of each further one, and the longest.
@@ -58,12 +61,23 @@
   return count;
 }
 
-bool
-CrashSuspects::Suspect::HasProof() const
+unsigned
+CrashSuspects::Suspect::CountProvenCrashes() const
 {
-  return crashes_.empty() || std::all_of(crashes_.begin(),
-                                         std::prev(crashes_.end()),
-                                         [](const Crash& aCrash) { return aCrash.isConfirmed_; });
+  auto count = reportedCrashes_;
+  auto last = reportedAt_;
+  bool isFollowed = false;
+  for (const auto& crash : crashes_) {
+    const bool isLater = crash.seen_.sentAt_ >= last;
+    if (isLater && crash.isConfirmed_) {
+      ++count;
+      last = crash.seen_.crashedAt_;
+      isFollowed = false;
+    } else {
+      isFollowed = isFollowed || isLater;
+    }
+  }
+  return count > 0 && isFollowed ? count + 1 : count;
 }
 
 Quarantine
@@ -265,8 +279,7 @@
                      Suspect& aSuspect,
                      Changes& aChanges)
 {
-  const auto count = aSuspect.CountCrashes();
-  if (count < kCrashesToQuarantine) {
+  if (aSuspect.CountCrashes() < kCrashesToQuarantine) {
     aSuspect.quarantinedFor_ = 0;
     if (aSuspect.quarantinedUntil_ > aNow) {
       aSuspect.quarantinedUntil_ = Instant::min();
@@ -274,7 +287,8 @@
     }
     return;
   }
-  if (count <= aSuspect.quarantinedFor_ || !aSuspect.HasProof()) {
+  const auto count = aSuspect.CountProvenCrashes();
+  if (count < kCrashesToQuarantine || count <= aSuspect.quarantinedFor_) {
     return;
   }
   aSuspect.quarantinedFor_ = count;
@@ -326,6 +340,19 @@
                                     : std::max(suspect->second.quarantinedUntil_, aNow) - aNow;
 }
 
+bool
+CrashSuspects::IsAwaitingProof(Instant aNow, RequestFingerprint aFingerprint) const
+{
+  const auto found = suspects_.find(aFingerprint);
+  if (found == suspects_.end()) {
+    return false;
+  }
+  const auto& suspect = found->second;
+  return suspect.CountCrashes() >= kCrashesToQuarantine &&
+         suspect.CountProvenCrashes() < kCrashesToQuarantine &&
+         aNow < suspect.lastCrashAt_ + kMaxProofWait;
+}
+
 std::vector<Quarantine>
 CrashSuspects::Quarantines(Instant aNow) const
 {
--- a/Libraries/LibGateway/CrashSuspects.h
+++ b/Libraries/LibGateway/CrashSuspects.h
@@ -47,8 +47,8 @@
 //
 // - cleared once a server answers it;
 // - quarantined once it was under way at a second crash to which it was sent after the first, and
-//   the first server is certainly gone. Servers that end together, as in a power failure, count as
-//   one crash.
+//   the first server is certainly gone; until that is known, it waits. Servers that end together,
+//   as in a power failure, count as one crash.
 //
 // After its quarantine a request is a suspect still. Each further crash makes the next quarantine
 // longer. No I/O; times are those of one clock.
@@ -85,6 +85,9 @@
   bool IsEmpty() const { return suspects_.empty() && servers_.empty(); }
   // Whether the request was under way at a crash, and no server has answered it since.
   bool IsSuspect(RequestFingerprint aFingerprint) const { return suspects_.contains(aFingerprint); }
+  // Whether the request was under way at crashes one after the other, and it is not known yet
+  // whether any of these servers is gone. It must not be sent until then.
+  bool IsAwaitingProof(Instant aNow, RequestFingerprint aFingerprint) const;
   // Remaining quarantine of the request; zero for none.
   Duration RemainingQuarantine(Instant aNow, RequestFingerprint aFingerprint) const;
   // All quarantines that have not ended.
@@ -106,8 +109,8 @@
   {
     // Number of crashes that the request may have caused one after the other.
     unsigned CountCrashes() const;
-    // Whether all crashes but the last are confirmed.
-    bool HasProof() const;
+    // As CountCrashes(), of confirmed crashes and one that may have followed them.
+    unsigned CountProvenCrashes() const;
 
     void AddCrash(const SuspectedCrash& aCrash);
 
--- a/Libraries/LibPermit/PermitDispatcher.cpp
+++ b/Libraries/LibPermit/PermitDispatcher.cpp
@@ -277,7 +277,8 @@
   const bool isAlone = std::none_of(trials_.begin(), trials_.end(), [&](const auto& aTrial) {
     return aTrial.first == aServer || aTrial.second == aFingerprint;
   });
-  return isAlone && suspects_.RemainingQuarantine(aNow, aFingerprint) == Duration(0);
+  return isAlone && suspects_.RemainingQuarantine(aNow, aFingerprint) == Duration(0) &&
+         !suspects_.IsAwaitingProof(aNow, aFingerprint);
 }
 
 void
--- a/Tests/LibGateway/TestCrashSuspects.cpp
+++ b/Tests/LibGateway/TestCrashSuspects.cpp
@@ -114,6 +114,28 @@
   EXPECT_TRUE(IsQuarantined(kPoison));
 }
 
+TEST_F(SuspectsOfAService, NoCrashIsConfirmedYet_RequestAwaitsTheProof)
+{
+  Crash("s1", { kPoison });
+  EXPECT_FALSE(suspects_.IsAwaitingProof(now_, kPoison));
+  Crash("s2", { kPoison });
+  EXPECT_TRUE(suspects_.IsAwaitingProof(now_, kPoison));
+  EXPECT_FALSE(suspects_.IsAwaitingProof(now_ + seconds(11), kPoison));
+  suspects_.OnServerAnswered(now_, "s1", kIncarnation, now_, now_);
+  EXPECT_FALSE(suspects_.IsAwaitingProof(now_, kPoison));
+}
+
+// A later crash that is not confirmed yet does not take back the proof of an earlier one.
+TEST_F(SuspectsOfAService, OneOfThreeCrashesIsConfirmed_RequestIsQuarantined)
+{
+  Crash("s1", { kPoison });
+  Crash("s2", { kPoison });
+  Crash("s3", { kPoison });
+  suspects_.OnServerGone(now_, "s2");
+  EXPECT_TRUE(IsQuarantined(kPoison));
+  EXPECT_FALSE(suspects_.IsAwaitingProof(now_, kPoison));
+}
+
 TEST_F(SuspectsOfAService, LastServerProvesToRun_QuarantineIsLifted)
 {
   CrashAndGo("s1", { kPoison });
--- a/Tests/LibPermit/TestCrashingRequests.cpp
+++ b/Tests/LibPermit/TestCrashingRequests.cpp
@@ -122,6 +122,100 @@
   EXPECT_EQ(PermittedTo(repetition), "s3");
 }
 
+// Ten servers; two instances ask for the same request every 20 ms, and each server that runs it
+// crashes. A crash is confirmed some time after it: the parameter.
+class RequestThatRepeatsFast
+  : public DispatcherOfCrashingServers
+  , public testing::WithParamInterface<Duration>
+{
+protected:
+  static constexpr Duration kRepeatInterval = milliseconds(20);
+
+  RequestThatRepeatsFast()
+  {
+    for (int number = 4; number <= 10; ++number) {
+      Put("s" + std::to_string(number), "hall", 4);
+    }
+  }
+
+  void Run(Duration aTime)
+  {
+    const auto end = now_ + aTime;
+    for (auto nextRepeat = now_; now_ < end; Pass(milliseconds(1))) {
+      if (now_ >= nextRepeat) {
+        const auto caller = ++repeats_ % 2 == 0 ? kCaller : kOtherCaller;
+        unanswered_.emplace_back(RequestOf(kPoison, "", caller), caller);
+        nextRepeat += kRepeatInterval;
+      }
+      TrackPermits();
+      EndCrashed();
+    }
+  }
+
+  std::size_t sentBeforeFirstCrash_ = 0;
+  std::size_t sent_ = 0;
+  // Time of the crash of each server that ran the request.
+  std::map<std::string, Instant> crashes_;
+
+private:
+  struct Send
+  {
+    AttemptNumber number_ = 0;
+    CallerId caller_ = 0;
+    std::string server_;
+    Instant endsAt_{ 0 };
+  };
+
+  void TrackPermits()
+  {
+    std::erase_if(unanswered_, [&](const auto& aRequest) {
+      const auto server = PermittedTo(aRequest.first);
+      if (!server.empty()) {
+        const auto work = milliseconds(60 + 10 * (sent_++ % 5));
+        const auto [crash, isFirst] = crashes_.try_emplace(server, now_ + work);
+        sends_.push_back({ aRequest.first, aRequest.second, server, crash->second });
+        sentBeforeFirstCrash_ += hasCrashed_ ? 0 : 1;
+      }
+      return !server.empty() || IsAnswered<PermitDenial>(aRequest.first);
+    });
+  }
+
+  void EndCrashed()
+  {
+    std::erase_if(sends_, [&](const Send& aSend) {
+      if (now_ < aSend.endsAt_) {
+        return false;
+      }
+      hasCrashed_ = true;
+      Lose(aSend.number_, aSend.caller_);
+      return true;
+    });
+    for (const auto& [server, crashedAt] : crashes_) {
+      if (now_ >= crashedAt + GetParam() && directory_.Find(server) != nullptr) {
+        Remove(server);
+      }
+    }
+  }
+
+  std::size_t repeats_ = 0;
+  bool hasCrashed_ = false;
+  std::vector<std::pair<AttemptNumber, CallerId>> unanswered_;
+  std::vector<Send> sends_;
+};
+
+// Guards against a request that takes all servers of a service with it: it was tried on the next
+// server while none of its crashes was confirmed.
+TEST_P(RequestThatRepeatsFast, CrashesAreNotConfirmedYet_OneServerMoreIsTried)
+{
+  Run(seconds(5));
+  EXPECT_LE(sent_, sentBeforeFirstCrash_ + 1);
+  EXPECT_LE(crashes_.size(), 6U);
+}
+
+INSTANTIATE_TEST_SUITE_P(TimesToConfirm,
+                         RequestThatRepeatsFast,
+                         testing::Values(milliseconds(200), milliseconds(2000)));
+
 TEST_F(DispatcherOfCrashingServers, ServerEndsAsAnnounced_CountsAsNoCrash)
 {
   const auto request = RequestOf(kInnocent, "s1");
