--- a/Tests/LibFleet/TestFleetMember.cpp
+++ b/Tests/LibFleet/TestFleetMember.cpp
@@ -1,6 +1,7 @@
 #include "FleetMemberFixture.h"
 
 #include <algorithm>
+#include <set>
 
 namespace latchslip {
 
@@ -86,6 +87,44 @@
   EXPECT_EQ(events_.CountOf(Event::KeysCleared), cleared);
 }
 
+// Guards against two holders of a key: a record of a former server that this member never saw is
+// taken for that of a successor, but proves nothing.
+TEST_F(FleetMemberTest, UnknownFormerServerIsListedLate_LivingOneReleasesItsKeysFirst)
+{
+  BecomePlacer();
+  Advance(seconds(13));
+  RowVersion version = 20;
+  KeyOwnership before;
+  // The first key of each range that s1 has released.
+  std::set<KeyNumber> released;
+  const auto answer = [&] {
+    Acknowledge(version++);
+    for (const auto& command : std::exchange(fleet_.commands_, {})) {
+      const auto* former = before.Find(command.first_);
+      if (command.isRelease_ && command.server_ == "s1") {
+        released.insert(command.first_);
+      } else if (former != nullptr && former->owner_ == "s1" && command.server_ != "s1") {
+        EXPECT_TRUE(released.contains(command.first_)) << command.server_;
+      }
+      const auto end =
+        command.server_ == "s0" ? CommandStatus::OtherIncarnation : CommandStatus::Done;
+      member_.OnCommandEnded(now_, "rates", command.number_, { end });
+    }
+    Advance(milliseconds(300));
+  };
+  answer();
+  answer();
+  before = *fleet_.ownership_;
+  Show(FleetTable::Servers,
+       7,
+       { { "s1", 2, "ready" }, { "s2", 3, "ready" }, { "s0", 7, "at:s1:80" } });
+  for (int round = 0; round < 10; ++round) {
+    answer();
+  }
+  EXPECT_FALSE(released.empty());
+  EXPECT_EQ(events_.CountOf(Event::ServerEndProven), 1);
+}
+
 // Unless its keys are moved, they have no owner until the server has shut down.
 TEST_F(FleetMemberTest, AnswerAnnouncesThatAServerLeaves_PlacerMovesItsKeys)
 {
