--- a/Meta/check-mutants.sh
+++ b/Meta/check-mutants.sh
@@ -6,7 +6,7 @@
 cd "$(dirname "$0")/.."
 copy=$(mktemp -d)
 trap 'rm -rf "$copy"' EXIT
-cp -r CMakeLists.txt Libraries Services Utilities Tests Benchmarks platform "$copy/"
+cp -r CMakeLists.txt Meta Libraries Services Utilities Tests Benchmarks platform "$copy/"
 cmake -S "$copy" -B "$copy/Build" -G Ninja >/dev/null
 ninja -C "$copy/Build" test-scenarios >/dev/null
 
