--- a/Meta/latchslip.sh
+++ b/Meta/latchslip.sh
@@ -5,7 +5,8 @@
 cd "$(dirname "$0")/.."
 
 packages="g++ cmake ninja-build libboost1.81-dev libboost-json1.81-dev libabsl-dev
-  libgoogle-glog-dev libunwind-dev liblzma-dev libcapnp-dev capnproto libgtest-dev libgmock-dev libbenchmark-dev
+  libgoogle-glog-dev libunwind-dev liblzma-dev libcapnp-dev capnproto libgtest-dev libgmock-dev
+  libbenchmark-dev
   libxxhash-dev libssl-dev zlib1g-dev clang-format clang-tidy"
 
 install_missing() {
