LibGateway, Tests: Look a quarantine up once, and build a request for a permit in one place

Found while the change was read again; behaviour stays. RetryAfterOf asked for the quarantine twice. DispatcherOfCrashingServers::RequestOf repeated DispatcherOfAService::Request, which takes the fingerprint now. Whether the order at an address is known is one expression.

--- a/Libraries/LibGateway/GatewayRouter.cpp
+++ b/Libraries/LibGateway/GatewayRouter.cpp
@@ -450,8 +450,9 @@
 GatewayRouter::RetryAfterOf(Instant aNow, PendingRequest& aPending)
 {
   std::uniform_real_distribution<double> draw(kMinJitter, kMaxJitter);
-  if (IsQuarantined(aNow, aPending)) {
-    return permits_.RemainingQuarantine(aNow, aPending.request_.fingerprint_);
+  const auto quarantine = permits_.RemainingQuarantine(aNow, aPending.request_.fingerprint_);
+  if (quarantine > Duration(0)) {
+    return quarantine;
   }
   if (!aPending.routes_) {
     return Scale(kAssumedTimeLeft, kRetryDelayPerTimeLeft);
--- a/Libraries/LibGateway/ServerDirectory.cpp
+++ b/Libraries/LibGateway/ServerDirectory.cpp
@@ -86,11 +86,11 @@
       aKnown->incarnation_ == aRecord.incarnation_) {
     return;
   }
-  bool isOrderKnown = listedSince_ == Instant::min() || aNow >= listedSince_ + kMaxWriteDelay;
   if (aKnown != nullptr) {
     addresses_.Remove(aKnown->address_, aKnown->id_);
-    isOrderKnown = true;
   }
+  const bool isOrderKnown =
+    aKnown != nullptr || listedSince_ == Instant::min() || aNow >= listedSince_ + kMaxWriteDelay;
   addresses_.Add(aRecord.address_,
                  aRecord.id_,
                  isOrderKnown ? AddressHistory::Order::Later : AddressHistory::Order::Unknown);
--- a/Tests/LibPermit/DispatcherFixture.h
+++ b/Tests/LibPermit/DispatcherFixture.h
@@ -63,7 +63,8 @@
   AttemptNumber Request(const std::string& aServer = "",
                         Duration aInTime = milliseconds(300),
                         unsigned aPriority = 1,
-                        CallerId aCaller = kCaller)
+                        CallerId aCaller = kCaller,
+                        RequestFingerprint aFingerprint = kNoFingerprint)
   {
     PermitRequest request;
     request.number_ = ++lastNumber_;
@@ -73,6 +74,7 @@
     request.priority_ = aPriority;
     request.inTime_ = aInTime;
     request.timeLeft_ = aInTime + milliseconds(700);
+    request.fingerprint_ = aFingerprint;
     dispatcher_.OnMessage(now_, aCaller, request);
     return lastNumber_;
   }
--- a/Tests/LibPermit/TestCrashingRequests.cpp
+++ b/Tests/LibPermit/TestCrashingRequests.cpp
@@ -23,16 +23,7 @@
                           const std::string& aServer = "",
                           CallerId aCaller = kCaller)
   {
-    PermitRequest request;
-    request.number_ = ++lastNumber_;
-    request.service_ = "plain";
-    request.server_ = aServer;
-    request.hall_ = "hall";
-    request.inTime_ = milliseconds(300);
-    request.timeLeft_ = milliseconds(1000);
-    request.fingerprint_ = aFingerprint;
-    dispatcher_.OnMessage(now_, aCaller, request);
-    return lastNumber_;
+    return Request(aServer, milliseconds(300), 0, aCaller, aFingerprint);
   }
 
   // The server closes the connection of a send.
