LibPermit: Record which instance's failed connection suspends a server

The log could not tell refusals at full servers from those at servers that the dispatcher had suspended, nor whose failed connection had done so: 1,052 of 1,053 refusals of the instances that kept their links said no-capacity, without a send. E644 names the server, the instance and the time; no logic has changed. Test: DispatcherOfAService.InstanceCannotConnect_SuspensionIsRecordedWithTheInstance.

--- a/Benchmarks/BenchGateway.cpp
+++ b/Benchmarks/BenchGateway.cpp
@@ -114,6 +114,7 @@
 {
 public:
   void RecordLeaving(const std::string&, std::uint64_t) override {}
+  void RecordSuspension(const std::string&, CallerId, Duration) override {}
   void Answer(CallerId, const MessageFromDispatcher& aMessage) override
   {
     permits_ += std::holds_alternative<Permit>(aMessage) ? 1 : 0;
--- a/Libraries/LibBase/Event.cpp
+++ b/Libraries/LibBase/Event.cpp
@@ -86,6 +86,7 @@
   EventName{ Event::DispatcherSilent, "DispatcherSilent" },
   EventName{ Event::RequestQuarantined, "RequestQuarantined" },
   EventName{ Event::QuarantineLifted, "QuarantineLifted" },
+  EventName{ Event::ServerSuspended, "ServerSuspended" },
   EventName{ Event::ApiKeysProven, "ApiKeysProven" },
   EventName{ Event::ApiKeysUnproven, "ApiKeysUnproven" },
   EventName{ Event::GroupOverLimit, "GroupOverLimit" },
--- a/Libraries/LibBase/Event.h
+++ b/Libraries/LibBase/Event.h
@@ -88,6 +88,7 @@
   DispatcherSilent = 641,
   RequestQuarantined = 642,
   QuarantineLifted = 643,
+  ServerSuspended = 644,
   ApiKeysProven = 650,
   ApiKeysUnproven = 651,
   GroupOverLimit = 652,
--- a/Libraries/LibDaemon/PermitLinks.cpp
+++ b/Libraries/LibDaemon/PermitLinks.cpp
@@ -252,6 +252,16 @@
   ScheduleFlush();
 }
 
+void
+PermitLinks::RecordSuspension(const std::string& aServer, CallerId aCaller, Duration aTime)
+{
+  const auto link = callerLinks_.find(aCaller);
+  events_.Record(Event::ServerSuspended,
+                 "server=" + aServer + " reported_by=" +
+                   (link == callerLinks_.end() ? "self" : link->second.stream_->RemoteAddress()) +
+                   " suspended_us=" + std::to_string(aTime.count()));
+}
+
 void
 PermitLinks::ScheduleFlush()
 {
--- a/Libraries/LibDaemon/PermitLinks.h
+++ b/Libraries/LibDaemon/PermitLinks.h
@@ -62,6 +62,7 @@
   {
     leavingObserver_(aServer, aIncarnation);
   }
+  void RecordSuspension(const std::string& aServer, CallerId aCaller, Duration aTime) override;
 
   void Accept();
   void OnAccepted(boost::asio::ip::tcp::socket aSocket);
--- a/Libraries/LibPermit/DispatchedServer.h
+++ b/Libraries/LibPermit/DispatchedServer.h
@@ -54,6 +54,8 @@
 
   const std::string& Hall() const { return hall_; }
   double FailureShare() const { return health_.FailureShare(); }
+  // Time for which the circuit breaker suspends sends; zero if it does not.
+  Duration RemainingSuspension(Instant aNow) const { return health_.RemainingDelay(aNow); }
   std::size_t InFlight() const { return startTimes_.size(); }
   // Mean work time, adjusted to the normal speed of the server; zero when none has been measured.
   Duration NormalWorkTime() const { return meanWork_; }
--- a/Libraries/LibPermit/PermitDispatcher.cpp
+++ b/Libraries/LibPermit/PermitDispatcher.cpp
@@ -207,6 +207,9 @@
   auto& service = services_.at(send.service_);
   if (const auto server = service.servers_.find(send.server_); server != service.servers_.end()) {
     server->second.OnEnded(aNow, aCaller, send.sentAt_, send.inFlightAtStart_, aEnd);
+    if (aEnd.result_ == SendResult::NotReached) {
+      actions_.RecordSuspension(send.server_, aCaller, server->second.RemainingSuspension(aNow));
+    }
     const auto work = server->second.NormalWorkTime();
     if (work > Duration(0)) {
       service.meanWork_ = ExponentialAverage(service.meanWork_, work, kServiceWeight);
--- a/Libraries/LibPermit/PermitDispatcher.h
+++ b/Libraries/LibPermit/PermitDispatcher.h
@@ -23,6 +23,8 @@
   virtual void Answer(CallerId aCaller, const MessageFromDispatcher& aMessage) = 0;
   // An instance reports that this incarnation of the server announced its shutdown.
   virtual void RecordLeaving(const std::string& aServer, std::uint64_t aIncarnation) = 0;
+  // No permits are issued for the server for aTime, because an instance could not connect to it.
+  virtual void RecordSuspension(const std::string& aServer, CallerId aCaller, Duration aTime) = 0;
 };
 
 // Issues permits for sends to the servers of the services that it is the dispatcher of. All sends
--- a/Tests/LibPermit/DispatcherFixture.h
+++ b/Tests/LibPermit/DispatcherFixture.h
@@ -26,9 +26,16 @@
     leaving_.emplace(aServer, aIncarnation);
   }
 
+  void RecordSuspension(const std::string& aServer, CallerId aCaller, Duration) override
+  {
+    suspensions_.emplace_back(aServer, aCaller);
+  }
+
   std::vector<std::pair<CallerId, MessageFromDispatcher>> answers_;
   // Servers reported as leaving, with their incarnations.
   std::set<std::pair<std::string, std::uint64_t>> leaving_;
+  // Servers suspended, each with the instance that could not connect to it.
+  std::vector<std::pair<std::string, CallerId>> suspensions_;
 };
 
 // A dispatcher for the service "plain" on a simulated clock; each test lists its servers.
--- a/Tests/LibPermit/TestPermitDispatcher.cpp
+++ b/Tests/LibPermit/TestPermitDispatcher.cpp
@@ -329,6 +329,15 @@
   EXPECT_EQ(PermittedTo(Request()), "z9");
 }
 
+// Guards against refusals of which nobody can tell whether the servers are full or suspended.
+TEST_F(DispatcherOfAService, InstanceCannotConnect_SuspensionIsRecordedWithTheInstance)
+{
+  Put("s1");
+  End(Request(), SendResult::NotReached);
+  ASSERT_EQ(actions_.suspensions_.size(), 1U);
+  EXPECT_EQ(actions_.suspensions_[0], (std::pair<std::string, CallerId>("s1", kCaller)));
+}
+
 TEST_F(DispatcherOfAService, LateRequestsAreServedWithSpareCapacity_WaitBoundGrows)
 {
   Put("s1", "hall", 1);
