--- a/Libraries/LibBase/Event.cpp
+++ b/Libraries/LibBase/Event.cpp
@@ -64,6 +64,8 @@
   EventName{ Event::ServerAskedForRest, "ServerAskedForRest" },
   EventName{ Event::ServerLimitsRate, "ServerLimitsRate" },
   EventName{ Event::ServerClosedConnection, "ServerClosedConnection" },
+  EventName{ Event::ServerLinksCut, "ServerLinksCut" },
+  EventName{ Event::ServerLinksRestored, "ServerLinksRestored" },
   EventName{ Event::RoutesInForce, "RoutesInForce" },
   EventName{ Event::RoutesRejected, "RoutesRejected" },
   EventName{ Event::ServerListed, "ServerListed" },
--- a/Libraries/LibBase/Event.h
+++ b/Libraries/LibBase/Event.h
@@ -66,6 +66,8 @@
   ServerAskedForRest = 603,
   ServerLimitsRate = 604,
   ServerClosedConnection = 605,
+  ServerLinksCut = 606,
+  ServerLinksRestored = 607,
   RoutesInForce = 610,
   RoutesRejected = 611,
   ServerListed = 612,
--- a/Libraries/LibDaemon/GatewayFrontend.cpp
+++ b/Libraries/LibDaemon/GatewayFrontend.cpp
@@ -11,6 +11,8 @@
 // Many round trips within a region; after it the attempt counts as not sent and another server
 // is tried.
 constexpr Duration kConnectTimeout = milliseconds(150);
+// A packet and two repetitions of it have their chance until then.
+constexpr Duration kAckTimeout = milliseconds(700);
 // Added to an attempt's timeout. The router normally cancels the attempt first; this only
 // bounds an exchange that it no longer tracks.
 constexpr Duration kExchangeGrace = milliseconds(100);
@@ -22,6 +24,8 @@
                                  const GatewayCodec& aCodec,
                                  const ServerDirectory& aDirectory,
                                  PermitSource& aPermits,
+                                 ServerPaths& aPaths,
+                                 RelayClient& aRelays,
                                  EventSink& aEvents,
                                  GatewayMetrics& aMetrics,
                                  KeyObserver aKeyObserver,
@@ -30,6 +34,8 @@
   , metrics_(aMetrics)
   , keyObserver_(std::move(aKeyObserver))
   , leavingObserver_(std::move(aLeavingObserver))
+  , paths_(aPaths)
+  , relays_(aRelays)
   , client_(HttpClient::Create(aContext, kMaxConnections))
   , router_(std::move(aSettings), aDirectory, *this, aPermits, aEvents)
   , timer_(
@@ -37,6 +43,7 @@
       [this] { return router_.NextTime(); },
       [this](Instant aNow) { router_.OnTime(aNow); })
 {
+  router_.SetPaths(aPaths);
 }
 
 void
@@ -64,31 +71,57 @@
   if (request == requests_.end()) {
     return;
   }
-  ExchangeOptions options;
+  RelayRequest relayed;
+  relayed.server_ = aCommand.server_;
+  relayed.address_ = aCommand.address_;
+  relayed.request_ = codec_.EncodeAttempt(request->second.request_, aCommand);
+  auto& options = relayed.options_;
   options.timeout_ = aCommand.timeLeft_ + kExchangeGrace;
   options.connectTimeout_ = kConnectTimeout;
+  options.ackTimeout_ = kAckTimeout;
   options.echoHeader_ = codec_.EchoHeader();
-  const auto number = aCommand.number_;
-  auto& attempt = attempts_[number];
-  attempt.command_ = aCommand;
-  attempt.exchange_ = client_->Send(
-    aCommand.address_,
-    codec_.EncodeAttempt(request->second.request_, aCommand),
-    std::move(options),
-    [this, number](HttpExchange aExchange) { OnExchangeEnded(number, std::move(aExchange)); });
+  const auto attempt = aCommand.number_;
+  const auto number = ++lastExchange_;
+  auto& running = attempts_[attempt];
+  running.command_ = aCommand;
+  running.number_ = number;
+  if (!aCommand.relay_.empty()) {
+    running.exchange_ =
+      relays_.Send(aCommand.relay_,
+                   std::move(relayed),
+                   [this, attempt, number](HttpExchange aExchange, PathResult aPath) {
+                     OnExchangeEnded(attempt, number, std::move(aExchange), aPath);
+                   });
+    return;
+  }
+  running.exchange_ = client_->Send(aCommand.address_,
+                                    std::move(relayed.request_),
+                                    std::move(options),
+                                    [this, attempt, number](HttpExchange aExchange) {
+                                      const auto path = PathResultOf(aExchange);
+                                      OnExchangeEnded(attempt, number, std::move(aExchange), path);
+                                    });
 }
 
 void
-GatewayFrontend::OnExchangeEnded(AttemptNumber aAttempt, HttpExchange aExchange)
+GatewayFrontend::OnExchangeEnded(AttemptNumber aAttempt,
+                                 std::uint64_t aExchange,
+                                 HttpExchange aResult,
+                                 PathResult aPath)
 {
-  const auto attempt = attempts_.find(aAttempt);
+  auto attempt = attempts_.find(aAttempt);
   if (attempt == attempts_.end()) {
     return;
   }
-  const auto outcome = codec_.DecodeAttempt(attempt->second.command_, aExchange);
-  attempt->second.answer_ = std::move(aExchange.response_);
+  auto outcome = codec_.DecodeAttempt(attempt->second.command_, aResult);
+  outcome.path_ = aPath;
+  attempt->second.answer_ = std::move(aResult.response_);
   router_.OnAttemptEnded(MonotonicNow(), aAttempt, outcome);
-  attempts_.erase(aAttempt);
+  // The router may have sent the attempt again, on another path.
+  attempt = attempts_.find(aAttempt);
+  if (attempt != attempts_.end() && attempt->second.number_ == aExchange) {
+    attempts_.erase(attempt);
+  }
   timer_.Arm();
 }
 
@@ -99,10 +132,27 @@
   if (attempt == attempts_.end()) {
     return;
   }
-  client_->Cancel(attempt->second.exchange_);
+  if (attempt->second.command_.relay_.empty()) {
+    client_->Cancel(attempt->second.exchange_);
+  } else {
+    relays_.Cancel(attempt->second.exchange_);
+  }
   attempts_.erase(attempt);
 }
 
+void
+GatewayFrontend::Probe(const std::string& aAddress)
+{
+  // Connections from before the cut are of no use when it ends.
+  client_->CloseIdle();
+  ExchangeOptions options;
+  options.connectTimeout_ = kConnectTimeout;
+  options.ackTimeout_ = kAckTimeout;
+  client_->Probe(aAddress, options, [this](bool aIsConnected) {
+    paths_.OnProbeEnded(MonotonicNow(), aIsConnected);
+  });
+}
+
 void
 GatewayFrontend::Deliver(RequestNumber aRequest, AttemptNumber aAttempt)
 {
--- a/Libraries/LibDaemon/GatewayFrontend.h
+++ b/Libraries/LibDaemon/GatewayFrontend.h
@@ -3,6 +3,7 @@
 #include "LibDaemon/GatewayCodec.h"
 #include "LibDaemon/GatewayMetrics.h"
 #include "LibDaemon/LeavingObserver.h"
+#include "LibDaemon/RelayClient.h"
 #include "LibFleet/FleetMember.h"
 #include "LibGateway/GatewayRouter.h"
 #include "LibNet/DeadlineTimer.h"
@@ -31,6 +32,8 @@
                   const GatewayCodec& aCodec,
                   const ServerDirectory& aDirectory,
                   PermitSource& aPermits,
+                  ServerPaths& aPaths,
+                  RelayClient& aRelays,
                   EventSink& aEvents,
                   GatewayMetrics& aMetrics,
                   KeyObserver aKeyObserver,
@@ -41,8 +44,10 @@
 
   GatewayRouter& Router() { return router_; }
   const GatewayRouter& Router() const { return router_; }
-  // Closes idle connections that servers are about to close.
-  void PruneIdle() { client_->PruneIdle(); }
+  // Tries whether the links to servers that seemed cut are back, by a connection to that address.
+  void Probe(const std::string& aAddress);
+  // The client for exchanges with servers.
+  HttpClient& Client() { return *client_; }
   // Re-arms the timer for the router's next deadline. Call after each change to the router from
   // outside this class.
   void ArmTimer() { timer_.Arm(); }
@@ -61,6 +66,9 @@
   struct RunningAttempt
   {
     AttemptCommand command_;
+    // Distinguishes the exchanges of this attempt from each other.
+    std::uint64_t number_ = 0;
+    // Number at the client that performs the exchange.
     ExchangeId exchange_ = 0;
     HttpResponse answer_;
   };
@@ -81,18 +89,25 @@
   {
     keyObserver_(aService, aKey);
   }
-  void OnExchangeEnded(AttemptNumber aAttempt, HttpExchange aExchange);
+  // aExchange is the number of the exchange: an attempt may have several, one after the other.
+  void OnExchangeEnded(AttemptNumber aAttempt,
+                       std::uint64_t aExchange,
+                       HttpExchange aResult,
+                       PathResult aPath);
   void Respond(RequestNumber aRequest, HttpResponse aResponse);
 
   const GatewayCodec& codec_;
   GatewayMetrics& metrics_;
   KeyObserver keyObserver_;
   LeavingObserver leavingObserver_;
+  ServerPaths& paths_;
+  RelayClient& relays_;
   std::unique_ptr<HttpClient> client_;
   GatewayRouter router_;
   DeadlineTimer timer_;
   std::unordered_map<RequestNumber, ClientRequest> requests_;
   std::unordered_map<AttemptNumber, RunningAttempt> attempts_;
+  std::uint64_t lastExchange_ = 0;
 };
 
 } // namespace latchslip
--- a/Libraries/LibDaemon/GatewayHost.cpp
+++ b/Libraries/LibDaemon/GatewayHost.cpp
@@ -2,6 +2,7 @@
 
 #include "LibDaemon/PeerRpc.h"
 #include "LibDaemon/PermitLinks.h"
+#include "LibDaemon/RelayService.h"
 #include "LibDaemon/StopSequence.h"
 #include "LibNet/MonotonicClock.h"
 
@@ -64,18 +65,29 @@
                member_.Directory(),
                MakeLeavingObserver(),
                aEvents)
+    , paths_(settings_.router_.hall_, settings_.router_.seed_, aEvents)
+    , relays_(aContext)
     , frontend_(
         aContext,
         settings_.router_,
         aCodec,
         member_.Directory(),
         permits_.Client(),
+        paths_,
+        relays_,
         aEvents,
         metrics_,
         [this](const std::string& aService, KeyNumber aKey) { member_.CountKey(aService, aKey); },
         MakeLeavingObserver())
     , commandClient_(HttpClient::Create(aContext, kMaxCommandConnections))
-    , peers_(aContext, member_, loop_, [this] { return RenderMetrics(); })
+    , relayService_(
+        frontend_.Client(),
+        *commandClient_,
+        member_.Directory(),
+        paths_,
+        [this] { return stop_.HasBegun(); },
+        aEvents)
+    , peers_(aContext, member_, relayService_, loop_, [this] { return RenderMetrics(); })
     , timer_(aContext)
   {
     permits_.Client().SetListener(*this);
@@ -151,6 +163,8 @@
       { { "requests_under_way", static_cast<double>(frontend_.Router().InFlight()) },
         { "requests_waiting", static_cast<double>(frontend_.Router().Waiting()) },
         { "is_placer", member_.IsPlacer() ? 1 : 0 },
+        { "is_cut_off_from_servers", paths_.IsCutOff() ? 1 : 0 },
+        { "exchanges_relayed_total", static_cast<double>(relayService_.Relayed()) },
         { "is_ready", IsReady() ? 1 : 0 },
         { "servers_listed", static_cast<double>(member_.Directory().All().size()) } });
   }
@@ -179,13 +193,27 @@
     permits_.OnTime();
     if (aNow >= nextPrune_) {
       nextPrune_ = aNow + kPruneInterval;
-      frontend_.PruneIdle();
+      frontend_.Client().PruneIdle();
       commandClient_->PruneIdle();
+      relays_.PruneIdle();
     }
+    ProbeServer(aNow);
     frontend_.ArmTimer();
     events_.Flush();
   }
 
+  // While the links to all servers are cut, tries from time to time whether they are back.
+  void ProbeServer(Instant aNow)
+  {
+    const auto server = paths_.TakeProbe(aNow);
+    if (!server) {
+      return;
+    }
+    if (const auto* record = member_.Directory().Find(*server)) {
+      frontend_.Probe(record->address_);
+    }
+  }
+
   // Advances a planned stop, if one has begun. Returns true once the stop is complete.
   bool AdvanceStop(Instant aNow)
   {
@@ -198,7 +226,8 @@
       isClosing_ = true;
       clientServer_->BeginClose();
     }
-    const bool isIdle = frontend_.Router().InFlight() == 0 && clientServer_->Connections() == 0;
+    const bool isIdle = frontend_.Router().InFlight() == 0 && relayService_.InFlight() == 0 &&
+                        clientServer_->Connections() == 0;
     if (!stop_.IsComplete(aNow, settings_.stopGrace_, isIdle)) {
       return false;
     }
@@ -328,6 +357,13 @@
   void OnInstances(const std::map<std::string, FleetPeer>& aPeers) override
   {
     frontend_.Router().SetInstances(aPeers.size());
+    std::map<std::string, RelayPeer> relays;
+    for (const auto& [address, peer] : aPeers) {
+      if (address != settings_.peerAddress_) {
+        relays[address] = { peer.hall_, peer.processorShare_ };
+      }
+    }
+    paths_.SetPeers(std::move(relays));
     if (settings_.permitPort_ != 0) {
       permits_.Client().SetPeers(MonotonicNow(), aPeers);
     }
@@ -386,8 +422,11 @@
   FleetMember member_;
   GatewayMetrics metrics_;
   PermitLinks permits_;
+  ServerPaths paths_;
+  RelayClient relays_;
   GatewayFrontend frontend_;
   std::unique_ptr<HttpClient> commandClient_;
+  RelayService relayService_;
   PeerRpc peers_;
   ReadyHandler ready_{ *this };
   std::unique_ptr<HttpServer> clientServer_;
--- a/Libraries/LibDaemon/PeerRpc.cpp
+++ b/Libraries/LibDaemon/PeerRpc.cpp
@@ -1,5 +1,6 @@
 #include "LibDaemon/PeerRpc.h"
 
+#include "LibDaemon/RelayClient.h"
 #include "LibNet/Deflate.h"
 #include "LibNet/MonotonicClock.h"
 
@@ -100,9 +101,11 @@
 
 PeerRpc::PeerRpc(boost::asio::io_context& aContext,
                  FleetMember& aMember,
+                 HttpHandler& aRelays,
                  LoopTaskObserver& aTasks,
                  MetricsPage aMetrics)
   : member_(aMember)
+  , relays_(aRelays)
   , tasks_(aTasks)
   , metrics_(std::move(aMetrics))
   , client_(HttpClient::Create(aContext, kMaxConnections))
@@ -188,9 +191,11 @@
 }
 
 void
-PeerRpc::OnRequest(std::uint64_t, HttpRequest aRequest, HttpResponder aRespond)
+PeerRpc::OnRequest(std::uint64_t aId, HttpRequest aRequest, HttpResponder aRespond)
 {
-  if (aRequest.target_ == kReportPath) {
+  if (aRequest.target_ == kRelayPath) {
+    relays_.OnRequest(aId, std::move(aRequest), std::move(aRespond));
+  } else if (aRequest.target_ == kReportPath) {
     aRespond(HandleReport(aRequest));
   } else if (aRequest.target_ == kUpdatePath) {
     aRespond(HandleUpdate(aRequest));
--- a/Libraries/LibDaemon/PeerRpc.h
+++ b/Libraries/LibDaemon/PeerRpc.h
@@ -15,7 +15,8 @@
 
 // HTTP calls between gateway instances, client and server side: reports to the placer, usage
 // reports to the limit coordinator, and updates of the store's tables, which are forwarded
-// along an update tree. Also serves the metrics page.
+// along an update tree. Also serves the metrics page, and passes requests to relay exchanges on to
+// aRelays.
 class PeerRpc : public HttpHandler
 {
 public:
@@ -24,6 +25,7 @@
 
   PeerRpc(boost::asio::io_context& aContext,
           FleetMember& aMember,
+          HttpHandler& aRelays,
           LoopTaskObserver& aTasks,
           MetricsPage aMetrics);
 
@@ -37,7 +39,7 @@
   void SendUsage(const std::string& aAddress, const UsageReport& aReport);
 
   void OnRequest(std::uint64_t aId, HttpRequest aRequest, HttpResponder aRespond) override;
-  void OnClientDisconnected(std::uint64_t) override {}
+  void OnClientDisconnected(std::uint64_t aId) override { relays_.OnClientDisconnected(aId); }
 
 private:
   // Sends a serialized update along these branches. If the root of a branch is unresponsive or
@@ -52,6 +54,7 @@
   HttpResponse HandleFetch(const HttpRequest& aRequest);
 
   FleetMember& member_;
+  HttpHandler& relays_;
   LoopTaskObserver& tasks_;
   MetricsPage metrics_;
   std::unique_ptr<HttpClient> client_;
--- /dev/null
+++ b/Libraries/LibDaemon/RelayService.cpp
@@ -0,0 +1,117 @@
+#include "LibDaemon/RelayService.h"
+
+#include "LibNet/MonotonicClock.h"
+#include "LibNet/RelayCodec.h"
+
+namespace latchslip {
+
+namespace {
+
+constexpr unsigned kOk = 200;
+constexpr unsigned kBadRequest = 400;
+
+HttpResponse
+MakeAnswer(PathResult aPath, HttpExchange aExchange)
+{
+  RelayAnswer answer;
+  answer.clock_ = MonotonicNow();
+  answer.path_ = aPath;
+  answer.exchange_ = std::move(aExchange);
+  auto response = MakeHttpResponse(kOk, EncodeRelayAnswer(answer));
+  response.contentType_ = "application/octet-stream";
+  return response;
+}
+
+HttpResponse
+MakeDeclined()
+{
+  HttpExchange exchange;
+  exchange.end_ = ExchangeEnd::NotSent;
+  exchange.problem_ = "declined";
+  return MakeAnswer(PathResult::NotTried, std::move(exchange));
+}
+
+} // namespace
+
+RelayService::RelayService(HttpClient& aAttempts,
+                           HttpClient& aCommands,
+                           const ServerDirectory& aDirectory,
+                           ServerPaths& aPaths,
+                           std::function<bool()> aIsStopping,
+                           EventSink& aEvents)
+  : attempts_(aAttempts)
+  , commands_(aCommands)
+  , directory_(aDirectory)
+  , paths_(aPaths)
+  , isStopping_(std::move(aIsStopping))
+  , events_(aEvents)
+{
+}
+
+void
+RelayService::OnRequest(std::uint64_t aId, HttpRequest aRequest, HttpResponder aRespond)
+{
+  const auto request = DecodeRelayRequest(*aRequest.body_);
+  if (!request) {
+    events_.Record(Event::PeerRefused, "reason=\"" + request.error().Describe() + "\"");
+    aRespond(MakeHttpResponse(kBadRequest, request.error().Describe()));
+    return;
+  }
+  if (!MayRelay(MonotonicNow(), request.value())) {
+    aRespond(MakeDeclined());
+    return;
+  }
+  Begin(aId, request.value(), std::move(aRespond));
+}
+
+bool
+RelayService::MayRelay(Instant aNow, const RelayRequest& aRequest) const
+{
+  const auto* record = directory_.Find(aRequest.server_);
+  const bool isListed = record != nullptr && record->address_ == aRequest.address_;
+  if (!isListed || (!aRequest.isCommand_ && !record->AcceptsWork())) {
+    return false;
+  }
+  return !isStopping_() && !paths_.IsCutOff() && aNow <= aRequest.expiresAt_;
+}
+
+void
+RelayService::Begin(std::uint64_t aId, const RelayRequest& aRequest, HttpResponder aRespond)
+{
+  ++relayed_;
+  auto& client = aRequest.isCommand_ ? commands_ : attempts_;
+  auto& running = running_[aId];
+  running.client_ = &client;
+  running.server_ = aRequest.server_;
+  running.exchange_ =
+    client.Send(aRequest.address_,
+                aRequest.request_,
+                aRequest.options_,
+                [this, aId, respond = std::move(aRespond)](HttpExchange aExchange) {
+                  OnEnded(aId, std::move(aExchange), respond);
+                });
+}
+
+void
+RelayService::OnEnded(std::uint64_t aId, HttpExchange aExchange, const HttpResponder& aRespond)
+{
+  const auto running = running_.extract(aId);
+  const auto& server = running.mapped().server_;
+  auto path = PathResultOf(aExchange);
+  paths_.OnEnded(MonotonicNow(), server, "", path);
+  if (path == PathResult::Unreachable && paths_.IsInDoubt(server)) {
+    path = PathResult::UnreachableInDoubt;
+  }
+  aRespond(MakeAnswer(path, std::move(aExchange)));
+}
+
+void
+RelayService::OnClientDisconnected(std::uint64_t aId)
+{
+  if (const auto running = running_.find(aId); running != running_.end()) {
+    running->second.client_->Cancel(running->second.exchange_);
+    running_.erase(running);
+  }
+}
+
+} // namespace latchslip
--- a/Libraries/LibGateway/GatewayRouter.cpp
+++ b/Libraries/LibGateway/GatewayRouter.cpp
@@ -55,6 +55,23 @@
   return aOutcome.status_ >= kServerError;
 }
 
+// What the end of an attempt says about its path.
+PathResult
+PathResultOf(const AttemptOutcome& aOutcome)
+{
+  if (aOutcome.path_ != PathResult::Unknown) {
+    return aOutcome.path_;
+  }
+  switch (aOutcome.end_) {
+    case AttemptEnd::NotSent:
+      return PathResult::Unreachable;
+    case AttemptEnd::Broken:
+      return aOutcome.isConnectionLost_ ? PathResult::NoAnswer : PathResult::Unknown;
+    default:
+      return PathResult::Reached;
+  }
+}
+
 SendResult
 ToSendResult(const AttemptOutcome& aOutcome)
 {
@@ -104,6 +121,7 @@
   , actions_(aActions)
   , permits_(aPermits)
   , events_(aEvents)
+  , directPaths_(settings_.hall_, settings_.seed_, aEvents)
   , random_(settings_.seed_)
 {
 }
@@ -151,6 +169,10 @@
   if (aPending.service_->isKeyed_ && aPending.request_.key_) {
     actions_.CountKey(aPending.service_->name_, *aPending.request_.key_);
   }
+  if (!paths_->HasPath(aNow)) {
+    Refuse(aNow, aPending, RefusalReason::NoPath);
+    return;
+  }
   if (!TrySend(aNow, aPending)) {
     WaitOrRefuse(aNow, aPending);
   }
@@ -164,13 +186,16 @@
     return;
   }
   const auto number = attempt->second;
-  attempts_.erase(attempt);
   auto& pending = pending_.at(number);
+  if (TryAnotherPath(aNow, pending, aOutcome)) {
+    return;
+  }
+  attempts_.erase(attempt);
   if (aOutcome.isLeaving_) {
     actions_.RecordLeaving(pending.server_, pending.serverIncarnation_);
   }
   const auto service = pending.service_->name_;
-  const auto result = ToSendResult(aOutcome);
+  const auto result = ToSendResult(pending, aOutcome);
   permits_.ReportSendEnd(
     { aAttempt,
       result,
@@ -203,6 +228,43 @@
   SendQueued(aNow, service);
 }
 
+bool
+GatewayRouter::TryAnotherPath(Instant aNow,
+                              PendingRequest& aPending,
+                              const AttemptOutcome& aOutcome)
+{
+  const auto timeLeft = SendTimeLimit(aNow, aPending);
+  const bool isUnsent = aOutcome.end_ == AttemptEnd::NotSent;
+  const auto server = isUnsent && timeLeft && !aPending.isClientGone_
+                        ? PermittedServer(aNow, aPending, aPending.server_)
+                        : std::nullopt;
+  if (!aPending.path_.TryNext(
+        aNow, *paths_, aPending.server_, PathResultOf(aOutcome), server.has_value())) {
+    return false;
+  }
+  aPending.sentAt_ = aNow;
+  SendOnPath(aPending, *server->record_, *timeLeft);
+  return true;
+}
+
+SendResult
+GatewayRouter::ToSendResult(const PendingRequest& aPending, const AttemptOutcome& aOutcome) const
+{
+  const auto path = PathResultOf(aOutcome);
+  const bool isPathToBlame = path == PathResult::Unreachable ||
+                             path == PathResult::UnreachableInDoubt || path == PathResult::NotTried;
+  if (paths_->HasPeers() && isPathToBlame && !aPending.path_.IsServerUnreachable()) {
+    return SendResult::Cancelled;
+  }
+  return latchslip::ToSendResult(aOutcome);
+}
+
+RefusalReason
+GatewayRouter::ReasonNotRun(Instant aNow) const
+{
+  return paths_->HasPath(aNow) ? RefusalReason::NoCapacity : RefusalReason::NoPath;
+}
+
 void
 GatewayRouter::RecordConnectionLost(Instant aNow, const PendingRequest& aPending)
 {
@@ -261,7 +323,8 @@
     events_.Record(
       Event::GatewayAnswer,
       "request=" + aPending.request_.id_ + " route=" + NameOf(aPending.route_) +
-        " service=" + aPending.service_->name_ + " server=" + aPending.server_ + " status=" +
+        " service=" + aPending.service_->name_ + " server=" + aPending.server_ +
+        " relay=" + (aPending.path_.Relay().empty() ? "-" : aPending.path_.Relay()) + " status=" +
         std::to_string(aOutcome.status_) + " sends=" + std::to_string(aPending.sends_) +
         " waited_us=" + std::to_string((aPending.sentAt_ - aPending.arrival_).count()) +
         " age_us=" + std::to_string((aNow - aPending.arrival_).count()) + " time_left_us=" +
@@ -271,8 +334,7 @@
     Finish(number);
     return;
   }
-  Refuse(
-    aNow, aPending, aPending.runs_ > 0 ? RefusalReason::OutcomeUnknown : RefusalReason::NoCapacity);
+  Refuse(aNow, aPending, aPending.runs_ > 0 ? RefusalReason::OutcomeUnknown : ReasonNotRun(aNow));
 }
 
 void
@@ -354,6 +416,7 @@
   }
   if (pending.attempt_ != 0) {
     actions_.Cancel(pending.attempt_);
+    pending.path_.End(aNow, *paths_, pending.server_, PathResult::Unknown);
     permits_.ReportSendEnd(CancelledSend(pending.attempt_));
     loads_.at(pending.server_).OnCancelled(pending.attempt_);
     attempts_.erase(pending.attempt_);
@@ -400,6 +463,7 @@
 GatewayRouter::TimeOut(Instant aNow, PendingRequest& aPending)
 {
   actions_.Cancel(aPending.attempt_);
+  aPending.path_.End(aNow, *paths_, aPending.server_, PathResult::NoAnswer);
   permits_.ReportSendEnd(
     { aPending.attempt_, SendResult::Broken, aNow - aPending.sentAt_, std::nullopt, Duration(0) });
   statistics_.OnAttempt(aPending.server_, AttemptEnd::Broken);
@@ -568,13 +632,21 @@
   attempts_[aAttempt] = number;
   aServer.load_->OnSent(aNow, aAttempt, aPending.route_->latencyTarget_);
   SetTimer(aPending, aPending.deadline_ + kAnswerGrace);
-  actions_.Send({ aAttempt,
-                  number,
-                  aServer.record_->id_,
-                  aServer.record_->address_,
+  aPending.path_.Begin(aNow, *paths_, aServer.record_->id_);
+  SendOnPath(aPending, *aServer.record_, aTimeLeft);
+}
+
+void
+GatewayRouter::SendOnPath(PendingRequest& aPending, const ServerRecord& aServer, Duration aTimeLeft)
+{
+  actions_.Send({ aPending.attempt_,
+                  aPending.request_.number_,
+                  aServer.id_,
+                  aServer.address_,
                   aTimeLeft,
                   aPending.group_ == nullptr ? std::string() : aPending.group_->name_,
-                  aPending.routes_->HasGroups() });
+                  aPending.routes_->HasGroups(),
+                  aPending.path_.Relay() });
 }
 
 void
--- a/Libraries/LibGateway/GatewayRouter.h
+++ b/Libraries/LibGateway/GatewayRouter.h
@@ -78,6 +78,8 @@
   void SetApiKeysProvenUntil(Instant aUntil) { apiKeysUntil_ = aUntil; }
   // Groups have no limits unless this is called. aAdmission must outlive the router.
   void SetGroupAdmission(GroupAdmission& aAdmission) { admission_ = &aAdmission; }
+  // Servers are only reached directly unless this is called. aPaths must outlive the router.
+  void SetPaths(ServerPaths& aPaths) { paths_ = &aPaths; }
   // Whether this instance no longer receives updates of key ownership.
   void SetUpdatesStale(bool aAreStale) { areUpdatesStale_ = aAreStale; }
   // Number of instances that share the servers.
@@ -227,6 +229,15 @@
                        const PendingRequest& aPending,
                        const AttemptOutcome& aOutcome,
                        ServerLoad& aLoad);
+  // Sends the attempt on its present path.
+  void SendOnPath(PendingRequest& aPending, const ServerRecord& aServer, Duration aTimeLeft);
+  // Sends an attempt that did not reach its server on another path; returns false if there is none.
+  bool TryAnotherPath(Instant aNow, PendingRequest& aPending, const AttemptOutcome& aOutcome);
+  // The result of an attempt as far as the server's health is concerned. What only the path is to
+  // blame for says nothing about the server.
+  SendResult ToSendResult(const PendingRequest& aPending, const AttemptOutcome& aOutcome) const;
+  // Why a request that was not run by any server is refused after its last attempt.
+  RefusalReason ReasonNotRun(Instant aNow) const;
   // Delivers, retries or refuses a request whose attempt has ended.
   void ResolveAttempt(Instant aNow, PendingRequest& aPending, const AttemptOutcome& aOutcome);
   void Retry(Instant aNow, PendingRequest& aPending, const AttemptOutcome& aOutcome);
@@ -256,6 +267,8 @@
   RequestActions& actions_;
   PermitSource& permits_;
   EventSink& events_;
+  ServerPaths directPaths_;
+  ServerPaths* paths_ = &directPaths_;
   UnlimitedAdmission unlimitedAdmission_;
   GroupAdmission* admission_ = &unlimitedAdmission_;
   Instant apiKeysUntil_ = Instant::max();
--- a/Libraries/LibGateway/Messages.h
+++ b/Libraries/LibGateway/Messages.h
@@ -5,6 +5,7 @@
 #include "LibGateway/RateLimit.h"
 #include "LibGateway/RequestFingerprint.h"
 #include "LibGateway/ServerLoad.h"
+#include "LibGateway/ServerPaths.h"
 #include "LibKeys/KeyOwnership.h"
 
 #include <cstdint>
@@ -47,6 +48,8 @@
   std::string group_{};
   // Whether callers present API keys, which must not be forwarded to servers.
   bool hidesApiKey_ = false;
+  // Peer address of the instance that relays the request; empty if it is to be sent directly.
+  std::string relay_{};
 };
 
 // How an attempt (one send of a request to a server) ended.
@@ -102,6 +105,8 @@
   // Set with Broken if the server closed the connection before it sent any part of an answer, as
   // when its process ends.
   bool isConnectionLost_ = false;
+  // What is known of the path beyond what end_ tells; Unknown for nothing.
+  PathResult path_ = PathResult::Unknown;
 };
 
 // Why the gateway refuses a request instead of delivering a server's answer.
@@ -118,13 +123,15 @@
   NoServer,
   NoOwner,
   NoCapacity,
+  // No server can be reached, directly or through another instance.
+  NoPath,
   OutOfTime,
   OutcomeUnknown,
   // The request crashed the servers that ran it.
   Quarantined,
 };
 
-inline constexpr NameTable<RefusalReason, 11> kRefusalReasonNames{ { "no-configuration",
+inline constexpr NameTable<RefusalReason, 12> kRefusalReasonNames{ { "no-configuration",
                                                                      "unknown-api-key",
                                                                      "api-keys-unproven",
                                                                      "over-limit",
@@ -132,6 +139,7 @@
                                                                      "no-server",
                                                                      "no-owner",
                                                                      "no-capacity",
+                                                                     "no-path",
                                                                      "out-of-time",
                                                                      "outcome-unknown",
                                                                      "quarantined" } };
--- a/Libraries/LibGateway/PendingRequest.h
+++ b/Libraries/LibGateway/PendingRequest.h
@@ -45,6 +45,8 @@
   // Server of the last attempt.
   std::string server_;
   std::uint64_t serverIncarnation_ = 0;
+  // The paths tried for the attempt in flight.
+  PathSearch path_;
   unsigned sends_ = 0;
   // Attempts that may have run the request.
   unsigned runs_ = 0;
--- a/Libraries/LibGateway/ServerChoice.cpp
+++ b/Libraries/LibGateway/ServerChoice.cpp
@@ -148,6 +148,8 @@
     return !loads_.contains(aEntry.first) && routes_->FindService(aEntry.first) == nullptr;
   });
   statistics_.KeepServers([&](const std::string& aServer) { return loads_.contains(aServer); });
+  paths_->KeepServers(
+    [this](const std::string& aServer) { return directory_.Find(aServer) != nullptr; });
   for (const auto& service : routes_->Configuration().services_) {
     SendQueued(aNow, service.name_);
   }
--- /dev/null
+++ b/Libraries/LibGateway/ServerPaths.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "LibBase/Event.h"
+#include "LibBase/NameTable.h"
+#include "LibGateway/DirectPaths.h"
+#include "LibGateway/RelayChooser.h"
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace latchslip {
+
+// What an exchange with a server says about the path to it.
+enum class PathResult
+{
+  // Nothing.
+  Unknown,
+  // The server was reached.
+  Reached,
+  // No connection to the server could be opened, or it went silent.
+  Unreachable,
+  // As Unreachable, at an instance that relays and whose own links may be cut.
+  UnreachableInDoubt,
+  // The server closed the connection without an answer, or gave none in time. A link that is cut
+  // looks the same.
+  NoAnswer,
+  // The path was not tried to its end: the instance that relays declined or was lost.
+  NotTried,
+};
+
+inline constexpr NameTable<PathResult, 6> kPathResultNames{
+  { "unknown", "reached", "unreachable", "unreachable-in-doubt", "no-answer", "not-tried" }
+};
+
+// Decides how an instance reaches the servers: directly, or through another instance that relays
+// while its own links to them are cut. No I/O.
+class ServerPaths
+{
+public:
+  // aHall is the data hall of this instance.
+  ServerPaths(std::string aHall, std::uint32_t aSeed, EventSink& aEvents);
+
+  // The other instances by address.
+  void SetPeers(std::map<std::string, RelayPeer> aPeers);
+  // The instance that relays the next send to the server; empty if it is to be sent directly. No
+  // value if neither is possible. aTried are the instances that could not relay this send.
+  std::optional<std::string> Choose(Instant aNow,
+                                    const std::string& aServer,
+                                    const std::vector<std::string>& aTried);
+  // An exchange with a server begins and ends; aRelay is empty if it is a direct one.
+  void OnSent(const std::string& aRelay);
+  void OnEnded(Instant aNow,
+               const std::string& aServer,
+               const std::string& aRelay,
+               PathResult aResult);
+  // The server to probe now by opening a connection, if a probe is due.
+  std::optional<std::string> TakeProbe(Instant aNow) { return direct_.TakeProbe(aNow); }
+  void OnProbeEnded(Instant aNow, bool aIsConnected);
+  // Drops the state of servers that are not listed any more.
+  void KeepServers(const std::function<bool(const std::string&)>& aIsListed);
+
+  // Whether the links to all servers seem to be cut.
+  bool IsCutOff() const { return direct_.IsCutOff(); }
+  // Whether a server can be reached at all, directly or through another instance.
+  bool HasPath(Instant aNow) const;
+  bool HasPeers() const { return hasPeers_; }
+  // Whether a failure to reach the server may be due to the links of this instance.
+  bool IsInDoubt(const std::string& aServer) const { return direct_.IsInDoubt(aServer); }
+
+private:
+  // Records when this instance is cut off and when its links are back.
+  void RecordCutOff();
+
+  EventSink& events_;
+  DirectPaths direct_;
+  RelayChooser relays_;
+  bool hasPeers_ = false;
+  bool wasCutOff_ = false;
+};
+
+// The paths tried for one send to a server, until one leads there or it is known that none does.
+class PathSearch
+{
+public:
+  // Begins a new send. The relay is empty for a direct one.
+  void Begin(Instant aNow, ServerPaths& aPaths, const std::string& aServer);
+  // The exchange ended on the present path. Returns whether it is to be sent again on another one,
+  // which is Relay() from then on; aIsUnsent tells that no byte of it has reached the server.
+  bool TryNext(Instant aNow,
+               ServerPaths& aPaths,
+               const std::string& aServer,
+               PathResult aResult,
+               bool aIsUnsent);
+
+  // Ends the send on the present path for good.
+  void End(Instant aNow, ServerPaths& aPaths, const std::string& aServer, PathResult aResult) const
+  {
+    aPaths.OnEnded(aNow, aServer, relay_, aResult);
+  }
+
+  // The instance that relays; empty for none.
+  const std::string& Relay() const { return relay_; }
+  // Whether the server can't be reached, and not for the links of this instance: another instance
+  // could not reach it either.
+  bool IsServerUnreachable() const { return isServerUnreachable_; }
+
+private:
+  std::string relay_;
+  std::vector<std::string> tried_;
+  // Number of other instances that could not reach the server but may be cut off themselves.
+  unsigned doubtful_ = 0;
+  bool isServerUnreachable_ = false;
+};
+
+} // namespace latchslip
--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -89,6 +89,30 @@
     }
   }
 
+  void CloseIdle() override
+  {
+    for (auto& [address, pool] : pools_) {
+      pool->idle_.clear();
+    }
+  }
+
+  void Probe(const std::string& aAddress,
+             const ExchangeOptions& aOptions,
+             std::function<void(bool)> aCallback) override
+  {
+    const auto endpoint = ParseAddress(aAddress);
+    if (!endpoint) {
+      asio::post(context_, [callback = std::move(aCallback)] { callback(false); });
+      return;
+    }
+    auto& pool = pools_[aAddress];
+    if (!pool) {
+      pool = std::make_shared<HttpPool>();
+    }
+    std::make_shared<HttpConnection>(context_, pool)
+      ->Open(endpoint.value(), aOptions, std::move(aCallback));
+  }
+
   bool HasIdle(const std::string& aAddress) const override
   {
     const auto pool = pools_.find(aAddress);
@@ -124,7 +148,11 @@
     asio::post(context_,
                [this, aId, callback = std::move(aCallback), problem = std::move(aProblem)] {
                  if (running_.erase(aId) > 0) {
-                   callback({ ExchangeEnd::NotSent, {}, problem });
+                   HttpExchange exchange;
+                   exchange.end_ = ExchangeEnd::NotSent;
+                   exchange.isLocal_ = true;
+                   exchange.problem_ = problem;
+                   callback(std::move(exchange));
                  }
                });
   }
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -32,6 +32,10 @@
   bool isTimeout_ = false;
   // Set with Broken if the server closed the connection before it sent any part of a response.
   bool isConnectionLost_ = false;
+  // Set with Broken if the network gave the connection up: what was sent is not acknowledged.
+  bool isLinkLost_ = false;
+  // Set with NotSent if the exchange ended before a connection was tried.
+  bool isLocal_ = false;
 };
 
 using HttpCallback = std::function<void(HttpExchange)>;
@@ -49,6 +53,9 @@
   // closes an idle connection just as the next request is sent, it is unknown whether that
   // request ran.
   Duration maxIdleTime_ = Duration::max();
+  // Time after which the connection is given up if what was sent on it is not acknowledged
+  // (TCP_USER_TIMEOUT); zero for the default of the system, which is minutes.
+  Duration ackTimeout_{ 0 };
   // Name of a header whose value a response must copy from the request. Responses with another
   // value belong to earlier requests and are skipped. Empty: not checked.
   std::string echoHeader_;
@@ -87,6 +94,12 @@
   // periodically by GatewayHost.
   virtual void PruneIdle() = 0;
   virtual std::size_t OpenConnections() const = 0;
+  // Closes all idle connections.
+  virtual void CloseIdle() = 0;
+  // Opens a connection for later exchanges. aCallback tells whether that succeeded in time.
+  virtual void Probe(const std::string& aAddress,
+                     const ExchangeOptions& aOptions,
+                     std::function<void(bool)> aCallback) = 0;
   // Returns whether an idle connection to that address is available. The server may have closed
   // it without this client having noticed.
   virtual bool HasIdle(const std::string& aAddress) const = 0;
--- a/Libraries/LibNet/HttpConnection.cpp
+++ b/Libraries/LibNet/HttpConnection.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace latchslip {
@@ -48,6 +49,13 @@
          aError == asio::error::connection_reset || aError == asio::error::broken_pipe;
 }
 
+bool
+IsLinkLost(error_code aError)
+{
+  return aError == asio::error::timed_out || aError == asio::error::host_unreachable ||
+         aError == asio::error::network_unreachable;
+}
+
 // Moves the body out of the message.
 HttpExchange
 ToExchange(http::response<http::string_body>& aMessage)
@@ -82,6 +90,7 @@
 {
   callback_ = std::move(aCallback);
   maxIdleTime_ = aOptions.maxIdleTime_;
+  ackTimeout_ = aOptions.ackTimeout_;
   isReusable_ = true;
   echoHeader_ = aOptions.echoHeader_;
   echoValue_ = echoHeader_.empty() ? std::string() : std::string(aRequest.Header(echoHeader_));
@@ -146,11 +155,41 @@
     End(ExchangeEnd::NotSent, aError);
     return;
   }
+  Configure();
+  stream_.expires_after(std::max(end_ - MonotonicNow(), Duration(1)));
+  Write();
+}
+
+void
+HttpConnection::Configure()
+{
   isConnected_ = true;
   error_code ignored;
   stream_.socket().set_option(tcp::no_delay(true), ignored);
-  stream_.expires_after(std::max(end_ - MonotonicNow(), Duration(1)));
-  Write();
+  if (ackTimeout_ > Duration(0)) {
+    using AckTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    const auto time = duration_cast<milliseconds>(ackTimeout_).count();
+    stream_.socket().set_option(AckTimeout(static_cast<int>(time)), ignored);
+  }
+}
+
+void
+HttpConnection::Open(const tcp::endpoint& aEndpoint,
+                     const ExchangeOptions& aOptions,
+                     std::function<void(bool)> aCallback)
+{
+  ackTimeout_ = aOptions.ackTimeout_;
+  stream_.expires_after(aOptions.connectTimeout_);
+  stream_.async_connect(
+    aEndpoint, [self = shared_from_this(), callback = std::move(aCallback)](error_code aError) {
+      if (!aError) {
+        self->Configure();
+        self->stream_.expires_never();
+        self->idleUntil_ = MonotonicNow() + kDefaultIdleTime;
+        self->pool_->idle_.push_back(self);
+      }
+      callback(!aError);
+    });
 }
 
 void
@@ -219,6 +258,7 @@
   exchange.problem_ = aError.message();
   exchange.isRefused_ = aError == asio::error::connection_refused;
   exchange.isTimeout_ = aError == beast::error::timeout;
+  exchange.isLinkLost_ = aEnd == ExchangeEnd::Broken && IsLinkLost(aError);
   exchange.isConnectionLost_ =
     aEnd == ExchangeEnd::Broken && IsClosedByPeer(aError) && !(parser_ && parser_->got_some());
   Finish(std::move(exchange));
--- a/Libraries/LibNet/HttpConnection.h
+++ b/Libraries/LibNet/HttpConnection.h
@@ -39,6 +39,12 @@
              const ExchangeOptions& aOptions,
              HttpCallback aCallback);
 
+  // Connects, and adds the connection to the idle ones of its pool. aCallback tells whether that
+  // succeeded.
+  void Open(const boost::asio::ip::tcp::endpoint& aEndpoint,
+            const ExchangeOptions& aOptions,
+            std::function<void(bool)> aCallback);
+
   // Closes the connection without calling the callback.
   void Cancel();
 
@@ -54,6 +60,8 @@
   // Builds the request message.
   void Prepare(const boost::asio::ip::tcp::endpoint& aEndpoint, const HttpRequest& aRequest);
   void OnConnected(boost::system::error_code aError);
+  // Sets the options of a new connection.
+  void Configure();
   void Write();
   void OnWritten(boost::system::error_code aError, std::size_t aCount);
   void Read();
@@ -78,6 +86,7 @@
   bool isConnected_ = false;
   // See ExchangeOptions.
   Duration maxIdleTime_ = Duration::max();
+  Duration ackTimeout_{ 0 };
   bool isReusable_ = true;
 };
 
--- a/Meta/generate-schema.sh
+++ b/Meta/generate-schema.sh
@@ -3,5 +3,5 @@
 # run the generator.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-capnp compile --src-prefix=Libraries/LibNet -oc++:Libraries/LibNet/Generated Libraries/LibNet/Peer.capnp Libraries/LibNet/Permit.capnp
+capnp compile --src-prefix=Libraries/LibNet -oc++:Libraries/LibNet/Generated Libraries/LibNet/Peer.capnp Libraries/LibNet/Permit.capnp Libraries/LibNet/Relay.capnp
 capnp compile --src-prefix=Benchmarks -oc++:Benchmarks/Generated Benchmarks/Echo.capnp
--- a/Tests/LibDaemon/TestPeerRpc.cpp
+++ b/Tests/LibDaemon/TestPeerRpc.cpp
@@ -10,6 +10,14 @@
 
 namespace {
 
+// Relays nothing.
+class NoRelays : public HttpHandler
+{
+public:
+  void OnRequest(std::uint64_t, HttpRequest, HttpResponder) override {}
+  void OnClientDisconnected(std::uint64_t) override {}
+};
+
 // An instance from which others fetch the tables of a fleet with 3,000 servers.
 class FetchesFromAReader : public FleetMemberTest
 {
@@ -56,7 +64,8 @@
   boost::asio::io_context context_;
   CountingEventSink log_;
   LoopMonitor loop_{ log_, ProcessorTimeUsed };
-  PeerRpc rpc_{ context_, member_, loop_, [] { return std::string(); } };
+  NoRelays relays_;
+  PeerRpc rpc_{ context_, member_, relays_, loop_, [] { return std::string(); } };
 };
 
 // Guards against a reader that is held for seconds by the fetches of instances that start together:
--- /dev/null
+++ b/Tests/LibDaemon/TestRelays.cpp
@@ -0,0 +1,276 @@
+// Exchanges with servers that another instance relays, over connections on this machine.
+
+#include "../CountingEventSink.h"
+#include "LibDaemon/RelayClient.h"
+#include "LibDaemon/RelayService.h"
+#include "LibNet/MonotonicClock.h"
+#include "LibNet/RelayCodec.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <gtest/gtest.h>
+#include <optional>
+#include <unistd.h>
+
+namespace latchslip {
+
+namespace {
+
+// A server: echoes bodies, and does not answer "/never".
+class EchoServer : public HttpHandler
+{
+public:
+  void OnRequest(std::uint64_t, HttpRequest aRequest, HttpResponder aRespond) override
+  {
+    requests_.push_back(aRequest);
+    if (aRequest.target_ == "/never") {
+      unanswered_.push_back(std::move(aRespond));
+      return;
+    }
+    HttpResponse response;
+    response.status_ = 201;
+    response.headers_ = { { "X-Signature", "abc" } };
+    response.body_ = aRequest.body_;
+    aRespond(std::move(response));
+  }
+  void OnClientDisconnected(std::uint64_t) override { ++disconnected_; }
+
+  std::vector<HttpRequest> requests_;
+  std::vector<HttpResponder> unanswered_;
+  int disconnected_ = 0;
+};
+
+// An instance that ends after it has read a request.
+class LostInstance : public HttpHandler
+{
+public:
+  void OnRequest(std::uint64_t, HttpRequest, HttpResponder aRespond) override
+  {
+    HttpResponse none;
+    none.status_ = kNoAnswer;
+    aRespond(none);
+  }
+  void OnClientDisconnected(std::uint64_t) override {}
+};
+
+// An instance that relays to the server "s1", and one that asks it to.
+class InstanceThatRelays : public testing::Test
+{
+protected:
+  InstanceThatRelays()
+  {
+    server_ = Listen(echo_, serverAddress_);
+    peer_ = Listen(service_, peerAddress_);
+    directory_.Put(MonotonicNow(), { "s1", "rates", serverAddress_, "hall", 4, false, 1 });
+  }
+
+  // Searches for a free port, so that tests can run in parallel.
+  std::unique_ptr<HttpServer> Listen(HttpHandler& aHandler, std::string& aAddress)
+  {
+    for (int port = 0; port < 1000; ++port) {
+      aAddress = "127.0.0.1:" + std::to_string(22000 + (port + ::getpid() * 7) % 1000);
+      auto created = HttpServer::Create(context_, aAddress, {}, aHandler);
+      if (created) {
+        return std::move(created).value();
+      }
+    }
+    return nullptr;
+  }
+
+  RelayRequest MakeRequest(const std::string& aTarget) const
+  {
+    RelayRequest request;
+    request.server_ = "s1";
+    request.address_ = serverAddress_;
+    request.options_.timeout_ = milliseconds(1000);
+    request.options_.connectTimeout_ = milliseconds(200);
+    request.request_.method_ = "POST";
+    request.request_.target_ = aTarget;
+    request.request_.headers_ = { { "X-Request-Id", "q1" } };
+    request.request_.body_ = std::make_shared<const std::string>(std::string("a\0b", 3));
+    return request;
+  }
+
+  ExchangeId Send(RelayRequest aRequest)
+  {
+    return client_.Send(
+      peerAddress_, std::move(aRequest), [this](HttpExchange aExchange, PathResult aPath) {
+        exchange_ = std::move(aExchange);
+        path_ = aPath;
+      });
+  }
+
+  bool RunUntil(const std::function<bool()>& aIsDone)
+  {
+    const auto end = MonotonicNow() + seconds(3);
+    while (!aIsDone() && MonotonicNow() < end) {
+      context_.restart();
+      context_.run_for(milliseconds(5));
+    }
+    return aIsDone();
+  }
+
+  bool RunUntilEnded()
+  {
+    return RunUntil([this] { return exchange_.has_value(); });
+  }
+
+  boost::asio::io_context context_;
+  CountingEventSink events_;
+  EchoServer echo_;
+  std::string serverAddress_;
+  std::string peerAddress_;
+  ServerDirectory directory_;
+  bool isStopping_ = false;
+  // Of the instance that relays.
+  ServerPaths peerPaths_{ "hall", 1, events_ };
+  std::unique_ptr<HttpClient> attempts_ = HttpClient::Create(context_, 4);
+  std::unique_ptr<HttpClient> forCommands_ = HttpClient::Create(context_, 4);
+  RelayService service_{
+    *attempts_, *forCommands_, directory_, peerPaths_, [this] { return isStopping_; }, events_
+  };
+  std::unique_ptr<HttpServer> server_;
+  std::unique_ptr<HttpServer> peer_;
+  RelayClient client_{ context_ };
+  std::optional<HttpExchange> exchange_;
+  PathResult path_ = PathResult::Unknown;
+};
+
+TEST_F(InstanceThatRelays, ServerAnswers_RequestAndAnswerArriveUnchanged)
+{
+  Send(MakeRequest("/echo?x=1"));
+  ASSERT_TRUE(RunUntilEnded());
+  EXPECT_EQ(path_, PathResult::Reached);
+  EXPECT_EQ(exchange_->end_, ExchangeEnd::Complete);
+  EXPECT_EQ(exchange_->response_.status_, 201U);
+  EXPECT_EQ(*exchange_->response_.body_, std::string("a\0b", 3));
+  EXPECT_EQ(exchange_->response_.Header("X-Signature"), "abc");
+  ASSERT_EQ(echo_.requests_.size(), 1U);
+  EXPECT_EQ(echo_.requests_[0].method_, "POST");
+  EXPECT_EQ(echo_.requests_[0].target_, "/echo?x=1");
+  EXPECT_EQ(echo_.requests_[0].Header("X-Request-Id"), "q1");
+}
+
+TEST_F(InstanceThatRelays, ServerIsNotListedAtTheAddress_DeclinesAndSendsNothing)
+{
+  auto request = MakeRequest("/echo");
+  request.server_ = "s2";
+  Send(request);
+  ASSERT_TRUE(RunUntilEnded());
+  EXPECT_EQ(path_, PathResult::NotTried);
+  EXPECT_EQ(exchange_->end_, ExchangeEnd::NotSent);
+  EXPECT_TRUE(echo_.requests_.empty());
+}
+
+TEST_F(InstanceThatRelays, ServerIsLeaving_DeclinesRequestsButRelaysCommands)
+{
+  directory_.Put(MonotonicNow(), { "s1", "rates", serverAddress_, "hall", 4, true, 2 });
+  Send(MakeRequest("/echo"));
+  ASSERT_TRUE(RunUntilEnded());
+  EXPECT_EQ(path_, PathResult::NotTried);
+  exchange_.reset();
+  auto command = MakeRequest("/release");
+  command.isCommand_ = true;
+  Send(command);
+  ASSERT_TRUE(RunUntilEnded());
+  EXPECT_EQ(exchange_->end_, ExchangeEnd::Complete);
+}
+
+TEST_F(InstanceThatRelays, IsStopping_Declines)
+{
+  isStopping_ = true;
+  Send(MakeRequest("/echo"));
+  ASSERT_TRUE(RunUntilEnded());
+  EXPECT_EQ(path_, PathResult::NotTried);
+}
+
+TEST_F(InstanceThatRelays, IsCutOffItself_DeclinesAtOnce)
+{
+  for (const auto* server : { "s7", "s8", "s9" }) {
+    peerPaths_.OnEnded(MonotonicNow(), server, "", PathResult::Unreachable);
+  }
+  Send(MakeRequest("/echo"));
+  ASSERT_TRUE(RunUntilEnded());
+  EXPECT_EQ(path_, PathResult::NotTried);
+  EXPECT_TRUE(echo_.requests_.empty());
+}
+
+TEST_F(InstanceThatRelays, ServerRefusesConnections_TellsThatItIsUnreachable)
+{
+  server_.reset();
+  Send(MakeRequest("/echo"));
+  ASSERT_TRUE(RunUntilEnded());
+  EXPECT_EQ(path_, PathResult::Unreachable);
+  EXPECT_EQ(exchange_->end_, ExchangeEnd::NotSent);
+  EXPECT_TRUE(exchange_->isRefused_);
+}
+
+TEST_F(InstanceThatRelays, ServerRefusesConnectionsAsAnotherDoes_TellsItsDoubt)
+{
+  peerPaths_.OnEnded(MonotonicNow(), "s9", "", PathResult::Unreachable);
+  server_.reset();
+  Send(MakeRequest("/echo"));
+  ASSERT_TRUE(RunUntilEnded());
+  EXPECT_EQ(path_, PathResult::UnreachableInDoubt);
+}
+
+TEST_F(InstanceThatRelays, CallerCancels_ServersConnectionIsClosed)
+{
+  const auto id = Send(MakeRequest("/never"));
+  ASSERT_TRUE(RunUntil([this] { return !echo_.unanswered_.empty(); }));
+  client_.Cancel(id);
+  EXPECT_TRUE(RunUntil([this] { return echo_.disconnected_ == 1; }));
+  EXPECT_EQ(service_.InFlight(), 0U);
+  EXPECT_FALSE(exchange_);
+}
+
+// Guards against a request called not run, or a server blamed, when the instance that relays ends.
+TEST_F(InstanceThatRelays, ItIsLostOnTheWay_RequestMayHaveRunAndServerIsNotBlamed)
+{
+  LostInstance lost;
+  const auto peer = Listen(lost, peerAddress_);
+  Send(MakeRequest("/echo"));
+  ASSERT_TRUE(RunUntilEnded());
+  EXPECT_EQ(path_, PathResult::NotTried);
+  EXPECT_EQ(exchange_->end_, ExchangeEnd::Broken);
+  EXPECT_FALSE(exchange_->isConnectionLost_);
+}
+
+TEST_F(InstanceThatRelays, ItIsGone_NothingIsSent)
+{
+  peer_.reset();
+  Send(MakeRequest("/echo"));
+  ASSERT_TRUE(RunUntilEnded());
+  EXPECT_EQ(path_, PathResult::NotTried);
+  EXPECT_EQ(exchange_->end_, ExchangeEnd::NotSent);
+}
+
+// Guards against commands that an instance which was stopped for seconds sends when it goes on.
+TEST_F(InstanceThatRelays, CommandArrivesAfterItsTime_IsNotSent)
+{
+  auto request = MakeRequest("/grant");
+  request.isCommand_ = true;
+  request.expiresAt_ = MonotonicNow() - milliseconds(1);
+  HttpRequest call;
+  call.body_ = std::make_shared<const std::string>(EncodeRelayRequest(request));
+  std::optional<HttpResponse> response;
+  service_.OnRequest(1, call, [&](HttpResponse aResponse) { response = std::move(aResponse); });
+  ASSERT_TRUE(response);
+  const auto answer = DecodeRelayAnswer(*response->body_);
+  EXPECT_EQ(answer.value().path_, PathResult::NotTried);
+  EXPECT_TRUE(echo_.requests_.empty());
+}
+
+TEST_F(InstanceThatRelays, MalformedRequest_IsRefusedWithAnError)
+{
+  HttpRequest call;
+  call.body_ = std::make_shared<const std::string>("no message");
+  std::optional<HttpResponse> response;
+  service_.OnRequest(1, call, [&](HttpResponse aResponse) { response = std::move(aResponse); });
+  ASSERT_TRUE(response);
+  EXPECT_EQ(response->status_, 400U);
+  EXPECT_EQ(events_.CountOf(Event::PeerRefused), 1);
+}
+
+} // namespace
+
+} // namespace latchslip
--- a/Tests/LibNet/TestHttp.cpp
+++ b/Tests/LibNet/TestHttp.cpp
@@ -134,6 +134,37 @@
   std::string address_;
 };
 
+TEST_F(HttpOnLoopback, ProbeSucceeds_ConnectionIsReusedByTheNextExchange)
+{
+  ExchangeOptions options;
+  options.connectTimeout_ = milliseconds(200);
+  options.ackTimeout_ = milliseconds(700);
+  std::optional<bool> isConnected;
+  client_->Probe(address_, options, [&](bool aIsConnected) { isConnected = aIsConnected; });
+  context_.restart();
+  context_.run_for(milliseconds(50));
+  EXPECT_EQ(isConnected, true);
+  EXPECT_TRUE(client_->HasIdle(address_));
+  EXPECT_EQ(Send("/", "body").end_, ExchangeEnd::Complete);
+  EXPECT_EQ(client_->OpenConnections(), 1U);
+  client_->CloseIdle();
+  EXPECT_FALSE(client_->HasIdle(address_));
+  EXPECT_EQ(client_->OpenConnections(), 0U);
+}
+
+TEST_F(HttpOnLoopback, ProbeOfAClosedPort_Fails)
+{
+  server_.reset();
+  ExchangeOptions options;
+  options.connectTimeout_ = milliseconds(200);
+  std::optional<bool> isConnected;
+  client_->Probe(address_, options, [&](bool aIsConnected) { isConnected = aIsConnected; });
+  context_.restart();
+  context_.run_for(milliseconds(50));
+  EXPECT_EQ(isConnected, false);
+  EXPECT_EQ(client_->OpenConnections(), 0U);
+}
+
 TEST_F(HttpOnLoopback, BodyOfSeveralMegabytes_ComesBackWhole)
 {
   const std::string image(6'000'000, 'p');
--- a/Tests/LibPermit/InstancesWorld.cpp
+++ b/Tests/LibPermit/InstancesWorld.cpp
@@ -53,10 +53,13 @@
   FirstTries tries_;
 
 private:
-  struct Attempt
+  using OutcomeCallback = std::function<void(const AttemptOutcome&)>;
+
+  // A request under way over a link of this instance.
+  struct Exchange
   {
     std::string server_;
-    std::uint64_t send_ = 0;
+    OutcomeCallback callback_;
   };
 
   Instant Now() const { return world_.queue_.Now(); }
@@ -65,14 +68,20 @@
     world_.queue_.ScheduleAfter(aDelay, std::move(aAction));
   }
   void Tick();
-  // Ends an attempt if it is still the same send.
-  void End(AttemptNumber aAttempt, std::uint64_t aSend, const AttemptOutcome& aOutcome);
-  void ArriveAtServer(AttemptNumber aAttempt, std::uint64_t aSend, const std::string& aServer);
-  void ResetAll(const std::function<bool(const Attempt&)>& aIsAffected);
+  void Probe();
+  // Sends a request over a link of this instance.
+  void Begin(const std::string& aServer, OutcomeCallback aCallback);
+  void End(std::uint64_t aExchange, const AttemptOutcome& aOutcome);
+  void ArriveAtServer(std::uint64_t aExchange, const std::string& aServer);
+  // Resets the requests under way that aIsAffected names.
+  void Reset(const std::function<bool(const Exchange&)>& aIsAffected);
+  // Sends a request for another instance.
+  void Relay(const std::string& aServer, const OutcomeCallback& aCallback);
+  void OnAttemptEnded(AttemptNumber aAttempt, const AttemptOutcome& aOutcome);
 
   // RequestActions
   void Send(const AttemptCommand& aCommand) override;
-  void Cancel(AttemptNumber aAttempt) override { attempts_.erase(aAttempt); }
+  void Cancel(AttemptNumber aAttempt) override { cancelled_.insert(aAttempt); }
   void Deliver(RequestNumber, AttemptNumber) override { ++tries_.served_; }
   void Refuse(RequestNumber, const Refusal& aRefusal) override
   {
@@ -133,10 +142,12 @@
   InstancesWorld& world_;
   std::size_t index_;
   LinkCut cut_ = LinkCut::None;
-  std::map<AttemptNumber, Attempt> attempts_;
+  std::map<std::uint64_t, Exchange> exchanges_;
+  std::set<AttemptNumber> cancelled_;
   // Servers to which a connection is open, as far as this instance can tell.
   std::set<std::string> connected_;
-  std::uint64_t lastSend_ = 0;
+  std::uint64_t lastExchange_ = 0;
+  ServerPaths paths_{ "hall-" + std::to_string(index_ % 2), 1, world_.events_ };
   ServerDirectory directory_;
   PermitDispatcher dispatcher_{ directory_, *this };
   PermitClient permits_{ *this, world_.events_ };
@@ -179,6 +190,14 @@
   for (std::size_t index = 0; index < aInstances; ++index) {
     peers[AddressOf(index)] = { AddressOf(index), "hall-" + std::to_string(index % 2), 1 };
   }
+  std::map<std::string, RelayPeer> relays;
+  for (const auto& [address, peer] : peers) {
+    if (address != AddressOf(index_)) {
+      relays[address] = { peer.hall_, peer.processorShare_ };
+    }
+  }
+  paths_.SetPeers(relays);
+  router_.SetPaths(paths_);
   router_.SetInstances(aInstances);
   dispatcher_.SetRoutes(Now(), routes);
   permits_.SetServices(Now(), { "plain", "keyed" });
@@ -197,6 +216,7 @@
   dispatcher_.OnTime(Now());
   if (Now() % kTickInterval == Duration(0)) {
     permits_.OnTime(Now());
+    Probe();
   }
   After(kTimerStep, [this] { Tick(); });
 }
@@ -216,50 +236,107 @@
   router_.OnRequest(Now(), std::move(request));
 }
 
+void
+InstancesWorld::Instance::Probe()
+{
+  if (paths_.IsCutOff()) {
+    connected_.clear();
+  }
+  if (!paths_.TakeProbe(Now())) {
+    return;
+  }
+  const bool isCut = cut_ != LinkCut::None;
+  After(cut_ == LinkCut::Silent ? kConnectTimeout : 2 * kOneWayLatency,
+        [this, isCut] { paths_.OnProbeEnded(Now(), !isCut); });
+}
+
 void
 InstancesWorld::Instance::Send(const AttemptCommand& aCommand)
 {
-  const auto number = aCommand.number_;
-  const auto send = ++lastSend_;
-  const auto& server = aCommand.server_;
-  attempts_[number] = { server, send };
+  const auto end = [this, number = aCommand.number_](const AttemptOutcome& aOutcome) {
+    OnAttemptEnded(number, aOutcome);
+  };
+  if (aCommand.relay_.empty()) {
+    Begin(aCommand.server_, end);
+    return;
+  }
+  After(kOneWayLatency, [this, end, server = aCommand.server_, relay = aCommand.relay_] {
+    world_.instances_[world_.IndexOf(relay)]->Relay(server, [this, end](const auto& aOutcome) {
+      After(kOneWayLatency, [end, aOutcome] { end(aOutcome); });
+    });
+  });
+}
+
+void
+InstancesWorld::Instance::OnAttemptEnded(AttemptNumber aAttempt, const AttemptOutcome& aOutcome)
+{
+  if (cancelled_.erase(aAttempt) == 0) {
+    router_.OnAttemptEnded(Now(), aAttempt, aOutcome);
+  }
+}
+
+void
+InstancesWorld::Instance::Relay(const std::string& aServer, const OutcomeCallback& aCallback)
+{
+  if (paths_.IsCutOff()) {
+    AttemptOutcome declined;
+    declined.end_ = AttemptEnd::NotSent;
+    declined.path_ = PathResult::NotTried;
+    aCallback(declined);
+    return;
+  }
+  Begin(aServer, [this, aServer, aCallback](AttemptOutcome aOutcome) {
+    const bool isUnreachable = aOutcome.end_ == AttemptEnd::NotSent;
+    paths_.OnEnded(
+      Now(), aServer, "", isUnreachable ? PathResult::Unreachable : PathResult::Reached);
+    if (isUnreachable && paths_.IsInDoubt(aServer)) {
+      aOutcome.path_ = PathResult::UnreachableInDoubt;
+    }
+    aCallback(aOutcome);
+  });
+}
+
+void
+InstancesWorld::Instance::Begin(const std::string& aServer, OutcomeCallback aCallback)
+{
+  const auto exchange = ++lastExchange_;
+  exchanges_[exchange] = { aServer, std::move(aCallback) };
   AttemptOutcome notSent;
   notSent.end_ = AttemptEnd::NotSent;
-  const bool isOpen = connected_.contains(server);
+  const bool isOpen = connected_.contains(aServer);
   if (isOpen && (cut_ == LinkCut::Silent || cut_ == LinkCut::Refused)) {
     // The connection was open before the cut: it takes the request, which is never acknowledged, or
     // is reset.
     AttemptOutcome lost;
     lost.isConnectionLost_ = cut_ == LinkCut::Refused;
-    connected_.erase(server);
+    lost.path_ = cut_ == LinkCut::Silent ? PathResult::Unreachable : PathResult::Unknown;
+    connected_.erase(aServer);
     After(lost.isConnectionLost_ ? 2 * kOneWayLatency : kAckTimeout,
-          [=, this] { End(number, send, lost); });
+          [this, exchange, lost] { End(exchange, lost); });
     return;
   }
   if (cut_ == LinkCut::Silent) {
-    After(kConnectTimeout, [=, this] { End(number, send, notSent); });
+    After(kConnectTimeout, [this, exchange, notSent] { End(exchange, notSent); });
     return;
   }
   const bool isCut = cut_ == LinkCut::Refused || (cut_ == LinkCut::OnlyNewOnes && !isOpen);
-  if (isCut || !world_.servers_.at(server)->isUp_) {
-    ++world_.refusedConnections_[server];
-    After(2 * kOneWayLatency, [=, this] { End(number, send, notSent); });
+  if (isCut || !world_.servers_.at(aServer)->isUp_) {
+    ++world_.refusedConnections_[aServer];
+    After(2 * kOneWayLatency, [this, exchange, notSent] { End(exchange, notSent); });
     return;
   }
-  connected_.insert(server);
-  After(kOneWayLatency, [=, this] { ArriveAtServer(number, send, server); });
+  connected_.insert(aServer);
+  After(kOneWayLatency, [this, exchange, aServer] { ArriveAtServer(exchange, aServer); });
 }
 
 void
-InstancesWorld::Instance::ArriveAtServer(AttemptNumber aAttempt,
-                                         std::uint64_t aSend,
-                                         const std::string& aServer)
+InstancesWorld::Instance::ArriveAtServer(std::uint64_t aExchange, const std::string& aServer)
 {
   auto& server = *world_.servers_.at(aServer);
-  const auto work = [this, aAttempt, aSend, aServer, &server] {
+  const auto work = [this, aExchange, &server] {
     ++server.running_;
     std::exponential_distribution<double> spread(1);
-    After(Scale(kWork, spread(world_.random_)), [this, aAttempt, aSend, &server] {
+    After(Scale(kWork, spread(world_.random_)), [this, aExchange, &server] {
       --server.running_;
       if (!server.waiting_.empty()) {
         const auto next = std::move(server.waiting_.front());
@@ -270,7 +347,7 @@
         AttemptOutcome answer;
         answer.end_ = AttemptEnd::Answered;
         answer.status_ = 200;
-        After(kOneWayLatency, [=, this] { End(aAttempt, aSend, answer); });
+        After(kOneWayLatency, [this, aExchange, answer] { End(aExchange, answer); });
       }
     });
   };
@@ -282,27 +359,24 @@
 }
 
 void
-InstancesWorld::Instance::End(AttemptNumber aAttempt,
-                              std::uint64_t aSend,
-                              const AttemptOutcome& aOutcome)
+InstancesWorld::Instance::End(std::uint64_t aExchange, const AttemptOutcome& aOutcome)
 {
-  const auto attempt = attempts_.find(aAttempt);
-  if (attempt == attempts_.end() || attempt->second.send_ != aSend) {
-    return;
+  if (const auto exchange = exchanges_.find(aExchange); exchange != exchanges_.end()) {
+    const auto callback = std::move(exchange->second.callback_);
+    exchanges_.erase(exchange);
+    callback(aOutcome);
   }
-  attempts_.erase(attempt);
-  router_.OnAttemptEnded(Now(), aAttempt, aOutcome);
 }
 
 void
-InstancesWorld::Instance::ResetAll(const std::function<bool(const Attempt&)>& aIsAffected)
+InstancesWorld::Instance::Reset(const std::function<bool(const Exchange&)>& aIsAffected)
 {
   AttemptOutcome reset;
   reset.isConnectionLost_ = true;
-  const auto attempts = attempts_;
-  for (const auto& [number, attempt] : attempts) {
-    if (aIsAffected(attempt)) {
-      End(number, attempt.send_, reset);
+  const auto exchanges = exchanges_;
+  for (const auto& [number, exchange] : exchanges) {
+    if (aIsAffected(exchange)) {
+      End(number, reset);
     }
   }
 }
@@ -312,12 +386,10 @@
 {
   cut_ = aCut;
   if (aCut == LinkCut::Refused) {
-    ResetAll([](const Attempt&) { return true; });
+    Reset([](const Exchange&) { return true; });
   } else if (aCut == LinkCut::Silent) {
-    // No answer arrives, and none of the requests under way is acknowledged any more.
-    for (auto& [number, attempt] : attempts_) {
-      attempt.send_ = ++lastSend_;
-    }
+    // Answers to the requests under way do not arrive any more.
+    exchanges_.clear();
   }
 }
 
@@ -325,7 +397,7 @@
 InstancesWorld::Instance::OnServerEnded(const std::string& aServer)
 {
   connected_.erase(aServer);
-  ResetAll([&](const Attempt& aAttempt) { return aAttempt.server_ == aServer; });
+  Reset([&](const Exchange& aExchange) { return aExchange.server_ == aServer; });
 }
 
 InstancesWorld::InstancesWorld(std::size_t aInstances, unsigned aSeed)
