LibDaemon: Send the placer's commands through another instance while its links are cut

CommandSender sends grants and releases by the same paths as requests. A refused connection is no sign of an ended server while the own links are in doubt: it is one of two signs by which keys of a server that left are given on.

On the code before, SendCommand had no other path: the command ended as refused. Weighed: giving the placer's row up. It takes the fences and two seconds, and whoever comes next may be cut off as well.

--- /dev/null
+++ b/Libraries/LibDaemon/CommandSender.cpp
@@ -0,0 +1,93 @@
+#include "LibDaemon/CommandSender.h"
+
+#include "LibNet/MonotonicClock.h"
+
+namespace latchslip {
+
+namespace {
+
+// Timeout of a command.
+constexpr Duration kTimeout = milliseconds(1500);
+constexpr Duration kConnectTimeout = milliseconds(300);
+// A packet and two repetitions of it have their chance until then.
+constexpr Duration kAckTimeout = milliseconds(700);
+// A connection is reused only within this time, in which servers almost never close it. The
+// commands that renew the leases of one server follow each other within it.
+constexpr Duration kMaxIdleTime = milliseconds(150);
+// Connections per backend server; covers the commands that the placer sends to one server at once.
+constexpr std::size_t kMaxConnections = 64;
+
+} // namespace
+
+CommandSender::CommandSender(boost::asio::io_context& aContext,
+                             const GatewayCodec& aCodec,
+                             ServerPaths& aPaths,
+                             RelayClient& aRelays)
+  : codec_(aCodec)
+  , paths_(aPaths)
+  , relays_(aRelays)
+  , client_(HttpClient::Create(aContext, kMaxConnections))
+{
+}
+
+void
+CommandSender::Send(const KeyCommand& aCommand, Callback aCallback)
+{
+  auto running = std::make_shared<Running>();
+  running->command_ = aCommand;
+  running->callback_ = std::move(aCallback);
+  running->path_.Begin(MonotonicNow(), paths_, aCommand.server_);
+  SendOnPath(running);
+}
+
+void
+CommandSender::SendOnPath(const std::shared_ptr<Running>& aRunning)
+{
+  const auto& command = aRunning->command_;
+  RelayRequest relayed;
+  relayed.server_ = command.server_;
+  relayed.address_ = command.address_;
+  relayed.isCommand_ = true;
+  relayed.request_ = codec_.EncodeCommand(command);
+  relayed.options_.timeout_ = kTimeout;
+  relayed.options_.connectTimeout_ = kConnectTimeout;
+  relayed.options_.ackTimeout_ = kAckTimeout;
+  relayed.options_.maxIdleTime_ = kMaxIdleTime;
+  if (!aRunning->path_.Relay().empty()) {
+    relays_.Send(aRunning->path_.Relay(),
+                 std::move(relayed),
+                 [this, aRunning](const HttpExchange& aExchange, PathResult aPath) {
+                   OnEnded(aRunning, aExchange, aPath);
+                 });
+    return;
+  }
+  client_->Send(command.address_,
+                std::move(relayed.request_),
+                std::move(relayed.options_),
+                [this, aRunning](const HttpExchange& aExchange) {
+                  OnEnded(aRunning, aExchange, PathResultOf(aExchange));
+                });
+}
+
+void
+CommandSender::OnEnded(const std::shared_ptr<Running>& aRunning,
+                       const HttpExchange& aExchange,
+                       PathResult aPath)
+{
+  const auto& command = aRunning->command_;
+  auto& path = aRunning->path_;
+  const bool isUnsent = aExchange.end_ == ExchangeEnd::NotSent;
+  if (path.TryNext(MonotonicNow(), paths_, command.server_, aPath, isUnsent)) {
+    SendOnPath(aRunning);
+    return;
+  }
+  auto outcome = codec_.DecodeCommand(command, aExchange);
+  // Links that are cut may refuse connections, too.
+  if (outcome.end_ == CommandStatus::Refused && !path.IsServerUnreachable() &&
+      paths_.IsInDoubt(command.server_)) {
+    outcome.end_ = CommandStatus::NotSent;
+  }
+  aRunning->callback_(outcome);
+}
+
+} // namespace latchslip
--- /dev/null
+++ b/Libraries/LibDaemon/CommandSender.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "LibDaemon/GatewayCodec.h"
+#include "LibDaemon/RelayClient.h"
+#include "LibGateway/ServerPaths.h"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+
+namespace latchslip {
+
+// Sends the placer's commands about keys (grants and releases) to backend servers, through another
+// instance where the own links are cut.
+class CommandSender
+{
+public:
+  using Callback = std::function<void(const CommandOutcome&)>;
+
+  CommandSender(boost::asio::io_context& aContext,
+                const GatewayCodec& aCodec,
+                ServerPaths& aPaths,
+                RelayClient& aRelays);
+
+  void Send(const KeyCommand& aCommand, Callback aCallback);
+  // The client for exchanges that carry commands.
+  HttpClient& Client() { return *client_; }
+
+private:
+  struct Running
+  {
+    KeyCommand command_;
+    PathSearch path_;
+    Callback callback_;
+  };
+
+  void SendOnPath(const std::shared_ptr<Running>& aRunning);
+  void OnEnded(const std::shared_ptr<Running>& aRunning,
+               const HttpExchange& aExchange,
+               PathResult aPath);
+
+  const GatewayCodec& codec_;
+  ServerPaths& paths_;
+  RelayClient& relays_;
+  std::unique_ptr<HttpClient> client_;
+};
+
+} // namespace latchslip
--- a/Libraries/LibDaemon/GatewayHost.cpp
+++ b/Libraries/LibDaemon/GatewayHost.cpp
@@ -1,5 +1,6 @@
 #include "LibDaemon/GatewayHost.h"
 
+#include "LibDaemon/CommandSender.h"
 #include "LibDaemon/PeerRpc.h"
 #include "LibDaemon/PermitLinks.h"
 #include "LibDaemon/RelayService.h"
@@ -18,16 +19,6 @@
 constexpr Duration kTickInterval = milliseconds(50);
 // Period at which idle connections that servers are about to close are dropped.
 constexpr Duration kPruneInterval = seconds(1);
-// Timeout of a command (grant or release) to a backend server.
-constexpr Duration kCommandTimeout = milliseconds(1500);
-constexpr Duration kCommandConnectTimeout = milliseconds(300);
-// A command connection is reused only within this time, in which servers almost never close
-// it. The commands that renew the leases of one server follow each other within one tick.
-constexpr Duration kMaxCommandIdleTime = 3 * kTickInterval;
-// Command connections per backend server; covers the commands that the placer sends to one
-// server at once.
-constexpr std::size_t kMaxCommandConnections = 64;
-
 std::vector<std::string>
 ServiceNames(const std::vector<RoutedService>& aServices)
 {
@@ -79,10 +70,10 @@
         metrics_,
         [this](const std::string& aService, KeyNumber aKey) { member_.CountKey(aService, aKey); },
         MakeLeavingObserver())
-    , commandClient_(HttpClient::Create(aContext, kMaxCommandConnections))
+    , commands_(aContext, aCodec, paths_, relays_)
     , relayService_(
         frontend_.Client(),
-        *commandClient_,
+        commands_.Client(),
         member_.Directory(),
         paths_,
         [this] { return stop_.HasBegun(); },
@@ -194,7 +185,7 @@
     if (aNow >= nextPrune_) {
       nextPrune_ = aNow + kPruneInterval;
       frontend_.Client().PruneIdle();
-      commandClient_->PruneIdle();
+      commands_.Client().PruneIdle();
       relays_.PruneIdle();
     }
     ProbeServer(aNow);
@@ -277,22 +268,13 @@
 
   void SendCommand(const std::string& aService, const KeyCommand& aCommand) override
   {
-    ExchangeOptions options;
-    options.timeout_ = kCommandTimeout;
-    options.connectTimeout_ = kCommandConnectTimeout;
-    options.maxIdleTime_ = kMaxCommandIdleTime;
-    commandClient_->Send(
-      aCommand.address_,
-      codec_.EncodeCommand(aCommand),
-      std::move(options),
-      [this, aService, aCommand](const HttpExchange& aExchange) {
-        const LoopTaskScope task(loop_, LoopTask::EndCommand);
-        const auto outcome = codec_.DecodeCommand(aCommand, aExchange);
-        if (outcome.isLeaving_) {
-          member_.OnServerReportedLeaving(MonotonicNow(), aCommand.server_, aCommand.incarnation_);
-        }
-        member_.OnCommandEnded(MonotonicNow(), aService, aCommand.number_, outcome);
-      });
+    commands_.Send(aCommand, [this, aService, aCommand](const CommandOutcome& aOutcome) {
+      const LoopTaskScope task(loop_, LoopTask::EndCommand);
+      if (aOutcome.isLeaving_) {
+        member_.OnServerReportedLeaving(MonotonicNow(), aCommand.server_, aCommand.incarnation_);
+      }
+      member_.OnCommandEnded(MonotonicNow(), aService, aCommand.number_, aOutcome);
+    });
   }
 
   void SendReport(const std::string& aAddress, const InstanceReport& aReport) override
@@ -425,7 +407,7 @@
   ServerPaths paths_;
   RelayClient relays_;
   GatewayFrontend frontend_;
-  std::unique_ptr<HttpClient> commandClient_;
+  CommandSender commands_;
   RelayService relayService_;
   PeerRpc peers_;
   ReadyHandler ready_{ *this };
--- a/Tests/LibDaemon/TestRelays.cpp
+++ b/Tests/LibDaemon/TestRelays.cpp
@@ -1,7 +1,7 @@
 // Exchanges with servers that another instance relays, over connections on this machine.
 
 #include "../CountingEventSink.h"
-#include "LibDaemon/RelayClient.h"
+#include "LibDaemon/CommandSender.h"
 #include "LibDaemon/RelayService.h"
 #include "LibNet/MonotonicClock.h"
 #include "LibNet/RelayCodec.h"
@@ -52,6 +52,39 @@
   void OnClientDisconnected(std::uint64_t) override {}
 };
 
+// Commands are posted to "/grant"; any complete answer is success.
+class CommandCodec : public GatewayCodec
+{
+public:
+  RoutedRequest DecodeRequest(RequestNumber, const HttpRequest&) const override { return {}; }
+  HttpRequest EncodeAttempt(const HttpRequest& aRequest, const AttemptCommand&) const override
+  {
+    return aRequest;
+  }
+  AttemptOutcome DecodeAttempt(const AttemptCommand&, const HttpExchange&) const override
+  {
+    return {};
+  }
+  HttpResponse EncodeAnswer(HttpResponse aAnswer) const override { return aAnswer; }
+  HttpResponse EncodeRefusal(const RoutedRequest&, const Refusal&) const override { return {}; }
+  std::string EchoHeader() const override { return {}; }
+  HttpRequest EncodeCommand(const KeyCommand&) const override
+  {
+    HttpRequest request;
+    request.method_ = "POST";
+    request.target_ = "/grant";
+    return request;
+  }
+  CommandOutcome DecodeCommand(const KeyCommand&, const HttpExchange& aExchange) const override
+  {
+    CommandOutcome outcome;
+    outcome.end_ = aExchange.end_ == ExchangeEnd::Complete ? CommandStatus::Done
+                   : aExchange.isRefused_                  ? CommandStatus::Refused
+                                                           : CommandStatus::NotSent;
+    return outcome;
+  }
+};
+
 // An instance that relays to the server "s1", and one that asks it to.
 class InstanceThatRelays : public testing::Test
 {
@@ -61,6 +94,7 @@
     server_ = Listen(echo_, serverAddress_);
     peer_ = Listen(service_, peerAddress_);
     directory_.Put(MonotonicNow(), { "s1", "rates", serverAddress_, "hall", 4, false, 1 });
+    paths_.SetPeers({ { peerAddress_, { "hall", 1 } } });
   }
 
   // Searches for a free port, so that tests can run in parallel.
@@ -114,6 +148,18 @@
     return RunUntil([this] { return exchange_.has_value(); });
   }
 
+  // Sends a command to a server of that id and address and returns how it ended.
+  CommandStatus SendCommand(const std::string& aServer, const std::string& aAddress)
+  {
+    KeyCommand command;
+    command.server_ = aServer;
+    command.address_ = aAddress;
+    std::optional<CommandOutcome> outcome;
+    commands_.Send(command, [&](const CommandOutcome& aOutcome) { outcome = aOutcome; });
+    EXPECT_TRUE(RunUntil([&] { return outcome.has_value(); }));
+    return outcome ? outcome->end_ : CommandStatus::Unanswered;
+  }
+
   boost::asio::io_context context_;
   CountingEventSink events_;
   EchoServer echo_;
@@ -130,7 +176,11 @@
   };
   std::unique_ptr<HttpServer> server_;
   std::unique_ptr<HttpServer> peer_;
+  // Of the instance that asks.
+  ServerPaths paths_{ "hall", 1, events_ };
   RelayClient client_{ context_ };
+  CommandCodec codec_;
+  CommandSender commands_{ context_, codec_, paths_, client_ };
   std::optional<HttpExchange> exchange_;
   PathResult path_ = PathResult::Unknown;
 };
@@ -271,6 +321,33 @@
   EXPECT_EQ(events_.CountOf(Event::PeerRefused), 1);
 }
 
+// Guards against keys whose leases run out because the placer has lost its links to the servers.
+TEST_F(InstanceThatRelays, PlacerIsCutOff_ItsCommandsReachTheServers)
+{
+  for (const auto* server : { "s1", "s8", "s9" }) {
+    paths_.OnEnded(MonotonicNow(), server, "", PathResult::Unreachable);
+  }
+  EXPECT_EQ(SendCommand("s1", serverAddress_), CommandStatus::Done);
+  EXPECT_EQ(service_.Relayed(), 1U);
+  EXPECT_EQ(SendCommand("s1", serverAddress_), CommandStatus::Done);
+}
+
+// Guards against keys that are given on while their server lives, because the links of the placer
+// refuse connections.
+TEST_F(InstanceThatRelays, PlacerIsCutOffAndServerIsUnlisted_RefusedConnectionProvesNothing)
+{
+  // Nobody listens there.
+  const std::string address = "127.0.0.1:9";
+  paths_.OnEnded(MonotonicNow(), "s8", "", PathResult::Unreachable);
+  EXPECT_EQ(SendCommand("gone", address), CommandStatus::NotSent);
+}
+
+TEST_F(InstanceThatRelays, ServerRefusesBoth_CommandIsRefused)
+{
+  server_.reset();
+  EXPECT_EQ(SendCommand("s1", serverAddress_), CommandStatus::Refused);
+}
+
 } // namespace
 
 } // namespace latchslip
