LibDaemon: Bound what an instance relays at once

A hall of instances that are cut off sends all of its requests through the others, which have 120 MB at the least. A single larger body is relayed alone. Test: InstanceThatRelays.MoreUnderWayThanItsBounds_DeclinesUntilSomeEnd.

--- a/Libraries/LibDaemon/RelayService.cpp
+++ b/Libraries/LibDaemon/RelayService.cpp
@@ -9,6 +9,10 @@
 
 constexpr unsigned kOk = 200;
 constexpr unsigned kBadRequest = 400;
+// Bounds of what is relayed at once, so that instances that are cut off don't take away the memory
+// of the others. A single larger body is relayed if nothing else is.
+constexpr std::size_t kMaxInFlight = 256;
+constexpr std::size_t kMaxBytes = 8UL * 1024 * 1024;
 
 HttpResponse
 MakeAnswer(PathResult aPath, HttpExchange aExchange)
@@ -64,6 +68,12 @@
   Begin(aId, request.value(), std::move(aRespond));
 }
 
+bool
+RelayService::HasRoom(std::size_t aBytes) const
+{
+  return running_.empty() || (running_.size() < kMaxInFlight && bytes_ + aBytes <= kMaxBytes);
+}
+
 bool
 RelayService::MayRelay(Instant aNow, const RelayRequest& aRequest) const
 {
@@ -72,7 +82,8 @@
   if (!isListed || (!aRequest.isCommand_ && !record->AcceptsWork())) {
     return false;
   }
-  return !isStopping_() && !paths_.IsCutOff() && aNow <= aRequest.expiresAt_;
+  return HasRoom(aRequest.request_.body_->size()) && !isStopping_() && !paths_.IsCutOff() &&
+         aNow <= aRequest.expiresAt_;
 }
 
 void
@@ -83,6 +94,8 @@
   auto& running = running_[aId];
   running.client_ = &client;
   running.server_ = aRequest.server_;
+  running.bytes_ = aRequest.request_.body_->size();
+  bytes_ += running.bytes_;
   running.exchange_ =
     client.Send(aRequest.address_,
                 aRequest.request_,
@@ -92,11 +105,18 @@
                 });
 }
 
+RelayService::Running
+RelayService::Remove(std::uint64_t aId)
+{
+  auto running = std::move(running_.extract(aId).mapped());
+  bytes_ -= running.bytes_;
+  return running;
+}
+
 void
 RelayService::OnEnded(std::uint64_t aId, HttpExchange aExchange, const HttpResponder& aRespond)
 {
-  const auto running = running_.extract(aId);
-  const auto& server = running.mapped().server_;
+  const auto server = Remove(aId).server_;
   auto path = PathResultOf(aExchange);
   paths_.OnEnded(MonotonicNow(), server, "", path);
   if (path == PathResult::Unreachable && paths_.IsInDoubt(server)) {
@@ -108,9 +128,9 @@
 void
 RelayService::OnClientDisconnected(std::uint64_t aId)
 {
-  if (const auto running = running_.find(aId); running != running_.end()) {
-    running->second.client_->Cancel(running->second.exchange_);
-    running_.erase(running);
+  if (running_.contains(aId)) {
+    const auto running = Remove(aId);
+    running.client_->Cancel(running.exchange_);
   }
 }
 
--- a/Libraries/LibDaemon/RelayService.h
+++ b/Libraries/LibDaemon/RelayService.h
@@ -38,10 +38,16 @@
     HttpClient* client_ = nullptr;
     ExchangeId exchange_ = 0;
     std::string server_;
+    // Size of the request's body.
+    std::size_t bytes_ = 0;
   };
 
+  // Whether one more exchange with a body of that size is within the bounds of this instance.
+  bool HasRoom(std::size_t aBytes) const;
   // Whether the exchange may begin; nothing is sent to servers that take no new work.
   bool MayRelay(Instant aNow, const RelayRequest& aRequest) const;
+  // Removes an exchange that has ended, and returns it.
+  Running Remove(std::uint64_t aId);
   void Begin(std::uint64_t aId, const RelayRequest& aRequest, HttpResponder aRespond);
   void OnEnded(std::uint64_t aId, HttpExchange aExchange, const HttpResponder& aRespond);
 
@@ -52,6 +58,8 @@
   std::function<bool()> isStopping_;
   EventSink& events_;
   std::map<std::uint64_t, Running> running_;
+  // Sum of the bodies of the requests under way.
+  std::size_t bytes_ = 0;
   std::uint64_t relayed_ = 0;
 };
 
--- a/Tests/LibDaemon/TestRelays.cpp
+++ b/Tests/LibDaemon/TestRelays.cpp
@@ -225,6 +225,24 @@
   EXPECT_EQ(exchange_->end_, ExchangeEnd::Complete);
 }
 
+// Guards against instances that run out of memory by what they relay.
+TEST_F(InstanceThatRelays, MoreUnderWayThanItsBounds_DeclinesUntilSomeEnd)
+{
+  auto large = MakeRequest("/never");
+  large.request_.body_ = std::make_shared<const std::string>(9UL * 1024 * 1024, 'x');
+  const auto first = Send(large);
+  ASSERT_TRUE(RunUntil([this] { return !echo_.unanswered_.empty(); }));
+  Send(MakeRequest("/echo"));
+  ASSERT_TRUE(RunUntilEnded());
+  EXPECT_EQ(path_, PathResult::NotTried);
+  client_.Cancel(first);
+  ASSERT_TRUE(RunUntil([this] { return service_.InFlight() == 0; }));
+  exchange_.reset();
+  Send(MakeRequest("/echo"));
+  ASSERT_TRUE(RunUntilEnded());
+  EXPECT_EQ(path_, PathResult::Reached);
+}
+
 TEST_F(InstanceThatRelays, IsStopping_Declines)
 {
   isStopping_ = true;
