--- a/Tests/LibDaemon/TestRelays.cpp
+++ b/Tests/LibDaemon/TestRelays.cpp
@@ -211,6 +211,15 @@
   EXPECT_TRUE(echo_.requests_.empty());
 }
 
+TEST_F(InstanceThatRelays, ServerIsListedAtAnotherAddress_DeclinesAndSendsNothing)
+{
+  directory_.Put(MonotonicNow(), { "s1", "rates", "127.0.0.1:9", "hall", 4, false, 2 });
+  Send(MakeRequest("/echo"));
+  ASSERT_TRUE(RunUntilEnded());
+  EXPECT_EQ(path_, PathResult::NotTried);
+  EXPECT_TRUE(echo_.requests_.empty());
+}
+
 TEST_F(InstanceThatRelays, ServerIsLeaving_DeclinesRequestsButRelaysCommands)
 {
   directory_.Put(MonotonicNow(), { "s1", "rates", serverAddress_, "hall", 4, true, 2 });
