--- a/Libraries/LibDaemon/RelayClient.cpp
+++ b/Libraries/LibDaemon/RelayClient.cpp
@@ -42,7 +42,7 @@
 }
 
 ExchangeId
-RelayClient::Send(const std::string& aPeer, RelayRequest aRequest, Callback aCallback)
+RelayClient::Send(const std::string& aPeer, RelayRequest aRequest, const Callback& aCallback)
 {
   const auto id = ++lastId_;
   const auto offset = clockOffsets_.find(aPeer);
--- a/Libraries/LibDaemon/RelayClient.h
+++ b/Libraries/LibDaemon/RelayClient.h
@@ -25,7 +25,7 @@
   // Asks the instance at aPeer to perform the exchange. If that instance declines or is lost, the
   // exchange ends as NotTried. A command does not begin after its timeout, however long the
   // messages take.
-  ExchangeId Send(const std::string& aPeer, RelayRequest aRequest, Callback aCallback);
+  ExchangeId Send(const std::string& aPeer, RelayRequest aRequest, const Callback& aCallback);
   // Cancels the exchange without calling its callback; the other instance then cancels its part.
   void Cancel(ExchangeId aId);
   void PruneIdle() { links_->PruneIdle(); }
