--- a/Libraries/LibDaemon/CommandSender.h
+++ b/Libraries/LibDaemon/CommandSender.h
@@ -2,7 +2,7 @@
 
 #include "LibDaemon/GatewayCodec.h"
 #include "LibDaemon/RelayClient.h"
-#include "LibGateway/ServerPaths.h"
+#include "LibGateway/PathSearch.h"
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
--- a/Libraries/LibGateway/GatewayRouter.cpp
+++ b/Libraries/LibGateway/GatewayRouter.cpp
@@ -46,50 +46,6 @@
 // by then.
 constexpr Duration kOtherIncarnationPause = seconds(3);
 
-// Whether the server answered that the request failed.
-bool
-IsServerError(const AttemptOutcome& aOutcome)
-{
-  // The lowest HTTP status of server errors.
-  constexpr unsigned kServerError = 500;
-  return aOutcome.status_ >= kServerError;
-}
-
-// What the end of an attempt says about its path.
-PathResult
-PathResultOf(const AttemptOutcome& aOutcome)
-{
-  if (aOutcome.path_ != PathResult::Unknown) {
-    return aOutcome.path_;
-  }
-  switch (aOutcome.end_) {
-    case AttemptEnd::NotSent:
-      return PathResult::Unreachable;
-    case AttemptEnd::Broken:
-      return aOutcome.isConnectionLost_ ? PathResult::NoAnswer : PathResult::Unknown;
-    default:
-      return PathResult::Reached;
-  }
-}
-
-SendResult
-ToSendResult(const AttemptOutcome& aOutcome)
-{
-  switch (aOutcome.end_) {
-    case AttemptEnd::Answered:
-      return IsServerError(aOutcome) ? SendResult::Failed : SendResult::Answered;
-    case AttemptEnd::NotRun:
-      return SendResult::Shed;
-    case AttemptEnd::WrongServer:
-      return SendResult::Declined;
-    case AttemptEnd::NotSent:
-      return SendResult::NotReached;
-    case AttemptEnd::Broken:
-      return SendResult::Broken;
-  }
-  return SendResult::Broken;
-}
-
 // Name of the route for logs and metrics; kNoRoute for none.
 std::string
 NameOf(const Route* aRoute)
@@ -228,43 +184,6 @@
   SendQueued(aNow, service);
 }
 
-bool
-GatewayRouter::TryAnotherPath(Instant aNow,
-                              PendingRequest& aPending,
-                              const AttemptOutcome& aOutcome)
-{
-  const auto timeLeft = SendTimeLimit(aNow, aPending);
-  const bool isUnsent = aOutcome.end_ == AttemptEnd::NotSent;
-  const auto server = isUnsent && timeLeft && !aPending.isClientGone_
-                        ? PermittedServer(aNow, aPending, aPending.server_)
-                        : std::nullopt;
-  if (!aPending.path_.TryNext(
-        aNow, *paths_, aPending.server_, PathResultOf(aOutcome), server.has_value())) {
-    return false;
-  }
-  aPending.sentAt_ = aNow;
-  SendOnPath(aPending, *server->record_, *timeLeft);
-  return true;
-}
-
-SendResult
-GatewayRouter::ToSendResult(const PendingRequest& aPending, const AttemptOutcome& aOutcome) const
-{
-  const auto path = PathResultOf(aOutcome);
-  const bool isPathToBlame = path == PathResult::Unreachable ||
-                             path == PathResult::UnreachableInDoubt || path == PathResult::NotTried;
-  if (paths_->HasPeers() && isPathToBlame && !aPending.path_.IsServerUnreachable()) {
-    return SendResult::Cancelled;
-  }
-  return latchslip::ToSendResult(aOutcome);
-}
-
-RefusalReason
-GatewayRouter::ReasonNotRun(Instant aNow) const
-{
-  return paths_->HasPath(aNow) ? RefusalReason::NoCapacity : RefusalReason::NoPath;
-}
-
 void
 GatewayRouter::RecordConnectionLost(Instant aNow, const PendingRequest& aPending)
 {
@@ -312,7 +231,7 @@
                               const AttemptOutcome& aOutcome)
 {
   const bool isAnswered = aOutcome.end_ == AttemptEnd::Answered;
-  const bool isGoodAnswer = isAnswered && !IsServerError(aOutcome);
+  const bool isGoodAnswer = isAnswered && !aOutcome.IsServerError();
   if (!isGoodAnswer && TryTakeRetry(aNow, aPending, aOutcome)) {
     Retry(aNow, aPending, aOutcome);
     return;
@@ -636,19 +555,6 @@
   SendOnPath(aPending, *aServer.record_, aTimeLeft);
 }
 
-void
-GatewayRouter::SendOnPath(PendingRequest& aPending, const ServerRecord& aServer, Duration aTimeLeft)
-{
-  actions_.Send({ aPending.attempt_,
-                  aPending.request_.number_,
-                  aServer.id_,
-                  aServer.address_,
-                  aTimeLeft,
-                  aPending.group_ == nullptr ? std::string() : aPending.group_->name_,
-                  aPending.routes_->HasGroups(),
-                  aPending.path_.Relay() });
-}
-
 void
 GatewayRouter::WaitOrRefuse(Instant aNow, PendingRequest& aPending)
 {
--- a/Libraries/LibGateway/Messages.h
+++ b/Libraries/LibGateway/Messages.h
@@ -107,6 +107,14 @@
   bool isConnectionLost_ = false;
   // What is known of the path beyond what end_ tells; Unknown for nothing.
   PathResult path_ = PathResult::Unknown;
+
+  // Whether the server answered that the request failed.
+  bool IsServerError() const
+  {
+    // The lowest HTTP status of server errors.
+    constexpr unsigned kServerError = 500;
+    return status_ >= kServerError;
+  }
 };
 
 // Why the gateway refuses a request instead of delivering a server's answer.
--- a/Libraries/LibGateway/PendingRequest.h
+++ b/Libraries/LibGateway/PendingRequest.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibGateway/Messages.h"
+#include "LibGateway/PathSearch.h"
 #include "LibGateway/RoutingTable.h"
 
 #include <algorithm>
--- a/Tests/LibGateway/TestServerPaths.cpp
+++ b/Tests/LibGateway/TestServerPaths.cpp
@@ -1,5 +1,5 @@
 #include "../CountingEventSink.h"
-#include "LibGateway/ServerPaths.h"
+#include "LibGateway/PathSearch.h"
 
 #include <gtest/gtest.h>
 
