LibDaemon: Call a relayed request unknown if the relay's answer is malformed

Found by reading the change. An instance that answered 200 with bytes that are no relay answer was taken to have sent nothing, so a booking that may have run could be refused as not run, or sent again. Only an instance that was not reached, or that answered another status, has certainly relayed nothing. Test: InstanceThatRelays.ItsAnswerIsMalformed_RequestMayHaveRun, which failed before (end NotSent); the other tests of relays and paths pass as they are.

--- a/Libraries/LibDaemon/RelayClient.cpp
+++ b/Libraries/LibDaemon/RelayClient.cpp
@@ -13,6 +13,16 @@
 constexpr Duration kConnectTimeout = milliseconds(100);
 // Added to the timeout of the exchange for the way to the relaying instance and back.
 constexpr Duration kRelayGrace = milliseconds(20);
+// Status of all answers to requests that were understood, whether relayed or declined.
+constexpr unsigned kOk = 200;
+
+// Whether an instance whose answer is missing or malformed has certainly relayed nothing.
+bool
+IsCertainlyUnsent(const HttpExchange& aExchange)
+{
+  return aExchange.end_ == ExchangeEnd::NotSent ||
+         (aExchange.end_ == ExchangeEnd::Complete && aExchange.response_.status_ != kOk);
+}
 
 HttpRequest
 MakeCall(const RelayRequest& aRequest)
@@ -98,7 +108,6 @@
 std::optional<RelayAnswer>
 RelayClient::ReadAnswer(const std::string& aPeer, const HttpExchange& aExchange)
 {
-  constexpr unsigned kOk = 200;
   if (aExchange.end_ != ExchangeEnd::Complete || aExchange.response_.status_ != kOk) {
     return std::nullopt;
   }
@@ -124,8 +133,7 @@
   // An instance that was lost or restarted has another clock next time.
   clockOffsets_.erase(aPeer);
   HttpExchange failed;
-  // An instance that answers anything else has not relayed.
-  failed.end_ = aExchange.end_ == ExchangeEnd::Broken ? ExchangeEnd::Broken : ExchangeEnd::NotSent;
+  failed.end_ = IsCertainlyUnsent(aExchange) ? ExchangeEnd::NotSent : ExchangeEnd::Broken;
   failed.isTimeout_ = aExchange.isTimeout_;
   failed.problem_ = "relay: " + aExchange.problem_;
   aCallback(std::move(failed), PathResult::NotTried);
--- a/Tests/LibDaemon/TestRelays.cpp
+++ b/Tests/LibDaemon/TestRelays.cpp
@@ -52,6 +52,17 @@
   void OnClientDisconnected(std::uint64_t) override {}
 };
 
+// An instance that answers with bytes that are no relay answer.
+class GarblingInstance : public HttpHandler
+{
+public:
+  void OnRequest(std::uint64_t, HttpRequest, HttpResponder aRespond) override
+  {
+    aRespond(MakeHttpResponse(200, "no message"));
+  }
+  void OnClientDisconnected(std::uint64_t) override {}
+};
+
 // Commands are posted to "/grant"; any complete answer is success.
 class CommandCodec : public GatewayCodec
 {
@@ -312,6 +323,17 @@
   EXPECT_FALSE(exchange_->isConnectionLost_);
 }
 
+// Guards against a request called not run when the instance that relayed it cannot be understood.
+TEST_F(InstanceThatRelays, ItsAnswerIsMalformed_RequestMayHaveRun)
+{
+  GarblingInstance garbling;
+  const auto peer = Listen(garbling, peerAddress_);
+  Send(MakeRequest("/echo"));
+  ASSERT_TRUE(RunUntilEnded());
+  EXPECT_EQ(path_, PathResult::NotTried);
+  EXPECT_EQ(exchange_->end_, ExchangeEnd::Broken);
+}
+
 TEST_F(InstanceThatRelays, ItIsGone_NothingIsSent)
 {
   peer_.reset();
