LibDaemon: Bound a relayed exchange's time in one place, with one acknowledgement timeout

RelayClient computed the time after which an exchange must not begin in two places and had two equal branches; SendNow does it now for both. The acknowledgement timeout of connections to servers stood in CommandSender and in GatewayFrontend; both use kServerAckTimeout.

--- a/Libraries/LibDaemon/CommandSender.cpp
+++ b/Libraries/LibDaemon/CommandSender.cpp
@@ -9,8 +9,6 @@
 // Timeout of a command.
 constexpr Duration kTimeout = milliseconds(1500);
 constexpr Duration kConnectTimeout = milliseconds(300);
-// A packet and two repetitions of it have their chance until then.
-constexpr Duration kAckTimeout = milliseconds(700);
 // A connection is reused only within this time, in which servers almost never close it. The
 // commands that renew the leases of one server follow each other within it.
 constexpr Duration kMaxIdleTime = milliseconds(150);
@@ -51,7 +49,7 @@
   relayed.request_ = codec_.EncodeCommand(command);
   relayed.options_.timeout_ = kTimeout;
   relayed.options_.connectTimeout_ = kConnectTimeout;
-  relayed.options_.ackTimeout_ = kAckTimeout;
+  relayed.options_.ackTimeout_ = kServerAckTimeout;
   relayed.options_.maxIdleTime_ = kMaxIdleTime;
   if (!aRunning->path_.Relay().empty()) {
     relays_.Send(aRunning->path_.Relay(),
--- a/Libraries/LibDaemon/GatewayFrontend.cpp
+++ b/Libraries/LibDaemon/GatewayFrontend.cpp
@@ -11,8 +11,6 @@
 // Many round trips within a region; after it the attempt counts as not sent and another server
 // is tried.
 constexpr Duration kConnectTimeout = milliseconds(150);
-// A packet and two repetitions of it have their chance until then.
-constexpr Duration kAckTimeout = milliseconds(700);
 // Added to an attempt's timeout. The router normally cancels the attempt first; this only
 // bounds an exchange that it no longer tracks.
 constexpr Duration kExchangeGrace = milliseconds(100);
@@ -78,7 +76,7 @@
   auto& options = relayed.options_;
   options.timeout_ = aCommand.timeLeft_ + kExchangeGrace;
   options.connectTimeout_ = kConnectTimeout;
-  options.ackTimeout_ = kAckTimeout;
+  options.ackTimeout_ = kServerAckTimeout;
   options.echoHeader_ = codec_.EchoHeader();
   const auto attempt = aCommand.number_;
   const auto number = ++lastExchange_;
@@ -147,7 +145,7 @@
   client_->CloseIdle();
   ExchangeOptions options;
   options.connectTimeout_ = kConnectTimeout;
-  options.ackTimeout_ = kAckTimeout;
+  options.ackTimeout_ = kServerAckTimeout;
   client_->Probe(aAddress, options, [this](bool aIsConnected) {
     paths_.OnProbeEnded(MonotonicNow(), aIsConnected);
   });
--- a/Libraries/LibDaemon/RelayClient.cpp
+++ b/Libraries/LibDaemon/RelayClient.cpp
@@ -55,14 +55,10 @@
 RelayClient::Send(const std::string& aPeer, RelayRequest aRequest, const Callback& aCallback)
 {
   const auto id = ++lastId_;
-  const auto offset = clockOffsets_.find(aPeer);
-  if (offset != clockOffsets_.end()) {
-    aRequest.expiresAt_ = MonotonicNow() + offset->second + aRequest.options_.timeout_;
-    SendNow(id, aPeer, aRequest, aCallback);
-  } else if (aRequest.isCommand_) {
+  if (aRequest.isCommand_ && !clockOffsets_.contains(aPeer)) {
     LearnClock(id, aPeer, aRequest, aCallback);
   } else {
-    SendNow(id, aPeer, aRequest, aCallback);
+    SendNow(id, aPeer, std::move(aRequest), aCallback);
   }
   return id;
 }
@@ -70,9 +66,12 @@
 void
 RelayClient::SendNow(ExchangeId aId,
                      const std::string& aPeer,
-                     const RelayRequest& aRequest,
+                     RelayRequest aRequest,
                      const Callback& aCallback)
 {
+  if (const auto offset = clockOffsets_.find(aPeer); offset != clockOffsets_.end()) {
+    aRequest.expiresAt_ = MonotonicNow() + offset->second + aRequest.options_.timeout_;
+  }
   running_[aId] = links_->Send(aPeer,
                                MakeCall(aRequest),
                                MakeOptions(aRequest),
@@ -98,10 +97,7 @@
                      OnEnded(aId, aPeer, aExchange, aCallback);
                      return;
                    }
-                   auto request = aRequest;
-                   request.expiresAt_ =
-                     MonotonicNow() + clockOffsets_.at(aPeer) + aRequest.options_.timeout_;
-                   SendNow(aId, aPeer, request, aCallback);
+                   SendNow(aId, aPeer, aRequest, aCallback);
                  });
 }
 
--- a/Libraries/LibDaemon/RelayClient.h
+++ b/Libraries/LibDaemon/RelayClient.h
@@ -31,9 +31,10 @@
   void PruneIdle() { links_->PruneIdle(); }
 
 private:
+  // Sends with a bound on its time, if the clock of the instance is known.
   void SendNow(ExchangeId aId,
                const std::string& aPeer,
-               const RelayRequest& aRequest,
+               RelayRequest aRequest,
                const Callback& aCallback);
   // Learns the clock of an instance by a request to relay nothing, and then sends the command.
   void LearnClock(ExchangeId aId,
--- a/Libraries/LibNet/RelayMessages.h
+++ b/Libraries/LibNet/RelayMessages.h
@@ -8,6 +8,10 @@
 
 namespace latchslip {
 
+// See ExchangeOptions::ackTimeout_, for connections to servers. A packet and two repetitions of it
+// have their chance until then.
+inline constexpr Duration kServerAckTimeout = milliseconds(700);
+
 // Asks another instance to perform an exchange with a server.
 struct RelayRequest
 {
