LibFleet: Choose the instances with duties by link as well as processor

On a deployment with 17 instances of a quarter of a processor behind links of 10 Mbit/s, one of them became the dispatcher of the largest service. Its event loop was idle, but its answers waited 0.4 to 1.2 s for its link, and 44 % of the callers sent without a permit.

The settings give the rate of an instance's link. Reports and the roster carry it, and the capacity for duties is the processor share, or less if the link would be full first. Dispatchers, the delay of a placer's claim, readers, the update tree and relays follow it. Where links are as wide as processors are strong, or no rate is given, nothing changes.

The configuration also tells whether routes carry large bodies, which is how a deployment asks for load management. Nothing uses that yet.

--- a/Libraries/LibDaemon/GatewayHost.cpp
+++ b/Libraries/LibDaemon/GatewayHost.cpp
@@ -342,7 +342,7 @@
     std::map<std::string, RelayPeer> relays;
     for (const auto& [address, peer] : aPeers) {
       if (address != settings_.peerAddress_) {
-        relays[address] = { peer.hall_, peer.processorShare_ };
+        relays[address] = { peer.hall_, peer.DutyCapacity() };
       }
     }
     paths_.SetPeers(std::move(relays));
--- a/Libraries/LibFleet/FleetMember.cpp
+++ b/Libraries/LibFleet/FleetMember.cpp
@@ -17,7 +17,7 @@
 constexpr Duration kRosterSettleTime = milliseconds(1600);
 // With this share of a processor an instance is strong enough to be the placer of a large fleet: a
 // tenth took seconds to answer the reports of 90 instances.
-constexpr double kSufficientProcessorShare = 0.5;
+constexpr double kSufficientCapacity = 0.5;
 
 } // namespace
 
@@ -34,7 +34,8 @@
   // is enough for a large fleet.
   , election_(settings_.self_,
               std::uniform_real_distribution<double>(0, 1)(random_),
-              CapacityDeficit(settings_.processorShare_, kSufficientProcessorShare))
+              CapacityDeficit(DutyCapacity(settings_.processorShare_, settings_.linkMbps_),
+                              kSufficientCapacity))
   , limitCoordinator_(settings_.limitWindow_)
 {
 }
@@ -331,7 +332,9 @@
 FleetPeer
 FleetMember::SelfAsPeer() const
 {
-  return { settings_.self_.address_, settings_.hall_, settings_.processorShare_ };
+  return {
+    settings_.self_.address_, settings_.hall_, settings_.processorShare_, settings_.linkMbps_
+  };
 }
 
 void
--- a/Libraries/LibFleet/FleetMember.h
+++ b/Libraries/LibFleet/FleetMember.h
@@ -93,6 +93,8 @@
   std::optional<Duration> apiKeyBound_{};
   // Window over which the requests of a group are counted against its limit.
   Duration limitWindow_ = seconds(5);
+  // Rate of the network link of this instance in Mbit/s; 0 if not stated.
+  double linkMbps_ = 0;
 };
 
 // The control plane of one instance. One instance of the fleet is the placer, elected through a row
@@ -318,14 +320,15 @@
   struct Reporter
   {
     Instant lastReportAt_{ 0 };
-    double processorShare_ = 0;
+    // In processors.
+    double dutyCapacity_ = 0;
     // When the tables were last sent to it.
     Instant tablesSentAt_ = Instant::min();
   };
   // Instances that report here, by address.
   std::map<std::string, Reporter> reporters_;
-  // The largest processor share among them.
-  double strongestShare_ = 0;
+  // The highest duty capacity among them.
+  double highestCapacity_ = 0;
   Instant nextRemovalAt_ = Instant::min();
   // The instances of the fleet: on the placer those that report to it, elsewhere those in its last
   // response.
--- a/Libraries/LibFleet/FleetMemberPlacer.cpp
+++ b/Libraries/LibFleet/FleetMemberPlacer.cpp
@@ -293,7 +293,7 @@
   rosterSince_ = aNow;
   // Instances that reported to the former placer will report here.
   for (const auto& [address, peer] : roster_.Peers()) {
-    reporters_.try_emplace(address, Reporter{ aNow, peer.processorShare_ });
+    reporters_.try_emplace(address, Reporter{ aNow, peer.DutyCapacity() });
   }
   StartLimitCoordinator(aNow);
   FleetUpdate update;
--- a/Libraries/LibFleet/FleetMemberReports.cpp
+++ b/Libraries/LibFleet/FleetMemberReports.cpp
@@ -38,6 +38,7 @@
   report.instance_ = settings_.self_.instance_;
   report.address_ = settings_.self_.address_;
   report.processorShare_ = settings_.processorShare_;
+  report.linkMbps_ = settings_.linkMbps_;
   report.hall_ = settings_.hall_;
   report.rosterDigest_ = roster_.Digest();
   report.lacksTables_ = !IsReady();
@@ -88,11 +89,11 @@
 {
   auto& reporter = reporters_[aReport.address_];
   reporter.lastReportAt_ = aNow;
-  reporter.processorShare_ = aReport.processorShare_;
-  strongestShare_ = std::max(strongestShare_, aReport.processorShare_);
+  reporter.dutyCapacity_ = DutyCapacity(aReport.processorShare_, aReport.linkMbps_);
+  highestCapacity_ = std::max(highestCapacity_, reporter.dutyCapacity_);
   if (election_.IsPlacer()) {
     limitCoordinator_.OnInstanceContact(aNow, aReport.address_);
-    roster_.Put({ aReport.address_, aReport.hall_, aReport.processorShare_ });
+    roster_.Put({ aReport.address_, aReport.hall_, aReport.processorShare_, aReport.linkMbps_ });
     if (aReport.lacksTables_) {
       awaitingTables_.insert(aReport.address_);
     }
@@ -111,9 +112,9 @@
   std::erase_if(reporters_, [&](const auto& aEntry) {
     return aNow - aEntry.second.lastReportAt_ > kRemovalTimeout;
   });
-  strongestShare_ = 0;
+  highestCapacity_ = 0;
   for (const auto& [address, reporter] : reporters_) {
-    strongestShare_ = std::max(strongestShare_, reporter.processorShare_);
+    highestCapacity_ = std::max(highestCapacity_, reporter.dutyCapacity_);
   }
   if (!election_.IsPlacer()) {
     return;
@@ -138,7 +139,7 @@
   if (election_.IsPlacer()) {
     answer.roster_ = roster_.ChangesSince(aReport.rosterDigest_);
   }
-  answer.strongestShare_ = strongestShare_;
+  answer.highestCapacity_ = highestCapacity_;
   answer.lastChanges_ = view_.LastChanges();
   return answer;
 }
@@ -210,9 +211,9 @@
     limits_.SetInstances(roster_.Size());
     actions_.OnInstances(roster_.Peers());
   }
-  if (aAnswer.strongestShare_ > 0) {
+  if (aAnswer.highestCapacity_ > 0) {
     election_.SetCapacityDeficit(
-      CapacityDeficit(settings_.processorShare_, aAnswer.strongestShare_));
+      CapacityDeficit(SelfAsPeer().DutyCapacity(), aAnswer.highestCapacity_));
   }
 }
 
--- a/Libraries/LibFleet/FleetReport.cpp
+++ b/Libraries/LibFleet/FleetReport.cpp
@@ -12,6 +12,7 @@
 constexpr std::uint64_t kMaxCount = 1'000'000;
 // No instance has more processors than this.
 constexpr double kMaxProcessors = 1024;
+constexpr double kMaxLinkMbps = 1e7;
 
 FieldResult<std::uint64_t>
 WholeNumber(const boost::json::value& aValue, std::string_view aField, std::uint64_t aMax)
@@ -38,31 +39,47 @@
   return digest;
 }
 
-// An instance is encoded as a list of its address, its hall and its processor share.
+// An instance is encoded as a list of its address, its hall, its processor share and, if stated,
+// the rate of its link.
 boost::json::array
 PeerToJson(const FleetPeer& aPeer)
 {
-  return { aPeer.address_, aPeer.hall_, aPeer.processorShare_ };
+  boost::json::array list{ aPeer.address_, aPeer.hall_, aPeer.processorShare_ };
+  if (aPeer.linkMbps_ > 0) {
+    list.emplace_back(aPeer.linkMbps_);
+  }
+  return list;
+}
+
+// A number of a peer between 0 and aMost; no value if it is none.
+std::optional<double>
+PeerNumber(const boost::json::value& aValue, double aMost)
+{
+  boost::system::error_code error;
+  const auto number = aValue.to_number<double>(error);
+  return error || number < 0 || number > aMost ? std::nullopt : std::optional(number);
 }
 
 FieldResult<FleetPeer>
 ParsePeer(const boost::json::value& aValue)
 {
-  constexpr std::size_t kMembers = 3;
-  const FieldError malformed{ "joined", "must be lists of an address, a hall and a number" };
+  constexpr std::size_t kWithoutLink = 3;
+  constexpr std::size_t kWithLink = 4;
+  const FieldError malformed{ "joined",
+                              "must be lists of an address, a hall and one or two numbers" };
   const auto* list = aValue.if_array();
-  if (list == nullptr || list->size() != kMembers || !(*list)[0].is_string() ||
-      !(*list)[1].is_string()) {
+  if (list == nullptr || (list->size() != kWithoutLink && list->size() != kWithLink) ||
+      !(*list)[0].is_string() || !(*list)[1].is_string()) {
     return malformed;
   }
-  boost::system::error_code error;
-  const auto share = (*list)[2].to_number<double>(error);
-  if (error || share < 0 || share > kMaxProcessors) {
+  const auto share = PeerNumber((*list)[2], kMaxProcessors);
+  const auto link = list->size() == kWithLink ? PeerNumber((*list)[3], kMaxLinkMbps) : 0.0;
+  if (!share || !link) {
     return malformed;
   }
-  return FleetPeer{ std::string((*list)[0].as_string()),
-                    std::string((*list)[1].as_string()),
-                    share };
+  return FleetPeer{
+    std::string((*list)[0].as_string()), std::string((*list)[1].as_string()), *share, *link
+  };
 }
 
 FieldResult<RosterChange>
@@ -161,6 +178,7 @@
     boost::json::object{ { "instance", aReport.instance_ },
                          { "address", aReport.address_ },
                          { "processor_share", aReport.processorShare_ },
+                         { "link_mbps", aReport.linkMbps_ },
                          { "hall", aReport.hall_ },
                          { "roster", std::to_string(aReport.rosterDigest_) },
                          { "lacks_tables", aReport.lacksTables_ },
@@ -178,6 +196,7 @@
   BOOST_OUTCOME_TRY(report.address_, reader.Text("address"));
   BOOST_OUTCOME_TRY(report.processorShare_,
                     reader.NumberOr("processor_share", 0, 0, kMaxProcessors));
+  BOOST_OUTCOME_TRY(report.linkMbps_, reader.NumberOr("link_mbps", 0, 0, kMaxLinkMbps));
   BOOST_OUTCOME_TRY(report.hall_, reader.TextOr("hall", ""));
   BOOST_OUTCOME_TRY(report.rosterDigest_, ParseDigest(reader));
   BOOST_OUTCOME_TRY(report.lacksTables_, reader.FlagOr("lacks_tables", false));
@@ -203,7 +222,7 @@
   }
   const auto& left = aAnswer.roster_.left_;
   boost::json::object document{ { "working", aAnswer.isWorking_ },
-                                { "strongest_share", aAnswer.strongestShare_ },
+                                { "strongest_share", aAnswer.highestCapacity_ },
                                 { "versions", VersionsToJson(aAnswer.lastChanges_) },
                                 { "whole_roster", aAnswer.roster_.isWhole_ },
                                 { "joined", std::move(joined) },
@@ -220,7 +239,7 @@
   ReportAnswer answer;
   BOOST_OUTCOME_TRY(answer.isWorking_, reader.FlagOr("working", false));
   BOOST_OUTCOME_TRY(answer.lastChanges_, VersionsFromJson(value.as_object()));
-  BOOST_OUTCOME_TRY(answer.strongestShare_,
+  BOOST_OUTCOME_TRY(answer.highestCapacity_,
                     reader.NumberOr("strongest_share", 0, 0, kMaxProcessors));
   BOOST_OUTCOME_TRY(answer.roster_, ParseRoster(reader));
   BOOST_OUTCOME_TRY(answer.proof_, ProofFromJson(value.as_object()));
--- a/Libraries/LibFleet/FleetReport.h
+++ b/Libraries/LibFleet/FleetReport.h
@@ -27,6 +27,8 @@
   std::map<std::string, ServerWork> work_;
   // Number of processors available to the sender, possibly a fraction; 0 if not stated.
   double processorShare_ = 0;
+  // Rate of the sender's network link in Mbit/s; 0 if not stated.
+  double linkMbps_ = 0;
   // Data hall of the sender.
   std::string hall_;
   // Digest of the sender's roster, so that the response can carry only the difference.
@@ -44,8 +46,8 @@
   RosterChange roster_;
   // Version of the last change of each table that the placer has.
   TableVersions lastChanges_{};
-  // The largest processor share of all instances; 0 if not stated.
-  double strongestShare_ = 0;
+  // The highest duty capacity of all instances, in processors; 0 if not stated.
+  double highestCapacity_ = 0;
   // Proof that the placer's configuration is the latest; no value if it never had one.
   std::optional<ConfigurationProof> proof_{};
 };
--- a/Libraries/LibFleet/PlacerElection.cpp
+++ b/Libraries/LibFleet/PlacerElection.cpp
@@ -41,9 +41,9 @@
 }
 
 double
-CapacityDeficit(double aShare, double aStrongestShare)
+CapacityDeficit(double aCapacity, double aHighestCapacity)
 {
-  return 1 - std::min(1.0, aShare / aStrongestShare);
+  return 1 - std::min(1.0, aCapacity / aHighestCapacity);
 }
 
 PlacerElection::PlacerElection(PlacerRow aSelf, double aJitter, double aCapacityDeficit)
--- a/Libraries/LibFleet/PlacerElection.h
+++ b/Libraries/LibFleet/PlacerElection.h
@@ -28,10 +28,10 @@
 FieldResult<PlacerRow>
 ParsePlacerRow(std::string_view aText);
 
-// How much less processor an instance has than the largest one, from 0 for one that has as much to
-// 1 for one that has hardly any.
+// How much less duty capacity an instance has than the one with the most, from 0 for one that has
+// as much to 1 for one that has hardly any.
 double
-CapacityDeficit(double aShare, double aStrongestShare);
+CapacityDeficit(double aCapacity, double aHighestCapacity);
 
 // Leader election: decides when this instance claims the placer role. The placer is the instance
 // named by the row in the store. Every write of a placer is conditional on the version of that row,
@@ -41,10 +41,10 @@
 public:
   // aJitter, 0 to 1, is this instance's jitter, so that instances do not all claim at the same
   // moment. aCapacityDeficit, 0 to 1 as from CapacityDeficit, delays claims of instances with
-  // little processor, so that larger ones claim first.
+  // little capacity, so that larger ones claim first.
   PlacerElection(PlacerRow aSelf, double aJitter, double aCapacityDeficit);
 
-  // Updates the delay once the largest processor share of the fleet is known.
+  // Updates the delay once the highest duty capacity of the fleet is known.
   void SetCapacityDeficit(double aCapacityDeficit);
 
   // Sets the current row; no value if there is none.
--- a/Libraries/LibFleet/UpdateTree.cpp
+++ b/Libraries/LibFleet/UpdateTree.cpp
@@ -32,8 +32,8 @@
 bool
 StrongerFirst(const FleetPeer& aLeft, const FleetPeer& aRight)
 {
-  if (aLeft.processorShare_ != aRight.processorShare_) {
-    return aLeft.processorShare_ > aRight.processorShare_;
+  if (aLeft.DutyCapacity() != aRight.DutyCapacity()) {
+    return aLeft.DutyCapacity() > aRight.DutyCapacity();
   }
   return aLeft.address_ < aRight.address_;
 }
--- a/Libraries/LibFleet/UpdateTree.h
+++ b/Libraries/LibFleet/UpdateTree.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibBase/Result.h"
+#include "LibFleet/DutyCapacity.h"
 
 #include <string>
 #include <string_view>
@@ -17,11 +18,15 @@
   std::string hall_;
   // Number of processors available to it, possibly a fraction; 0 if not stated.
   double processorShare_ = 0;
+  // Rate of its network link in Mbit/s; 0 if not stated.
+  double linkMbps_ = 0;
 
+  // As latchslip::DutyCapacity, in processors.
+  double DutyCapacity() const { return latchslip::DutyCapacity(processorShare_, linkMbps_); }
   bool operator==(const FleetPeer&) const = default;
 };
 
-// Orders instances by descending processor share, then by address, so that the order is the same on
+// Orders instances by descending duty capacity, then by address, so that the order is the same on
 // all instances.
 bool
 StrongerFirst(const FleetPeer& aLeft, const FleetPeer& aRight);
--- a/Libraries/LibGateway/RelayChooser.cpp
+++ b/Libraries/LibGateway/RelayChooser.cpp
@@ -14,8 +14,8 @@
 // An instance that could not relay is left out for this long, doubled with each further failure.
 constexpr Duration kAvoidTime = milliseconds(500);
 constexpr unsigned kMaxDoublings = 3;
-// Assumed for instances that do not state their processors.
-constexpr double kDefaultProcessorShare = 0.1;
+// In processors; assumed for instances that do not state their capacity.
+constexpr double kDefaultCapacity = 0.1;
 
 } // namespace
 
@@ -61,10 +61,9 @@
 double
 RelayChooser::CostOf(const PeerState& aState) const
 {
-  const double share =
-    aState.peer_.processorShare_ > 0 ? aState.peer_.processorShare_ : kDefaultProcessorShare;
+  const double capacity = aState.peer_.capacity_ > 0 ? aState.peer_.capacity_ : kDefaultCapacity;
   const double distance = aState.peer_.hall_ == hall_ ? 1 : kOtherHallCostFactor;
-  return static_cast<double>(aState.inFlight_ + 1) * distance / share;
+  return static_cast<double>(aState.inFlight_ + 1) * distance / capacity;
 }
 
 bool
--- a/Libraries/LibGateway/RelayChooser.h
+++ b/Libraries/LibGateway/RelayChooser.h
@@ -16,8 +16,8 @@
 {
   // Data hall.
   std::string hall_;
-  // Number of processors available to it, possibly a fraction; 0 if not stated.
-  double processorShare_ = 0;
+  // Its capacity for duties in processors, possibly a fraction; 0 if not stated.
+  double capacity_ = 0;
 
   bool operator==(const RelayPeer&) const = default;
 };
--- a/Libraries/LibGateway/RoutingTable.cpp
+++ b/Libraries/LibGateway/RoutingTable.cpp
@@ -72,6 +72,14 @@
   return nullptr;
 }
 
+bool
+RouteTable::UsesLoadManagement() const
+{
+  const auto& routes = configuration_.routes_;
+  return std::any_of(
+    routes.begin(), routes.end(), [](const Route& aRoute) { return aRoute.hasLargeBodies_; });
+}
+
 const CallerGroup*
 RouteTable::FindGroup(std::string_view aApiKey) const
 {
--- a/Libraries/LibGateway/RoutingTable.h
+++ b/Libraries/LibGateway/RoutingTable.h
@@ -40,6 +40,8 @@
   unsigned maxAttempts_ = 1;
   // Whether callers need no API key even if groups are configured.
   bool isPublic_ = false;
+  // Whether its requests carry large bodies, which callers have to send again with each retry.
+  bool hasLargeBodies_ = false;
   std::vector<RouteTarget> targets_;
 
   // Name in logs and metrics.
@@ -95,6 +97,10 @@
   const RoutedService* FindService(std::string_view aName) const;
   // Whether callers must present an API key, except on public routes.
   bool HasGroups() const { return !configuration_.groups_.empty(); }
+  // Whether the configuration asks for load management (docs/design/load-management.md): a route
+  // carries large bodies, so that retries in vain are costly, and the links of instances are shared
+  // with them.
+  bool UsesLoadManagement() const;
   // The group that the API key belongs to; null for an unknown key.
   const CallerGroup* FindGroup(std::string_view aApiKey) const;
   const RoutingConfiguration& Configuration() const { return configuration_; }
--- a/Libraries/LibPermit/DispatcherAssignment.cpp
+++ b/Libraries/LibPermit/DispatcherAssignment.cpp
@@ -9,23 +9,23 @@
 
 namespace {
 
-// An instance is eligible if its processor share is at least this share of the highest one.
-constexpr double kMinProcessorShare = 0.5;
+// An instance is eligible if its duty capacity is at least this share of the highest one.
+constexpr double kMinCapacityShare = 0.5;
 // Maximum number of candidates. More would only be needed if this many were lost within one roster
 // change.
 constexpr std::size_t kMaxCandidates = 4;
 
-// The eligible instances; all of them when no instance reports its processor share.
+// The eligible instances; all of them when no instance states its capacity.
 std::vector<std::string>
 EligibleInstances(const std::map<std::string, FleetPeer>& aPeers)
 {
   double highest = 0;
   for (const auto& [address, peer] : aPeers) {
-    highest = std::max(highest, peer.processorShare_);
+    highest = std::max(highest, peer.DutyCapacity());
   }
   std::vector<std::string> eligible;
   for (const auto& [address, peer] : aPeers) {
-    if (peer.processorShare_ >= kMinProcessorShare * highest) {
+    if (peer.DutyCapacity() >= kMinCapacityShare * highest) {
       eligible.push_back(address);
     }
   }
--- a/Libraries/LibPermit/DispatcherAssignment.h
+++ b/Libraries/LibPermit/DispatcherAssignment.h
@@ -9,8 +9,8 @@
 namespace latchslip {
 
 // Assigns each service to the instance that is its dispatcher, by rendezvous hashing. All instances
-// with the same roster compute the same assignment. Only instances with a strong processor are
-// eligible, and no instance is assigned a second service while another eligible one has none.
+// with the same roster compute the same assignment. Only instances with a high duty capacity
+// are eligible, and no instance is assigned a second service while another eligible one has none.
 class DispatcherAssignment
 {
 public:
--- a/Tests/LibFleet/TestFleetParts.cpp
+++ b/Tests/LibFleet/TestFleetParts.cpp
@@ -261,6 +261,7 @@
   report.work_["s1"] = { 3, milliseconds(40) };
   report.work_["s2"] = { 1, milliseconds(20), 8.7 };
   report.processorShare_ = 0.2;
+  report.linkMbps_ = 10;
   report.hall_ = "north";
   report.rosterDigest_ = 0xfedcba9876543210;
   report.lacksTables_ = true;
@@ -269,6 +270,7 @@
   EXPECT_EQ(read.keyCounts_, report.keyCounts_);
   EXPECT_EQ(read.work_, report.work_);
   EXPECT_EQ(read.processorShare_, 0.2);
+  EXPECT_EQ(read.linkMbps_, 10);
   EXPECT_EQ(read.hall_, "north");
   EXPECT_EQ(read.rosterDigest_, report.rosterDigest_);
   EXPECT_TRUE(read.lacksTables_);
@@ -284,17 +286,21 @@
 
 TEST(ReportAnswer, Serialized_RoundTrips)
 {
-  const RosterChange roster{ false, { { "10.0.0.1:1", "north", 0.5 } }, { "10.0.0.2:1" } };
+  const RosterChange roster{
+    false, { { "10.0.0.1:1", "north", 0.5, 200 }, { "10.0.0.3:1", "north", 0.5 } }, { "10.0.0.2:1" }
+  };
   const ReportAnswer answer{ true, roster, { 3, 4, 5 }, 0.5 };
   const auto read = ParseReportAnswer(SerializeReportAnswer(answer)).value();
   EXPECT_TRUE(read.isWorking_);
   EXPECT_EQ(read.roster_, answer.roster_);
   EXPECT_EQ(read.lastChanges_, answer.lastChanges_);
-  EXPECT_EQ(read.strongestShare_, 0.5);
+  EXPECT_EQ(read.highestCapacity_, 0.5);
   EXPECT_TRUE(ParseReportAnswer(R"({"versions":[1,2,3],"joined":[],"left":[]})"));
   EXPECT_FALSE(ParseReportAnswer(R"({"versions":[1,2,3],"joined":[7],"left":[]})"));
   EXPECT_FALSE(ParseReportAnswer(R"({"versions":[1,2,3],"joined":[["a","b",-1]],"left":[]})"));
   EXPECT_FALSE(ParseReportAnswer(R"({"versions":[1,2,3],"joined":[["a","b"]],"left":[]})"));
+  EXPECT_FALSE(ParseReportAnswer(R"({"versions":[1,2,3],"joined":[["a","b",1,-1]],"left":[]})"));
+  EXPECT_FALSE(ParseReportAnswer(R"({"versions":[1,2,3],"joined":[["a","b",1,1,1]],"left":[]})"));
   EXPECT_FALSE(ParseReportAnswer(R"({"versions":[1,2,3],"joined":[],"left":[7]})"));
 }
 
--- a/Tests/LibFleet/TestUpdateTree.cpp
+++ b/Tests/LibFleet/TestUpdateTree.cpp
@@ -101,6 +101,27 @@
   }
 }
 
+// Guards against duties of an instance whose link is full long before its processor is busy.
+TEST(DutyCapacity, LinkIsNarrow_CountsForLessThanTheProcessor)
+{
+  EXPECT_EQ(DutyCapacity(0.5, 200), 0.5);
+  EXPECT_EQ(DutyCapacity(0.25, 10), 0.1);
+  EXPECT_EQ(DutyCapacity(0.1, 10), 0.1);
+  EXPECT_EQ(DutyCapacity(0.25, 0), 0.25);
+}
+
+TEST(UpdateTree, StrongInstancesHaveNarrowLinks_WideOneForwardsInItsHall)
+{
+  std::vector<FleetPeer> peers;
+  for (int number = 0; number < 20; ++number) {
+    peers.push_back({ "10.0.0." + std::to_string(number) + ":9", "far", 0.25, 10 });
+  }
+  peers.push_back({ "10.0.1.1:9", "far", 0.2, 200 });
+  const auto branches = PlanUpdateTree(peers, { "10.0.2.1:9", "near", 0.5, 200 });
+  ASSERT_EQ(branches.size(), 1U);
+  EXPECT_EQ(branches.front().to_, "10.0.1.1:9");
+}
+
 TEST(UpdateTree, FleetIsSmall_EachGetsItDirectly)
 {
   const std::vector<FleetPeer> peers{ { "a:1", "x", 1 }, { "b:1", "y", 1 }, { "c:1", "y", 1 } };
--- a/Tests/LibGateway/TestRoutingTable.cpp
+++ b/Tests/LibGateway/TestRoutingTable.cpp
@@ -67,6 +67,16 @@
   EXPECT_EQ(ServiceOf("c.example", "/rates/1"), "");
 }
 
+TEST(RouteTable, RouteCarriesLargeBodies_AsksForLoadManagement)
+{
+  RoutingConfiguration configuration;
+  configuration.services_ = { { "rates", 10, true } };
+  configuration.routes_ = { MakeRoute("a.example", "/rates/", "rates") };
+  EXPECT_FALSE(RouteTable::Create(configuration).value().UsesLoadManagement());
+  configuration.routes_.front().hasLargeBodies_ = true;
+  EXPECT_TRUE(RouteTable::Create(configuration).value().UsesLoadManagement());
+}
+
 TEST(RouteTable, RouteNamesUnknownService_IsRefusedWithItsName)
 {
   RoutingConfiguration configuration;
--- a/Tests/LibPermit/InstancesWorld.cpp
+++ b/Tests/LibPermit/InstancesWorld.cpp
@@ -193,7 +193,7 @@
   std::map<std::string, RelayPeer> relays;
   for (const auto& [address, peer] : peers) {
     if (address != AddressOf(index_)) {
-      relays[address] = { peer.hall_, peer.processorShare_ };
+      relays[address] = { peer.hall_, peer.DutyCapacity() };
     }
   }
   paths_.SetPeers(relays);
--- a/Tests/LibPermit/TestDispatcherAssignment.cpp
+++ b/Tests/LibPermit/TestDispatcherAssignment.cpp
@@ -43,6 +43,40 @@
   EXPECT_EQ(dispatchers.size(), kServices.size());
 }
 
+// Guards against a dispatcher whose event loop is idle while its answers wait behind its link.
+TEST(DispatcherAssignment, StrongInstancesHaveNarrowLinks_AreNotDispatchersWhileWideOnesExist)
+{
+  std::map<std::string, FleetPeer> peers;
+  for (const auto& [address, peer] : MakePeers(23, 50)) {
+    const bool isWide = peers.size() < 6;
+    peers[address] = peer;
+    peers[address].linkMbps_ = isWide ? 200 : 10;
+    peers[address].processorShare_ = isWide ? 0.5 : 0.25;
+  }
+  DispatcherAssignment assignment;
+  assignment.Assign(peers, kServices);
+  for (const auto& service : kServices) {
+    for (const auto& candidate : assignment.CandidatesFor(service)) {
+      EXPECT_EQ(peers.at(candidate).linkMbps_, 200);
+    }
+  }
+}
+
+TEST(DispatcherAssignment, AllLinksAreWideEnough_AssignmentIsByProcessorAlone)
+{
+  auto peers = MakePeers(6, 40);
+  DispatcherAssignment without;
+  without.Assign(peers, kServices);
+  for (auto& [address, peer] : peers) {
+    peer.linkMbps_ = peer.processorShare_ == 0.5 ? 200 : 10;
+  }
+  DispatcherAssignment with;
+  with.Assign(peers, kServices);
+  for (const auto& service : kServices) {
+    EXPECT_EQ(with.CandidatesFor(service), without.CandidatesFor(service));
+  }
+}
+
 TEST(DispatcherAssignment, FewerInstancesThanServices_EachServiceHasADispatcher)
 {
   DispatcherAssignment assignment;
--- a/Tests/Platform/TestPlatformDocuments.cpp
+++ b/Tests/Platform/TestPlatformDocuments.cpp
@@ -122,6 +122,8 @@
   EXPECT_TRUE(downloads.routes_[1].isRepeatable_);
   const auto uploads = *Decode(Replace(kManifest, R"("idempotent")", R"("upload")")).value();
   EXPECT_FALSE(uploads.routes_[1].isRepeatable_);
+  EXPECT_TRUE(uploads.routes_[1].hasLargeBodies_);
+  EXPECT_FALSE(downloads.routes_[1].hasLargeBodies_);
 }
 
 TEST_F(ManifestDecoding, ServerRecord_IsReadWithItsIdFromTheKey)
@@ -159,7 +161,7 @@
 constexpr std::string_view kSettings = R"({
   "nodeId": "edge-1", "zone": "hall-a", "unknownField": [1],
   "listen": {"front": "10.1.0.15:1", "ready": "10.1.0.15:2", "control": "10.1.0.15:3"},
-  "seeds": ["10.1.0.16:3"], "limits": {"cpuShare": 0.2, "maxFds": 4100},
+  "seeds": ["10.1.0.16:3"], "limits": {"cpuShare": 0.2, "linkMbps": 10.0, "maxFds": 4100},
   "bounds": ["retryBudgetRatio=0.2", "budgetExtra=62", "budgetWindowS=10", "graceS=6",
              "holdMaxMs=3000", "unknown=true"],
   "platform": {"address": "10.200.1.7:4"}})";
@@ -180,6 +182,7 @@
   EXPECT_EQ(host.member_.self_.address_, "10.1.0.15:3");
   EXPECT_EQ(host.member_.seeds_, std::vector<std::string>{ "10.1.0.16:3" });
   EXPECT_EQ(host.member_.processorShare_, 0.2);
+  EXPECT_EQ(host.member_.linkMbps_, 10);
   EXPECT_EQ(host.clientConnections_, 2050U);
 }
 
