LibPermit: Promise returns with the denials of a dispatcher

A caller that retries and is refused again is the most expensive loss, and a denial named only the queue's time, which ignores new requests and other returns. Under load management the dispatcher now reserves spare capacity for a return, tells the requesting instance so (PermitDenial::isPromised_), recognizes the return by its fingerprint and places it first among requests of its priority and lateness. Without load management, denials are as before.

--- a/Libraries/LibGateway/PermitMessages.h
+++ b/Libraries/LibGateway/PermitMessages.h
@@ -135,6 +135,8 @@
   AttemptNumber number_ = 0;
   // Time until the dispatcher expects to have capacity.
   Duration wait_{ 0 };
+  // Capacity is reserved for a return of the request after wait_.
+  bool isPromised_ = false;
 
   bool operator==(const PermitDenial&) const = default;
 };
--- a/Libraries/LibNet/Generated/Permit.capnp.h
+++ b/Libraries/LibNet/Generated/Permit.capnp.h
@@ -131,7 +131,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a876a31239456726, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(a876a31239456726, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -889,6 +889,8 @@
 
   inline  ::int64_t getWaitMicros() const;
 
+  inline bool getIsPromised() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -923,6 +925,9 @@
   inline  ::int64_t getWaitMicros();
   inline void setWaitMicros( ::int64_t value);
 
+  inline bool getIsPromised();
+  inline void setIsPromised(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2064,6 +2069,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PermitDenial::Reader::getIsPromised() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool PermitDenial::Builder::getIsPromised() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void PermitDenial::Builder::setIsPromised(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::latchslip::wire::ToDispatcher::Which ToDispatcher::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Libraries/LibNet/Permit.capnp
+++ b/Libraries/LibNet/Permit.capnp
@@ -67,6 +67,7 @@
 struct PermitDenial {
   number @0 :UInt64;
   waitMicros @1 :Int64;
+  isPromised @2 :Bool;
 }
 
 struct ToDispatcher {
--- a/Libraries/LibNet/PermitCodec.cpp
+++ b/Libraries/LibNet/PermitCodec.cpp
@@ -128,6 +128,7 @@
   auto out = aOut.initDenial();
   out.setNumber(aDenial.number_);
   out.setWaitMicros(aDenial.wait_.count());
+  out.setIsPromised(aDenial.isPromised_);
 }
 
 void
@@ -240,8 +241,9 @@
     case wire::FromDispatcher::DELAY:
       return MessageFromDispatcher(PermitDelay{ aIn.getDelay() });
     case wire::FromDispatcher::DENIAL:
-      return MessageFromDispatcher(
-        PermitDenial{ aIn.getDenial().getNumber(), Duration(aIn.getDenial().getWaitMicros()) });
+      return MessageFromDispatcher(PermitDenial{ aIn.getDenial().getNumber(),
+                                                 Duration(aIn.getDenial().getWaitMicros()),
+                                                 aIn.getDenial().getIsPromised() });
     case wire::FromDispatcher::SIGN:
       return MessageFromDispatcher(DispatcherSign{});
     case wire::FromDispatcher::QUARANTINE:
--- a/Libraries/LibPermit/PermitDispatcher.cpp
+++ b/Libraries/LibPermit/PermitDispatcher.cpp
@@ -64,6 +64,9 @@
 PermitDispatcher::SetRoutes(Instant aNow, std::shared_ptr<const RouteTable> aRoutes)
 {
   routes_ = std::move(aRoutes);
+  if (!routes_->UsesLoadManagement()) {
+    returns_.Clear();
+  }
   OnDirectoryChanged(aNow);
 }
 
@@ -85,6 +88,10 @@
       service->second.servers_[id].SetRecord(record, service->second.slowStartRate_);
     }
   }
+  returns_.DropScopes([&](const ReturnScope& aScope) {
+    return !aScope.server_.empty() &&
+           !services_.at(aScope.service_).servers_.contains(aScope.server_);
+  });
   ConfirmCrashes(aNow);
   ServeAllLanes(aNow);
 }
@@ -139,10 +146,11 @@
   const auto lane = lanes.find(aRequest.server_);
   const bool isFirst = lane == lanes.end() || lane->second.empty();
   const bool isLate = aRequest.inTime_ <= Duration(0);
+  const bool isReturn = RecognizeReturn(aNow, service->second, aRequest);
   if (isFirst && TryIssue(aNow, service->second, key, aRequest, isLate)) {
     return;
   }
-  QueueOrDeny(aNow, service->second, key, aRequest);
+  QueueOrDeny(aNow, service->second, key, aRequest, isReturn);
   if (!isFirst && !suspects_.IsEmpty()) {
     // The requests ahead may be suspects that wait for their turn.
     ServeLane(aNow, service->second, aRequest.server_);
@@ -410,10 +418,7 @@
              ? LateWaitBound::kMin
              : server->second.ExpectedQueueTime(aNow, ahead, defaultWork);
   }
-  double throughput = 0;
-  for (const auto& [id, server] : aService.servers_) {
-    throughput += server.Throughput(aNow, defaultWork);
-  }
+  const double throughput = ExpectedThroughput(aNow, aService, "");
   constexpr double kLeastThroughput = 0.1;
   constexpr double kMicroseconds = 1e6;
   return Duration(static_cast<Duration::rep>(static_cast<double>(ahead + 1) * kMicroseconds /
@@ -424,15 +429,16 @@
 PermitDispatcher::QueueOrDeny(Instant aNow,
                               Service& aService,
                               PermitKey aKey,
-                              const PermitRequest& aRequest)
+                              const PermitRequest& aRequest,
+                              bool aIsReturn)
 {
   const bool isLate = aRequest.inTime_ <= Duration(0);
   const auto work = ExpectedWork(aNow, aService, aRequest);
-  const auto inTime = aNow + aRequest.inTime_ - Scale(work, kWorkMargin);
+  const auto inTime = aNow + aRequest.inTime_ - Scale(work, aIsReturn ? 1 : kWorkMargin);
   // The answer must arrive before the client gives up.
   const auto lateWait = std::min(aService.lateWait_.Bound(), aRequest.timeLeft_ - work);
   QueuedRequest queued;
-  queued.position_ = { aRequest.priority_, isLate, aNow + aRequest.timeLeft_, aKey };
+  queued.position_ = { aRequest.priority_, isLate, aNow + aRequest.timeLeft_, aKey, aIsReturn };
   const auto wait = ExpectedWait(aNow, aService, aRequest, queued.position_);
   // A server that is not listed yet either appears with the next directory update or never.
   const bool isListed = aRequest.server_.empty() || aService.servers_.contains(aRequest.server_);
@@ -442,7 +448,7 @@
     queued.position_.isLate_ = true;
     queued.denyAt_ = aNow + lateWait;
   } else {
-    actions_.Answer(aKey.first, PermitDenial{ aKey.second, wait });
+    SendDenial(aNow, aService, aKey, aRequest, queued.position_);
     return;
   }
   queued.denyAt_ = std::min(queued.denyAt_, queued.position_.deadline_);
@@ -532,11 +538,10 @@
 {
   const auto& [key, queued] = *aQueued;
   auto& service = services_.at(queued.request_.service_);
-  const auto wait = ExpectedWait(aNow, service, queued.request_, queued.position_);
   if (queued.position_.isLate_) {
     service.lateWait_.OnDenied();
   }
-  actions_.Answer(key.first, PermitDenial{ key.second, wait });
+  SendDenial(aNow, service, key, queued.request_, queued.position_);
   Dequeue(aQueued);
 }
 
--- a/Libraries/LibPermit/PermitDispatcher.h
+++ b/Libraries/LibPermit/PermitDispatcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibAdmission/ReturnCalendar.h"
 #include "LibGateway/QueuePosition.h"
 #include "LibGateway/RoutingTable.h"
 #include "LibPermit/DispatchedServer.h"
@@ -52,6 +53,8 @@
 
   std::size_t Queued() const { return queued_.size(); }
   std::size_t InFlight() const { return permits_.size(); }
+  // Numbers of the promised returns; all zero without load management.
+  const ReturnCounts& Returns() const { return returns_.Counts(); }
 
 private:
   using PermitKey = std::pair<CallerId, AttemptNumber>;
@@ -134,8 +137,26 @@
                        Duration aDefaultWork);
   // Registers an outstanding send and counts it at its server.
   void RegisterSend(Service& aService, PermitKey aKey, RunningSend aSend);
-  void QueueOrDeny(Instant aNow, Service& aService, PermitKey aKey, const PermitRequest& aRequest);
+  void QueueOrDeny(Instant aNow,
+                   Service& aService,
+                   PermitKey aKey,
+                   const PermitRequest& aRequest,
+                   bool aIsReturn);
   void Deny(Instant aNow, QueuedRequests::iterator aQueued);
+  // Whether the request is a promised return; counts it as a new request if not.
+  bool RecognizeReturn(Instant aNow, const Service& aService, const PermitRequest& aRequest);
+  // Tells the requesting instance that the request is denied and when it may return.
+  void SendDenial(Instant aNow,
+                  const Service& aService,
+                  PermitKey aKey,
+                  const PermitRequest& aRequest,
+                  const Position& aPosition);
+  // Whether returns of the request can be promised.
+  bool CanPromise(const Service& aService, const PermitRequest& aRequest) const;
+  // Expected throughput of the server; of the whole service if aServer is empty.
+  static double ExpectedThroughput(Instant aNow,
+                                   const Service& aService,
+                                   const std::string& aServer);
   static Duration ExpectedWait(Instant aNow,
                                const Service& aService,
                                const PermitRequest& aRequest,
@@ -163,6 +184,7 @@
   std::map<std::string, Service, std::less<>> services_;
   std::map<PermitKey, RunningSend> permits_;
   QueuedRequests queued_;
+  ReturnCalendar returns_;
   CrashSuspects suspects_;
   // The suspects under way, by server.
   std::map<std::string, RequestFingerprint> trials_;
--- /dev/null
+++ b/Libraries/LibPermit/PromisedReturns.cpp
@@ -0,0 +1,78 @@
+// Promised returns of denied requests in PermitDispatcher.
+
+#include "LibPermit/PermitDispatcher.h"
+
+namespace latchslip {
+
+bool
+PermitDispatcher::CanPromise(const Service& aService, const PermitRequest& aRequest) const
+{
+  const bool isListed = aRequest.server_.empty() || aService.servers_.contains(aRequest.server_);
+  // A suspect waits for its turn, not for capacity.
+  return routes_ && routes_->UsesLoadManagement() && isListed &&
+         !suspects_.IsSuspect(aRequest.fingerprint_);
+}
+
+bool
+PermitDispatcher::RecognizeReturn(Instant aNow,
+                                  const Service& aService,
+                                  const PermitRequest& aRequest)
+{
+  if (!CanPromise(aService, aRequest)) {
+    return false;
+  }
+  const ReturnScope scope{ aRequest.service_, aRequest.server_ };
+  if (returns_.Redeem(aNow, scope, aRequest.fingerprint_)) {
+    return true;
+  }
+  if (aRequest.inTime_ >= ExpectedWork(aNow, aService, aRequest)) {
+    returns_.OnNewRequest(aNow, scope, aRequest.priority_);
+  }
+  return false;
+}
+
+double
+PermitDispatcher::ExpectedThroughput(Instant aNow,
+                                     const Service& aService,
+                                     const std::string& aServer)
+{
+  const auto defaultWork = aService.DefaultWork();
+  if (!aServer.empty()) {
+    const auto server = aService.servers_.find(aServer);
+    return server == aService.servers_.end() ? 0 : server->second.Throughput(aNow, defaultWork);
+  }
+  double throughput = 0;
+  for (const auto& [id, server] : aService.servers_) {
+    throughput += server.Throughput(aNow, defaultWork);
+  }
+  return throughput;
+}
+
+void
+PermitDispatcher::SendDenial(Instant aNow,
+                             const Service& aService,
+                             PermitKey aKey,
+                             const PermitRequest& aRequest,
+                             const Position& aPosition)
+{
+  ReturnAnswer answer{ ExpectedWait(aNow, aService, aRequest, aPosition), false };
+  if (aPosition.isReturn_) {
+    returns_.OnDeniedAgain();
+  }
+  const double throughput = ExpectedThroughput(aNow, aService, aRequest.server_);
+  // Without any throughput, a server is suspended or leaving; the wait then says for how long.
+  if (throughput > 0 && CanPromise(aService, aRequest)) {
+    answer = returns_.Deny(aNow,
+                           { aRequest.service_, aRequest.server_ },
+                           { aRequest.fingerprint_,
+                             aRequest.priority_,
+                             aRequest.inTime_,
+                             aRequest.timeLeft_,
+                             ExpectedWork(aNow, aService, aRequest),
+                             throughput,
+                             answer.wait_ });
+  }
+  actions_.Answer(aKey.first, PermitDenial{ aKey.second, answer.wait_, answer.isPromised_ });
+}
+
+} // namespace latchslip
--- a/Tests/LibNet/TestPermitCodec.cpp
+++ b/Tests/LibNet/TestPermitCodec.cpp
@@ -50,6 +50,7 @@
   batch.fromDispatcher_ = { Permit{ 7, "s1" },
                             PermitDelay{ 8 },
                             PermitDenial{ 9, milliseconds(250) },
+                            PermitDenial{ 10, milliseconds(350), true },
                             Quarantine{ 0xfeed, seconds(60), 2 },
                             DispatcherSign{} };
   const auto read = Decode(EncodePermitBatch(batch));
