LibGateway: Give promised waits unchanged and name waits that are too long

A random draw around a reserved moment makes callers miss it, and a wait cut to what the caller honours makes it return in vain. Under load management a promised wait and an unpromised wait that is longer than the caller honours are given as they are. Returns for a key without an owner are spread over the second after the expected moment. All other refusals keep the draw.

--- a/Libraries/LibDaemon/GatewayHost.cpp
+++ b/Libraries/LibDaemon/GatewayHost.cpp
@@ -362,9 +362,12 @@
     frontend_.Router().OnPermitDelayed(aNow, aNumber);
     frontend_.ArmTimer();
   }
-  void OnPermitDenied(Instant aNow, AttemptNumber aNumber, Duration aWait) override
+  void OnPermitDenied(Instant aNow,
+                      AttemptNumber aNumber,
+                      Duration aWait,
+                      bool aIsPromised) override
   {
-    frontend_.Router().OnPermitDenied(aNow, aNumber, aWait);
+    frontend_.Router().OnPermitDenied(aNow, aNumber, aWait, aIsPromised);
     frontend_.ArmTimer();
   }
   void OnPermitRequestLost(Instant aNow, AttemptNumber aNumber) override
--- a/Libraries/LibGateway/GatewayRouter.cpp
+++ b/Libraries/LibGateway/GatewayRouter.cpp
@@ -453,6 +453,9 @@
   if (!wait) {
     return most;
   }
+  if (const auto managed = ManagedRetryAfter(aPending, *wait, most)) {
+    return *managed;
+  }
   auto& streak =
     refusalStreaks_[aPending.owner_.empty() ? aPending.service_->name_ : aPending.owner_];
   const auto lasting = streak.OnRefusal(aNow);
--- a/Libraries/LibGateway/GatewayRouter.h
+++ b/Libraries/LibGateway/GatewayRouter.h
@@ -61,7 +61,10 @@
   // will not answer. aWait is the time until the dispatcher expects to have capacity.
   void OnPermit(Instant aNow, AttemptNumber aNumber, const std::string& aServer);
   void OnPermitDelayed(Instant aNow, AttemptNumber aNumber);
-  void OnPermitDenied(Instant aNow, AttemptNumber aNumber, Duration aWait);
+  void OnPermitDenied(Instant aNow,
+                      AttemptNumber aNumber,
+                      Duration aWait,
+                      bool aIsPromised = false);
   void OnPermitRequestLost(Instant aNow, AttemptNumber aNumber);
   // The request must not be sent to any server for some time: refuses its repetitions that wait.
   void OnQuarantine(Instant aNow, RequestFingerprint aFingerprint);
@@ -249,6 +252,12 @@
   void Refuse(Instant aNow, PendingRequest& aPending, RefusalReason aReason);
   // Delay after which a refused client should retry.
   Duration RetryAfterOf(Instant aNow, PendingRequest& aPending);
+  // The part of RetryAfterOf under load management: the value for a known wait that is given
+  // without a random draw around it, or for a key without an owner; no value for all else.
+  // aHonoured is the longest wait that the client honours.
+  std::optional<Duration> ManagedRetryAfter(const PendingRequest& aPending,
+                                            Duration aWait,
+                                            Duration aHonoured);
   // Removes the request and its timer, queue entry and permit request.
   void Finish(RequestNumber aRequest);
   // Instant::max() for no timer.
--- a/Libraries/LibGateway/PendingRequest.h
+++ b/Libraries/LibGateway/PendingRequest.h
@@ -43,6 +43,8 @@
   bool isPermitAnnounced_ = false;
   // Time until the dispatcher expects to have capacity, if it reported one.
   std::optional<Duration> dispatcherWait_;
+  // The dispatcher reserves capacity for a return after dispatcherWait_.
+  bool isReturnPromised_ = false;
   // Server of the last attempt.
   std::string server_;
   std::uint64_t serverIncarnation_ = 0;
--- a/Libraries/LibGateway/PermitRequests.cpp
+++ b/Libraries/LibGateway/PermitRequests.cpp
@@ -149,10 +149,11 @@
 }
 
 void
-GatewayRouter::OnPermitDenied(Instant aNow, AttemptNumber aNumber, Duration aWait)
+GatewayRouter::OnPermitDenied(Instant aNow, AttemptNumber aNumber, Duration aWait, bool aIsPromised)
 {
   if (auto* pending = TakePermitRequest(aNumber)) {
     pending->dispatcherWait_ = aWait;
+    pending->isReturnPromised_ = aIsPromised;
     pending->blockReason_ =
       IsQuarantined(aNow, *pending) ? RefusalReason::Quarantined : RefusalReason::NoCapacity;
     RefuseWaiting(aNow, *pending);
--- a/Libraries/LibPermit/PermitClient.cpp
+++ b/Libraries/LibPermit/PermitClient.cpp
@@ -237,7 +237,7 @@
     }
   } else if (const auto* denial = std::get_if<PermitDenial>(&aMessage)) {
     if (requests_.erase(denial->number_) > 0) {
-      listener_->OnPermitDenied(aNow, denial->number_, denial->wait_);
+      listener_->OnPermitDenied(aNow, denial->number_, denial->wait_, denial->isPromised_);
     }
   } else if (const auto* quarantine = std::get_if<Quarantine>(&aMessage)) {
     ApplyQuarantines(aNow, suspects_.OnQuarantine(aNow, *quarantine));
--- a/Libraries/LibPermit/PermitClient.h
+++ b/Libraries/LibPermit/PermitClient.h
@@ -35,7 +35,11 @@
   // The request is queued at the dispatcher; a permit or a denial follows.
   virtual void OnPermitDelayed(Instant aNow, AttemptNumber aNumber) = 0;
   // No permit will be issued in time; aWait is the expected time until a server has capacity.
-  virtual void OnPermitDenied(Instant aNow, AttemptNumber aNumber, Duration aWait) = 0;
+  // aIsPromised tells whether the dispatcher reserves capacity for a return after aWait.
+  virtual void OnPermitDenied(Instant aNow,
+                              AttemptNumber aNumber,
+                              Duration aWait,
+                              bool aIsPromised) = 0;
   // The dispatcher was lost. The permit must be requested again, or the request sent without one.
   virtual void OnPermitRequestLost(Instant aNow, AttemptNumber aNumber) = 0;
   // The request must not be sent to any server for some time.
--- a/Tests/LibGateway/TestPermitRequests.cpp
+++ b/Tests/LibGateway/TestPermitRequests.cpp
@@ -40,7 +40,9 @@
 class RouterWithADispatcher : public testing::Test
 {
 protected:
-  RouterWithADispatcher()
+  RouterWithADispatcher() { StartWithRoutes(false); }
+
+  void StartWithRoutes(bool aHasLargeBodies)
   {
     for (const auto* id : { "p1", "p2" }) {
       directory_.Put(now_, { id, "plain", std::string(id) + ":80", "hall", 4, false, 1 });
@@ -57,6 +59,7 @@
       route.latencyTarget_ = milliseconds(200);
       route.timeLimit_ = milliseconds(500);
       route.maxAttempts_ = 2;
+      route.hasLargeBodies_ = aHasLargeBodies;
       route.targets_ = { { service, 1 } };
       configuration.routes_.push_back(route);
     }
@@ -222,6 +225,78 @@
   EXPECT_GE(actions_.refused_[request].retryAfter_, milliseconds(50));
 }
 
+// A router whose routes carry large bodies, so that load management is on. A caller with 500 ms
+// left honours a wait of 150 ms.
+class RouterUnderLoadManagement : public RouterWithADispatcher
+{
+protected:
+  RouterUnderLoadManagement() { StartWithRoutes(true); }
+
+  // What the client of a request is told whose permit is denied.
+  Duration ToldAfterDenial(Duration aWait, bool aIsPromised)
+  {
+    const auto request = Request("/plain/1");
+    router_.OnPermitDenied(now_, permits_.permitRequests_.back().number_, aWait, aIsPromised);
+    return actions_.refused_.at(request).retryAfter_;
+  }
+};
+
+// Guards against callers that miss the reserved moment because of a draw or a minimum.
+TEST_F(RouterUnderLoadManagement, ReturnIsPromised_ClientIsToldTheWaitUnchanged)
+{
+  for (const auto wait : { milliseconds(10), milliseconds(100), milliseconds(140) }) {
+    for (int repetition = 0; repetition < 5; ++repetition) {
+      EXPECT_EQ(ToldAfterDenial(wait, true), wait);
+    }
+  }
+}
+
+// Guards against callers that are told to return in vain.
+TEST_F(RouterUnderLoadManagement, WaitIsLongerThanHonoured_ClientIsToldItRoundedUp)
+{
+  EXPECT_EQ(ToldAfterDenial(microseconds(700100), false), milliseconds(701));
+  EXPECT_EQ(ToldAfterDenial(seconds(3), false), seconds(3));
+}
+
+// Guards against unpromised returns that collide.
+TEST_F(RouterUnderLoadManagement, WaitIsHonouredAndNotPromised_DrawStays)
+{
+  std::set<Duration> told;
+  for (int repetition = 0; repetition < 10; ++repetition) {
+    told.insert(ToldAfterDenial(milliseconds(100), false));
+  }
+  EXPECT_GT(told.size(), 1U);
+  EXPECT_LE(*told.rbegin(), milliseconds(150));
+}
+
+// Guards against returns for a moved key that come all at once when it has an owner again.
+TEST_F(RouterUnderLoadManagement, KeyHasNoOwner_ReturnsAreSpreadFromTheExpectedMomentOn)
+{
+  router_.SetOwnership(now_, { "keyed", 3, { { 0, 99, "k1", 2, "k0" } } });
+  std::vector<RequestNumber> requests;
+  for (int index = 0; index < 20; ++index) {
+    requests.push_back(Request("/keyed/1", 50));
+  }
+  Pass(milliseconds(600));
+  std::set<Duration> told;
+  for (const auto request : requests) {
+    ASSERT_TRUE(actions_.refused_.contains(request));
+    EXPECT_EQ(actions_.refused_.at(request).reason_, RefusalReason::NoOwner);
+    told.insert(actions_.refused_.at(request).retryAfter_);
+  }
+  EXPECT_GT(*told.rbegin() - *told.begin(), milliseconds(300));
+  EXPECT_LE(*told.rbegin() - *told.begin(), seconds(1));
+  EXPECT_GT(told.size(), 10U);
+}
+
+// Guards against a change for deployments that do not ask for load management.
+TEST_F(RouterWithADispatcher, WaitIsLongerThanHonoured_ClientIsToldWhatItHonours)
+{
+  const auto request = Request("/plain/1");
+  router_.OnPermitDenied(now_, permits_.permitRequests_[0].number_, seconds(3));
+  EXPECT_LE(actions_.refused_.at(request).retryAfter_, milliseconds(150));
+}
+
 TEST_F(RouterWithADispatcher, DispatcherDoesNotAnswer_RequestIsSentWithoutPermitAndReported)
 {
   Request("/plain/1");
--- a/Tests/LibPermit/InstancesWorld.cpp
+++ b/Tests/LibPermit/InstancesWorld.cpp
@@ -126,9 +126,12 @@
   {
     router_.OnPermitDelayed(aNow, aNumber);
   }
-  void OnPermitDenied(Instant aNow, AttemptNumber aNumber, Duration aWait) override
+  void OnPermitDenied(Instant aNow,
+                      AttemptNumber aNumber,
+                      Duration aWait,
+                      bool aIsPromised) override
   {
-    router_.OnPermitDenied(aNow, aNumber, aWait);
+    router_.OnPermitDenied(aNow, aNumber, aWait, aIsPromised);
   }
   void OnPermitRequestLost(Instant aNow, AttemptNumber aNumber) override
   {
--- a/Tests/LibPermit/TestPermitClient.cpp
+++ b/Tests/LibPermit/TestPermitClient.cpp
@@ -25,7 +25,7 @@
     permits_[aNumber] = aServer;
   }
   void OnPermitDelayed(Instant, AttemptNumber aNumber) override { delayed_.insert(aNumber); }
-  void OnPermitDenied(Instant, AttemptNumber aNumber, Duration) override
+  void OnPermitDenied(Instant, AttemptNumber aNumber, Duration, bool) override
   {
     denied_.insert(aNumber);
   }
