LibDaemon: Count promised returns on the metrics page

Nothing showed whether promises are kept. The page now has the numbers of returns promised, kept, denied again and expired at this dispatcher.

--- a/Libraries/LibDaemon/GatewayHost.cpp
+++ b/Libraries/LibDaemon/GatewayHost.cpp
@@ -151,6 +151,7 @@
       frontend_.Router().Statistics(),
       store_.Calls(),
       loop_,
+      permits_.Dispatcher().Returns(),
       { { "requests_under_way", static_cast<double>(frontend_.Router().InFlight()) },
         { "requests_waiting", static_cast<double>(frontend_.Router().Waiting()) },
         { "is_placer", member_.IsPlacer() ? 1 : 0 },
--- a/Libraries/LibDaemon/GatewayMetrics.cpp
+++ b/Libraries/LibDaemon/GatewayMetrics.cpp
@@ -91,6 +91,21 @@
   }
 }
 
+void
+WriteReturns(std::ostream& aText, const ReturnCounts& aReturns)
+{
+  const std::pair<std::string_view, std::uint64_t> counts[] = {
+    { "returns_promised_total", aReturns.promised_ },
+    { "returns_kept_total", aReturns.kept_ },
+    { "returns_denied_again_total", aReturns.deniedAgain_ },
+    { "returns_expired_total", aReturns.expired_ },
+  };
+  for (const auto& [name, count] : counts) {
+    WriteType(aText, name, "counter");
+    aText << "latchslip_" << name << ' ' << count << '\n';
+  }
+}
+
 } // namespace
 
 void
@@ -105,6 +120,7 @@
                        const RequestStatistics& aStatistics,
                        const StoreCallCounts& aCalls,
                        const LoopMonitor& aLoop,
+                       const ReturnCounts& aReturns,
                        const std::map<std::string, double>& aGauges) const
 {
   std::ostringstream text;
@@ -119,6 +135,7 @@
   WriteServers(text, aStatistics);
   WriteStoreCalls(text, aCalls);
   aLoop.Render(text);
+  WriteReturns(text, aReturns);
   WriteType(text, "events_total", "counter");
   for (const auto& entry : AllEvents()) {
     if (const auto count = aLog.CountOf(entry.event_); count > 0) {
--- a/Libraries/LibDaemon/GatewayMetrics.h
+++ b/Libraries/LibDaemon/GatewayMetrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibAdmission/ReturnCalendar.h"
 #include "LibBase/Time.h"
 #include "LibDaemon/LineLog.h"
 #include "LibDaemon/LoopMonitor.h"
@@ -22,12 +23,13 @@
   void OnAnswer(unsigned aStatus, Duration aLatency);
 
   // Renders the metrics page. aLog supplies the event counters, aStatistics the counters per
-  // route, group and server, aCalls the store calls, aLoop the load of the event loop; aGauges are
-  // further values by name.
+  // route, group and server, aCalls the store calls, aLoop the load of the event loop, aReturns
+  // the promised returns of this dispatcher; aGauges are further values by name.
   std::string Render(const LineLog& aLog,
                      const RequestStatistics& aStatistics,
                      const StoreCallCounts& aCalls,
                      const LoopMonitor& aLoop,
+                     const ReturnCounts& aReturns,
                      const std::map<std::string, double>& aGauges) const;
 
 private:
--- a/Libraries/LibDaemon/PermitLinks.h
+++ b/Libraries/LibDaemon/PermitLinks.h
@@ -45,6 +45,7 @@
   void OnTime();
   PermitClient& Client() { return client_; }
   PermitDispatcher& Dispatcher() { return dispatcher_; }
+  const PermitDispatcher& Dispatcher() const { return dispatcher_; }
 
 private:
   // A connection and the batch to be sent on it at the end of the turn.
--- a/Tests/LibDaemon/TestLineLog.cpp
+++ b/Tests/LibDaemon/TestLineLog.cpp
@@ -103,7 +103,9 @@
   calls[1][2] = 7;
   LoopMonitor loop(log, [] { return Duration(0); });
   loop.OnTimer(milliseconds(30), milliseconds(20));
-  const auto text = metrics.Render(log, statistics, calls, loop, { { "requests_waiting", 3 } });
+  const ReturnCounts returns{ 9, 6, 1, 2 };
+  const auto text =
+    metrics.Render(log, statistics, calls, loop, returns, { { "requests_waiting", 3 } });
   EXPECT_NE(text.find("latchslip_answers_total{status=\"200\"} 2\n"), std::string::npos) << text;
   EXPECT_NE(text.find("latchslip_latency_ms_bucket{le=\"50\"} 2\n"), std::string::npos) << text;
   EXPECT_NE(text.find("latchslip_latency_ms_bucket{le=\"+Inf\"} 3\n"), std::string::npos);
@@ -117,6 +119,10 @@
          "latchslip_server_sends_total{server=\"s1\",end=\"wrong-server\"} 1\n",
          "latchslip_store_calls_total{kind=\"follow\",end=\"lost\"} 7\n",
          "latchslip_loop_delay_ms_bucket{le=\"20\"} 1\n",
+         "latchslip_returns_promised_total 9\n",
+         "latchslip_returns_kept_total 6\n",
+         "latchslip_returns_denied_again_total 1\n",
+         "latchslip_returns_expired_total 2\n",
        }) {
     EXPECT_NE(text.find(line), std::string::npos) << line << text;
   }
