LibPermit: Test promised returns under load and let late returns yield

A trial with bursts showed that counting denied requests as new ones leaves nearly nothing to promise: only requests that get a permit or are queued in time count now. Late returns keep their place until they can be served with a free slot, yield to requests of any priority that can be in time, and do not change the bound on the waits of other late requests.

--- a/Libraries/LibAdmission/ReturnCalendar.h
+++ b/Libraries/LibAdmission/ReturnCalendar.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <tuple>
 #include <utility>
 
 namespace latchslip {
@@ -20,7 +21,11 @@
   // Empty if any server of the service may run the request.
   std::string server_;
 
-  auto operator<=>(const ReturnScope&) const = default;
+  bool operator==(const ReturnScope&) const = default;
+  bool operator<(const ReturnScope& aOther) const
+  {
+    return std::tie(service_, server_) < std::tie(aOther.service_, aOther.server_);
+  }
 };
 
 // A denied request whose caller may return.
@@ -77,7 +82,7 @@
   // A scope promises nothing in this time after its first request, until its load is known.
   static constexpr Duration kLearning = milliseconds(500);
 
-  // Counts a request whose answer can be in time and that is not a promised return.
+  // Counts a request that is served, or queued to be served, in time and is not a promised return.
   void OnNewRequest(Instant aNow, const ReturnScope& aScope, unsigned aPriority);
   // Whether the request is a promised return that is due; uses up its entry.
   bool Redeem(Instant aNow, const ReturnScope& aScope, RequestFingerprint aFingerprint);
--- a/Libraries/LibPermit/PermitDispatcher.cpp
+++ b/Libraries/LibPermit/PermitDispatcher.cpp
@@ -148,11 +148,14 @@
   const bool isLate = aRequest.inTime_ <= Duration(0);
   const bool isReturn = RecognizeReturn(aNow, service->second, aRequest);
   if (isFirst && TryIssue(aNow, service->second, key, aRequest, isLate)) {
+    if (!isReturn && !isLate) {
+      CountNewRequest(aNow, service->second, aRequest);
+    }
     return;
   }
   QueueOrDeny(aNow, service->second, key, aRequest, isReturn);
-  if (!isFirst && !suspects_.IsEmpty()) {
-    // The requests ahead may be suspects that wait for their turn.
+  if (!isFirst && (!suspects_.IsEmpty() || returns_.Counts().kept_ > 0)) {
+    // The requests ahead may be suspects that wait for their turn, or late returns.
     ServeLane(aNow, service->second, aRequest.server_);
   }
 }
@@ -436,7 +439,8 @@
   const auto work = ExpectedWork(aNow, aService, aRequest);
   const auto inTime = aNow + aRequest.inTime_ - Scale(work, aIsReturn ? 1 : kWorkMargin);
   // The answer must arrive before the client gives up.
-  const auto lateWait = std::min(aService.lateWait_.Bound(), aRequest.timeLeft_ - work);
+  const auto latest = aRequest.timeLeft_ - work;
+  const auto lateWait = aIsReturn ? latest : std::min(aService.lateWait_.Bound(), latest);
   QueuedRequest queued;
   queued.position_ = { aRequest.priority_, isLate, aNow + aRequest.timeLeft_, aKey, aIsReturn };
   const auto wait = ExpectedWait(aNow, aService, aRequest, queued.position_);
@@ -444,6 +448,9 @@
   const bool isListed = aRequest.server_.empty() || aService.servers_.contains(aRequest.server_);
   if (!isLate && isListed && aNow + wait <= inTime) {
     queued.denyAt_ = inTime;
+    if (!aIsReturn) {
+      CountNewRequest(aNow, aService, aRequest);
+    }
   } else if (wait <= lateWait) {
     queued.position_.isLate_ = true;
     queued.denyAt_ = aNow + lateWait;
@@ -478,25 +485,32 @@
 PermitDispatcher::ServeLane(Instant aNow, Service& aService, const std::string& aLane)
 {
   // Requests of instances that are in backoff for a server must not block those of other instances,
-  // nor a suspect those of others.
+  // nor a suspect those of others, nor a late return, which needs a free slot, those in time.
   std::ptrdiff_t skipped = 0;
   for (;;) {
     const auto lane = aService.lanes_.find(aLane);
     if (lane == aService.lanes_.end() || std::ssize(lane->second) <= skipped) {
       return;
     }
-    const auto position = *std::next(lane->second.begin(), skipped);
+    const auto entry = std::next(lane->second.begin(), skipped);
+    const auto position = *entry;
     const auto queued = queued_.find(position.key_);
-    if (!TryIssue(aNow, aService, position.key_, queued->second.request_, position.isLate_)) {
+    const bool isLateReturn = position.isLate_ && position.isReturn_;
+    // A late return must not displace a request of any priority that can be in time.
+    const bool mustYield =
+      isLateReturn &&
+      std::any_of(entry, lane->second.end(), [](const auto& aOther) { return !aOther.isLate_; });
+    if (mustYield ||
+        !TryIssue(aNow, aService, position.key_, queued->second.request_, position.isLate_)) {
       const auto& request = queued->second.request_;
-      if (!IsBlockedByBackoff(aNow, aService, position.key_.first, request) &&
+      if (!isLateReturn && !IsBlockedByBackoff(aNow, aService, position.key_.first, request) &&
           !suspects_.IsSuspect(request.fingerprint_)) {
         return;
       }
       ++skipped;
       continue;
     }
-    if (position.isLate_) {
+    if (position.isLate_ && !position.isReturn_) {
       aService.lateWait_.OnServed();
     }
     Dequeue(queued);
@@ -538,7 +552,7 @@
 {
   const auto& [key, queued] = *aQueued;
   auto& service = services_.at(queued.request_.service_);
-  if (queued.position_.isLate_) {
+  if (queued.position_.isLate_ && !queued.position_.isReturn_) {
     service.lateWait_.OnDenied();
   }
   SendDenial(aNow, service, key, queued.request_, queued.position_);
--- a/Libraries/LibPermit/PermitDispatcher.h
+++ b/Libraries/LibPermit/PermitDispatcher.h
@@ -143,8 +143,10 @@
                    const PermitRequest& aRequest,
                    bool aIsReturn);
   void Deny(Instant aNow, QueuedRequests::iterator aQueued);
-  // Whether the request is a promised return; counts it as a new request if not.
+  // Whether the request is a promised return; uses up its entry.
   bool RecognizeReturn(Instant aNow, const Service& aService, const PermitRequest& aRequest);
+  // Counts a new request that is expected to be served in time.
+  void CountNewRequest(Instant aNow, const Service& aService, const PermitRequest& aRequest);
   // Tells the requesting instance that the request is denied and when it may return.
   void SendDenial(Instant aNow,
                   const Service& aService,
--- a/Libraries/LibPermit/PromisedReturns.cpp
+++ b/Libraries/LibPermit/PromisedReturns.cpp
@@ -21,14 +21,17 @@
   if (!CanPromise(aService, aRequest)) {
     return false;
   }
-  const ReturnScope scope{ aRequest.service_, aRequest.server_ };
-  if (returns_.Redeem(aNow, scope, aRequest.fingerprint_)) {
-    return true;
-  }
-  if (aRequest.inTime_ >= ExpectedWork(aNow, aService, aRequest)) {
-    returns_.OnNewRequest(aNow, scope, aRequest.priority_);
+  return returns_.Redeem(aNow, { aRequest.service_, aRequest.server_ }, aRequest.fingerprint_);
+}
+
+void
+PermitDispatcher::CountNewRequest(Instant aNow,
+                                  const Service& aService,
+                                  const PermitRequest& aRequest)
+{
+  if (CanPromise(aService, aRequest)) {
+    returns_.OnNewRequest(aNow, { aRequest.service_, aRequest.server_ }, aRequest.priority_);
   }
-  return false;
 }
 
 double
--- a/Tests/LibPermit/TestPromisedReturns.cpp
+++ b/Tests/LibPermit/TestPromisedReturns.cpp
@@ -139,6 +139,28 @@
   EXPECT_EQ(PermittedTo(back), "");
 }
 
+// Guards against late returns that displace less urgent requests that can still be in time.
+TEST_F(DispatcherWithPromises, LateReturnIsMoreUrgent_RequestsInTimeGoFirst)
+{
+  Put("s1", "hall", 1);
+  RunLightLoad(seconds(3));
+  const auto* denial = AskWhileFull(7);
+  ASSERT_NE(denial, nullptr);
+  ASSERT_TRUE(denial->isPromised_);
+  Pass(denial->wait_ - kWork);
+  Fill();
+  const auto back = Ask(7, Duration(0), 0);
+  const auto fresh = Ask(8, milliseconds(1000), 1);
+  ASSERT_EQ(dispatcher_.Returns().kept_, 1U);
+  End(running_[0], SendResult::Answered, kWork);
+  End(running_[1], SendResult::Answered, kWork);
+  EXPECT_EQ(PermittedTo(fresh), "s1");
+  EXPECT_EQ(PermittedTo(back), "");
+  End(running_[2], SendResult::Answered, kWork);
+  End(fresh, SendResult::Answered, kWork);
+  EXPECT_EQ(PermittedTo(back), "s1") << "the server is idle";
+}
+
 // Guards against callers that repeat at once to get ahead of others.
 TEST_F(DispatcherWithPromises, CallerRepeatsAtOnce_IsToldTheSameMomentAndReservesNothing)
 {
