LibFleet: Remember that the former placer has stopped until placers start

Cause: a new placer starts the placers of the services once it knows the servers. A report of the former placer that came earlier was applied to no placer and then forgotten, so the keys of every silent server waited for 6 s and a lease.

Change: FleetMember keeps the time of that report and passes it to each placer that it starts later. A new claim clears the time, since another instance may have been the placer in between.

--- a/Libraries/LibFleet/FleetMember.h
+++ b/Libraries/LibFleet/FleetMember.h
@@ -360,6 +360,8 @@
   // The instance that was the placer before this one; empty if there is none, or once it is known
   // to have stopped.
   std::string formerPlacer_;
+  // When it was known to have stopped. The placers of the services may start after that.
+  std::optional<Instant> formerPlacerStoppedAt_;
   bool isStoreLost_ = false;
   bool isStale_ = false;
   // When the placer last answered a report, whether or not it reached the store.
--- a/Libraries/LibFleet/FleetMemberPlacer.cpp
+++ b/Libraries/LibFleet/FleetMemberPlacer.cpp
@@ -51,6 +51,7 @@
     conditions.push_back({ OwnershipKey(service), owned == nullptr ? 0 : owned->version_ });
   }
   write.transaction_.writes_.push_back({ key, SerializePlacerRow(settings_.self_) });
+  formerPlacerStoppedAt_.reset();
   formerPlacer_ = election_.Current() ? election_.Current()->instance_ : std::string();
   if (!formerPlacer_.empty() && formerPlacer_ != settings_.self_.instance_) {
     events_.Record(Event::PlacerSilent, "placer=" + election_.Current()->instance_);
@@ -75,6 +76,8 @@
     }
     if (formerPlacer_ == settings_.self_.instance_) {
       placer->placer_.OnFormerPlacerStopped(aNow);
+    } else if (formerPlacerStoppedAt_) {
+      placer->placer_.OnFormerPlacerStopped(*formerPlacerStoppedAt_);
     }
   }
 }
--- a/Libraries/LibFleet/FleetMemberReports.cpp
+++ b/Libraries/LibFleet/FleetMemberReports.cpp
@@ -153,6 +153,7 @@
       placer->placer_.OnFormerPlacerStopped(aNow);
     }
     formerPlacer_.clear();
+    formerPlacerStoppedAt_ = aNow;
   }
   for (const auto& [service, counts] : aReport.keyCounts_) {
     if (const auto placer = placers_.find(service); placer != placers_.end()) {
--- a/Tests/LibFleet/TestFleetMember.cpp
+++ b/Tests/LibFleet/TestFleetMember.cpp
@@ -125,6 +125,118 @@
   EXPECT_EQ(events_.CountOf(Event::ServerEndProven), 1);
 }
 
+// A new placer that takes over the keys of s1, which is lost, and of s2 before it knows the
+// servers.
+class PlacerWithoutServers : public FleetMemberTest
+{
+protected:
+  static constexpr const char* kFormer = "i2";
+
+  void TakeOver(const std::string& aFormer, const std::string& aFormerAddress)
+  {
+    const KeyOwnership ownership{ "rates",
+                                  2,
+                                  { { 0, 32767, "s1", 1, "" }, { 32768, kLastKey, "s2", 2, "" } } };
+    Show(FleetTable::Configuration, 5, { { "config", 5, "1" } });
+    Show(FleetTable::Fleet,
+         7,
+         { { "placer", 7, Placer(aFormer, aFormerAddress) },
+           { "ownership/rates", 6, SerializeOwnership(ownership) } });
+    for (int step = 0; step < 200 && fleet_.transactions_.empty(); ++step) {
+      Advance(milliseconds(50));
+    }
+    ASSERT_EQ(fleet_.transactions_.size(), 1U);
+    Acknowledge(version_++);
+    ASSERT_TRUE(member_.IsPlacer());
+  }
+
+  void ShowServers() { Show(FleetTable::Servers, 8, { { "s2", 3, "ready" } }); }
+
+  // Answers all commands and writes. Writes also keep the contact with the store.
+  void Run(Duration aTime)
+  {
+    const auto end = now_ + aTime;
+    while (now_ < end) {
+      Advance(milliseconds(50));
+      member_.OnReport(now_, ReportOf("i3", "10.0.0.3:9"));
+      for (; acknowledged_ < fleet_.transactions_.size(); ++acknowledged_) {
+        Acknowledge(version_++);
+      }
+      for (const auto& command : std::exchange(fleet_.commands_, {})) {
+        member_.OnCommandEnded(now_, "rates", command.number_, { CommandStatus::Done });
+      }
+    }
+  }
+
+  bool AreKeysCleared() const { return events_.CountOf(Event::KeysCleared) > 0; }
+
+  RowVersion version_ = 20;
+
+private:
+  std::size_t acknowledged_ = 1;
+};
+
+// Guards against forgetting the report of the former placer: the keys of a lost server then have no
+// owner for 11.1 s instead of 5.1 s.
+TEST_F(PlacerWithoutServers, FormerPlacerReports_KeysOfALostServerWaitOneLease)
+{
+  TakeOver(kFormer, kOther);
+  member_.OnReport(now_, ReportOf(kFormer, kOther));
+  Run(milliseconds(500));
+  ShowServers();
+  Run(milliseconds(4500));
+  EXPECT_FALSE(AreKeysCleared());
+  Run(milliseconds(400));
+  EXPECT_TRUE(AreKeysCleared());
+}
+
+// The former placer was an earlier run of this instance, whose own report comes before the servers.
+TEST_F(PlacerWithoutServers, FormerPlacerIsThisInstance_KeysOfALostServerWaitOneLease)
+{
+  TakeOver("i1", kSelf);
+  Run(milliseconds(1000));
+  ShowServers();
+  Run(milliseconds(5500));
+  EXPECT_TRUE(AreKeysCleared());
+}
+
+// Guards against counting any report as that of the former placer.
+TEST_F(PlacerWithoutServers, OnlyAnotherInstanceReports_KeysOfALostServerWaitForTheFormerPlacer)
+{
+  TakeOver(kFormer, kOther);
+  Run(milliseconds(500));
+  ShowServers();
+  Run(milliseconds(10800));
+  EXPECT_FALSE(AreKeysCleared());
+  Run(milliseconds(800));
+  EXPECT_TRUE(AreKeysCleared());
+}
+
+// Guards against using the report of a former placer in a later claim: another instance has been
+// the placer since, and it has not reported.
+TEST_F(PlacerWithoutServers, AnotherPlacerFollowedTheReport_KeysOfALostServerWaitForThatPlacer)
+{
+  TakeOver(kFormer, kOther);
+  member_.OnReport(now_, ReportOf(kFormer, kOther));
+  FleetUpdate update;
+  update.placer_ = Row{ "placer", 30, Placer("i4", "10.0.0.4:9") };
+  member_.OnUpdate(now_, update);
+  ASSERT_FALSE(member_.IsPlacer());
+  const auto sent = fleet_.transactions_.size();
+  for (int step = 0; step < 200 && fleet_.transactions_.size() == sent; ++step) {
+    Advance(milliseconds(50));
+  }
+  ASSERT_GT(fleet_.transactions_.size(), sent);
+  version_ = 40;
+  Acknowledge(version_++);
+  ASSERT_TRUE(member_.IsPlacer());
+  ShowServers();
+  Run(milliseconds(10800));
+  EXPECT_FALSE(AreKeysCleared());
+  Run(milliseconds(800));
+  EXPECT_TRUE(AreKeysCleared());
+}
+
 // Unless its keys are moved, they have no owner until the server has shut down.
 TEST_F(FleetMemberTest, AnswerAnnouncesThatAServerLeaves_PlacerMovesItsKeys)
 {
