LibKeys: Hold a new placer's grants back until its fences are written

Cause: a new placer sent all grants under the former fences at once, and again under its own some 100 ms later. Of the first ones, those to servers that were lost in that moment went unanswered, and each blocked its range for 17 s.

Change: with load management, a new placer sends no grant under former fences for 300 ms after its start, or until its own are written, or when the store is down. Releases go out as before. It is limited to load management because it uses up to 300 ms of the leases that the placer takes over. PlacerWorld has a time that a write takes, and counts grants by fence.

--- a/Libraries/LibFleet/FleetMember.h
+++ b/Libraries/LibFleet/FleetMember.h
@@ -281,6 +281,7 @@
   void KeepUncertainLease(Instant aNow, const UncertainLease& aLease);
   // Sends the tables to instances that reported that they have just started.
   void SendTables(Instant aNow);
+  bool UsesLoadManagement() const;
   // Whether this instance may still send key commands as the placer.
   bool MaySendCommands(Instant aNow) const;
 
--- a/Libraries/LibFleet/FleetMemberPlacer.cpp
+++ b/Libraries/LibFleet/FleetMemberPlacer.cpp
@@ -106,6 +106,7 @@
   for (const auto& [service, placer] : placers_) {
     if (aNow >= placer->placer_.NextTime()) {
       placer->placer_.SetEpoch(view_.Epoch());
+      placer->placer_.SetLoadManagement(UsesLoadManagement());
       if (aNow >= placer->nextServersAt_) {
         placer->nextServersAt_ = aNow + kServersRefreshInterval;
         placer->placer_.SetServers(aNow, KeyServersOf(aNow, service));
@@ -115,6 +116,12 @@
   }
 }
 
+bool
+FleetMember::UsesLoadManagement() const
+{
+  return view_.Routes() != nullptr && view_.Routes()->UsesLoadManagement();
+}
+
 // Another instance may be the placer by now, and relies on this one having stopped. That is
 // impossible as long as most of the other instances that reported here when the store was last
 // reachable still do.
--- a/Libraries/LibKeys/OwnershipPlacer.cpp
+++ b/Libraries/LibKeys/OwnershipPlacer.cpp
@@ -29,6 +29,10 @@
 // Consecutive refused connections that, together with the other signs, prove that a server has
 // left.
 constexpr unsigned kRefusalsToProveLeft = 3;
+// How long a new placer holds grants back until its own fences are written. Grants under the fences
+// of the former placer that are lost with their servers block their ranges for 17 s. A new placer
+// has more than a second left of the leases that it takes over.
+constexpr Duration kFormerFenceHoldTime = milliseconds(300);
 // Number of fences skipped when the owners are written again in a later epoch of the store. It
 // exceeds the number of fences issued in the seconds by which a copy of the store lags behind: a
 // takeover issues one per range, a few thousand, and takes two seconds.
@@ -234,6 +238,7 @@
     // well.
     return;
   }
+  holdsGrants_ = HoldsGrants(aNow, aMayWrite);
   for (std::size_t index = 0; index < committed_.ranges_.size(); ++index) {
     Advance(aNow, committed_.ranges_[index], states_[index]);
   }
@@ -248,6 +253,13 @@
   actions_.Write(*writing_);
 }
 
+bool
+OwnershipPlacer::HoldsGrants(Instant aNow, bool aMayWrite) const
+{
+  return usesLoadManagement_ && hasFormerFences_ && aMayWrite &&
+         aNow < startedAt_ + kFormerFenceHoldTime;
+}
+
 std::optional<KeyOwnership>
 OwnershipPlacer::Plan(Instant aNow)
 {
@@ -445,6 +457,9 @@
 void
 OwnershipPlacer::SendGrant(Instant aNow, const KeyRange& aRange, RangeState& aState)
 {
+  if (holdsGrants_) {
+    return;
+  }
   const auto* server = servers_.FindUsable(aRange.owner_);
   if (server == nullptr) {
     aState.nextCommandAt_ = aNow + kCommandRetryDelay;
--- a/Libraries/LibKeys/OwnershipPlacer.h
+++ b/Libraries/LibKeys/OwnershipPlacer.h
@@ -62,6 +62,8 @@
   // Sets the current epoch of the store. An ownership written in an earlier epoch is written again,
   // with fences above all those that the store may have lost.
   void SetEpoch(StoreEpoch aEpoch) { epoch_ = aEpoch; }
+  // Whether the deployment uses load management. Without it, nothing that it adds takes effect.
+  void SetLoadManagement(bool aIsUsed) { usesLoadManagement_ = aIsUsed; }
   // The ownership was read from an old copy of the store, so servers that it does not name may hold
   // keys under lost writes. No command is sent and nothing is written before all such grants have
   // expired.
@@ -126,6 +128,8 @@
   // Drops the bounds that former placers' grants put on the server, once it has acknowledged fences
   // of this placer on all ranges that it owns and has released all others.
   void DropFormerBounds(const std::string& aServer);
+  // Whether grants wait for this placer's own fences to be written.
+  bool HoldsGrants(Instant aNow, bool aMayWrite) const;
   // Sends the next command for a range when it is due.
   void Advance(Instant aNow, const KeyRange& aRange, RangeState& aState);
   // Why the former owner certainly no longer holds the range, as logged; null when it may still
@@ -180,6 +184,9 @@
   Instant nextTime_ = Instant::min();
   // Whether the ranges still have fences issued by a former placer.
   bool hasFormerFences_ = false;
+  // No grants are sent in this step.
+  bool holdsGrants_ = false;
+  bool usesLoadManagement_ = false;
 };
 
 } // namespace latchslip
--- a/Tests/LibKeys/PlacerWorld.h
+++ b/Tests/LibKeys/PlacerWorld.h
@@ -58,7 +58,13 @@
       , world_(aWorld)
     {
     }
-    void SendCommand(const KeyCommand& aCommand) override { world_.Deliver(*this, aCommand); }
+    void SendCommand(const KeyCommand& aCommand) override
+    {
+      if (!aCommand.isRelease_) {
+        ++world_.grantsByFence_[aCommand.fence_];
+      }
+      world_.Deliver(*this, aCommand);
+    }
     void RecordUncertainLease(Instant, const std::string& aServer, Duration aDuration) override
     {
       world_.uncertainLeases_[aServer] = world_.now_ + aDuration;
@@ -67,7 +73,11 @@
     {
       world_.servers_.at(aServer).isProvenEnded_ = true;
     }
-    void Write(const KeyOwnership& aOwnership) override { written_ = aOwnership; }
+    void Write(const KeyOwnership& aOwnership) override
+    {
+      written_ = aOwnership;
+      writtenAt_ = world_.now_;
+    }
     std::optional<ServerIncarnation> FindIncarnation(const std::string& aServer) const override
     {
       return world_.FindIncarnation(aServer);
@@ -75,6 +85,7 @@
 
     OwnershipPlacer placer_;
     std::optional<KeyOwnership> written_;
+    Instant writtenAt_{ 0 };
     bool isRunning_ = false;
 
   private:
@@ -172,6 +183,11 @@
   std::optional<KeyOwnership> latest_;
   StoreEpoch epoch_ = 1;
   bool isStoreDown_ = false;
+  // How long the store takes for a write.
+  Duration writeTime_{ 0 };
+  bool usesLoadManagement_ = false;
+  // Number of grants sent, by fence.
+  std::map<FenceNumber, std::size_t> grantsByFence_;
   OwnershipPlacerSettings settings_;
   std::vector<std::unique_ptr<Placer>> placers_;
   std::size_t changes_ = 0;
@@ -253,9 +269,10 @@
       }
     }
     aPlacer.placer_.SetEpoch(epoch_);
+    aPlacer.placer_.SetLoadManagement(usesLoadManagement_);
     aPlacer.placer_.SetServers(now_, listed);
     aPlacer.placer_.OnTime(now_, !isStoreDown_);
-    if (!aPlacer.written_ || isStoreDown_) {
+    if (!aPlacer.written_ || isStoreDown_ || now_ < aPlacer.writtenAt_ + writeTime_) {
       return;
     }
     const auto written = *std::exchange(aPlacer.written_, std::nullopt);
