LibKeys: Let isolated placers stop after 3 s under load management

Cause: a placer that reaches neither the store nor most instances went on renewing grants for 6 s, so its successor kept the keys of silent servers for 11.1 s.

Change: the ownership row states a short isolation bound (short_isolation; absent means 6 s). A placer whose row has it, or whose outstanding write has it, stops after 3 s, and a successor counts on 3 s only if the row has it and is of the current epoch of the store. After a takeover from a placer with 6 s, the field is written 3 s after the start at the earliest, because a further successor counts on 3 s from its own start. Under the short bound, reports of the last 1.5 s instead of 2 s let a placer without the store go on. Without load management the row has the same text as before.

--- a/Libraries/LibFleet/FleetMemberPlacer.cpp
+++ b/Libraries/LibFleet/FleetMemberPlacer.cpp
@@ -13,6 +13,9 @@
 
 // An instance that reported within this time regards the receiver as the placer.
 constexpr Duration kReporterTimeout = seconds(2);
+// The same under the short isolation bound: almost two report intervals. It leaves half of that
+// bound for the news of another placer to reach the reporting instances.
+constexpr Duration kShortReporterTimeout = milliseconds(1500);
 // Tables are not sent to the same instance again within this time; an instance that didn't receive
 // them reads them itself before that.
 constexpr Duration kTablesResendInterval = seconds(2);
@@ -69,6 +72,7 @@
     const auto* owned = view_.OwnersOf(service);
     auto& placer = placers_[service];
     placer = std::make_unique<ServicePlacer>(*this, service);
+    placer->placer_.SetEpoch(view_.Epoch());
     placer->placer_.Start(
       aNow, owned == nullptr ? std::nullopt : std::optional(owned->ownership_), uncertainLeases_);
     if (owned != nullptr && owned->isFromCopyOnly_) {
@@ -128,14 +132,19 @@
 bool
 FleetMember::MaySendCommands(Instant aNow) const
 {
-  const auto bound = settings_.placer_.isolatedRenewalTime_;
+  const bool isShort = std::any_of(placers_.begin(), placers_.end(), [](const auto& aEntry) {
+    return aEntry.second->placer_.HasShortIsolation();
+  });
+  const auto& timing = settings_.placer_;
+  const auto bound = isShort ? timing.shortIsolatedRenewalTime_ : timing.isolatedRenewalTime_;
+  const auto reporterTimeout = isShort ? kShortReporterTimeout : kReporterTimeout;
   if (aNow - storeContactAt_ < bound) {
     return true;
   }
   const auto reporting =
     std::count_if(reporters_.begin(), reporters_.end(), [&](const auto& aEntry) {
       return aEntry.first != settings_.self_.address_ &&
-             aNow - aEntry.second.lastReportAt_ < kReporterTimeout;
+             aNow - aEntry.second.lastReportAt_ < reporterTimeout;
     });
   return reportersAtStoreContact_ == 0 ||
          2 * static_cast<std::size_t>(reporting) > reportersAtStoreContact_;
--- a/Libraries/LibKeys/KeyOwnership.cpp
+++ b/Libraries/LibKeys/KeyOwnership.cpp
@@ -103,7 +103,7 @@
 KeyOwnership
 ChangesBetween(const KeyOwnership& aOld, const KeyOwnership& aNew)
 {
-  KeyOwnership changes{ aNew.service_, aNew.lastFence_, {}, aNew.epoch_ };
+  KeyOwnership changes{ aNew.service_, aNew.lastFence_, {}, aNew.epoch_, aNew.hasShortIsolation_ };
   for (const auto& range : aNew.ranges_) {
     const auto* old = aOld.Find(range.first_);
     if (old == nullptr || !(*old == range)) {
@@ -118,6 +118,7 @@
 {
   KeyOwnership result{ aOld.service_, std::max(aOld.lastFence_, aChanges.lastFence_), {}, 0 };
   result.epoch_ = std::max(aOld.epoch_, aChanges.epoch_);
+  result.hasShortIsolation_ = aChanges.hasShortIsolation_;
   result.ranges_ = aChanges.ranges_;
   auto change = aChanges.ranges_.begin();
   for (const auto& range : aOld.ranges_) {
@@ -162,11 +163,15 @@
                                          range.fence_,
                                          servers.NumberOf(range.previous_) });
   }
-  return boost::json::serialize(boost::json::object{ { "service", aOwnership.service_ },
-                                                     { "epoch", aOwnership.epoch_ },
-                                                     { "last_fence", aOwnership.lastFence_ },
-                                                     { "servers", servers.Take() },
-                                                     { "ranges", std::move(ranges) } });
+  boost::json::object document{ { "service", aOwnership.service_ },
+                                { "epoch", aOwnership.epoch_ },
+                                { "last_fence", aOwnership.lastFence_ },
+                                { "servers", servers.Take() },
+                                { "ranges", std::move(ranges) } };
+  if (aOwnership.hasShortIsolation_) {
+    document["short_isolation"] = true;
+  }
+  return boost::json::serialize(document);
 }
 
 FieldResult<KeyOwnership>
@@ -183,6 +188,7 @@
   constexpr double kMaxFence = 9e15;
   BOOST_OUTCOME_TRY(const auto fence, reader.NumberOr("last_fence", 0, 0, kMaxFence));
   ownership.lastFence_ = static_cast<FenceNumber>(fence);
+  BOOST_OUTCOME_TRY(ownership.hasShortIsolation_, reader.FlagOr("short_isolation", false));
   BOOST_OUTCOME_TRY(const auto* servers, reader.List("servers"));
   BOOST_OUTCOME_TRY(const auto* ranges, reader.List("ranges"));
   for (const auto& entry : *ranges) {
--- a/Libraries/LibKeys/KeyOwnership.h
+++ b/Libraries/LibKeys/KeyOwnership.h
@@ -60,6 +60,8 @@
   // Epoch of the store in which this ownership was written. In a later epoch, higher fences may
   // have been issued by writes that the store has since lost.
   StoreEpoch epoch_ = 0;
+  // Placers that work from this ownership stop renewing grants after the short isolation bound.
+  bool hasShortIsolation_ = false;
 
   // Whether this ownership was written after the other one, by epoch and fence. Two writes with the
   // same last fence compare as equal, because not every write issues a fence.
@@ -69,7 +71,7 @@
   bool operator==(const KeyOwnership&) const = default;
 };
 
-// The ranges of aNew that differ from aOld, with the epoch and last fence of aNew.
+// The ranges of aNew that differ from aOld, with the other members of aNew.
 KeyOwnership
 ChangesBetween(const KeyOwnership& aOld, const KeyOwnership& aNew);
 
--- a/Libraries/LibKeys/OwnershipPlacer.cpp
+++ b/Libraries/LibKeys/OwnershipPlacer.cpp
@@ -89,6 +89,7 @@
   commands_.Clear();
   leaseBounds_.Start(aUncertainLeases);
   hasFormerFences_ = aOwnership.has_value();
+  isFormerShort_ = false;
   nextTime_ = aNow;
   startedAt_ = aNow;
   nextRebalance_ = aNow + kLoadSettleTime;
@@ -98,8 +99,10 @@
   if (!aOwnership) {
     return;
   }
-  const auto until = aNow + settings_.isolatedRenewalTime_ +
-                     Scale(settings_.leaseDuration_, settings_.clockDriftFactor_);
+  const auto renewalTime = FormerRenewalTime(*aOwnership);
+  isFormerShort_ = renewalTime == settings_.shortIsolatedRenewalTime_;
+  const auto until =
+    aNow + renewalTime + Scale(settings_.leaseDuration_, settings_.clockDriftFactor_);
   for (const auto& range : aOwnership->ranges_) {
     leaseBounds_.SetFormer(range.owner_, until);
     if (!range.previous_.empty()) {
@@ -109,6 +112,31 @@
   Adopt(std::move(*aOwnership));
 }
 
+// In a later epoch of the store, a write that took the short bound out may have been lost.
+Duration
+OwnershipPlacer::FormerRenewalTime(const KeyOwnership& aOwnership) const
+{
+  const bool isShort = aOwnership.hasShortIsolation_ && aOwnership.epoch_ >= epoch_;
+  return isShort ? settings_.shortIsolatedRenewalTime_ : settings_.isolatedRenewalTime_;
+}
+
+// The field states the bound of all placers that may still run. A former placer with the long bound
+// may run until that bound after this start, and a successor counts on the short one from its own
+// start, which may follow the write at once.
+bool
+OwnershipPlacer::WantsShortIsolation(Instant aNow) const
+{
+  const auto difference = settings_.isolatedRenewalTime_ - settings_.shortIsolatedRenewalTime_;
+  return usesLoadManagement_ && (isFormerShort_ || aNow >= startedAt_ + difference);
+}
+
+// A write that is outstanding may be in the store already.
+bool
+OwnershipPlacer::HasShortIsolation() const
+{
+  return committed_.hasShortIsolation_ || (writing_ && writing_->hasShortIsolation_);
+}
+
 void
 OwnershipPlacer::OnFormerPlacerStopped(Instant aNow)
 {
@@ -249,6 +277,7 @@
   if (!next) {
     return;
   }
+  next->hasShortIsolation_ = WantsShortIsolation(aNow);
   writing_ = std::move(next);
   actions_.Write(*writing_);
 }
@@ -285,6 +314,9 @@
   if (settled) {
     return settled;
   }
+  if (committed_.hasShortIsolation_ != WantsShortIsolation(aNow)) {
+    return committed_;
+  }
   return Rebalance(aNow);
 }
 
--- a/Libraries/LibKeys/OwnershipPlacer.h
+++ b/Libraries/LibKeys/OwnershipPlacer.h
@@ -36,6 +36,8 @@
   // How long a placer that reaches neither the store nor most instances keeps renewing grants. Its
   // successor relies on this bound.
   Duration isolatedRenewalTime_ = seconds(6);
+  // The same for a placer whose ownership row has a short isolation bound.
+  Duration shortIsolatedRenewalTime_ = seconds(3);
   KeyBalancerSettings balancer_;
 };
 
@@ -59,11 +61,14 @@
   void Start(Instant aNow,
              std::optional<KeyOwnership> aOwnership,
              const std::map<std::string, Instant>& aUncertainLeases);
-  // Sets the current epoch of the store. An ownership written in an earlier epoch is written again,
-  // with fences above all those that the store may have lost.
+  // Sets the current epoch of the store; to be called before Start as well. An ownership written in
+  // an earlier epoch is written again, with fences above all those that the store may have lost.
   void SetEpoch(StoreEpoch aEpoch) { epoch_ = aEpoch; }
   // Whether the deployment uses load management. Without it, nothing that it adds takes effect.
   void SetLoadManagement(bool aIsUsed) { usesLoadManagement_ = aIsUsed; }
+  // Whether this placer must stop after the short isolation bound, since its successor may rely on
+  // it.
+  bool HasShortIsolation() const;
   // The ownership was read from an old copy of the store, so servers that it does not name may hold
   // keys under lost writes. No command is sent and nothing is written before all such grants have
   // expired.
@@ -103,6 +108,10 @@
     Instant nextCommandAt_ = Instant::min();
   };
 
+  // How long a former placer that left this ownership may go on renewing grants.
+  Duration FormerRenewalTime(const KeyOwnership& aOwnership) const;
+  // Whether the next write is to have the short isolation bound.
+  bool WantsShortIsolation(Instant aNow) const;
   // Makes aOwnership the committed one; ranges whose owner and fence are unchanged keep their
   // state.
   void Adopt(KeyOwnership aOwnership);
@@ -184,6 +193,8 @@
   Instant nextTime_ = Instant::min();
   // Whether the ranges still have fences issued by a former placer.
   bool hasFormerFences_ = false;
+  // Former placers stop after the short isolation bound.
+  bool isFormerShort_ = false;
   // No grants are sent in this step.
   bool holdsGrants_ = false;
   bool usesLoadManagement_ = false;
--- a/Tests/LibFleet/FleetMemberFixture.h
+++ b/Tests/LibFleet/FleetMemberFixture.h
@@ -26,6 +26,14 @@
     configuration.version_ = std::stoull(aRow.value_);
     configuration.services_ = { { "rates", 100, true } };
     configuration.groups_ = groups_;
+    if (hasLargeBodies_) {
+      Route route;
+      route.host_ = "a.example";
+      route.pathPrefix_ = "/rates/";
+      route.targets_ = { { "rates", 1 } };
+      route.hasLargeBodies_ = true;
+      configuration.routes_.push_back(route);
+    }
     return std::optional(configuration);
   }
 
@@ -55,6 +63,8 @@
 
   // The groups in each decoded configuration.
   std::vector<CallerGroup> groups_;
+  // Each decoded configuration has a route for large bodies, which turns load management on.
+  bool hasLargeBodies_ = false;
 };
 
 // Records the actions that a member requests.
--- a/Tests/LibFleet/TestFleetMember.cpp
+++ b/Tests/LibFleet/TestFleetMember.cpp
@@ -457,6 +457,63 @@
   EXPECT_EQ(fleet_.commands_.size(), commands);
 }
 
+// A placer with load management whose ownership row has the short isolation bound.
+class PlacerWithLoadManagement : public FleetMemberTest
+{
+protected:
+  void BecomePlacerWithShortIsolation()
+  {
+    decoder_.hasLargeBodies_ = true;
+    BecomePlacer();
+    Advance(seconds(3));
+    for (RowVersion version = 11; version < 16; ++version) {
+      Acknowledge(version);
+      Advance(milliseconds(250));
+    }
+    ASSERT_TRUE(fleet_.ownership_ && fleet_.ownership_->hasShortIsolation_);
+    Acknowledge(16);
+  }
+};
+
+// Guards against an isolated placer that goes on while its successor counts on the short bound.
+TEST_F(PlacerWithLoadManagement, IsIsolated_StopsAfter3S)
+{
+  BecomePlacerWithShortIsolation();
+  const auto isolatedAt = now_;
+  member_.OnReport(now_, ReportOf("i2", kOther));
+  member_.OnStoreLost(now_);
+  auto lastCommandAt = now_;
+  for (int step = 0; step < 400; ++step) {
+    Advance(milliseconds(50));
+    for (const auto& command : std::exchange(fleet_.commands_, {})) {
+      lastCommandAt = now_;
+      member_.OnCommandEnded(now_, "rates", command.number_, { CommandStatus::Done, "" });
+    }
+  }
+  EXPECT_GT(lastCommandAt, isolatedAt + seconds(1));
+  EXPECT_LT(lastCommandAt, isolatedAt + seconds(3));
+}
+
+// Guards against leases that run out while only the store is lost.
+TEST_F(PlacerWithLoadManagement, LosesTheStoreButMostInstancesReport_Continues)
+{
+  BecomePlacerWithShortIsolation();
+  member_.OnStoreLost(now_);
+  std::size_t commands = 0;
+  for (int round = 0; round < 25; ++round) {
+    member_.OnReport(now_, ReportOf("i2", kOther));
+    for (int step = 0; step < 16; ++step) {
+      Advance(milliseconds(50));
+      for (const auto& command : std::exchange(fleet_.commands_, {})) {
+        ++commands;
+        member_.OnCommandEnded(now_, "rates", command.number_, { CommandStatus::Done, "" });
+      }
+    }
+  }
+  // Sixty-four ranges, renewed every five thirds of a second for twenty seconds.
+  EXPECT_GT(commands, 600U);
+}
+
 TEST_F(FleetMemberTest, PlacerLosesTheStoreButMostInstancesReport_Continues)
 {
   BecomePlacer();
--- a/Tests/LibKeys/PlacerWorld.h
+++ b/Tests/LibKeys/PlacerWorld.h
@@ -39,6 +39,8 @@
     bool hasNoKeys_ = false;
     // Partitioned from all placers.
     bool isPartitioned_ = false;
+    // Partitioned from all placers that are not isolated.
+    bool isWithIsolatedPlacer_ = false;
     // Commands are executed late and not acknowledged.
     bool respondsLate_ = false;
     // Distinguishes the incarnations that run under one id.
@@ -87,6 +89,10 @@
     std::optional<KeyOwnership> written_;
     Instant writtenAt_{ 0 };
     bool isRunning_ = false;
+    // It reaches neither the store nor other instances from then on, and stops after its bound.
+    std::optional<Instant> isolatedAt_;
+    // When it stopped for that.
+    std::optional<Instant> stoppedAt_;
 
   private:
     PlacerWorld& world_;
@@ -206,6 +212,7 @@
     auto& placer = *placers_.back();
     placer.isRunning_ = true;
     named_ = &placer;
+    placer.placer_.SetEpoch(epoch_);
     placer.placer_.Start(now_, aOwnership, uncertainLeases_);
     return placer;
   }
@@ -256,11 +263,28 @@
     return aServer.isUp_ || other == servers_.end() ? nullptr : &other->second;
   }
 
+  // Such a placer gets no news of servers, and none of its writes ends.
+  void RunIsolated(Placer& aPlacer)
+  {
+    const auto bound = aPlacer.placer_.HasShortIsolation() ? settings_.shortIsolatedRenewalTime_
+                                                           : settings_.isolatedRenewalTime_;
+    if (now_ - *aPlacer.isolatedAt_ >= bound) {
+      aPlacer.stoppedAt_ = now_;
+      Stop(aPlacer);
+      return;
+    }
+    aPlacer.placer_.OnTime(now_, false);
+  }
+
   void Run(Placer& aPlacer)
   {
     if (!aPlacer.isRunning_) {
       return;
     }
+    if (aPlacer.isolatedAt_) {
+      RunIsolated(aPlacer);
+      return;
+    }
     std::vector<KeyServer> listed;
     for (const auto& [id, server] : servers_) {
       if (server.isListed_ && !server.hasNoKeys_) {
@@ -290,7 +314,8 @@
   void Deliver(Placer& aPlacer, const KeyCommand& aCommand)
   {
     const auto found = servers_.find(aCommand.server_);
-    const bool isReached = found != servers_.end() && !found->second.isPartitioned_;
+    const bool isReached = found != servers_.end() && !found->second.isPartitioned_ &&
+                           (!found->second.isWithIsolatedPlacer_ || aPlacer.isolatedAt_);
     Pending pending{ now_ + kOneWayLatency, &aPlacer, aCommand, true, true, {} };
     const bool isUnsent = aCommand.isRelease_ && now_ < releasesUnsentUntil_;
     if (!isReached || isUnsent) {
--- a/Tests/LibKeys/TestKeyOwnership.cpp
+++ b/Tests/LibKeys/TestKeyOwnership.cpp
@@ -26,6 +26,22 @@
   EXPECT_EQ(ParseOwnership(SerializeOwnership(kOwnership)).value(), kOwnership);
 }
 
+TEST(KeyOwnership, HasNoShortIsolation_TextIsAsBeforeTheField)
+{
+  EXPECT_EQ(SerializeOwnership(kOwnership).find("short_isolation"), std::string::npos);
+}
+
+// Guards against an update that loses the bound on its way: an instance that takes over from it
+// would go on for 6 s while its own successor counts on 3 s.
+TEST(KeyOwnership, ShortIsolationIsTurnedOnAndOff_SerializedAndOverlaidChangesHaveIt)
+{
+  auto shortened = kOwnership;
+  shortened.hasShortIsolation_ = true;
+  EXPECT_EQ(ParseOwnership(SerializeOwnership(shortened)).value(), shortened);
+  EXPECT_EQ(Overlay(kOwnership, ChangesBetween(kOwnership, shortened)), shortened);
+  EXPECT_EQ(Overlay(shortened, ChangesBetween(shortened, kOwnership)), kOwnership);
+}
+
 TEST(KeyOwnership, OverlaidChanges_GiveTheNewOwnership)
 {
   auto next = kOwnership;
