LibGateway: Tell lost links of an instance from servers that are gone

An instance counted as cut off after three servers in a row that it could not reach.

What relays say decides now. A server that a relay cannot reach either counts as gone and is no evidence; one that a relay reaches proves that the links are cut. While it is undecided an instance asks relays of other halls first.

A refused command to a server that counts as gone is a sign of its end only if a relay was asked for this command, or no other server is unreached.

--- a/Libraries/LibDaemon/CommandSender.cpp
+++ b/Libraries/LibDaemon/CommandSender.cpp
@@ -80,9 +80,10 @@
     return;
   }
   auto outcome = codec_.DecodeCommand(command, aExchange);
-  // Links that are cut may refuse connections, too.
-  if (outcome.end_ == CommandStatus::Refused && !path.IsServerUnreachable() &&
-      paths_.IsInDoubt(command.server_)) {
+  // Links that are cut may refuse connections, too. Only what another instance finds now proves
+  // that the server has ended.
+  const bool isConfirmed = path.IsServerUnreachable() && path.WasAnotherAsked();
+  if (outcome.end_ == CommandStatus::Refused && !isConfirmed && paths_.IsInDoubt(command.server_)) {
     outcome.end_ = CommandStatus::NotSent;
   }
   aRunning->callback_(outcome);
--- a/Libraries/LibDaemon/RelayService.cpp
+++ b/Libraries/LibDaemon/RelayService.cpp
@@ -117,11 +117,7 @@
 RelayService::OnEnded(std::uint64_t aId, HttpExchange aExchange, const HttpResponder& aRespond)
 {
   const auto server = Remove(aId).server_;
-  auto path = PathResultOf(aExchange);
-  paths_.OnEnded(MonotonicNow(), server, "", path);
-  if (path == PathResult::Unreachable && paths_.IsInDoubt(server)) {
-    path = PathResult::UnreachableInDoubt;
-  }
+  const auto path = paths_.OnEndedForAnother(MonotonicNow(), server, PathResultOf(aExchange));
   aRespond(MakeAnswer(path, std::move(aExchange)));
 }
 
--- a/Libraries/LibGateway/PathSearch.cpp
+++ b/Libraries/LibGateway/PathSearch.cpp
@@ -10,6 +10,15 @@
 // them may be cut off.
 constexpr unsigned kDoubtfulToProve = 2;
 
+// Whether a search that ends so has found out nothing about the server, which this instance could
+// not reach.
+bool
+IsWithoutVerdict(const std::string& aRelay, PathResult aResult)
+{
+  return aResult == PathResult::NotTried || aResult == PathResult::UnreachableInDoubt ||
+         (aRelay.empty() && aResult == PathResult::Unreachable);
+}
+
 } // namespace
 
 void
@@ -30,10 +39,32 @@
                     PathResult aResult,
                     bool aIsUnsent)
 {
-  End(aNow, aPaths, aServer, aResult);
-  if (!aIsUnsent) {
+  const bool mayAsk = relay_.empty() && aIsUnsent && aResult == PathResult::Unreachable;
+  const bool isGone = mayAsk && aPaths.IsGone(aNow, aServer);
+  if (mayAsk) {
+    aPaths.OnUnreachableAndAsked(aNow, aServer);
+  } else {
+    End(aNow, aPaths, aServer, aResult);
+  }
+  if (isGone) {
+    isServerUnreachable_ = true;
     return false;
   }
+  if (aIsUnsent && TakeNext(aNow, aPaths, aServer, aResult)) {
+    return true;
+  }
+  if (IsWithoutVerdict(relay_, aResult)) {
+    aPaths.OnNoneCouldSay(aNow, aServer);
+  }
+  return false;
+}
+
+bool
+PathSearch::TakeNext(Instant aNow,
+                     ServerPaths& aPaths,
+                     const std::string& aServer,
+                     PathResult aResult)
+{
   doubtful_ += aResult == PathResult::UnreachableInDoubt ? 1 : 0;
   const bool isConfirmed = !relay_.empty() && aResult == PathResult::Unreachable;
   isServerUnreachable_ = isConfirmed || doubtful_ >= kDoubtfulToProve;
--- a/Libraries/LibGateway/PathSearch.h
+++ b/Libraries/LibGateway/PathSearch.h
@@ -30,10 +30,16 @@
   // The instance that relays; empty for none.
   const std::string& Relay() const { return relay_; }
   // Whether the server can't be reached, and not for the links of this instance: another instance
-  // could not reach it either.
+  // could not reach it either, now or shortly before.
   bool IsServerUnreachable() const { return isServerUnreachable_; }
 
+  // Whether another instance was asked to relay this send.
+  bool WasAnotherAsked() const { return !tried_.empty(); }
+
 private:
+  // Takes the next path after an exchange of which nothing was sent; false if there is none.
+  bool TakeNext(Instant aNow, ServerPaths& aPaths, const std::string& aServer, PathResult aResult);
+
   std::string relay_;
   std::vector<std::string> tried_;
   // Number of other instances that could not reach the server but may be cut off themselves.
--- a/Libraries/LibGateway/RelayChooser.cpp
+++ b/Libraries/LibGateway/RelayChooser.cpp
@@ -35,7 +35,7 @@
 }
 
 std::optional<std::string>
-RelayChooser::Choose(Instant aNow, const std::vector<std::string>& aTried)
+RelayChooser::Choose(Instant aNow, const std::vector<std::string>& aTried, bool aIsOwnHallInDoubt)
 {
   std::vector<const std::string*> own;
   std::vector<const std::string*> others;
@@ -46,7 +46,7 @@
     }
     (state.peer_.hall_ == hall_ ? own : others).push_back(&address);
   }
-  const bool prefersOthers = !aTried.empty() || aNow < ownHallAvoidedUntil_;
+  const bool prefersOthers = aIsOwnHallInDoubt || !aTried.empty() || aNow < ownHallAvoidedUntil_;
   auto& first = prefersOthers ? others : own;
   auto& candidates = first.empty() ? (prefersOthers ? own : others) : first;
   std::vector<const std::string*> sample;
--- a/Libraries/LibGateway/RelayChooser.h
+++ b/Libraries/LibGateway/RelayChooser.h
@@ -32,9 +32,11 @@
 
   // The other instances by address.
   void SetPeers(std::map<std::string, RelayPeer> aPeers);
-  // The instance for one send; aTried are those that could not relay it. No value if there is
-  // none.
-  std::optional<std::string> Choose(Instant aNow, const std::vector<std::string>& aTried);
+  // The instance for one send; aTried are those that could not relay it, and aIsOwnHallInDoubt
+  // tells that other halls come first. No value if there is none.
+  std::optional<std::string> Choose(Instant aNow,
+                                    const std::vector<std::string>& aTried,
+                                    bool aIsOwnHallInDoubt = false);
   // Whether there is an instance to choose.
   bool HasChoice(Instant aNow) const;
   void OnSent(const std::string& aPeer);
--- a/Libraries/LibGateway/ServerPaths.cpp
+++ b/Libraries/LibGateway/ServerPaths.cpp
@@ -12,6 +12,7 @@
 ServerPaths::SetPeers(std::map<std::string, RelayPeer> aPeers)
 {
   hasPeers_ = !aPeers.empty();
+  direct_.SetHasRelays(hasPeers_);
   relays_.SetPeers(std::move(aPeers));
 }
 
@@ -20,10 +21,11 @@
                     const std::string& aServer,
                     const std::vector<std::string>& aTried)
 {
-  if (aTried.empty() && direct_.IsUsable(aNow, aServer)) {
+  if (aTried.empty() && (direct_.IsUsable(aNow, aServer) || IsGone(aNow, aServer))) {
     return std::string();
   }
-  return relays_.Choose(aNow, aTried);
+  // The links of the whole hall may be cut: an instance of another one decides sooner.
+  return relays_.Choose(aNow, aTried, direct_.IsUndecided());
 }
 
 void
@@ -39,20 +41,18 @@
                      PathResult aResult)
 {
   if (!aRelay.empty()) {
-    const bool isRelayed =
-      aResult != PathResult::NotTried && aResult != PathResult::UnreachableInDoubt;
-    relays_.OnEnded(aNow, aRelay, isRelayed);
+    OnRelayEnded(aNow, aServer, aRelay, aResult);
     return;
   }
   switch (aResult) {
     case PathResult::Reached:
-      direct_.OnReached(aServer);
+      direct_.OnReached(aNow, aServer);
       break;
     case PathResult::Unreachable:
       direct_.OnUnreachable(aNow, aServer);
       break;
     case PathResult::NoAnswer:
-      direct_.OnNoAnswer(aServer);
+      direct_.OnNoAnswer(aNow, aServer);
       break;
     default:
       break;
@@ -60,6 +60,48 @@
   RecordCutOff();
 }
 
+void
+ServerPaths::OnRelayEnded(Instant aNow,
+                          const std::string& aServer,
+                          const std::string& aRelay,
+                          PathResult aResult)
+{
+  const bool isRelayed =
+    aResult != PathResult::NotTried && aResult != PathResult::UnreachableInDoubt;
+  relays_.OnEnded(aNow, aRelay, isRelayed);
+  if (aResult == PathResult::Reached) {
+    direct_.OnRelayReached(aNow, aServer);
+  } else if (aResult == PathResult::Unreachable) {
+    direct_.OnGone(aServer);
+  }
+  RecordCutOff();
+}
+
+void
+ServerPaths::OnUnreachableAndAsked(Instant aNow, const std::string& aServer)
+{
+  direct_.OnUnreachableAndAsked(aNow, aServer);
+  RecordCutOff();
+}
+
+void
+ServerPaths::OnNoneCouldSay(Instant aNow, const std::string& aServer)
+{
+  direct_.OnNoneCouldSay(aNow, aServer);
+  RecordCutOff();
+}
+
+PathResult
+ServerPaths::OnEndedForAnother(Instant aNow, const std::string& aServer, PathResult aResult)
+{
+  if (aResult != PathResult::Unreachable) {
+    OnEnded(aNow, aServer, "", aResult);
+    return aResult;
+  }
+  OnUnreachableAndAsked(aNow, aServer);
+  return IsInDoubt(aServer) ? PathResult::UnreachableInDoubt : aResult;
+}
+
 void
 ServerPaths::OnProbeEnded(Instant, bool aIsConnected)
 {
--- a/Libraries/LibGateway/ServerPaths.h
+++ b/Libraries/LibGateway/ServerPaths.h
@@ -56,6 +56,14 @@
                const std::string& aServer,
                const std::string& aRelay,
                PathResult aResult);
+  // A direct exchange ended as one over a relay would be asked for: the server could not be reached
+  // and nothing was sent. One of OnEnded for a relay or OnNoneCouldSay follows.
+  void OnUnreachableAndAsked(Instant aNow, const std::string& aServer);
+  // None of the instances asked to relay could say whether the server can be reached.
+  void OnNoneCouldSay(Instant aNow, const std::string& aServer);
+  // A direct exchange for another instance ended. Returns what this tells that instance of the
+  // server.
+  PathResult OnEndedForAnother(Instant aNow, const std::string& aServer, PathResult aResult);
   // The server to probe now by opening a connection, if a probe is due.
   std::optional<std::string> TakeProbe(Instant aNow) { return direct_.TakeProbe(aNow); }
   void OnProbeEnded(Instant aNow, bool aIsConnected);
@@ -64,6 +72,11 @@
 
   // Whether the links to all servers seem to be cut.
   bool IsCutOff() const { return direct_.IsCutOff(); }
+  // Whether the server is known to be gone, so that it is tried directly only.
+  bool IsGone(Instant aNow, const std::string& aServer) const
+  {
+    return !IsCutOff() && direct_.IsGone(aNow, aServer);
+  }
   // Whether a server can be reached at all, directly or through another instance.
   bool HasPath(Instant aNow) const;
   bool HasPeers() const { return hasPeers_; }
@@ -71,6 +84,10 @@
   bool IsInDoubt(const std::string& aServer) const { return direct_.IsInDoubt(aServer); }
 
 private:
+  void OnRelayEnded(Instant aNow,
+                    const std::string& aServer,
+                    const std::string& aRelay,
+                    PathResult aResult);
   // Records when this instance is cut off and when its links are back.
   void RecordCutOff();
 
--- a/Tests/LibDaemon/TestRelays.cpp
+++ b/Tests/LibDaemon/TestRelays.cpp
@@ -391,6 +391,17 @@
   EXPECT_EQ(SendCommand("gone", address), CommandStatus::NotSent);
 }
 
+// Guards against keys that are given on while their server lives again, because another instance
+// could not reach it earlier.
+TEST_F(InstanceThatRelays, ServerWasGoneAndPlacerIsInDoubt_RefusedConnectionProvesNothing)
+{
+  server_.reset();
+  EXPECT_EQ(SendCommand("s1", serverAddress_), CommandStatus::Refused);
+  paths_.OnEnded(MonotonicNow(), "s8", "", PathResult::Unreachable);
+  EXPECT_EQ(SendCommand("s1", serverAddress_), CommandStatus::NotSent);
+  EXPECT_EQ(service_.Relayed(), 1U);
+}
+
 TEST_F(InstanceThatRelays, ServerRefusesBoth_CommandIsRefused)
 {
   server_.reset();
--- a/Tests/LibPermit/InstancesWorld.cpp
+++ b/Tests/LibPermit/InstancesWorld.cpp
@@ -290,10 +290,10 @@
   }
   Begin(aServer, [this, aServer, aCallback](AttemptOutcome aOutcome) {
     const bool isUnreachable = aOutcome.end_ == AttemptEnd::NotSent;
-    paths_.OnEnded(
-      Now(), aServer, "", isUnreachable ? PathResult::Unreachable : PathResult::Reached);
-    if (isUnreachable && paths_.IsInDoubt(aServer)) {
-      aOutcome.path_ = PathResult::UnreachableInDoubt;
+    const auto path = paths_.OnEndedForAnother(
+      Now(), aServer, isUnreachable ? PathResult::Unreachable : PathResult::Reached);
+    if (path == PathResult::UnreachableInDoubt) {
+      aOutcome.path_ = path;
     }
     aCallback(aOutcome);
   });
