LibPermit: Spread the permits of a keyed service over several dispatchers

One dispatcher issued all permits of a service, so its link carried the permit messages of the whole fleet and its answers came late.

A shard that moves has its open requests withdrawn and made again, and its sends under way reported to the next dispatcher. Instances keep a link to the next candidate, and report crashes to all dispatchers of the service, as a crashing request may reach servers of several shards. A dispatcher does not count servers without recent sends of a service with shards.

PermitSource is asked by service and server. Without load management the assignment and the messages are as before.

--- a/Libraries/LibDaemon/GatewayHost.cpp
+++ b/Libraries/LibDaemon/GatewayHost.cpp
@@ -320,13 +320,24 @@
   {
     ApplyLimits(aRoutes->Configuration().limits_);
     permits_.Dispatcher().SetRoutes(MonotonicNow(), aRoutes);
+    routes_ = aRoutes;
+    UpdateDispatcherCounts();
     permits_.Client().SetServices(MonotonicNow(), ServiceNames(aRoutes->Configuration().services_));
     frontend_.Router().SetRoutes(MonotonicNow(), std::move(aRoutes));
   }
 
+  void UpdateDispatcherCounts()
+  {
+    if (routes_) {
+      permits_.Client().SetDispatcherCounts(MonotonicNow(),
+                                            CountDispatchers(*routes_, member_.Directory()));
+    }
+  }
+
   void OnDirectoryChanged() override
   {
     permits_.Dispatcher().OnDirectoryChanged(MonotonicNow());
+    UpdateDispatcherCounts();
     frontend_.Router().OnDirectoryChanged(MonotonicNow());
   }
 
@@ -408,6 +419,7 @@
   FleetMember member_;
   GatewayMetrics metrics_;
   PermitLinks permits_;
+  std::shared_ptr<const RouteTable> routes_;
   ServerPaths paths_;
   RelayClient relays_;
   GatewayFrontend frontend_;
--- a/Libraries/LibGateway/GatewayRouter.cpp
+++ b/Libraries/LibGateway/GatewayRouter.cpp
@@ -600,7 +600,7 @@
 {
   // A dispatcher allocates the full rate of a server, of which this instance alone has only a
   // share.
-  if (permits_.CanRequestPermit(aPending.service_->name_)) {
+  if (permits_.CanRequestPermit(aPending.service_->name_, aPending.owner_)) {
     return RemainingBackoff(aNow, aPending);
   }
   const auto ahead = QueuedAhead(aPending);
--- a/Libraries/LibGateway/PermitRequests.cpp
+++ b/Libraries/LibGateway/PermitRequests.cpp
@@ -22,9 +22,6 @@
 GatewayRouter::TryRequestPermit(Instant aNow, PendingRequest& aPending)
 {
   const auto& service = *aPending.service_;
-  if (!permits_.CanRequestPermit(service.name_)) {
-    return false;
-  }
   if (service.isKeyed_) {
     ServerCandidate owner{};
     if (ChooseOwner(aNow, aPending, owner) == Choice::NoOwner) {
@@ -32,6 +29,9 @@
       return false;
     }
   }
+  if (!permits_.CanRequestPermit(service.name_, aPending.owner_)) {
+    return false;
+  }
   if (RemainingBackoff(aNow, aPending) > Duration(0)) {
     aPending.blockReason_ = RefusalReason::NoCapacity;
     return false;
@@ -173,7 +173,7 @@
 GatewayRouter::OnPermitRequestTimeout(Instant aNow, PendingRequest& aPending)
 {
   WithdrawPermitRequest(aPending);
-  permits_.OnPermitTimeout(aNow, aPending.service_->name_);
+  permits_.OnPermitTimeout(aNow, aPending.service_->name_, aPending.owner_);
   if (aPending.isPermitAnnounced_) {
     aPending.blockReason_ = RefusalReason::NoCapacity;
     RefuseWaiting(aNow, aPending);
--- a/Libraries/LibPermit/DispatcherAssignment.cpp
+++ b/Libraries/LibPermit/DispatcherAssignment.cpp
@@ -32,43 +32,85 @@
   return eligible;
 }
 
+// The instances in the order of their hashes with aName, so that an instance that joins or leaves
+// moves few names.
+std::vector<std::string>
+Rank(const std::string& aName, const std::vector<std::string>& aInstances)
+{
+  std::vector<std::pair<std::uint64_t, std::string>> ranking;
+  ranking.reserve(aInstances.size());
+  for (const auto& address : aInstances) {
+    ranking.emplace_back(HashPair(aName, address), address);
+  }
+  std::sort(ranking.begin(), ranking.end());
+  std::vector<std::string> ranked;
+  ranked.reserve(ranking.size());
+  for (auto& [hash, address] : ranking) {
+    ranked.push_back(std::move(address));
+  }
+  return ranked;
+}
+
+// The candidates for a shard: the dispatchers of its service, which are the first ones of
+// aRanking, in the order of their hashes with the shard, then the next ones of aRanking.
+std::vector<std::string>
+ShardCandidates(const std::string& aService,
+                ShardNumber aShard,
+                const std::vector<std::string>& aRanking,
+                std::size_t aDispatchers)
+{
+  const auto end = aRanking.begin() + static_cast<std::ptrdiff_t>(aDispatchers);
+  auto candidates =
+    Rank(aService + '#' + std::to_string(aShard), std::vector(aRanking.begin(), end));
+  candidates.insert(candidates.end(), end, aRanking.end());
+  candidates.resize(std::min(candidates.size(), kMaxCandidates));
+  return candidates;
+}
+
 } // namespace
 
 void
 DispatcherAssignment::Assign(const std::map<std::string, FleetPeer>& aPeers,
-                             const std::vector<std::string>& aServices)
+                             const std::vector<std::string>& aServices,
+                             const DispatcherCounts& aCounts)
 {
   candidates_.clear();
   const auto eligible = EligibleInstances(aPeers);
   const std::set<std::string> services(aServices.begin(), aServices.end());
   std::set<std::string> assigned;
   for (const auto& service : services) {
-    // Each pair of service and instance is hashed, so that an instance that joins or leaves moves
-    // few services.
-    std::vector<std::pair<std::uint64_t, std::string>> ranking;
-    ranking.reserve(eligible.size());
-    for (const auto& address : eligible) {
-      ranking.emplace_back(HashPair(service, address), address);
+    const auto count = aCounts.find(service);
+    if (count == aCounts.end()) {
+      continue;
     }
-    std::sort(ranking.begin(), ranking.end());
-    std::stable_partition(ranking.begin(), ranking.end(), [&](const auto& aEntry) {
-      return !assigned.contains(aEntry.second);
-    });
-    auto& candidates = candidates_[service];
-    for (std::size_t index = 0; index < std::min(ranking.size(), kMaxCandidates); ++index) {
-      candidates.push_back(ranking[index].second);
+    const auto ranking = Rank(service, eligible);
+    const auto dispatchers = std::min(count->second, ranking.size());
+    for (ShardNumber shard = 0; shard < kPermitShards; ++shard) {
+      candidates_[{ service, shard }] = ShardCandidates(service, shard, ranking, dispatchers);
     }
-    if (!candidates.empty()) {
-      assigned.insert(candidates.front());
+    assigned.insert(ranking.begin(), ranking.begin() + static_cast<std::ptrdiff_t>(dispatchers));
+  }
+  for (const auto& service : services) {
+    if (aCounts.contains(service)) {
+      continue;
+    }
+    auto ranking = Rank(service, eligible);
+    std::stable_partition(ranking.begin(), ranking.end(), [&](const auto& aAddress) {
+      return !assigned.contains(aAddress);
+    });
+    ranking.resize(std::min(ranking.size(), kMaxCandidates));
+    if (!ranking.empty()) {
+      assigned.insert(ranking.front());
     }
+    candidates_[{ service, 0 }] = std::move(ranking);
   }
 }
 
 const std::vector<std::string>&
-DispatcherAssignment::CandidatesFor(const std::string& aService) const
+DispatcherAssignment::CandidatesFor(const std::string& aService, ShardNumber aShard) const
 {
   static const std::vector<std::string> kNone;
-  const auto found = candidates_.find(aService);
+  const auto found = candidates_.find({ aService, aShard });
   return found == candidates_.end() ? kNone : found->second;
 }
 
--- a/Libraries/LibPermit/PermitClient.cpp
+++ b/Libraries/LibPermit/PermitClient.cpp
@@ -1,6 +1,8 @@
 #include "LibPermit/PermitClient.h"
 
 #include <algorithm>
+#include <set>
+#include <utility>
 
 namespace latchslip {
 
@@ -40,72 +42,158 @@
   }
 }
 
+void
+PermitClient::SetDispatcherCounts(Instant aNow, DispatcherCounts aCounts)
+{
+  if (counts_ == aCounts) {
+    return;
+  }
+  const auto former = std::exchange(counts_, std::move(aCounts));
+  // A service whose number of shards changes has all of them selected again.
+  std::erase_if(dispatchers_, [&](const auto& aEntry) {
+    return former.contains(aEntry.first.first) != counts_.contains(aEntry.first.first);
+  });
+  AssignShardsAgain();
+  UpdateCandidates(aNow);
+}
+
 void
 PermitClient::UpdateCandidates(Instant aNow)
 {
-  assignment_.Assign(peers_, services_);
+  assignment_.Assign(peers_, services_, counts_);
   SelectDispatchers(aNow);
 }
 
-std::string
-PermitClient::FirstCandidate(Instant aNow, const std::string& aService) const
+ShardNumber
+PermitClient::ShardCountOf(const std::string& aService) const
+{
+  return counts_.contains(aService) ? kPermitShards : 1;
+}
+
+PermitClient::ShardKey
+PermitClient::ShardOf(const std::string& aService, const std::string& aServer) const
+{
+  return { aService, aServer.empty() ? 0 : ShardOfServer(aServer, ShardCountOf(aService)) };
+}
+
+std::vector<PermitClient::ShardKey>
+PermitClient::Shards() const
+{
+  std::vector<ShardKey> shards;
+  for (const auto& service : services_) {
+    for (ShardNumber shard = 0; shard < ShardCountOf(service); ++shard) {
+      shards.emplace_back(service, shard);
+    }
+  }
+  return shards;
+}
+
+void
+PermitClient::AssignShardsAgain()
+{
+  for (auto& [number, request] : requests_) {
+    request.shard_ = ShardOf(request.shard_.first, request.server_);
+  }
+  for (auto& [number, send] : running_) {
+    send.shard_ = ShardOf(send.shard_.first, send.server_);
+  }
+}
+
+std::vector<std::string>
+PermitClient::AvailableCandidates(Instant aNow, const ShardKey& aShard) const
 {
-  for (const auto& address : assignment_.CandidatesFor(aService)) {
+  std::vector<std::string> available;
+  for (const auto& address : assignment_.CandidatesFor(aShard.first, aShard.second)) {
     const auto link = links_.find(address);
     if (link == links_.end() || aNow >= link->second.failedUntil_) {
-      return address;
+      available.push_back(address);
     }
   }
-  return {};
+  return available;
+}
+
+void
+PermitClient::ConnectTo(const std::string& aDispatcher)
+{
+  if (auto& link = links_[aDispatcher]; link.state_ == LinkState::Down) {
+    link.state_ = LinkState::Connecting;
+    actions_.Connect(aDispatcher);
+  }
 }
 
 void
 PermitClient::SelectDispatchers(Instant aNow)
 {
+  const auto shards = Shards();
   std::erase_if(dispatchers_, [&](const auto& aEntry) {
-    return std::find(services_.begin(), services_.end(), aEntry.first) == services_.end();
+    return std::find(shards.begin(), shards.end(), aEntry.first) == shards.end();
   });
-  for (const auto& service : services_) {
-    const auto next = FirstCandidate(aNow, service);
-    auto& current = dispatchers_[service];
-    if (next != current) {
-      events_.Record(Event::DispatcherChosen,
-                     "service=" + service + " dispatcher=" + (next.empty() ? "-" : next) +
-                       " former=" + (current.empty() ? "-" : current));
-      current = next;
-      DropRequests(aNow, service);
-      if (IsUp(next)) {
-        ReportRunning(aNow, service);
+  std::set<std::string> informed;
+  for (const auto& shard : shards) {
+    const auto available = AvailableCandidates(aNow, shard);
+    const auto next = available.empty() ? std::string() : available.front();
+    const bool hasShards = ShardCountOf(shard.first) > 1;
+    if (next != dispatchers_[shard]) {
+      MoveShard(aNow, shard, next);
+      // Several shards may move to one dispatcher, which needs the suspects once.
+      const bool isInformed = !informed.insert(next).second && hasShards;
+      if (IsUp(next) && !isInformed) {
         ReportSuspects(aNow, next);
       }
     }
-    if (next.empty()) {
-      continue;
+    if (!next.empty()) {
+      ConnectTo(next);
     }
-    if (auto& link = links_[next]; link.state_ == LinkState::Down) {
-      link.state_ = LinkState::Connecting;
-      actions_.Connect(next);
+    // An open link to the next candidate lets requests go there at once when the dispatcher is
+    // lost.
+    if (hasShards && available.size() > 1) {
+      ConnectTo(available.at(1));
     }
   }
 }
 
 void
-PermitClient::DropRequests(Instant aNow, const std::string& aService)
+PermitClient::MoveShard(Instant aNow, const ShardKey& aShard, const std::string& aNext)
+{
+  const bool hasShards = ShardCountOf(aShard.first) > 1;
+  const auto former = std::exchange(dispatchers_[aShard], aNext);
+  events_.Record(Event::DispatcherChosen,
+                 "service=" + aShard.first +
+                   (hasShards ? " shard=" + std::to_string(aShard.second) : std::string()) +
+                   " dispatcher=" + (aNext.empty() ? "-" : aNext) +
+                   " former=" + (former.empty() ? "-" : former));
+  DropRequests(aNow, aShard, hasShards && IsUp(former) ? former : std::string());
+  ReportRunning(aNow, aShard);
+}
+
+void
+PermitClient::DropRequests(Instant aNow, const ShardKey& aShard, const std::string& aFormer)
 {
   std::vector<AttemptNumber> lost;
   for (const auto& [number, request] : requests_) {
-    if (request.service_ == aService) {
+    if (request.shard_ == aShard) {
       lost.push_back(number);
     }
   }
   for (const auto number : lost) {
     requests_.erase(number);
+    if (!aFormer.empty()) {
+      actions_.Send(aFormer, PermitWithdrawal{ number });
+    }
   }
   for (const auto number : lost) {
     listener_->OnPermitRequestLost(aNow, number);
   }
 }
 
+std::string
+PermitClient::ReachableDispatcher(const ShardKey& aShard) const
+{
+  const auto dispatcher = dispatchers_.find(aShard);
+  return dispatcher != dispatchers_.end() && IsUp(dispatcher->second) ? dispatcher->second
+                                                                      : std::string();
+}
+
 bool
 PermitClient::IsUp(const std::string& aDispatcher) const
 {
@@ -114,13 +202,13 @@
 }
 
 void
-PermitClient::ReportRunning(Instant aNow, const std::string& aService)
+PermitClient::ReportRunning(Instant aNow, const ShardKey& aShard)
 {
   for (const auto& [number, send] : running_) {
-    if (send.service_ == aService) {
-      SendToDispatcher(aService,
+    if (send.shard_ == aShard) {
+      SendToDispatcher(aShard,
                        SendNotice{ number,
-                                   send.service_,
+                                   aShard.first,
                                    send.server_,
                                    aNow - send.sentAt_,
                                    std::max(Duration(0), Duration(send.deadline_ - aNow)),
@@ -174,11 +262,32 @@
 }
 
 void
-PermitClient::SendToDispatcher(const std::string& aService, const MessageToDispatcher& aMessage)
+PermitClient::ReportCrashToOthers(const RunningSend& aSend, const SendEnd& aEnd)
+{
+  const auto& service = aSend.shard_.first;
+  if (!aEnd.isConnectionLost_ || aSend.fingerprint_ == kNoFingerprint ||
+      ShardCountOf(service) == 1) {
+    return;
+  }
+  std::set<std::string> others;
+  for (ShardNumber shard = 0; shard < ShardCountOf(service); ++shard) {
+    others.insert(ReachableDispatcher({ service, shard }));
+  }
+  others.erase("");
+  others.erase(ReachableDispatcher(aSend.shard_));
+  for (const auto& dispatcher : others) {
+    actions_.Send(
+      dispatcher,
+      CrashNotice{
+        aSend.fingerprint_, aSend.server_, aEnd.incarnation_, aEnd.latency_, Duration(0) });
+  }
+}
+
+void
+PermitClient::SendToDispatcher(const ShardKey& aShard, const MessageToDispatcher& aMessage)
 {
-  const auto dispatcher = dispatchers_.find(aService);
-  if (dispatcher != dispatchers_.end() && IsUp(dispatcher->second)) {
-    actions_.Send(dispatcher->second, aMessage);
+  if (const auto dispatcher = ReachableDispatcher(aShard); !dispatcher.empty()) {
+    actions_.Send(dispatcher, aMessage);
   }
 }
 
@@ -189,9 +298,9 @@
   link.state_ = LinkState::Up;
   link.unansweredSince_ = Instant::max();
   link.failedUntil_ = Instant::min();
-  for (const auto& [service, dispatcher] : dispatchers_) {
+  for (const auto& [shard, dispatcher] : dispatchers_) {
     if (dispatcher == aDispatcher) {
-      ReportRunning(aNow, service);
+      ReportRunning(aNow, shard);
     }
   }
   ReportSuspects(aNow, aDispatcher);
@@ -224,7 +333,7 @@
       actions_.Send(aDispatcher, CancelledSend(permit->number_));
       return;
     }
-    running_[permit->number_] = { request->second.service_,
+    running_[permit->number_] = { request->second.shard_,
                                   permit->server_,
                                   aNow,
                                   request->second.deadline_,
@@ -264,37 +373,37 @@
 }
 
 bool
-PermitClient::CanRequestPermit(const std::string& aService) const
+PermitClient::CanRequestPermit(const std::string& aService, const std::string& aServer) const
 {
-  const auto dispatcher = dispatchers_.find(aService);
-  return dispatcher != dispatchers_.end() && IsUp(dispatcher->second) &&
-         links_.at(dispatcher->second).unansweredSince_ == Instant::max();
+  const auto dispatcher = ReachableDispatcher(ShardOf(aService, aServer));
+  return !dispatcher.empty() && links_.at(dispatcher).unansweredSince_ == Instant::max();
 }
 
 void
 PermitClient::RequestPermit(Instant aNow, const PermitRequest& aRequest)
 {
-  requests_[aRequest.number_] = { aRequest.service_,
-                                  aNow + aRequest.timeLeft_,
-                                  aRequest.fingerprint_ };
-  SendToDispatcher(aRequest.service_, aRequest);
+  const auto shard = ShardOf(aRequest.service_, aRequest.server_);
+  requests_[aRequest.number_] = {
+    shard, aRequest.server_, aNow + aRequest.timeLeft_, aRequest.fingerprint_
+  };
+  SendToDispatcher(shard, aRequest);
 }
 
 void
 PermitClient::Withdraw(AttemptNumber aNumber)
 {
   if (const auto request = requests_.find(aNumber); request != requests_.end()) {
-    SendToDispatcher(request->second.service_, PermitWithdrawal{ aNumber });
+    SendToDispatcher(request->second.shard_, PermitWithdrawal{ aNumber });
     requests_.erase(request);
   }
 }
 
 void
-PermitClient::OnPermitTimeout(Instant aNow, const std::string& aService)
+PermitClient::OnPermitTimeout(Instant aNow, const std::string& aService, const std::string& aServer)
 {
-  const auto dispatcher = dispatchers_.find(aService);
-  if (dispatcher != dispatchers_.end() && IsUp(dispatcher->second)) {
-    auto& link = links_.at(dispatcher->second);
+  if (const auto dispatcher = ReachableDispatcher(ShardOf(aService, aServer));
+      !dispatcher.empty()) {
+    auto& link = links_.at(dispatcher);
     link.unansweredSince_ = std::min(link.unansweredSince_, aNow);
   }
 }
@@ -302,10 +411,11 @@
 void
 PermitClient::ReportSend(Instant aNow, const SendNotice& aNotice)
 {
+  const auto shard = ShardOf(aNotice.service_, aNotice.server_);
   running_[aNotice.number_] = {
-    aNotice.service_, aNotice.server_, aNow, aNow + aNotice.timeLeft_, aNotice.fingerprint_
+    shard, aNotice.server_, aNow, aNow + aNotice.timeLeft_, aNotice.fingerprint_
   };
-  SendToDispatcher(aNotice.service_, aNotice);
+  SendToDispatcher(shard, aNotice);
 }
 
 void
@@ -314,7 +424,8 @@
   if (const auto send = running_.find(aEnd.number_); send != running_.end()) {
     const auto ended = std::move(send->second);
     running_.erase(send);
-    SendToDispatcher(ended.service_, aEnd);
+    SendToDispatcher(ended.shard_, aEnd);
+    ReportCrashToOthers(ended, aEnd);
     TrackCrashes(ended, aEnd);
   }
 }
--- a/Libraries/LibPermit/PermitClient.h
+++ b/Libraries/LibPermit/PermitClient.h
@@ -47,9 +47,9 @@
 };
 
 // Requests permits from the dispatchers of services on behalf of one instance. It follows which
-// instance is the dispatcher of each service, reports outstanding sends to a new dispatcher, and
-// fails over when a dispatcher does not answer. While a service has no reachable dispatcher, the
-// instance chooses servers from its local knowledge. Performs no I/O.
+// instance is the dispatcher of each shard of a service, reports outstanding sends to a new
+// dispatcher, and fails over when a dispatcher does not answer. While a shard has no reachable
+// dispatcher, the instance chooses servers from its local knowledge. Performs no I/O.
 class PermitClient : public PermitSource
 {
 public:
@@ -60,6 +60,8 @@
   void SetPeers(Instant aNow, const std::map<std::string, FleetPeer>& aPeers);
   // Sets the services that have a dispatcher.
   void SetServices(Instant aNow, std::vector<std::string> aServices);
+  // Sets the number of dispatchers of the services with shards; all others have one.
+  void SetDispatcherCounts(Instant aNow, DispatcherCounts aCounts);
 
   void OnLinkUp(Instant aNow, const std::string& aDispatcher);
   void OnLinkDown(Instant aNow, const std::string& aDispatcher);
@@ -69,18 +71,23 @@
   // Probes dispatchers that do not answer and fails over. To be called periodically.
   void OnTime(Instant aNow);
 
-  bool CanRequestPermit(const std::string& aService) const override;
+  bool CanRequestPermit(const std::string& aService, const std::string& aServer) const override;
   Duration RemainingQuarantine(Instant aNow, RequestFingerprint aFingerprint) const override
   {
     return suspects_.RemainingQuarantine(aNow, aFingerprint);
   }
   void RequestPermit(Instant aNow, const PermitRequest& aRequest) override;
   void Withdraw(AttemptNumber aNumber) override;
-  void OnPermitTimeout(Instant aNow, const std::string& aService) override;
+  void OnPermitTimeout(Instant aNow,
+                       const std::string& aService,
+                       const std::string& aServer) override;
   void ReportSend(Instant aNow, const SendNotice& aNotice) override;
   void ReportSendEnd(const SendEnd& aEnd) override;
 
 private:
+  // A shard of a service.
+  using ShardKey = std::pair<std::string, ShardNumber>;
+
   enum class LinkState
   {
     Down,
@@ -102,7 +109,7 @@
   // An outstanding send, as it is reported to a new dispatcher.
   struct RunningSend
   {
-    std::string service_;
+    ShardKey shard_;
     std::string server_;
     Instant sentAt_{ 0 };
     Instant deadline_{ 0 };
@@ -111,36 +118,56 @@
 
   struct OpenRequest
   {
-    std::string service_;
+    ShardKey shard_;
+    // The server that must get the request; empty if any may.
+    std::string server_;
     Instant deadline_{ 0 };
     RequestFingerprint fingerprint_ = kNoFingerprint;
   };
 
-  // Recomputes the candidates of each service and selects dispatchers.
+  // Recomputes the candidates of each shard and selects dispatchers.
   void UpdateCandidates(Instant aNow);
   void SelectDispatchers(Instant aNow);
-  // The first candidate for the service that has not failed recently; empty when there is none.
-  std::string FirstCandidate(Instant aNow, const std::string& aService) const;
+  // All shards of all services.
+  std::vector<ShardKey> Shards() const;
+  ShardNumber ShardCountOf(const std::string& aService) const;
+  // The shard of a server of the service; shard 0 if aServer is empty.
+  ShardKey ShardOf(const std::string& aService, const std::string& aServer) const;
+  // Moves the shard to another dispatcher, or to none if aNext is empty.
+  void MoveShard(Instant aNow, const ShardKey& aShard, const std::string& aNext);
+  // Assigns open requests and sends under way to the shards that their services have now.
+  void AssignShardsAgain();
+  // The candidates for the shard that have not failed recently, in order of preference.
+  std::vector<std::string> AvailableCandidates(Instant aNow, const ShardKey& aShard) const;
+  // Opens a link to the dispatcher unless there is one.
+  void ConnectTo(const std::string& aDispatcher);
+  // The selected dispatcher of the shard, if its link is up; otherwise empty.
+  std::string ReachableDispatcher(const ShardKey& aShard) const;
   bool IsUp(const std::string& aDispatcher) const;
   // Marks the link as down and excludes the dispatcher for a while.
   static void MarkFailed(Instant aNow, Link& aLink);
-  void ReportRunning(Instant aNow, const std::string& aService);
+  void ReportRunning(Instant aNow, const ShardKey& aShard);
   // Tells a dispatcher of the crashes and quarantines that this instance knows.
   void ReportSuspects(Instant aNow, const std::string& aDispatcher);
   // Learns of crashes from the end of a send of this instance.
   void TrackCrashes(const RunningSend& aSend, const SendEnd& aEnd);
+  // Tells the dispatchers of the service's other shards of a crash, since the request may reach
+  // servers of several shards.
+  void ReportCrashToOthers(const RunningSend& aSend, const SendEnd& aEnd);
   void ApplyQuarantines(Instant aNow, const CrashSuspects::Changes& aChanges);
-  void DropRequests(Instant aNow, const std::string& aService);
-  void SendToDispatcher(const std::string& aService, const MessageToDispatcher& aMessage);
+  // Ends the open requests of the shard, and withdraws them from aFormer if that is not empty.
+  void DropRequests(Instant aNow, const ShardKey& aShard, const std::string& aFormer);
+  void SendToDispatcher(const ShardKey& aShard, const MessageToDispatcher& aMessage);
 
   PermitClientActions& actions_;
   EventSink& events_;
   PermitListener* listener_ = nullptr;
   std::map<std::string, FleetPeer> peers_;
   std::vector<std::string> services_;
+  DispatcherCounts counts_;
   DispatcherAssignment assignment_;
-  // The selected dispatcher by service.
-  std::map<std::string, std::string, std::less<>> dispatchers_;
+  // The selected dispatcher by shard.
+  std::map<ShardKey, std::string> dispatchers_;
   std::map<std::string, Link> links_;
   std::map<AttemptNumber, OpenRequest> requests_;
   std::map<AttemptNumber, RunningSend> running_;
--- a/Libraries/LibPermit/PermitDispatcher.cpp
+++ b/Libraries/LibPermit/PermitDispatcher.cpp
@@ -81,7 +81,9 @@
                   [&](const auto& aEntry) { return directory_.Find(aEntry.first) == nullptr; });
   }
   for (const auto& routed : routes_->Configuration().services_) {
-    services_[routed.name_].slowStartRate_ = routed.slowStartRate_;
+    auto& service = services_[routed.name_];
+    service.slowStartRate_ = routed.slowStartRate_;
+    service.hasShards_ = routes_->UsesLoadManagement() && routed.isKeyed_;
   }
   for (const auto& [id, record] : directory_.All()) {
     if (const auto service = services_.find(record.service_); service != services_.end()) {
@@ -251,6 +253,12 @@
 void
 PermitDispatcher::OnCrashNotice(Instant aNow, const CrashNotice& aNotice)
 {
+  // Instances report each lost connection of a service with shards, also those that its servers
+  // close as they leave by plan.
+  const auto* record = directory_.Find(aNotice.server_);
+  if (record != nullptr && record->IsLeaving() && services_[record->service_].hasShards_) {
+    return;
+  }
   Announce(suspects_.OnConnectionLost({ aNotice.fingerprint_,
                                         aNotice.server_,
                                         aNotice.incarnation_,
--- a/Libraries/LibPermit/PermitDispatcher.h
+++ b/Libraries/LibPermit/PermitDispatcher.h
@@ -98,6 +98,8 @@
     // measured.
     Duration meanWork_{ 0 };
     double slowStartRate_ = 0;
+    // Whether other dispatchers may issue the permits for some of the servers.
+    bool hasShards_ = false;
   };
 
   void OnRequest(Instant aNow, CallerId aCaller, const PermitRequest& aRequest);
--- a/Libraries/LibPermit/PromisedReturns.cpp
+++ b/Libraries/LibPermit/PromisedReturns.cpp
@@ -46,7 +46,9 @@
   }
   double throughput = 0;
   for (const auto& [id, server] : aService.servers_) {
-    throughput += server.Throughput(aNow, defaultWork);
+    // No sends are reported here for the servers of other dispatchers.
+    const bool isOthers = aService.hasShards_ && server.IsStale(aNow);
+    throughput += isOthers ? 0 : server.Throughput(aNow, defaultWork);
   }
   return throughput;
 }
--- a/Tests/LibGateway/TestPermitRequests.cpp
+++ b/Tests/LibGateway/TestPermitRequests.cpp
@@ -12,7 +12,7 @@
 class RecordingPermitSource : public PermitSource
 {
 public:
-  bool CanRequestPermit(const std::string&) const override { return isAvailable_; }
+  bool CanRequestPermit(const std::string&, const std::string&) const override { return isAvailable_; }
   Duration RemainingQuarantine(Instant, RequestFingerprint aFingerprint) const override
   {
     const auto quarantine = quarantines_.find(aFingerprint);
@@ -23,7 +23,10 @@
     permitRequests_.push_back(aRequest);
   }
   void Withdraw(AttemptNumber aNumber) override { withdrawn_.insert(aNumber); }
-  void OnPermitTimeout(Instant, const std::string&) override { isAvailable_ = false; }
+  void OnPermitTimeout(Instant, const std::string&, const std::string&) override
+  {
+    isAvailable_ = false;
+  }
   void ReportSend(Instant, const SendNotice& aNotice) override { notices_.push_back(aNotice); }
   void ReportSendEnd(const SendEnd& aEnd) override { ends_.push_back(aEnd); }
 
--- a/Tests/LibPermit/TestPermitClient.cpp
+++ b/Tests/LibPermit/TestPermitClient.cpp
@@ -89,10 +89,10 @@
 TEST_F(ClientOfADispatcher, LinkIsNotUpYet_PermitsCannotBeRequested)
 {
   ASSERT_EQ(recorded_.connected_.size(), 1U);
-  EXPECT_FALSE(client_.CanRequestPermit("plain"));
+  EXPECT_FALSE(client_.CanRequestPermit("plain", ""));
   LinkUp();
-  EXPECT_TRUE(client_.CanRequestPermit("plain"));
-  EXPECT_FALSE(client_.CanRequestPermit("other"));
+  EXPECT_TRUE(client_.CanRequestPermit("plain", ""));
+  EXPECT_FALSE(client_.CanRequestPermit("other", ""));
 }
 
 TEST_F(ClientOfADispatcher, PermitArrives_IsReportedOnce)
@@ -142,8 +142,8 @@
 {
   LinkUp();
   Request(5);
-  client_.OnPermitTimeout(now_, "plain");
-  EXPECT_FALSE(client_.CanRequestPermit("plain"));
+  client_.OnPermitTimeout(now_, "plain", "");
+  EXPECT_FALSE(client_.CanRequestPermit("plain", ""));
   Pass(milliseconds(200));
   EXPECT_NE(std::get_if<DispatcherProbe>(&recorded_.sent_.back().second), nullptr);
   EXPECT_TRUE(recorded_.disconnected_.empty());
@@ -156,10 +156,10 @@
 {
   LinkUp();
   Request(5);
-  client_.OnPermitTimeout(now_, "plain");
+  client_.OnPermitTimeout(now_, "plain", "");
   Pass(milliseconds(100));
   client_.OnMessage(now_, recorded_.connected_[0], DispatcherSign{});
-  EXPECT_TRUE(client_.CanRequestPermit("plain"));
+  EXPECT_TRUE(client_.CanRequestPermit("plain", ""));
   Pass(seconds(2));
   EXPECT_TRUE(recorded_.disconnected_.empty());
 }
