LibGateway: Count first answers of dispatchers and sends without a permit

The router now counts, by service, the time from a permit request to its first answer (permit_first_answer_us), the requests without one in time (permit_requests_unanswered_total) and the sends without a permit (sends_without_permit_total). Tests of the router check the counts.

--- a/Libraries/LibDaemon/GatewayMetrics.cpp
+++ b/Libraries/LibDaemon/GatewayMetrics.cpp
@@ -78,6 +78,26 @@
   }
 }
 
+void
+WritePermits(std::ostream& aText, const PermitStatistics& aPermits)
+{
+  const auto labelsOf = [](const std::string& aService) { return "service=\"" + aService + "\""; };
+  WriteType(aText, "permit_first_answer_us", "histogram");
+  for (const auto& [name, service] : aPermits.Services()) {
+    WriteHistogram(aText, "permit_first_answer_us", labelsOf(name) + ",", service.firstAnswers_);
+  }
+  WriteType(aText, "permit_requests_unanswered_total", "counter");
+  for (const auto& [name, service] : aPermits.Services()) {
+    aText << "latchslip_permit_requests_unanswered_total{" << labelsOf(name) << "} "
+          << service.unanswered_ << '\n';
+  }
+  WriteType(aText, "sends_without_permit_total", "counter");
+  for (const auto& [name, service] : aPermits.Services()) {
+    aText << "latchslip_sends_without_permit_total{" << labelsOf(name) << "} "
+          << service.sendsWithoutPermit_ << '\n';
+  }
+}
+
 void
 WriteStoreCalls(std::ostream& aText, const StoreCallCounts& aCalls)
 {
@@ -133,6 +153,7 @@
   WriteRoutes(text, aStatistics);
   WriteGroups(text, aStatistics);
   WriteServers(text, aStatistics);
+  WritePermits(text, aStatistics.Permits());
   WriteStoreCalls(text, aCalls);
   aLoop.Render(text);
   WriteReturns(text, aReturns);
--- a/Libraries/LibDaemon/MetricsText.h
+++ b/Libraries/LibDaemon/MetricsText.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibGateway/LatencyHistogram.h"
+#include "LibGateway/PermitStatistics.h"
 
 #include <ostream>
 #include <string>
@@ -20,5 +21,10 @@
                std::string_view aName,
                const std::string& aLabels,
                const LatencyHistogram& aLatency);
+void
+WriteHistogram(std::ostream& aText,
+               std::string_view aName,
+               const std::string& aLabels,
+               const FirstAnswerHistogram& aTimes);
 
 } // namespace latchslip
--- a/Libraries/LibGateway/GatewayRouter.cpp
+++ b/Libraries/LibGateway/GatewayRouter.cpp
@@ -503,6 +503,7 @@
     return false;
   }
   const auto attempt = ++lastAttempt_;
+  statistics_.Permits().OnSendWithoutPermit(aPending.service_->name_);
   permits_.ReportSend(aNow,
                       { attempt,
                         aPending.service_->name_,
--- a/Libraries/LibGateway/GatewayRouter.h
+++ b/Libraries/LibGateway/GatewayRouter.h
@@ -149,6 +149,8 @@
   bool TryRequestPermit(Instant aNow, PendingRequest& aPending);
   // Ends a permit request and returns the request that waited for it; null if none did.
   PendingRequest* TakePermitRequest(AttemptNumber aNumber);
+  // Counts the dispatcher's answer to the permit request, if it is the first one.
+  void CountFirstAnswer(Instant aNow, const PendingRequest& aPending);
   // Withdraws the permit request of the request, if there is one.
   void WithdrawPermitRequest(PendingRequest& aPending);
   // The server that the dispatcher chose, if this instance may send the request there by its own
--- a/Libraries/LibGateway/PendingRequest.h
+++ b/Libraries/LibGateway/PendingRequest.h
@@ -39,6 +39,7 @@
   AttemptNumber lastAttempt_ = 0;
   // The pending permit request; 0 if there is none.
   AttemptNumber permitRequest_ = 0;
+  Instant permitRequestedAt_{ 0 };
   // The dispatcher answered that a permit will follow.
   bool isPermitAnnounced_ = false;
   // Time until the dispatcher expects to have capacity, if it reported one.
--- a/Libraries/LibGateway/PermitRequests.cpp
+++ b/Libraries/LibGateway/PermitRequests.cpp
@@ -38,6 +38,7 @@
   }
   LeaveQueue(aPending);
   aPending.permitRequest_ = ++lastAttempt_;
+  aPending.permitRequestedAt_ = aNow;
   aPending.isPermitAnnounced_ = false;
   permitRequests_[aPending.permitRequest_] = aPending.request_.number_;
   SetTimer(aPending, aNow + kPermitAnswerTimeout);
@@ -67,6 +68,15 @@
   return &pending;
 }
 
+void
+GatewayRouter::CountFirstAnswer(Instant aNow, const PendingRequest& aPending)
+{
+  if (!aPending.isPermitAnnounced_) {
+    statistics_.Permits().OnFirstAnswer(aPending.service_->name_,
+                                        aNow - aPending.permitRequestedAt_);
+  }
+}
+
 void
 GatewayRouter::WithdrawPermitRequest(PendingRequest& aPending)
 {
@@ -123,6 +133,7 @@
     permits_.ReportSendEnd(CancelledSend(aNumber));
     return;
   }
+  CountFirstAnswer(aNow, *pending);
   const auto timeLeft = SendTimeLimit(aNow, *pending);
   const auto server = PermittedServer(aNow, *pending, aServer);
   if (server && timeLeft) {
@@ -142,6 +153,7 @@
     return;
   }
   auto& pending = pending_.at(entry->second);
+  CountFirstAnswer(aNow, pending);
   pending.isPermitAnnounced_ = true;
   SetTimer(
     pending,
@@ -152,6 +164,7 @@
 GatewayRouter::OnPermitDenied(Instant aNow, AttemptNumber aNumber, Duration aWait, bool aIsPromised)
 {
   if (auto* pending = TakePermitRequest(aNumber)) {
+    CountFirstAnswer(aNow, *pending);
     pending->dispatcherWait_ = aWait;
     pending->isReturnPromised_ = aIsPromised;
     pending->blockReason_ =
@@ -177,7 +190,10 @@
   if (aPending.isPermitAnnounced_) {
     aPending.blockReason_ = RefusalReason::NoCapacity;
     RefuseWaiting(aNow, aPending);
-  } else if (!TrySendWithoutPermit(aNow, aPending)) {
+    return;
+  }
+  statistics_.Permits().OnUnanswered(aPending.service_->name_);
+  if (!TrySendWithoutPermit(aNow, aPending)) {
     WaitOrRefuse(aNow, aPending);
   }
 }
--- a/Libraries/LibGateway/RequestStatistics.h
+++ b/Libraries/LibGateway/RequestStatistics.h
@@ -3,6 +3,7 @@
 #include "LibBase/Time.h"
 #include "LibGateway/LatencyHistogram.h"
 #include "LibGateway/Messages.h"
+#include "LibGateway/PermitStatistics.h"
 
 #include <array>
 #include <cstdint>
@@ -60,11 +61,14 @@
   const std::map<std::string, RouteStatistics>& Routes() const { return routes_; }
   const std::map<std::string, GroupStatistics>& Groups() const { return groups_; }
   const std::map<std::string, ServerStatistics>& Servers() const { return servers_; }
+  PermitStatistics& Permits() { return permits_; }
+  const PermitStatistics& Permits() const { return permits_; }
 
 private:
   std::map<std::string, RouteStatistics> routes_;
   std::map<std::string, GroupStatistics> groups_;
   std::map<std::string, ServerStatistics> servers_;
+  PermitStatistics permits_;
 };
 
 } // namespace latchslip
--- a/Libraries/LibGateway/ServerChoice.cpp
+++ b/Libraries/LibGateway/ServerChoice.cpp
@@ -178,6 +178,8 @@
   for (const auto& route : routes_->Configuration().routes_) {
     names.insert(route.Name());
   }
+  statistics_.Permits().KeepServices(
+    [&](const std::string& aService) { return routes_->FindService(aService) != nullptr; });
   statistics_.KeepRoutes([&](const std::string& aRoute) { return names.contains(aRoute); });
   std::erase_if(requestAges_, [&](const auto& aEntry) { return !names.contains(aEntry.first); });
   std::erase_if(moveTimes_,
--- a/Tests/LibGateway/TestPermitRequests.cpp
+++ b/Tests/LibGateway/TestPermitRequests.cpp
@@ -12,7 +12,10 @@
 class RecordingPermitSource : public PermitSource
 {
 public:
-  bool CanRequestPermit(const std::string&, const std::string&) const override { return isAvailable_; }
+  bool CanRequestPermit(const std::string&, const std::string&) const override
+  {
+    return isAvailable_;
+  }
   Duration RemainingQuarantine(Instant, RequestFingerprint aFingerprint) const override
   {
     const auto quarantine = quarantines_.find(aFingerprint);
@@ -420,6 +423,30 @@
   EXPECT_TRUE(permits_.ends_.back().isConnectionLost_);
 }
 
+// Guards against answers that are late but seem in time, since only sends are counted.
+TEST_F(RouterWithADispatcher, DispatcherAnswersTwice_OnlyTheFirstAnswerIsCounted)
+{
+  Request("/plain/");
+  Pass(milliseconds(3));
+  router_.OnPermitDelayed(now_, permits_.permitRequests_.back().number_);
+  Pass(milliseconds(30));
+  Permit("p1");
+  const auto& counted = router_.Statistics().Permits().Services().at("plain");
+  EXPECT_EQ(counted.firstAnswers_.Sum(), 3000);
+  EXPECT_EQ(counted.unanswered_, 0U);
+  EXPECT_EQ(counted.sendsWithoutPermit_, 0U);
+}
+
+TEST_F(RouterWithADispatcher, DispatcherDoesNotAnswer_RequestAndSendWithoutPermitAreCounted)
+{
+  Request("/plain/");
+  Pass(milliseconds(50));
+  const auto& counted = router_.Statistics().Permits().Services().at("plain");
+  EXPECT_EQ(counted.firstAnswers_.Sum(), 0);
+  EXPECT_EQ(counted.unanswered_, 1U);
+  EXPECT_EQ(counted.sendsWithoutPermit_, 1U);
+}
+
 } // namespace
 
 } // namespace latchslip
