LibPermit: Let a dispatcher with late answers resign its shards

A dispatcher behind a saturated link answers late although it is alive, and its instances go on asking it.

Under load management an instance complains to a dispatcher if most of its first answers within 2 s came after 40 ms. A dispatcher with complaints of a third of its requesting instances, at least three, tells all instances not to choose it for 10 s; its shards and the sends under way move to the next candidates. Only the first two candidates of a shard can resign it, and only if another follows. Events E645 and E646 report both. Releases without these messages close a link that carries them, and they are sent only under load management.

--- a/Benchmarks/BenchGateway.cpp
+++ b/Benchmarks/BenchGateway.cpp
@@ -115,6 +115,7 @@
 public:
   void RecordLeaving(const std::string&, std::uint64_t) override {}
   void RecordSuspension(const std::string&, CallerId, Duration) override {}
+  void RecordResignation(std::size_t, Duration) override {}
   void Answer(CallerId, const MessageFromDispatcher& aMessage) override
   {
     permits_ += std::holds_alternative<Permit>(aMessage) ? 1 : 0;
--- a/Libraries/LibBase/Event.cpp
+++ b/Libraries/LibBase/Event.cpp
@@ -89,6 +89,8 @@
   EventName{ Event::RequestQuarantined, "RequestQuarantined" },
   EventName{ Event::QuarantineLifted, "QuarantineLifted" },
   EventName{ Event::ServerSuspended, "ServerSuspended" },
+  EventName{ Event::DispatcherSlow, "DispatcherSlow" },
+  EventName{ Event::DispatcherResigned, "DispatcherResigned" },
   EventName{ Event::ApiKeysProven, "ApiKeysProven" },
   EventName{ Event::ApiKeysUnproven, "ApiKeysUnproven" },
   EventName{ Event::GroupOverLimit, "GroupOverLimit" },
--- a/Libraries/LibBase/Event.h
+++ b/Libraries/LibBase/Event.h
@@ -91,6 +91,8 @@
   RequestQuarantined = 642,
   QuarantineLifted = 643,
   ServerSuspended = 644,
+  DispatcherSlow = 645,
+  DispatcherResigned = 646,
   ApiKeysProven = 650,
   ApiKeysUnproven = 651,
   GroupOverLimit = 652,
--- a/Libraries/LibDaemon/GatewayHost.cpp
+++ b/Libraries/LibDaemon/GatewayHost.cpp
@@ -321,6 +321,7 @@
     ApplyLimits(aRoutes->Configuration().limits_);
     permits_.Dispatcher().SetRoutes(MonotonicNow(), aRoutes);
     routes_ = aRoutes;
+    permits_.Client().SetLoadManagement(aRoutes->UsesLoadManagement());
     UpdateDispatcherCounts();
     permits_.Client().SetServices(MonotonicNow(), ServiceNames(aRoutes->Configuration().services_));
     frontend_.Router().SetRoutes(MonotonicNow(), std::move(aRoutes));
--- a/Libraries/LibDaemon/PermitLinks.cpp
+++ b/Libraries/LibDaemon/PermitLinks.cpp
@@ -262,6 +262,14 @@
                    " suspended_us=" + std::to_string(aTime.count()));
 }
 
+void
+PermitLinks::RecordResignation(std::size_t aComplaints, Duration aTime)
+{
+  events_.Record(Event::DispatcherResigned,
+                 "complaints=" + std::to_string(aComplaints) +
+                   " time_us=" + std::to_string(aTime.count()));
+}
+
 void
 PermitLinks::ScheduleFlush()
 {
--- a/Libraries/LibDaemon/PermitLinks.h
+++ b/Libraries/LibDaemon/PermitLinks.h
@@ -64,6 +64,7 @@
     leavingObserver_(aServer, aIncarnation);
   }
   void RecordSuspension(const std::string& aServer, CallerId aCaller, Duration aTime) override;
+  void RecordResignation(std::size_t aComplaints, Duration aTime) override;
 
   void Accept();
   void OnAccepted(boost::asio::ip::tcp::socket aSocket);
--- a/Libraries/LibGateway/PermitMessages.h
+++ b/Libraries/LibGateway/PermitMessages.h
@@ -112,6 +112,12 @@
   bool operator==(const DispatcherProbe&) const = default;
 };
 
+// Reports that most first answers of this dispatcher reach the sender too late.
+struct DispatcherComplaint
+{
+  bool operator==(const DispatcherComplaint&) const = default;
+};
+
 // Allows one send of the request to that server, now.
 struct Permit
 {
@@ -147,14 +153,23 @@
   bool operator==(const DispatcherSign&) const = default;
 };
 
+// The dispatcher must not be chosen for some time, because its answers are late.
+struct DispatcherResignation
+{
+  Duration time_{ 0 };
+
+  bool operator==(const DispatcherResignation&) const = default;
+};
+
 using MessageToDispatcher = std::variant<PermitRequest,
                                          PermitWithdrawal,
                                          SendNotice,
                                          SendEnd,
                                          DispatcherProbe,
                                          CrashNotice,
-                                         Quarantine>;
-using MessageFromDispatcher =
-  std::variant<Permit, PermitDelay, PermitDenial, DispatcherSign, Quarantine>;
+                                         Quarantine,
+                                         DispatcherComplaint>;
+using MessageFromDispatcher = std::
+  variant<Permit, PermitDelay, PermitDenial, DispatcherSign, Quarantine, DispatcherResignation>;
 
 } // namespace latchslip
--- a/Libraries/LibNet/Generated/Permit.capnp.h
+++ b/Libraries/LibNet/Generated/Permit.capnp.h
@@ -152,6 +152,7 @@
     PROBE,
     CRASH,
     QUARANTINE,
+    COMPLAINT,
   };
 
   struct _capnpPrivate {
@@ -174,6 +175,7 @@
     DENIAL,
     SIGN,
     QUARANTINE,
+    RESIGNATION_MICROS,
   };
 
   struct _capnpPrivate {
@@ -998,6 +1000,9 @@
   inline bool hasQuarantine() const;
   inline  ::latchslip::wire::Quarantine::Reader getQuarantine() const;
 
+  inline bool isComplaint() const;
+  inline  ::capnp::Void getComplaint() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1075,6 +1080,10 @@
   inline void adoptQuarantine(::capnp::Orphan< ::latchslip::wire::Quarantine>&& value);
   inline ::capnp::Orphan< ::latchslip::wire::Quarantine> disownQuarantine();
 
+  inline bool isComplaint();
+  inline  ::capnp::Void getComplaint();
+  inline void setComplaint( ::capnp::Void value = ::capnp::VOID);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1137,6 +1146,9 @@
   inline bool hasQuarantine() const;
   inline  ::latchslip::wire::Quarantine::Reader getQuarantine() const;
 
+  inline bool isResignationMicros() const;
+  inline  ::int64_t getResignationMicros() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1198,6 +1210,10 @@
   inline void adoptQuarantine(::capnp::Orphan< ::latchslip::wire::Quarantine>&& value);
   inline ::capnp::Orphan< ::latchslip::wire::Quarantine> disownQuarantine();
 
+  inline bool isResignationMicros();
+  inline  ::int64_t getResignationMicros();
+  inline void setResignationMicros( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2414,6 +2430,32 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool ToDispatcher::Reader::isComplaint() const {
+  return which() == ToDispatcher::COMPLAINT;
+}
+inline bool ToDispatcher::Builder::isComplaint() {
+  return which() == ToDispatcher::COMPLAINT;
+}
+inline  ::capnp::Void ToDispatcher::Reader::getComplaint() const {
+  KJ_IREQUIRE((which() == ToDispatcher::COMPLAINT),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::capnp::Void ToDispatcher::Builder::getComplaint() {
+  KJ_IREQUIRE((which() == ToDispatcher::COMPLAINT),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ToDispatcher::Builder::setComplaint( ::capnp::Void value) {
+  _builder.setDataField<ToDispatcher::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ToDispatcher::COMPLAINT);
+  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::latchslip::wire::FromDispatcher::Which FromDispatcher::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2637,6 +2679,32 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool FromDispatcher::Reader::isResignationMicros() const {
+  return which() == FromDispatcher::RESIGNATION_MICROS;
+}
+inline bool FromDispatcher::Builder::isResignationMicros() {
+  return which() == FromDispatcher::RESIGNATION_MICROS;
+}
+inline  ::int64_t FromDispatcher::Reader::getResignationMicros() const {
+  KJ_IREQUIRE((which() == FromDispatcher::RESIGNATION_MICROS),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t FromDispatcher::Builder::getResignationMicros() {
+  KJ_IREQUIRE((which() == FromDispatcher::RESIGNATION_MICROS),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void FromDispatcher::Builder::setResignationMicros( ::int64_t value) {
+  _builder.setDataField<FromDispatcher::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FromDispatcher::RESIGNATION_MICROS);
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool PermitBatch::Reader::hasTo() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Libraries/LibNet/Permit.capnp
+++ b/Libraries/LibNet/Permit.capnp
@@ -79,6 +79,7 @@
     probe @4 :Void;
     crash @5 :CrashNotice;
     quarantine @6 :Quarantine;
+    complaint @7 :Void;
   }
 }
 
@@ -89,6 +90,7 @@
     denial @2 :PermitDenial;
     sign @3 :Void;
     quarantine @4 :Quarantine;
+    resignationMicros @5 :Int64;
   }
 }
 
--- a/Libraries/LibNet/PermitCodec.cpp
+++ b/Libraries/LibNet/PermitCodec.cpp
@@ -108,6 +108,18 @@
   aOut.setProbe();
 }
 
+void
+Write(wire::ToDispatcher::Builder aOut, const DispatcherComplaint&)
+{
+  aOut.setComplaint();
+}
+
+void
+Write(wire::FromDispatcher::Builder aOut, const DispatcherResignation& aResignation)
+{
+  aOut.setResignationMicros(aResignation.time_.count());
+}
+
 void
 Write(wire::FromDispatcher::Builder aOut, const Permit& aPermit)
 {
@@ -227,6 +239,8 @@
       return MessageToDispatcher(Read(aIn.getCrash()));
     case wire::ToDispatcher::QUARANTINE:
       return MessageToDispatcher(Read(aIn.getQuarantine()));
+    case wire::ToDispatcher::COMPLAINT:
+      return MessageToDispatcher(DispatcherComplaint{});
   }
   return FieldError{ "message", "has a type that this release does not support" };
 }
@@ -248,6 +262,8 @@
       return MessageFromDispatcher(DispatcherSign{});
     case wire::FromDispatcher::QUARANTINE:
       return MessageFromDispatcher(Read(aIn.getQuarantine()));
+    case wire::FromDispatcher::RESIGNATION_MICROS:
+      return MessageFromDispatcher(DispatcherResignation{ Duration(aIn.getResignationMicros()) });
   }
   return FieldError{ "message", "has a type that this release does not support" };
 }
--- a/Libraries/LibPermit/PermitClient.cpp
+++ b/Libraries/LibPermit/PermitClient.cpp
@@ -15,6 +15,9 @@
 constexpr Duration kReconnectDelay = seconds(1);
 // Interval between probes of a dispatcher that does not answer.
 constexpr Duration kProbeInterval = milliseconds(50);
+// Number of candidates for a shard that may resign it.
+constexpr std::size_t kResigningCandidates = 2;
+constexpr Duration kComplaintInterval = seconds(1);
 
 } // namespace
 
@@ -103,15 +106,27 @@
 PermitClient::AvailableCandidates(Instant aNow, const ShardKey& aShard) const
 {
   std::vector<std::string> available;
-  for (const auto& address : assignment_.CandidatesFor(aShard.first, aShard.second)) {
-    const auto link = links_.find(address);
-    if (link == links_.end() || aNow >= link->second.failedUntil_) {
-      available.push_back(address);
+  const auto& candidates = assignment_.CandidatesFor(aShard.first, aShard.second);
+  for (std::size_t index = 0; index < candidates.size(); ++index) {
+    const auto link = links_.find(candidates[index]);
+    if (link == links_.end() || !IsPassedOver(aNow, link->second, index, candidates.size())) {
+      available.push_back(candidates[index]);
     }
   }
   return available;
 }
 
+bool
+PermitClient::IsPassedOver(Instant aNow,
+                           const Link& aLink,
+                           std::size_t aIndex,
+                           std::size_t aCount) const
+{
+  const bool mayResign =
+    usesLoadManagement_ && aIndex < kResigningCandidates && aIndex + 1 < aCount;
+  return aNow < aLink.failedUntil_ || (mayResign && aNow < aLink.resignedUntil_);
+}
+
 void
 PermitClient::ConnectTo(const std::string& aDispatcher)
 {
@@ -162,7 +177,7 @@
                    (hasShards ? " shard=" + std::to_string(aShard.second) : std::string()) +
                    " dispatcher=" + (aNext.empty() ? "-" : aNext) +
                    " former=" + (former.empty() ? "-" : former));
-  DropRequests(aNow, aShard, hasShards && IsUp(former) ? former : std::string());
+  DropRequests(aNow, aShard, former);
   ReportRunning(aNow, aShard);
 }
 
@@ -175,9 +190,14 @@
       lost.push_back(number);
     }
   }
+  const bool isWithdrawn = ShardCountOf(aShard.first) > 1 && IsUp(aFormer);
+  const auto link = links_.find(aFormer);
   for (const auto number : lost) {
     requests_.erase(number);
-    if (!aFormer.empty()) {
+    if (link != links_.end()) {
+      link->second.firstAnswers_.OnAbandoned(aNow, number);
+    }
+    if (isWithdrawn) {
       actions_.Send(aFormer, PermitWithdrawal{ number });
     }
   }
@@ -325,8 +345,10 @@
                         const std::string& aDispatcher,
                         const MessageFromDispatcher& aMessage)
 {
-  links_[aDispatcher].unansweredSince_ = Instant::max();
+  auto& answering = links_[aDispatcher];
+  answering.unansweredSince_ = Instant::max();
   if (const auto* permit = std::get_if<Permit>(&aMessage)) {
+    answering.firstAnswers_.OnAnswered(aNow, permit->number_);
     const auto request = requests_.find(permit->number_);
     if (request == requests_.end()) {
       // The permit request has been withdrawn meanwhile.
@@ -341,22 +363,42 @@
     requests_.erase(request);
     listener_->OnPermit(aNow, permit->number_, permit->server_);
   } else if (const auto* delay = std::get_if<PermitDelay>(&aMessage)) {
+    answering.firstAnswers_.OnAnswered(aNow, delay->number_);
     if (requests_.contains(delay->number_)) {
       listener_->OnPermitDelayed(aNow, delay->number_);
     }
   } else if (const auto* denial = std::get_if<PermitDenial>(&aMessage)) {
+    answering.firstAnswers_.OnAnswered(aNow, denial->number_);
     if (requests_.erase(denial->number_) > 0) {
       listener_->OnPermitDenied(aNow, denial->number_, denial->wait_, denial->isPromised_);
     }
   } else if (const auto* quarantine = std::get_if<Quarantine>(&aMessage)) {
     ApplyQuarantines(aNow, suspects_.OnQuarantine(aNow, *quarantine));
+  } else if (const auto* resignation = std::get_if<DispatcherResignation>(&aMessage)) {
+    answering.resignedUntil_ = aNow + resignation->time_;
+    SelectDispatchers(aNow);
   }
 }
 
+void
+PermitClient::Complain(Instant aNow, const std::string& aDispatcher, Link& aLink)
+{
+  if (aNow < aLink.nextComplaint_ || aNow < aLink.resignedUntil_ ||
+      !aLink.firstAnswers_.IsSlow(aNow)) {
+    return;
+  }
+  aLink.nextComplaint_ = aNow + kComplaintInterval;
+  events_.Record(Event::DispatcherSlow, "dispatcher=" + aDispatcher);
+  actions_.Send(aDispatcher, DispatcherComplaint{});
+}
+
 void
 PermitClient::OnTime(Instant aNow)
 {
   for (auto& [address, link] : links_) {
+    if (usesLoadManagement_ && link.state_ == LinkState::Up) {
+      Complain(aNow, address, link);
+    }
     if (link.state_ != LinkState::Up || link.unansweredSince_ == Instant::max()) {
       continue;
     }
@@ -386,6 +428,10 @@
   requests_[aRequest.number_] = {
     shard, aRequest.server_, aNow + aRequest.timeLeft_, aRequest.fingerprint_
   };
+  if (const auto dispatcher = ReachableDispatcher(shard);
+      usesLoadManagement_ && !dispatcher.empty()) {
+    links_.at(dispatcher).firstAnswers_.OnRequested(aNow, aRequest.number_, aRequest.timeLeft_);
+  }
   SendToDispatcher(shard, aRequest);
 }
 
--- a/Libraries/LibPermit/PermitClient.h
+++ b/Libraries/LibPermit/PermitClient.h
@@ -3,6 +3,7 @@
 #include "LibBase/Event.h"
 #include "LibGateway/PermitSource.h"
 #include "LibPermit/DispatcherAssignment.h"
+#include "LibPermit/FirstAnswerMonitor.h"
 
 #include <map>
 #include <string>
@@ -60,6 +61,9 @@
   void SetPeers(Instant aNow, const std::map<std::string, FleetPeer>& aPeers);
   // Sets the services that have a dispatcher.
   void SetServices(Instant aNow, std::vector<std::string> aServices);
+  // Whether this instance complains to dispatchers with late answers, and respects their
+  // resignations.
+  void SetLoadManagement(bool aIsUsed) { usesLoadManagement_ = aIsUsed; }
   // Sets the number of dispatchers of the services with shards; all others have one.
   void SetDispatcherCounts(Instant aNow, DispatcherCounts aCounts);
 
@@ -104,6 +108,10 @@
     // The dispatcher is not selected before this time.
     Instant failedUntil_ = Instant::min();
     Instant nextProbe_ = Instant::min();
+    FirstAnswerMonitor firstAnswers_;
+    Instant nextComplaint_ = Instant::min();
+    // The dispatcher has resigned its shards until then.
+    Instant resignedUntil_ = Instant::min();
   };
 
   // An outstanding send, as it is reported to a new dispatcher.
@@ -139,6 +147,12 @@
   void AssignShardsAgain();
   // The candidates for the shard that have not failed recently, in order of preference.
   std::vector<std::string> AvailableCandidates(Instant aNow, const ShardKey& aShard) const;
+  // Whether the dispatcher, which is the candidate with that index, is passed over: it failed
+  // recently, or has resigned. A resignation holds for the first two candidates only, and only if
+  // another one follows, so that there is always one.
+  bool IsPassedOver(Instant aNow, const Link& aLink, std::size_t aIndex, std::size_t aCount) const;
+  // Complains to a dispatcher with late answers, once a second at most.
+  void Complain(Instant aNow, const std::string& aDispatcher, Link& aLink);
   // Opens a link to the dispatcher unless there is one.
   void ConnectTo(const std::string& aDispatcher);
   // The selected dispatcher of the shard, if its link is up; otherwise empty.
@@ -155,7 +169,8 @@
   // servers of several shards.
   void ReportCrashToOthers(const RunningSend& aSend, const SendEnd& aEnd);
   void ApplyQuarantines(Instant aNow, const CrashSuspects::Changes& aChanges);
-  // Ends the open requests of the shard, and withdraws them from aFormer if that is not empty.
+  // Ends the open requests of the shard. Those of a service with shards are withdrawn from the
+  // former dispatcher if it is reachable.
   void DropRequests(Instant aNow, const ShardKey& aShard, const std::string& aFormer);
   void SendToDispatcher(const ShardKey& aShard, const MessageToDispatcher& aMessage);
 
@@ -164,6 +179,7 @@
   PermitListener* listener_ = nullptr;
   std::map<std::string, FleetPeer> peers_;
   std::vector<std::string> services_;
+  bool usesLoadManagement_ = false;
   DispatcherCounts counts_;
   DispatcherAssignment assignment_;
   // The selected dispatcher by shard.
--- a/Libraries/LibPermit/PermitDispatcher.cpp
+++ b/Libraries/LibPermit/PermitDispatcher.cpp
@@ -64,7 +64,8 @@
 PermitDispatcher::SetRoutes(Instant aNow, std::shared_ptr<const RouteTable> aRoutes)
 {
   routes_ = std::move(aRoutes);
-  if (!routes_->UsesLoadManagement()) {
+  usesLoadManagement_ = routes_->UsesLoadManagement();
+  if (!usesLoadManagement_) {
     returns_.Clear();
   }
   OnDirectoryChanged(aNow);
@@ -83,7 +84,7 @@
   for (const auto& routed : routes_->Configuration().services_) {
     auto& service = services_[routed.name_];
     service.slowStartRate_ = routed.slowStartRate_;
-    service.hasShards_ = routes_->UsesLoadManagement() && routed.isKeyed_;
+    service.hasShards_ = usesLoadManagement_ && routed.isKeyed_;
   }
   for (const auto& [id, record] : directory_.All()) {
     if (const auto service = services_.find(record.service_); service != services_.end()) {
@@ -109,8 +110,14 @@
     for (const auto& quarantine : suspects_.Quarantines(aNow)) {
       actions_.Answer(aCaller, quarantine);
     }
+    if (const auto left = complaints_.RemainingResignation(aNow); left > Duration(0)) {
+      actions_.Answer(aCaller, DispatcherResignation{ left });
+    }
   }
   if (const auto* request = std::get_if<PermitRequest>(&aMessage)) {
+    if (usesLoadManagement_) {
+      complaints_.OnRequest(aNow, aCaller);
+    }
     OnRequest(aNow, aCaller, *request);
   } else if (const auto* withdrawal = std::get_if<PermitWithdrawal>(&aMessage)) {
     OnWithdrawal({ aCaller, withdrawal->number_ });
@@ -122,6 +129,8 @@
     OnCrashNotice(aNow, *crash);
   } else if (const auto* quarantine = std::get_if<Quarantine>(&aMessage)) {
     Announce(suspects_.OnQuarantine(aNow, *quarantine));
+  } else if (std::holds_alternative<DispatcherComplaint>(aMessage)) {
+    OnComplaint(aNow, aCaller);
   } else {
     actions_.Answer(aCaller, DispatcherSign{});
   }
@@ -250,6 +259,19 @@
                           aEnd.isConnectionLost_ && !isLeaving));
 }
 
+void
+PermitDispatcher::OnComplaint(Instant aNow, CallerId aCaller)
+{
+  if (!usesLoadManagement_ || !complaints_.OnComplaint(aNow, aCaller)) {
+    return;
+  }
+  const auto time = complaints_.RemainingResignation(aNow);
+  actions_.RecordResignation(complaints_.Complaining(), time);
+  for (const auto caller : callers_) {
+    actions_.Answer(caller, DispatcherResignation{ time });
+  }
+}
+
 void
 PermitDispatcher::OnCrashNotice(Instant aNow, const CrashNotice& aNotice)
 {
@@ -307,6 +329,7 @@
 PermitDispatcher::OnCallerGone(Instant aNow, CallerId aCaller)
 {
   callers_.erase(aCaller);
+  complaints_.OnCallerGone(aCaller);
   const PermitKey first(aCaller, 0);
   for (auto queued = queued_.lower_bound(first);
        queued != queued_.end() && queued->first.first == aCaller;) {
--- a/Libraries/LibPermit/PermitDispatcher.h
+++ b/Libraries/LibPermit/PermitDispatcher.h
@@ -4,6 +4,7 @@
 #include "LibGateway/QueuePosition.h"
 #include "LibGateway/RoutingTable.h"
 #include "LibPermit/DispatchedServer.h"
+#include "LibPermit/DispatcherComplaints.h"
 #include "LibPermit/LateWaitBound.h"
 
 #include <map>
@@ -26,6 +27,8 @@
   virtual void RecordLeaving(const std::string& aServer, std::uint64_t aIncarnation) = 0;
   // No permits are issued for the server for aTime, because an instance could not connect to it.
   virtual void RecordSuspension(const std::string& aServer, CallerId aCaller, Duration aTime) = 0;
+  // The dispatcher is not to be chosen for aTime, because aComplaints instances get late answers.
+  virtual void RecordResignation(std::size_t aComplaints, Duration aTime) = 0;
 };
 
 // Issues permits for sends to the servers of the services that it is the dispatcher of. All sends
@@ -107,6 +110,7 @@
   void OnNotice(Instant aNow, CallerId aCaller, const SendNotice& aNotice);
   void OnEnd(Instant aNow, CallerId aCaller, const SendEnd& aEnd);
   void OnCrashNotice(Instant aNow, const CrashNotice& aNotice);
+  void OnComplaint(Instant aNow, CallerId aCaller);
   // Learns of crashes from the end of a send.
   void TrackCrashes(Instant aNow, const RunningSend& aSend, const SendEnd& aEnd);
   // Learns from the directory which of the servers that seem to have crashed are gone.
@@ -185,6 +189,9 @@
   const ServerDirectory& directory_;
   DispatcherActions& actions_;
   std::shared_ptr<const RouteTable> routes_;
+  // Whether the configuration asks for load management.
+  bool usesLoadManagement_ = false;
+  DispatcherComplaints complaints_;
   std::map<std::string, Service, std::less<>> services_;
   std::map<PermitKey, RunningSend> permits_;
   QueuedRequests queued_;
--- a/Tests/LibNet/TestPermitCodec.cpp
+++ b/Tests/LibNet/TestPermitCodec.cpp
@@ -45,14 +45,16 @@
              1700 },
     CrashNotice{ 0xfeed, "s1", 1700, milliseconds(900), milliseconds(800) },
     Quarantine{ 0xfeed, seconds(60), 2 },
-    DispatcherProbe{}
+    DispatcherProbe{},
+    DispatcherComplaint{}
   };
   batch.fromDispatcher_ = { Permit{ 7, "s1" },
                             PermitDelay{ 8 },
                             PermitDenial{ 9, milliseconds(250) },
                             PermitDenial{ 10, milliseconds(350), true },
                             Quarantine{ 0xfeed, seconds(60), 2 },
-                            DispatcherSign{} };
+                            DispatcherSign{},
+                            DispatcherResignation{ seconds(10) } };
   const auto read = Decode(EncodePermitBatch(batch));
   ASSERT_TRUE(read);
   EXPECT_EQ(read.value(), batch);
--- a/Tests/LibPermit/DispatcherFixture.h
+++ b/Tests/LibPermit/DispatcherFixture.h
@@ -31,7 +31,14 @@
     suspensions_.emplace_back(aServer, aCaller);
   }
 
+  void RecordResignation(std::size_t aComplaints, Duration) override
+  {
+    resignations_.push_back(aComplaints);
+  }
+
   std::vector<std::pair<CallerId, MessageFromDispatcher>> answers_;
+  // The complaints that led to each resignation.
+  std::vector<std::size_t> resignations_;
   // Servers reported as leaving, with their incarnations.
   std::set<std::pair<std::string, std::uint64_t>> leaving_;
   // Servers suspended, each with the instance that could not connect to it.
--- a/Tests/LibPermit/InstancesWorld.cpp
+++ b/Tests/LibPermit/InstancesWorld.cpp
@@ -116,6 +116,7 @@
     });
   }
   void RecordSuspension(const std::string&, CallerId, Duration) override { ++world_.suspensions_; }
+  void RecordResignation(std::size_t, Duration) override {}
 
   // PermitListener
   void OnPermit(Instant aNow, AttemptNumber aNumber, const std::string& aServer) override
--- a/Tests/LibPermit/ShardedFleet.cpp
+++ b/Tests/LibPermit/ShardedFleet.cpp
@@ -79,6 +79,7 @@
   void Start()
   {
     dispatcher_.SetRoutes(Now(), routes_);
+    permits_.SetLoadManagement(routes_->UsesLoadManagement());
     permits_.SetServices(Now(), { "keyed" });
     router_.SetRoutes(Now(), routes_);
     // Spreads the timers of the instances.
@@ -137,6 +138,8 @@
   const PermitDispatcher& Dispatcher() const { return dispatcher_; }
   std::size_t InFlight() const { return router_.InFlight(); }
 
+  // Added to each answer as a dispatcher.
+  Duration answerDelay_{ 0 };
   // Time at which the link has sent all messages.
   Instant linkFreeAt_{ 0 };
 
@@ -269,10 +272,12 @@
     if (&caller == this) {
       fleet_.queue_.ScheduleAfter(Duration(0), deliver);
     } else {
-      fleet_.Transmit(index_, deliver);
+      fleet_.Transmit(index_,
+                      [this, deliver] { fleet_.queue_.ScheduleAfter(answerDelay_, deliver); });
     }
   }
   void RecordSuspension(const std::string&, CallerId, Duration) override {}
+  void RecordResignation(std::size_t, Duration) override { ++fleet_.counts_.resignations_; }
 
   void CountFirstAnswer(const MessageFromDispatcher& aMessage)
   {
@@ -427,6 +432,12 @@
   });
 }
 
+void
+ShardedFleet::SetAnswerDelay(std::size_t aInstance, Duration aDelay)
+{
+  instances_[aInstance]->answerDelay_ = aDelay;
+}
+
 void
 ShardedFleet::Drain()
 {
--- a/Tests/LibPermit/ShardedFleet.h
+++ b/Tests/LibPermit/ShardedFleet.h
@@ -45,6 +45,7 @@
   // Requests that ran more than once.
   std::size_t repeated_ = 0;
   std::size_t withoutPermit_ = 0;
+  std::size_t resignations_ = 0;
   // Times from a permit request to its first answer, if there was one.
   std::vector<Duration> firstAnswers_;
 };
@@ -65,6 +66,8 @@
   void SetRoster(std::size_t aInstance, const std::set<std::size_t>& aMembers);
   // Ends an instance: its links close and its requests are not counted any further.
   void End(std::size_t aInstance);
+  // Delays all later answers of a dispatcher, as a saturated link does.
+  void SetAnswerDelay(std::size_t aInstance, Duration aDelay);
   // Adds servers to the directories of all instances.
   void AddServers(std::size_t aCount);
 
--- a/Tests/LibPermit/TestPermitClientShards.cpp
+++ b/Tests/LibPermit/TestPermitClientShards.cpp
@@ -115,15 +115,17 @@
     return dispatchers;
   }
 
-  void Request(ShardNumber aShard)
+  void Request(ShardNumber aShard) { RequestAs(aShard, aShard); }
+
+  void RequestAs(AttemptNumber aNumber, ShardNumber aShard)
   {
     PermitRequest request;
-    request.number_ = aShard;
+    request.number_ = aNumber;
     request.service_ = "keyed";
     request.server_ = serverOf_.at(aShard);
     request.timeLeft_ = seconds(1);
     request.fingerprint_ = kFingerprint;
-    recorded_.servers_[aShard] = request.server_;
+    recorded_.servers_[aNumber] = request.server_;
     client_.RequestPermit(now_, request);
   }
 
@@ -277,6 +279,86 @@
   EXPECT_EQ(recorded_.SentTo<SendEnd>(dispatchers.at(5)), std::vector<SendEnd>{ end });
 }
 
+// Guards against sends that no dispatcher knows after a resignation, and against a resigned
+// dispatcher that is chosen again at once.
+TEST_F(ClientOfShards, DispatcherResigns_ItsShardsAndSendsMoveForTenSeconds)
+{
+  client_.SetLoadManagement(true);
+  Start({ { "keyed", 4 } });
+  const auto dispatchers = Dispatchers(4);
+  const auto slow = dispatchers.at(5);
+  std::size_t sends = 0;
+  for (const auto& [shard, dispatcher] : dispatchers) {
+    Request(shard);
+    client_.OnMessage(now_, dispatcher, Permit{ shard, serverOf_.at(shard) });
+    sends += dispatcher == slow ? 1 : 0;
+  }
+  recorded_.sent_.clear();
+  client_.OnMessage(now_, slow, DispatcherResignation{ seconds(10) });
+  std::size_t reported = 0;
+  for (const auto& [address, messages] : recorded_.sent_) {
+    reported += recorded_.SentTo<SendNotice>(address).size();
+  }
+  EXPECT_EQ(reported, sends);
+  EXPECT_TRUE(recorded_.sent_[slow].empty());
+  for (const auto wait : { milliseconds(9'900), milliseconds(200) }) {
+    now_ += wait;
+    client_.OnTime(now_);
+    recorded_.sent_.clear();
+    Request(5);
+    EXPECT_EQ(recorded_.SentTo<PermitRequest>(slow).empty(), wait == milliseconds(9'900));
+  }
+}
+
+// Guards against a service that no instance dispatches because all have resigned.
+TEST_F(ClientOfShards, AllDispatchersResign_EachShardHasADispatcherStill)
+{
+  client_.SetLoadManagement(true);
+  Start({ { "keyed", 4 } });
+  for (const auto& [address, peer] : peers_) {
+    client_.OnLinkUp(now_, address);
+    client_.OnMessage(now_, address, DispatcherResignation{ seconds(10) });
+  }
+  LinksUp();
+  for (const auto& [shard, server] : serverOf_) {
+    EXPECT_TRUE(client_.CanRequestPermit("keyed", server));
+  }
+}
+
+TEST_F(ClientOfShards, FirstAnswersAreLate_ComplainsOnceASecond)
+{
+  client_.SetLoadManagement(true);
+  Start({ { "keyed", 4 } });
+  const auto slow = Dispatchers(4).at(5);
+  for (AttemptNumber number = 1; number <= 60; ++number) {
+    RequestAs(number, 5);
+    now_ += milliseconds(50);
+    client_.OnMessage(now_, slow, PermitDelay{ number });
+    client_.Withdraw(number);
+    client_.OnTime(now_);
+  }
+  const auto complaints = recorded_.SentTo<DispatcherComplaint>(slow).size();
+  EXPECT_GE(complaints, 2U);
+  EXPECT_LE(complaints, 3U);
+}
+
+TEST_F(ClientOfShards, LoadManagementIsOff_NoComplaintIsSentAndResignationsDoNotCount)
+{
+  Start({});
+  const auto dispatcher = Dispatchers(1).at(0);
+  for (AttemptNumber number = 1; number <= 60; ++number) {
+    RequestAs(number, 5);
+    now_ += milliseconds(50);
+    client_.Withdraw(number);
+    client_.OnTime(now_);
+  }
+  client_.OnMessage(now_, dispatcher, DispatcherResignation{ seconds(10) });
+  EXPECT_TRUE(recorded_.SentTo<DispatcherComplaint>(dispatcher).empty());
+  recorded_.sent_.clear();
+  Request(5);
+  EXPECT_EQ(recorded_.SentTo<PermitRequest>(dispatcher).size(), 1U);
+}
+
 } // namespace
 
 } // namespace latchslip
