Tests: Simulate a fleet with permit shards under load

A dispatcher with answers 150 ms late must resign for 10 s without lost or repeated requests. With 73 instances, 291 servers and 3,000 requests a second, first answers must come within 10 ms for 99 %, and servers must reject under 2 %.

--- a/Tests/LibPermit/TestShardedFleet.cpp
+++ b/Tests/LibPermit/TestShardedFleet.cpp
@@ -109,6 +109,56 @@
   EXPECT_LT(Share(counts.rejections_, counts.arrivals_), 0.02);
 }
 
+// Guards against a dispatcher whose answers wait behind its link while its instances go on asking
+// it.
+TEST(ShardedFleet, DispatcherIsSlowButAlive_ResignsForTenSeconds)
+{
+  ShardedFleet fleet(TwoDispatchers());
+  fleet.Run(seconds(1));
+  const auto slow = fleet.BusiestDispatcher();
+  fleet.SetAnswerDelay(slow, milliseconds(150));
+  // The sends that it knows expire about 2 s after the moves.
+  fleet.Run(seconds(6));
+  EXPECT_FALSE(fleet.Dispatchers().contains(slow));
+  fleet.SetAnswerDelay(slow, Duration(0));
+  fleet.Run(seconds(3));
+  EXPECT_FALSE(fleet.Dispatchers().contains(slow));
+  fleet.Run(seconds(5));
+  EXPECT_TRUE(fleet.Dispatchers().contains(slow));
+  fleet.Drain();
+  const auto counts = fleet.TakeCounts();
+  EXPECT_EQ(counts.resignations_, 1U);
+  ExpectAllEndedOnce(counts);
+}
+
+// Guards against permits that come too late, and so against servers that instances fill without
+// them.
+TEST(ShardedFleet, SeventyThreeInstancesAnd3000RequestsASecond_PermitsAreInTime)
+{
+  ShardedFleetSettings settings;
+  settings.strong_ = 6;
+  settings.weak_ = 67;
+  settings.servers_ = 291;
+  settings.rate_ = 3000;
+  ShardedFleet fleet(settings);
+  fleet.Run(seconds(2));
+  fleet.TakeCounts();
+  fleet.Run(seconds(4));
+  auto counts = fleet.TakeCounts();
+  auto& answers = counts.firstAnswers_;
+  ASSERT_GT(answers.size(), 10'000U);
+  const auto rank = answers.begin() + static_cast<std::ptrdiff_t>(answers.size() * 99 / 100);
+  std::nth_element(answers.begin(), rank, answers.end());
+  EXPECT_LE(*rank, milliseconds(10));
+  EXPECT_LT(Share(counts.withoutPermit_, counts.requests_), 0.01);
+  EXPECT_LT(Share(counts.rejections_, counts.arrivals_), 0.02);
+  RecordProperty("first_answer_p99_us", static_cast<int>(rank->count()));
+  RecordProperty("without_permit", static_cast<int>(counts.withoutPermit_));
+  RecordProperty("rejections", static_cast<int>(counts.rejections_));
+  RecordProperty("arrivals", static_cast<int>(counts.arrivals_));
+  RecordProperty("delivered", static_cast<int>(counts.delivered_));
+}
+
 } // namespace
 
 } // namespace latchslip
