LibGateway: Limit sends without a permit to a share of the capacity

Instances whose dispatcher does not answer send by their learned limits alone.

Under load management a send without a permit now also needs a token of the instance's equal share of the server's capacity; otherwise the request waits or is refused for lack of capacity. Sends with a permit and deployments without load management are as before. Tests of the share and of the router pass.

--- a/Libraries/LibGateway/GatewayRouter.cpp
+++ b/Libraries/LibGateway/GatewayRouter.cpp
@@ -504,6 +504,7 @@
   }
   const auto attempt = ++lastAttempt_;
   statistics_.Permits().OnSendWithoutPermit(aPending.service_->name_);
+  shares_.OnSent(aNow, chosen.record_->id_);
   permits_.ReportSend(aNow,
                       { attempt,
                         aPending.service_->name_,
@@ -605,9 +606,10 @@
     return RemainingBackoff(aNow, aPending);
   }
   const auto ahead = QueuedAhead(aPending);
-  return MinOverServers(aNow, aPending, [aNow, ahead](const ServerLoad& aLoad) {
+  const auto delay = MinOverServers(aNow, aPending, [aNow, ahead](const ServerLoad& aLoad) {
     return aLoad.RemainingDelay(aNow, ahead);
   });
+  return std::max(delay, CapacityShareWait(aNow, aPending));
 }
 
 Duration
--- a/Libraries/LibGateway/GatewayRouter.h
+++ b/Libraries/LibGateway/GatewayRouter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibBase/Event.h"
+#include "LibGateway/CapacityShares.h"
 #include "LibGateway/GroupAdmission.h"
 #include "LibGateway/Messages.h"
 #include "LibGateway/MoveTimeEstimator.h"
@@ -177,7 +178,15 @@
   void RecordMoves(Instant aNow, const KeyOwnership& aOwnership);
   // Whether a range is in handover between two owners, as far as this instance knows.
   bool IsInHandover(Instant aNow, const std::string& aService, const KeyRange& aRange) const;
+  // Whether the server may get a request without a permit as far as this instance's share of its
+  // capacity is concerned. Always true without load management.
+  bool HasCapacityShare(Instant aNow,
+                        const PendingRequest& aPending,
+                        const ServerCandidate& aServer);
+  // Time until a server that may have the request can get it by that share; zero if one can now.
+  Duration CapacityShareWait(Instant aNow, PendingRequest& aPending);
   Choice ChooseOwner(Instant aNow, PendingRequest& aPending, ServerCandidate& aChosen);
+  // Chooses among the servers of a service without keys, for a send without a permit.
   Choice ChooseAny(Instant aNow, const PendingRequest& aPending, ServerCandidate& aChosen);
   // Cost of sending one more request to a server: its expected latency, weighted by requests in
   // flight, hall, connection and failures.
@@ -297,6 +306,7 @@
   std::map<std::string, RequestAgeEstimator, std::less<>> requestAges_;
   std::map<std::string, ServiceState, std::less<>> services_;
   std::map<std::string, ServerLoad, std::less<>> loads_;
+  CapacityShares shares_;
   std::unordered_map<RequestNumber, PendingRequest> pending_;
   std::unordered_map<AttemptNumber, RequestNumber> attempts_;
   // Requests that wait for permits.
--- a/Libraries/LibGateway/ServerChoice.cpp
+++ b/Libraries/LibGateway/ServerChoice.cpp
@@ -147,6 +147,9 @@
   std::erase_if(refusalStreaks_, [&](const auto& aEntry) {
     return !loads_.contains(aEntry.first) && routes_->FindService(aEntry.first) == nullptr;
   });
+  shares_.KeepServers([&](const std::string& aServer) {
+    return routes_->UsesLoadManagement() && loads_.contains(aServer);
+  });
   statistics_.KeepServers([&](const std::string& aServer) { return loads_.contains(aServer); });
   paths_->KeepServers(
     [this](const std::string& aServer) { return directory_.Find(aServer) != nullptr; });
@@ -277,8 +280,47 @@
 GatewayRouter::Choice
 GatewayRouter::ChooseServer(Instant aNow, PendingRequest& aPending, ServerCandidate& aChosen)
 {
-  return aPending.service_->isKeyed_ ? ChooseOwner(aNow, aPending, aChosen)
-                                     : ChooseAny(aNow, aPending, aChosen);
+  if (!aPending.service_->isKeyed_) {
+    return ChooseAny(aNow, aPending, aChosen);
+  }
+  const auto choice = ChooseOwner(aNow, aPending, aChosen);
+  return choice == Choice::Found && !HasCapacityShare(aNow, aPending, aChosen) ? Choice::NoCapacity
+                                                                               : choice;
+}
+
+bool
+GatewayRouter::HasCapacityShare(Instant aNow,
+                                const PendingRequest& aPending,
+                                const ServerCandidate& aServer)
+{
+  if (!routes_->UsesLoadManagement()) {
+    return true;
+  }
+  const auto mean = aServer.load_->MeanLatency();
+  const auto work =
+    mean > Duration(0) ? mean : TypicalLatency(StateOf(aPending.service_->name_).servers_);
+  const auto& record = *aServer.record_;
+  shares_.SetShare(aNow, record.id_, std::max(1U, record.slots_), work, InstanceCount());
+  return shares_.HasToken(aNow, record.id_);
+}
+
+Duration
+GatewayRouter::CapacityShareWait(Instant aNow, PendingRequest& aPending)
+{
+  if (!routes_->UsesLoadManagement()) {
+    return Duration(0);
+  }
+  const auto ahead = QueuedAhead(aPending);
+  if (aPending.service_->isKeyed_) {
+    return shares_.RemainingWait(aNow, aPending.owner_, ahead);
+  }
+  auto least = Duration::max();
+  for (const auto& server : StateOf(aPending.service_->name_).servers_) {
+    if (server.record_->AcceptsWork()) {
+      least = std::min(least, shares_.RemainingWait(aNow, server.record_->id_, 0));
+    }
+  }
+  return least == Duration::max() ? Duration(0) : least;
 }
 
 bool
@@ -316,7 +358,10 @@
 GatewayRouter::ChooseAny(Instant aNow, const PendingRequest& aPending, ServerCandidate& aChosen)
 {
   const auto& servers = StateOf(aPending.service_->name_).servers_;
-  const auto available = AvailableServers(aNow, servers, aPending.tried_);
+  auto available = AvailableServers(aNow, servers, aPending.tried_);
+  std::erase_if(available, [&](const ServerCandidate& aServer) {
+    return !HasCapacityShare(aNow, aPending, aServer);
+  });
   if (available.empty()) {
     return HasServer(servers) ? Choice::NoCapacity : Choice::NoServer;
   }
--- a/Tests/LibGateway/TestPermitRequests.cpp
+++ b/Tests/LibGateway/TestPermitRequests.cpp
@@ -54,7 +54,7 @@
       directory_.Put(now_, { id, "plain", std::string(id) + ":80", "hall", 4, false, 1 });
     }
     directory_.Put(now_, { "k1", "keyed", "k1:80", "hall", 4, false, 1 });
-    RoutingConfiguration configuration;
+    auto& configuration = configuration_;
     configuration.version_ = 1;
     configuration.services_ = { { "plain", 100, false }, { "keyed", 100, true } };
     for (const auto* service : { "plain", "keyed" }) {
@@ -75,6 +75,29 @@
     router_.SetOwnership(now_, { "keyed", 2, { { 0, 99, "k1", 1, "" } } });
   }
 
+  void UseLoadManagement()
+  {
+    ++configuration_.version_;
+    configuration_.routes_.front().hasLargeBodies_ = true;
+    router_.SetRoutes(
+      now_, std::make_shared<const RouteTable>(RouteTable::Create(configuration_).value()));
+  }
+
+  // Two requests for the same server, the second one when the first is answered after 100 ms, by an
+  // instance of a large fleet without a dispatcher.
+  void RequestTwiceWithoutPermits(const std::string& aPath, std::optional<KeyNumber> aKey)
+  {
+    router_.SetInstances(100);
+    permits_.isAvailable_ = false;
+    Request(aPath, aKey);
+    Pass(milliseconds(100));
+    AttemptOutcome outcome;
+    outcome.end_ = AttemptEnd::Answered;
+    outcome.status_ = 200;
+    router_.OnAttemptEnded(now_, actions_.sent_.back().number_, outcome);
+    Request(aPath, aKey);
+  }
+
   static constexpr RequestFingerprint kPoison = 7;
 
   RequestNumber Request(const std::string& aPath,
@@ -117,6 +140,7 @@
     now_ = end;
   }
 
+  RoutingConfiguration configuration_;
   Instant now_ = seconds(100);
   RequestNumber lastRequest_ = 0;
   NullEventSink events_;
@@ -447,6 +471,46 @@
   EXPECT_EQ(counted.sendsWithoutPermit_, 1U);
 }
 
+// Guards against the instances of a fleet that overload a server together while its dispatcher does
+// not answer.
+TEST_F(RouterWithADispatcher, LoadManagementWithoutAnAnswer_SendsOnlyWithinTheShareOfTheCapacity)
+{
+  UseLoadManagement();
+  RequestTwiceWithoutPermits("/keyed/", 5);
+  Pass(milliseconds(400));
+  EXPECT_EQ(actions_.sent_.size(), 1U);
+  ASSERT_TRUE(actions_.refused_.contains(lastRequest_));
+  EXPECT_EQ(actions_.refused_.at(lastRequest_).reason_, RefusalReason::NoCapacity);
+}
+
+TEST_F(RouterWithADispatcher, LoadManagementIsOff_SendsWithoutAnAnswerByItsLearnedLimit)
+{
+  RequestTwiceWithoutPermits("/keyed/", 5);
+  EXPECT_EQ(actions_.sent_.size(), 2U);
+}
+
+TEST_F(RouterWithADispatcher, ShareOfOneServerIsUsed_SendsToAnotherOne)
+{
+  UseLoadManagement();
+  RequestTwiceWithoutPermits("/plain/", std::nullopt);
+  ASSERT_EQ(actions_.sent_.size(), 2U);
+  EXPECT_NE(actions_.sent_[0].server_, actions_.sent_[1].server_);
+}
+
+// Guards against a share that limits sends with a permit too.
+TEST_F(RouterWithADispatcher, ShareIsUsedAndPermitArrives_IsSent)
+{
+  UseLoadManagement();
+  router_.SetInstances(100);
+  permits_.isAvailable_ = false;
+  Request("/keyed/", 5);
+  ASSERT_EQ(actions_.sent_.size(), 1U);
+  permits_.isAvailable_ = true;
+  Request("/keyed/", 5);
+  Permit("k1");
+  EXPECT_EQ(actions_.sent_.size(), 2U);
+}
+
 } // namespace
 
 } // namespace latchslip
