--- a/Tests/LibGateway/TestPermitRequests.cpp
+++ b/Tests/LibGateway/TestPermitRequests.cpp
@@ -303,9 +303,9 @@
 TEST_F(RouterUnderLoadManagement, KeyHasNoOwner_ReturnsAreSpreadFromTheExpectedMomentOn)
 {
   router_.SetOwnership(now_, { "keyed", 3, { { 0, 99, "k1", 2, "k0" } } });
-  std::vector<RequestNumber> requests;
+  std::set<RequestNumber> requests;
   for (int index = 0; index < 20; ++index) {
-    requests.push_back(Request("/keyed/1", 50));
+    requests.insert(Request("/keyed/1", 50));
   }
   Pass(milliseconds(600));
   std::set<Duration> told;
