--- a/Tests/LibPermit/ShardedFleet.cpp
+++ b/Tests/LibPermit/ShardedFleet.cpp
@@ -305,7 +305,7 @@
   {
     router_.OnPermitDelayed(aNow, aNumber);
   }
-  void OnPermitDenied(Instant aNow, AttemptNumber aNumber, Duration aWait) override
+  void OnPermitDenied(Instant aNow, AttemptNumber aNumber, Duration aWait, bool aIsPromised) override
   {
     router_.OnPermitDenied(aNow, aNumber, aWait);
   }
