Tests: Tell simulated placers the configuration before they start

Cause: PlacerWorld passed load management to a placer only after its start, so no test could tell a successor that counts on its own configuration from one that counts on the row.

Change: it passes the configuration before the start as well.

Result: the mutant bound-by-own-configuration now also fails the test in which load management is turned on after the former placer was isolated, which it passed before. The code without the mutant passes.

--- a/Tests/LibKeys/PlacerWorld.h
+++ b/Tests/LibKeys/PlacerWorld.h
@@ -213,6 +213,7 @@
     placer.isRunning_ = true;
     named_ = &placer;
     placer.placer_.SetEpoch(epoch_);
+    placer.placer_.SetLoadManagement(usesLoadManagement_);
     placer.placer_.Start(now_, aOwnership, uncertainLeases_);
     return placer;
   }
