LibAdmission: Tell returns that can be in time the expected wait

A denied caller was promised a moment or told to stay away.

A return that can be in time is now told the expected wait of the queue without a promise.

The unit test of an overload is now two, for a return that is late and one that can be in time.

--- a/Libraries/LibAdmission/ReturnCalendar.cpp
+++ b/Libraries/LibAdmission/ReturnCalendar.cpp
@@ -13,10 +13,15 @@
   return aWait + aRequest.work_ > aRequest.inTime_;
 }
 
-// Answer without a promise. A caller that would honour the wait must not return in vain.
+// Answer without a promise. A return that can be in time is told the expected wait, since a
+// shortage may end sooner than the averages show, as when a server is slow for a second. Any other
+// caller that would honour the wait must not return in vain.
 ReturnAnswer
 Unpromised(const DeniedRequest& aRequest, Duration aWait)
 {
+  if (!IsLateAt(aRequest, aRequest.queueTime_)) {
+    return { aRequest.queueTime_, false };
+  }
   const bool isHonoured = aWait <= Scale(aRequest.timeLeft_, ReturnCalendar::kHonouredShare);
   return { isHonoured ? std::max(aWait, aRequest.timeLeft_) : aWait, false };
 }
--- a/Tests/LibAdmission/TestReturnCalendar.cpp
+++ b/Tests/LibAdmission/TestReturnCalendar.cpp
@@ -84,12 +84,26 @@
 TEST_F(CalendarOfAServer, NewRequestsTakeAllCapacity_NothingIsPromised)
 {
   Pass(seconds(4), 13);
-  const auto answer = Deny(1);
+  auto request = Request(1);
+  request.inTime_ = kWork / 2;
+  const auto answer = calendar_.Deny(now_, scope_, request);
   EXPECT_FALSE(answer.isPromised_);
   EXPECT_GT(answer.wait_, Scale(seconds(10), ReturnCalendar::kHonouredShare))
     << "the caller must not return in vain";
 }
 
+// Guards against callers that are kept away although the shortage ends while they could be in time.
+TEST_F(CalendarOfAServer,
+       NewRequestsTakeAllCapacityButReturnCanBeInTime_ToldTheQueueWithoutAPromise)
+{
+  Pass(seconds(4), 13);
+  auto request = Request(1);
+  request.queueTime_ = milliseconds(120);
+  const auto answer = calendar_.Deny(now_, scope_, request);
+  EXPECT_FALSE(answer.isPromised_);
+  EXPECT_EQ(answer.wait_, request.queueTime_);
+}
+
 // Guards against less urgent new requests that keep the more urgent from a promise.
 TEST_F(CalendarOfAServer, LessUrgentRequestsTakeTheCapacity_OnlyTheMoreUrgentIsPromised)
 {
--- a/Tests/LibPermit/TestReturnsUnderLoad.cpp
+++ b/Tests/LibPermit/TestReturnsUnderLoad.cpp
@@ -530,6 +530,13 @@
   Record("with", with);
   EXPECT_GT(with.returns_.kept_, 300U);
   EXPECT_LT(20 * with.returns_.deniedAgain_, with.returns_.kept_);
+}
+
+// Guards against callers that are told to return in vain, by a promise or without one.
+TEST_F(ServersUnderLoad, Bursts_ReturnsAreRarelyDeniedAgain)
+{
+  const auto with = Run({ 1, Load::Bursts, true });
+  Record("with", with);
   EXPECT_LT(20 * with.DeniedReturns(), with.Returns());
 }
 
