LibFleet, LibPermit: Mend faults that a review of load management found

- A former placer that had not written the ownership row was trusted to vouch for the placers before it, by the field of a row that one of them wrote and may still renew by.
The field counts only in a row written after the former placer's claim.
- A shard had no dispatcher while its first one had resigned and the others had failed.
A dispatcher with late answers is used then.
- A crash notice for a leaving server of an unconfigured service added that service to the dispatcher; with load management off, a lane was served more often once returns had been kept.

Tests: a former placer that has written nothing, and a resigned dispatcher that is the only one left.

--- a/Libraries/LibFleet/FleetMember.h
+++ b/Libraries/LibFleet/FleetMember.h
@@ -282,6 +282,8 @@
   // Sends the tables to instances that reported that they have just started.
   void SendTables(Instant aNow);
   bool UsesLoadManagement() const;
+  // The ownership of the service that this instance takes over as the placer, if there is one.
+  std::optional<KeyOwnership> OwnershipToTakeOver(const std::string& aService) const;
   // Whether this instance may still send key commands as the placer.
   bool MaySendCommands(Instant aNow) const;
 
@@ -361,6 +363,8 @@
   // The instance that was the placer before this one; empty if there is none, or once it is known
   // to have stopped.
   std::string formerPlacer_;
+  // Version of the row by which it became the placer.
+  RowVersion formerClaim_ = 0;
   // When it was known to have stopped. The placers of the services may start after that.
   std::optional<Instant> formerPlacerStoppedAt_;
   bool isStoreLost_ = false;
--- a/Libraries/LibFleet/FleetMemberPlacer.cpp
+++ b/Libraries/LibFleet/FleetMemberPlacer.cpp
@@ -55,6 +55,7 @@
   }
   write.transaction_.writes_.push_back({ key, SerializePlacerRow(settings_.self_) });
   formerPlacerStoppedAt_.reset();
+  formerClaim_ = view_.PlacerVersion();
   formerPlacer_ = election_.Current() ? election_.Current()->instance_ : std::string();
   if (!formerPlacer_.empty() && formerPlacer_ != settings_.self_.instance_) {
     events_.Record(Event::PlacerSilent, "placer=" + election_.Current()->instance_);
@@ -62,6 +63,20 @@
   writes_.push_back(std::move(write));
 }
 
+// A former placer that has not written the row itself says nothing about the placers before it: one
+// of them may have written it and still run.
+std::optional<KeyOwnership>
+FleetMember::OwnershipToTakeOver(const std::string& aService) const
+{
+  const auto* owned = view_.OwnersOf(aService);
+  if (owned == nullptr) {
+    return std::nullopt;
+  }
+  auto ownership = owned->ownership_;
+  ownership.hasShortIsolation_ = ownership.hasShortIsolation_ && owned->version_ > formerClaim_;
+  return ownership;
+}
+
 void
 FleetMember::StartPlacers(Instant aNow)
 {
@@ -74,8 +89,7 @@
     placer = std::make_unique<ServicePlacer>(*this, service);
     placer->placer_.SetEpoch(view_.Epoch());
     placer->placer_.SetLoadManagement(UsesLoadManagement());
-    placer->placer_.Start(
-      aNow, owned == nullptr ? std::nullopt : std::optional(owned->ownership_), uncertainLeases_);
+    placer->placer_.Start(aNow, OwnershipToTakeOver(service), uncertainLeases_);
     if (owned != nullptr && owned->isFromCopyOnly_) {
       placer->placer_.BlockUntilLostGrantsExpire(aNow);
     }
--- a/Libraries/LibPermit/PermitClient.cpp
+++ b/Libraries/LibPermit/PermitClient.cpp
@@ -113,7 +113,20 @@
       available.push_back(candidates[index]);
     }
   }
-  return available;
+  return available.empty() ? UnfailedCandidates(aNow, candidates) : available;
+}
+
+// A dispatcher with late answers is better than none.
+std::vector<std::string>
+PermitClient::UnfailedCandidates(Instant aNow, const std::vector<std::string>& aCandidates) const
+{
+  std::vector<std::string> unfailed;
+  for (const auto& candidate : aCandidates) {
+    if (const auto link = links_.find(candidate); aNow >= link->second.failedUntil_) {
+      unfailed.push_back(candidate);
+    }
+  }
+  return unfailed;
 }
 
 bool
--- a/Libraries/LibPermit/PermitClient.h
+++ b/Libraries/LibPermit/PermitClient.h
@@ -147,6 +147,9 @@
   void AssignShardsAgain();
   // The candidates for the shard that have not failed recently, in order of preference.
   std::vector<std::string> AvailableCandidates(Instant aNow, const ShardKey& aShard) const;
+  // Those of the candidates that have not failed recently, whether or not they have resigned.
+  std::vector<std::string> UnfailedCandidates(Instant aNow,
+                                              const std::vector<std::string>& aCandidates) const;
   // Whether the dispatcher, which is the candidate with that index, is passed over: it failed
   // recently, or has resigned. A resignation holds for the first two candidates only, and only if
   // another one follows, so that there is always one.
--- a/Libraries/LibPermit/PermitDispatcher.cpp
+++ b/Libraries/LibPermit/PermitDispatcher.cpp
@@ -165,7 +165,7 @@
     return;
   }
   QueueOrDeny(aNow, service->second, key, aRequest, isReturn);
-  if (!isFirst && (!suspects_.IsEmpty() || returns_.Counts().kept_ > 0)) {
+  if (!isFirst && (!suspects_.IsEmpty() || usesLoadManagement_)) {
     // The requests ahead may be suspects that wait for their turn, or late returns.
     ServeLane(aNow, service->second, aRequest.server_);
   }
@@ -278,8 +278,11 @@
   // Instances report each lost connection of a service with shards, also those that its servers
   // close as they leave by plan.
   const auto* record = directory_.Find(aNotice.server_);
-  if (record != nullptr && record->IsLeaving() && services_[record->service_].hasShards_) {
-    return;
+  if (record != nullptr && record->IsLeaving()) {
+    const auto service = services_.find(record->service_);
+    if (service != services_.end() && service->second.hasShards_) {
+      return;
+    }
   }
   Announce(suspects_.OnConnectionLost({ aNotice.fingerprint_,
                                         aNotice.server_,
--- a/Tests/LibFleet/TestFleetMember.cpp
+++ b/Tests/LibFleet/TestFleetMember.cpp
@@ -135,7 +135,8 @@
   // The former placer's row tells whether all placers before it have stopped.
   void TakeOver(const std::string& aFormer,
                 const std::string& aFormerAddress,
-                bool aHasShortIsolation = true)
+                bool aHasShortIsolation = true,
+                RowVersion aOwnershipVersion = 8)
   {
     decoder_.hasLargeBodies_ = true;
     const KeyOwnership ownership{ "rates",
@@ -145,9 +146,9 @@
                                   aHasShortIsolation };
     Show(FleetTable::Configuration, 5, { { "config", 5, "1" } });
     Show(FleetTable::Fleet,
-         7,
+         8,
          { { "placer", 7, Placer(aFormer, aFormerAddress) },
-           { "ownership/rates", 6, SerializeOwnership(ownership) } });
+           { "ownership/rates", aOwnershipVersion, SerializeOwnership(ownership) } });
     for (int step = 0; step < 200 && fleet_.transactions_.empty(); ++step) {
       Advance(milliseconds(50));
     }
@@ -220,6 +221,20 @@
   EXPECT_TRUE(AreKeysCleared());
 }
 
+// Guards against two owners of a key: the row was written by a placer before the former one, which
+// may still renew grants.
+TEST_F(PlacerWithoutServers, FormerPlacerReportsButHasWrittenNothing_KeysWaitForTheEarlierOne)
+{
+  TakeOver(kFormer, kOther, true, 6);
+  member_.OnReport(now_, ReportOf(kFormer, kOther));
+  Run(milliseconds(500));
+  ShowServers();
+  Run(milliseconds(10800));
+  EXPECT_FALSE(AreKeysCleared());
+  Run(milliseconds(800));
+  EXPECT_TRUE(AreKeysCleared());
+}
+
 // Guards against counting any report as that of the former placer.
 TEST_F(PlacerWithoutServers, OnlyAnotherInstanceReports_KeysOfALostServerWaitForTheFormerPlacer)
 {
@@ -251,7 +266,7 @@
   Acknowledge(version_++);
   ASSERT_TRUE(member_.IsPlacer());
   ShowServers();
-  Run(milliseconds(7800));
+  Run(milliseconds(10800));
   EXPECT_FALSE(AreKeysCleared());
   Run(milliseconds(800));
   EXPECT_TRUE(AreKeysCleared());
--- a/Tests/LibPermit/ShardedFleet.cpp
+++ b/Tests/LibPermit/ShardedFleet.cpp
@@ -305,7 +305,10 @@
   {
     router_.OnPermitDelayed(aNow, aNumber);
   }
-  void OnPermitDenied(Instant aNow, AttemptNumber aNumber, Duration aWait, bool aIsPromised) override
+  void OnPermitDenied(Instant aNow,
+                      AttemptNumber aNumber,
+                      Duration aWait,
+                      bool aIsPromised) override
   {
     router_.OnPermitDenied(aNow, aNumber, aWait);
   }
--- a/Tests/LibPermit/TestPermitClientShards.cpp
+++ b/Tests/LibPermit/TestPermitClientShards.cpp
@@ -342,6 +342,22 @@
   EXPECT_LE(complaints, 3U);
 }
 
+// Guards against shards without a dispatcher while one with late answers is alive.
+TEST_F(ClientOfShards, OneDispatcherResignsAndAllOthersFail_ItIsUsed)
+{
+  client_.SetLoadManagement(true);
+  Start({ { "keyed", 2 } });
+  const auto& server = serverOf_.at(0);
+  const auto slow = Dispatchers(2).at(0);
+  client_.OnMessage(now_, slow, DispatcherResignation{ seconds(10) });
+  for (const auto& [address, peer] : peers_) {
+    if (address != slow) {
+      client_.OnLinkDown(now_, address);
+    }
+  }
+  EXPECT_TRUE(client_.CanRequestPermit("keyed", server));
+}
+
 TEST_F(ClientOfShards, LoadManagementIsOff_NoComplaintIsSentAndResignationsDoNotCount)
 {
   Start({});
