LibGateway: Tell once for a configuration whether it uses load management

RouteTable::UsesLoadManagement walked all routes, 1,400 and more in a large configuration, for each permit request, denial and send, most of all where no route carries large bodies and the walk went to the end. It is told once when the table is made; the dispatcher uses the copy that it already kept. No behaviour changes.

--- a/Libraries/LibGateway/RoutingTable.cpp
+++ b/Libraries/LibGateway/RoutingTable.cpp
@@ -40,6 +40,7 @@
       }
     }
     table.routesByHost_[NormalizeHost(route.host_)].push_back(index);
+    table.usesLoadManagement_ = table.usesLoadManagement_ || route.hasLargeBodies_;
   }
   BOOST_OUTCOME_TRY(table.apiKeys_, ApiKeyIndex::Create(configuration.groups_));
   for (auto& group : table.configuration_.groups_) {
@@ -72,14 +73,6 @@
   return nullptr;
 }
 
-bool
-RouteTable::UsesLoadManagement() const
-{
-  const auto& routes = configuration_.routes_;
-  return std::any_of(
-    routes.begin(), routes.end(), [](const Route& aRoute) { return aRoute.hasLargeBodies_; });
-}
-
 const CallerGroup*
 RouteTable::FindGroup(std::string_view aApiKey) const
 {
--- a/Libraries/LibGateway/RoutingTable.h
+++ b/Libraries/LibGateway/RoutingTable.h
@@ -100,13 +100,14 @@
   // Whether the configuration asks for load management (docs/design/load-management.md): a route
   // carries large bodies, so that retries in vain are costly, and the links of instances are shared
   // with them.
-  bool UsesLoadManagement() const;
+  bool UsesLoadManagement() const { return usesLoadManagement_; }
   // The group that the API key belongs to; null for an unknown key.
   const CallerGroup* FindGroup(std::string_view aApiKey) const;
   const RoutingConfiguration& Configuration() const { return configuration_; }
 
 private:
   RoutingConfiguration configuration_;
+  bool usesLoadManagement_ = false;
   // Indices of each host's routes, longest prefix first.
   std::map<std::string, std::vector<std::size_t>, std::less<>> routesByHost_;
   std::map<std::string, std::size_t, std::less<>> services_;
--- a/Libraries/LibPermit/PromisedReturns.cpp
+++ b/Libraries/LibPermit/PromisedReturns.cpp
@@ -9,8 +9,7 @@
 {
   const bool isListed = aRequest.server_.empty() || aService.servers_.contains(aRequest.server_);
   // A suspect waits for its turn, not for capacity.
-  return routes_ && routes_->UsesLoadManagement() && isListed &&
-         !suspects_.IsSuspect(aRequest.fingerprint_);
+  return usesLoadManagement_ && isListed && !suspects_.IsSuspect(aRequest.fingerprint_);
 }
 
 bool
