LibPermit: Add up a service's throughput only where a return can be promised

Each denial added up the throughput of all servers of a service without keys a second time, also without load management, where the sum was not used.

--- a/Libraries/LibPermit/PromisedReturns.cpp
+++ b/Libraries/LibPermit/PromisedReturns.cpp
@@ -63,9 +63,10 @@
   if (aPosition.isReturn_) {
     returns_.OnDeniedAgain();
   }
-  const double throughput = ExpectedThroughput(aNow, aService, aRequest.server_);
+  const double throughput =
+    CanPromise(aService, aRequest) ? ExpectedThroughput(aNow, aService, aRequest.server_) : 0;
   // Without any throughput, a server is suspended or leaving; the wait then says for how long.
-  if (throughput > 0 && CanPromise(aService, aRequest)) {
+  if (throughput > 0) {
     answer = returns_.Deny(aNow,
                            { aRequest.service_, aRequest.server_ },
                            { aRequest.fingerprint_,
