--- a/review/standin/Harness.cpp
+++ b/review/standin/Harness.cpp
@@ -50,13 +50,20 @@
 }
 
 void
-EndAll(int)
+KillMachines()
 {
   for (const auto& place : runningMachines) {
     if (const auto id = place.load(); id > 0) {
       kill(id, SIGKILL);
+      waitpid(id, nullptr, 0);
     }
   }
+}
+
+void
+EndAll(int)
+{
+  KillMachines();
   _Exit(2);
 }
 
@@ -783,6 +790,13 @@
   std::signal(SIGINT, EndAll);
 }
 
+void
+EndProcess(int aStatus)
+{
+  KillMachines();
+  _Exit(aStatus);
+}
+
 bool
 AwaitReady(const std::vector<std::unique_ptr<Entry>>& aEntries, double aSeconds)
 {
--- a/review/standin/Harness.h
+++ b/review/standin/Harness.h
@@ -199,6 +199,11 @@
 void
 HandleSignals();
 
+// Ends all machines and then this process, without destroying the stand-ins, whose threads may
+// still run.
+[[noreturn]] void
+EndProcess(int aStatus);
+
 // Waits until all are ready; false after aSeconds.
 bool
 AwaitReady(const std::vector<std::unique_ptr<Entry>>& aEntries, double aSeconds);
--- a/review/standin/OwnerAtWork.cpp
+++ b/review/standin/OwnerAtWork.cpp
@@ -8,7 +8,6 @@
 
 #include <cstdlib>
 #include <iostream>
-#include <sstream>
 
 namespace {
 
@@ -156,7 +155,7 @@
   }
 }
 
-int
+[[noreturn]] void
 Run(const std::string& aProgram, const std::string& aFolder, const std::string& aRecord)
 {
   const char* trouble = std::getenv("TROUBLE");
@@ -192,7 +191,7 @@
   }
   if (!AwaitReady(entries, kStartLimitS)) {
     record.Line("the machines did not become ready");
-    return 2;
+    EndProcess(2);
   }
   SleepMs(6000);
   std::atomic<bool> isOver{ false };
@@ -229,13 +228,13 @@
   for (const auto& entry : entries) {
     if (entry->HasEnded()) {
       record.Line("a machine ended by itself");
-      return 2;
+      EndProcess(2);
     }
   }
   if (checker.Runs() == 0) {
-    return 2;
+    EndProcess(2);
   }
-  return checker.Broken() > 0 ? 1 : 0;
+  EndProcess(checker.Broken() > 0 ? 1 : 0);
 }
 
 } // namespace
@@ -248,7 +247,5 @@
     return 2;
   }
   HandleSignals();
-  const int result = Run(aArguments[1], aArguments[2], aArguments[3]);
-  // Threads of the stand-ins may still wait for peers.
-  std::_Exit(result);
+  Run(aArguments[1], aArguments[2], aArguments[3]);
 }
--- a/review/standin/RefusedButRun.cpp
+++ b/review/standin/RefusedButRun.cpp
@@ -123,7 +123,7 @@
   return aStatus == 408 || aStatus == 421 || aStatus == 429 || aStatus == 503;
 }
 
-int
+[[noreturn]] void
 Run(const std::string& aProgram, const std::string& aFolder, const std::string& aRecord)
 {
   const char* trouble = std::getenv("TROUBLE");
@@ -158,7 +158,7 @@
   }
   if (!AwaitReady(entries, kStartLimitS)) {
     record.Line("the machines did not become ready");
-    return 2;
+    EndProcess(2);
   }
   SleepMs(6000);
   Answers answers;
@@ -222,13 +222,13 @@
   for (const auto& entry : entries) {
     if (entry->HasEnded()) {
       record.Line("a machine ended by itself");
-      return 2;
+      EndProcess(2);
     }
   }
   if (ran.empty()) {
-    return 2;
+    EndProcess(2);
   }
-  return refused + twice > 0 ? 1 : 0;
+  EndProcess(refused + twice > 0 ? 1 : 0);
 }
 
 } // namespace
@@ -241,7 +241,5 @@
     return 2;
   }
   HandleSignals();
-  const int result = Run(aArguments[1], aArguments[2], aArguments[3]);
-  // Threads of the stand-ins may still wait for peers.
-  std::_Exit(result);
+  Run(aArguments[1], aArguments[2], aArguments[3]);
 }
--- a/review/standin/TruncatedAnswer.cpp
+++ b/review/standin/TruncatedAnswer.cpp
@@ -149,7 +149,7 @@
   }
 }
 
-int
+[[noreturn]] void
 Run(const std::string& aProgram, const std::string& aFolder, const std::string& aRecord)
 {
   const char* trouble = std::getenv("TROUBLE");
@@ -176,7 +176,7 @@
   }
   if (!AwaitReady(entries, kStartLimitS)) {
     record.Line("the machines did not become ready");
-    return 2;
+    EndProcess(2);
   }
   SleepMs(5000);
   Counts counts;
@@ -201,13 +201,13 @@
   for (std::size_t index = isTrouble ? 1 : 0; index < entries.size(); ++index) {
     if (entries[index]->HasEnded()) {
       record.Line("a machine ended by itself");
-      return 2;
+      EndProcess(2);
     }
   }
   if (counts.complete_ == 0) {
-    return 2;
+    EndProcess(2);
   }
-  return counts.broken_ > 0 ? 1 : 0;
+  EndProcess(counts.broken_ > 0 ? 1 : 0);
 }
 
 } // namespace
@@ -220,8 +220,5 @@
     return 2;
   }
   HandleSignals();
-  const int result = Run(aArguments[1], aArguments[2], aArguments[3]);
-  // Threads of the stand-ins may still wait for peers.
-  std::cout.flush();
-  std::_Exit(result);
+  Run(aArguments[1], aArguments[2], aArguments[3]);
 }
