--- a/review/standin/Harness.cpp
+++ b/review/standin/Harness.cpp
@@ -1,5 +1,6 @@
 #include "Harness.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <array>
 #include <boost/json/src.hpp>
@@ -14,6 +15,7 @@
 #include <memory>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <random>
 #include <spawn.h>
 #include <sstream>
 #include <sys/socket.h>
@@ -359,23 +361,20 @@
 int
 FreePort(const std::vector<std::string>& aHosts)
 {
+  // Below the ports that the system draws for connections.
+  constexpr int kFirst = 20000;
+  constexpr int kLast = 31999;
+  static std::mt19937 random{ std::random_device{}() };
   for (int attempt = 0; attempt < 100; ++attempt) {
-    std::vector<int> sockets;
-    int port = 0;
-    bool isFree = true;
-    for (const auto& host : aHosts) {
+    const int port = std::uniform_int_distribution<int>(kFirst, kLast)(random);
+    const bool isFree = std::all_of(aHosts.begin(), aHosts.end(), [port](const auto& aHost) {
       const int handle = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-      sockets.push_back(handle);
-      auto endpoint = ToEndpoint(host + ":" + std::to_string(port));
-      socklen_t size = sizeof(endpoint);
-      isFree =
-        isFree && bind(handle, reinterpret_cast<const sockaddr*>(&endpoint), sizeof(endpoint)) == 0;
-      getsockname(handle, reinterpret_cast<sockaddr*>(&endpoint), &size);
-      port = port == 0 ? ntohs(endpoint.sin_port) : port;
-    }
-    for (const int handle : sockets) {
+      const auto endpoint = ToEndpoint(aHost + ":" + std::to_string(port));
+      const int result =
+        bind(handle, reinterpret_cast<const sockaddr*>(&endpoint), sizeof(endpoint));
       close(handle);
-    }
+      return result == 0;
+    });
     if (isFree) {
       return port;
     }
