--- a/Libraries/LibDaemon/GatewayFrontend.cpp
+++ b/Libraries/LibDaemon/GatewayFrontend.cpp
@@ -113,6 +113,7 @@
   }
   auto outcome = codec_.DecodeAttempt(attempt->second.command_, aResult);
   outcome.path_ = aPath;
+  outcome.connection_ = aResult.connection_;
   attempt->second.answer_ = std::move(aResult.response_);
   router_.OnAttemptEnded(MonotonicNow(), aAttempt, outcome);
   // The router may have sent the attempt again, on another path.
--- a/Libraries/LibGateway/GatewayRouter.cpp
+++ b/Libraries/LibGateway/GatewayRouter.cpp
@@ -59,6 +59,16 @@
   return { aPending.Rank(), aPending.isLate_, aPending.deadline_, aPending.request_.number_ };
 }
 
+// Describes the last attempt of a request for the log: its connection, and how long ago it was
+// sent.
+std::string
+DescribeLastSend(Instant aNow, const PendingRequest& aPending)
+{
+  const auto age = aPending.sends_ == 0 ? Duration(0) : aNow - aPending.sentAt_;
+  return " connection=" + std::to_string(aPending.connection_) +
+         " sent_ago_us=" + std::to_string(age.count());
+}
+
 bool
 MayHaveRun(AttemptEnd aEnd)
 {
@@ -175,6 +185,7 @@
   }
   statistics_.OnAttempt(pending.server_, aOutcome.end_);
   pending.attempt_ = 0;
+  pending.connection_ = aOutcome.connection_;
   pending.runs_ += MayHaveRun(aOutcome.end_) ? 1 : 0;
   if (pending.isClientGone_) {
     Finish(number);
@@ -261,8 +272,9 @@
 {
   events_.Record(Event::GatewayRetry,
                  "request=" + aPending.request_.id_ + " server=" + aPending.server_ +
-                   " end=" + std::string(kAttemptEndNames.NameOf(aOutcome.end_)) + " status=" +
-                   std::to_string(aOutcome.status_) + " sends=" + std::to_string(aPending.sends_) +
+                   " end=" + std::string(kAttemptEndNames.NameOf(aOutcome.end_)) +
+                   " status=" + std::to_string(aOutcome.status_) +
+                   " sends=" + std::to_string(aPending.sends_) + DescribeLastSend(aNow, aPending) +
                    " rest_us=" + std::to_string(aOutcome.backoff_.value_or(Duration(0)).count()));
   aPending.tried_.push_back(aPending.server_);
   if (aOutcome.end_ == AttemptEnd::WrongServer && !aOutcome.isOtherIncarnation_) {
@@ -422,6 +434,7 @@
       " owner=" + (aPending.owner_.empty() ? "-" : aPending.owner_) +
       " told_wait_us=" + std::to_string(aPending.dispatcherWait_.value_or(Duration(0)).count()) +
       " sends=" + std::to_string(aPending.sends_) + " runs=" + std::to_string(aPending.runs_) +
+      DescribeLastSend(aNow, aPending) +
       " age_us=" + std::to_string((aNow - aPending.arrival_).count()) +
       " time_left_us=" + std::to_string(aPending.request_.timeLeft_.value_or(Duration(0)).count()));
   statistics_.OnRefusal(NameOf(aPending.route_), aReason, aNow - aPending.arrival_);
@@ -553,6 +566,7 @@
   aPending.serverIncarnation_ = aServer.record_->incarnation_;
   ++aPending.sends_;
   aPending.sentAt_ = aNow;
+  aPending.connection_ = 0;
   attempts_[aAttempt] = number;
   aServer.load_->OnSent(aNow, aAttempt, aPending.route_->latencyTarget_);
   SetTimer(aPending, aPending.deadline_ + kAnswerGrace);
--- a/Libraries/LibGateway/Messages.h
+++ b/Libraries/LibGateway/Messages.h
@@ -107,6 +107,9 @@
   bool isConnectionLost_ = false;
   // What is known of the path beyond what end_ tells; Unknown for nothing.
   PathResult path_ = PathResult::Unknown;
+  // Number of the connection that carried the attempt, for the log; 0 if another instance relayed
+  // it.
+  std::uint64_t connection_ = 0;
 
   // Whether the server answered that the request failed.
   bool IsServerError() const
--- a/Libraries/LibGateway/PendingRequest.h
+++ b/Libraries/LibGateway/PendingRequest.h
@@ -49,6 +49,8 @@
   // Server of the last attempt.
   std::string server_;
   std::uint64_t serverIncarnation_ = 0;
+  // Connection of the last attempt, see AttemptOutcome; 0 until it has ended.
+  std::uint64_t connection_ = 0;
   // The paths tried for the attempt in flight.
   PathSearch path_;
   unsigned sends_ = 0;
--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -55,7 +55,7 @@
       return id;
     }
     if (!connection) {
-      connection = std::make_shared<HttpConnection>(context_, pool);
+      connection = std::make_shared<HttpConnection>(context_, pool, ++lastConnection_);
     }
     running_[id] = connection;
     connection->Start(endpoint.value(),
@@ -109,7 +109,7 @@
     if (!pool) {
       pool = std::make_shared<HttpPool>();
     }
-    std::make_shared<HttpConnection>(context_, pool)
+    std::make_shared<HttpConnection>(context_, pool, ++lastConnection_)
       ->Open(endpoint.value(), aOptions, std::move(aCallback));
   }
 
@@ -162,6 +162,7 @@
   std::map<std::string, std::shared_ptr<HttpPool>> pools_;
   std::unordered_map<ExchangeId, std::weak_ptr<HttpConnection>> running_;
   ExchangeId lastId_ = 0;
+  std::uint64_t lastConnection_ = 0;
 };
 
 } // namespace
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -36,6 +36,8 @@
   bool isLinkLost_ = false;
   // Set with NotSent if the exchange ended before a connection was tried.
   bool isLocal_ = false;
+  // Number of the connection, which is unique within one client; 0 if none was used.
+  std::uint64_t connection_ = 0;
 };
 
 using HttpCallback = std::function<void(HttpExchange)>;
--- a/Libraries/LibNet/HttpConnection.cpp
+++ b/Libraries/LibNet/HttpConnection.cpp
@@ -75,9 +75,12 @@
 
 } // namespace
 
-HttpConnection::HttpConnection(asio::io_context& aContext, std::shared_ptr<HttpPool> aPool)
+HttpConnection::HttpConnection(asio::io_context& aContext,
+                               std::shared_ptr<HttpPool> aPool,
+                               std::uint64_t aNumber)
   : stream_(aContext)
   , pool_(std::move(aPool))
+  , number_(aNumber)
 {
   ++pool_->open_;
 }
@@ -270,6 +273,7 @@
   request_.reset();
   body_.reset();
   parser_.reset();
+  aExchange.connection_ = number_;
   const auto callback = std::exchange(callback_, nullptr);
   if (callback) {
     callback(std::move(aExchange));
--- a/Libraries/LibNet/HttpConnection.h
+++ b/Libraries/LibNet/HttpConnection.h
@@ -28,7 +28,10 @@
 class HttpConnection : public std::enable_shared_from_this<HttpConnection>
 {
 public:
-  HttpConnection(boost::asio::io_context& aContext, std::shared_ptr<HttpPool> aPool);
+  // aNumber identifies the connection, see HttpExchange::connection_.
+  HttpConnection(boost::asio::io_context& aContext,
+                 std::shared_ptr<HttpPool> aPool,
+                 std::uint64_t aNumber);
   ~HttpConnection() { --pool_->open_; }
   HttpConnection(const HttpConnection&) = delete;
   HttpConnection& operator=(const HttpConnection&) = delete;
@@ -73,6 +76,7 @@
   boost::beast::tcp_stream stream_;
   boost::beast::flat_buffer buffer_;
   std::shared_ptr<HttpPool> pool_;
+  const std::uint64_t number_;
   std::optional<boost::beast::http::request<boost::beast::http::span_body<const char>>> request_;
   std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser_;
   std::shared_ptr<const std::string> body_;
