LibNet: Send a request again only over a connection that has not carried it

Cause: an answer is matched by its request id alone, and a repeat has the id of the first send. The repeat went over the connection that had carried the first send, since the pool gives out the one used last, and there the second copy stood in the place of the repeat's answer. The same holds where an instance relays for another, since both use one pool, and for requests without an id, which share the empty one.

A connection now remembers the requests that it has carried for as long as they may be sent again (the timeout of their exchange), and the pool passes it over for those. A second copy then meets another request, whose id shows that it is not its answer; it is skipped and the connection closed. A repeat needs a new connection only if no other idle one is left.

The tests failed before: three of ServerRepeatsARefusal, and the one of InstanceThatRelays with the check taken out.

--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -49,7 +49,11 @@
     if (!pool) {
       pool = std::make_shared<HttpPool>();
     }
-    auto connection = TakeIdle(*pool);
+    auto connection = TakeIdle(*pool, aRequest, aOptions);
+    if (!connection && pool->open_ >= maxConnections_ && !pool->idle_.empty()) {
+      // All idle connections have carried this request.
+      pool->idle_.pop_front();
+    }
     if (!connection && pool->open_ >= maxConnections_) {
       Fail(id, std::move(aCallback), "all connections to the address are in use");
       return id;
@@ -130,11 +134,21 @@
   }
 
 private:
-  static std::shared_ptr<HttpConnection> TakeIdle(HttpPool& aPool)
+  // Removes from the pool, and returns, the connection that was used last among those that have not
+  // carried the request. Null if there is none.
+  static std::shared_ptr<HttpConnection> TakeIdle(HttpPool& aPool,
+                                                  const HttpRequest& aRequest,
+                                                  const ExchangeOptions& aOptions)
   {
-    while (!aPool.idle_.empty()) {
-      auto connection = aPool.idle_.back();
-      aPool.idle_.pop_back();
+    const bool namesRequest = !aOptions.echoHeader_.empty();
+    const auto echoValue = aRequest.Header(aOptions.echoHeader_);
+    for (auto idle = aPool.idle_.end(); idle != aPool.idle_.begin();) {
+      --idle;
+      if (namesRequest && (*idle)->HasCarried(echoValue)) {
+        continue;
+      }
+      auto connection = *idle;
+      idle = aPool.idle_.erase(idle);
       if (!connection->IsStale()) {
         return connection;
       }
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -59,7 +59,8 @@
   // (TCP_USER_TIMEOUT); zero for the default of the system, which is minutes.
   Duration ackTimeout_{ 0 };
   // Name of a header whose value a response must copy from the request. Responses with another
-  // value belong to earlier requests and are skipped. Empty: not checked.
+  // value belong to earlier requests and are skipped. A request that is sent again within the
+  // timeout of its earlier exchange uses another connection than that one. Empty: not checked.
   std::string echoHeader_;
 };
 
--- a/Libraries/LibNet/HttpConnection.cpp
+++ b/Libraries/LibNet/HttpConnection.cpp
@@ -97,7 +97,11 @@
   isReusable_ = true;
   echoHeader_ = aOptions.echoHeader_;
   echoValue_ = echoHeader_.empty() ? std::string() : std::string(aRequest.Header(echoHeader_));
-  end_ = MonotonicNow() + aOptions.timeout_;
+  const auto now = MonotonicNow();
+  end_ = now + aOptions.timeout_;
+  if (!echoHeader_.empty()) {
+    carried_.Add(now, echoValue_, end_);
+  }
   Prepare(aEndpoint, aRequest);
   if (isConnected_) {
     stream_.expires_after(aOptions.timeout_);
@@ -139,6 +143,12 @@
   stream_.close();
 }
 
+bool
+HttpConnection::HasCarried(std::string_view aEchoValue) const
+{
+  return carried_.Contains(MonotonicNow(), aEchoValue);
+}
+
 bool
 HttpConnection::IsStale()
 {
--- a/Libraries/LibNet/HttpConnection.h
+++ b/Libraries/LibNet/HttpConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibBase/Time.h"
+#include "LibNet/CarriedRequests.h"
 #include "LibNet/HttpClient.h"
 
 #include <boost/asio/io_context.hpp>
@@ -55,6 +56,11 @@
   // and ExchangeOptions.
   Instant IdleUntil() const { return idleUntil_; }
 
+  // Whether the connection has carried a request with that value of ExchangeOptions::echoHeader_
+  // that may still be sent again. The response to the repeat could not be distinguished from a
+  // second copy of the earlier response.
+  bool HasCarried(std::string_view aEchoValue) const;
+
   // Returns whether the idle connection must not be reused: the server has closed it or is about
   // to close it, or has sent unsolicited bytes.
   bool IsStale();
@@ -84,6 +90,7 @@
   // See ExchangeOptions::echoHeader_, and the value of the current request.
   std::string echoHeader_;
   std::string echoValue_;
+  CarriedRequests carried_;
   // Deadline of the exchange.
   Instant end_{ 0 };
   Instant idleUntil_{ 0 };
--- a/Tests/LibDaemon/TestRelays.cpp
+++ b/Tests/LibDaemon/TestRelays.cpp
@@ -1,6 +1,7 @@
 // Exchanges with servers that another instance relays, over connections on this machine.
 
 #include "../CountingEventSink.h"
+#include "../LibNet/RepeatingServer.h"
 #include "LibDaemon/CommandSender.h"
 #include "LibDaemon/RelayService.h"
 #include "LibNet/MonotonicClock.h"
@@ -211,6 +212,30 @@
   EXPECT_EQ(echo_.requests_[0].Header("X-Request-Id"), "q1");
 }
 
+// Guards against the second copy of a refusal being taken for the answer to the repeat of a relayed
+// request, which would then be refused although it runs.
+TEST_F(InstanceThatRelays, ServerRefusesAndRepeatsTheRefusalLate_RepeatGetsItsOwnAnswer)
+{
+  constexpr unsigned kUnavailable = 503;
+  RepeatingServer server(context_, [&server](const RepeatingServer::Request&) {
+    return server.Requests().size() == 1
+             ? RepeatingServer::Reply{ kUnavailable, RepeatingServer::SecondCopy::BeforeNext }
+             : RepeatingServer::Reply{};
+  });
+  directory_.Put(MonotonicNow(), { "s2", "rates", server.Address(), "hall", 4, false, 1 });
+  auto request = MakeRequest("/");
+  request.server_ = "s2";
+  request.address_ = server.Address();
+  request.options_.echoHeader_ = "X-Request-Id";
+  Send(request);
+  ASSERT_TRUE(RunUntilEnded());
+  EXPECT_EQ(exchange_->response_.status_, kUnavailable);
+  exchange_.reset();
+  Send(request);
+  ASSERT_TRUE(RunUntilEnded());
+  EXPECT_EQ(exchange_->response_.status_, 200U);
+}
+
 TEST_F(InstanceThatRelays, ServerIsNotListedAtTheAddress_DeclinesAndSendsNothing)
 {
   auto request = MakeRequest("/echo");
--- /dev/null
+++ b/Tests/LibNet/RepeatingServer.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "LibNet/Http.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace latchslip {
+
+// Test double of a server that sends some responses a second time. aAnswer builds the response to a
+// request; the test says when the second copy is sent. Each response names its request in the
+// header X-Request-Id, if the request has one.
+class RepeatingServer
+{
+public:
+  enum class SecondCopy
+  {
+    None,
+    // Together with the response.
+    AtOnce,
+    // While the connection is idle.
+    WhileIdle,
+    // In the place of the next response on the connection.
+    BeforeNext,
+  };
+
+  struct Request
+  {
+    // Number of the connection, counted from 1 in the order in which they were opened.
+    std::size_t connection_ = 0;
+    std::string id_;
+    std::string target_;
+  };
+
+  struct Reply
+  {
+    unsigned status_ = 200;
+    SecondCopy copy_ = SecondCopy::None;
+    std::vector<HttpHeader> headers_{};
+    // The response is sent, too. If not set, only the second copies of earlier ones are.
+    bool isSent_ = true;
+  };
+
+  // Returns the reply to a request. The argument is the last element of Requests().
+  using Answer = std::function<Reply(const Request&)>;
+
+  // Listens on a free port of 127.0.0.1.
+  RepeatingServer(boost::asio::io_context& aContext, Answer aAnswer);
+
+  const std::string& Address() const { return address_; }
+  const std::vector<Request>& Requests() const { return requests_; }
+
+private:
+  class Connection;
+
+  void Accept();
+
+  boost::asio::ip::tcp::acceptor acceptor_;
+  Answer answer_;
+  std::string address_;
+  std::vector<Request> requests_;
+  std::size_t connections_ = 0;
+};
+
+} // namespace latchslip
--- /dev/null
+++ b/Tests/LibNet/TestLateResponses.cpp
@@ -0,0 +1,138 @@
+// Responses that a server sends a second time: none may be taken for the response to another
+// request, or to a repeat of its own.
+
+#include "LibNet/HttpClient.h"
+#include "RepeatingServer.h"
+
+#include <gtest/gtest.h>
+#include <optional>
+
+namespace latchslip {
+
+namespace {
+
+using SecondCopy = RepeatingServer::SecondCopy;
+
+constexpr unsigned kOk = 200;
+constexpr unsigned kUnavailable = 503;
+constexpr std::size_t kMaxConnections = 2;
+
+// A server that refuses the first request and serves all others. The response to the first is sent
+// twice.
+class ServerRepeatsARefusal : public testing::TestWithParam<SecondCopy>
+{
+protected:
+  RepeatingServer::Reply Answer() const
+  {
+    const bool isFirst = server_.Requests().size() == 1;
+    return isFirst ? RepeatingServer::Reply{ kUnavailable, GetParam() } : RepeatingServer::Reply{};
+  }
+
+  HttpExchange Send(const std::string& aId, ExchangeOptions aOptions)
+  {
+    HttpRequest request;
+    request.method_ = "POST";
+    request.target_ = "/";
+    request.headers_ = { { "X-Request-Id", aId } };
+    std::optional<HttpExchange> result;
+    client_->Send(server_.Address(), request, std::move(aOptions), [&](HttpExchange aExchange) {
+      result = std::move(aExchange);
+    });
+    context_.restart();
+    while (!result) {
+      context_.run_one();
+    }
+    return *result;
+  }
+
+  HttpExchange Send(const std::string& aId)
+  {
+    ExchangeOptions options;
+    options.timeout_ = seconds(2);
+    options.echoHeader_ = "X-Request-Id";
+    return Send(aId, std::move(options));
+  }
+
+  // Lets a second copy arrive.
+  void Wait()
+  {
+    context_.restart();
+    context_.run_for(milliseconds(30));
+  }
+
+  boost::asio::io_context context_;
+  RepeatingServer server_{ context_, [this](const auto&) { return Answer(); } };
+  std::unique_ptr<HttpClient> client_ = HttpClient::Create(context_, kMaxConnections);
+};
+
+// Guards against the second copy of a refusal being taken for the response to the repeat of the
+// same request: a request that runs would be refused, or sent a third time and run twice.
+TEST_P(ServerRepeatsARefusal, RequestIsSentAgain_GetsItsOwnResponse)
+{
+  EXPECT_EQ(Send("q1").response_.status_, kUnavailable);
+  EXPECT_EQ(Send("q1").response_.status_, kOk);
+  EXPECT_EQ(server_.Requests().size(), 2U);
+}
+
+TEST_P(ServerRepeatsARefusal, RequestIsSentAgainLater_GetsItsOwnResponse)
+{
+  EXPECT_EQ(Send("q1").response_.status_, kUnavailable);
+  Wait();
+  EXPECT_EQ(Send("q1").response_.status_, kOk);
+}
+
+TEST_P(ServerRepeatsARefusal, RequestIsSentAgainAfterAnother_BothGetTheirOwnResponses)
+{
+  EXPECT_EQ(Send("q1").response_.status_, kUnavailable);
+  EXPECT_EQ(Send("q2").response_.status_, kOk);
+  EXPECT_EQ(Send("q1").response_.status_, kOk);
+}
+
+TEST_P(ServerRepeatsARefusal, RequestsHaveNoId_EachGetsItsOwnResponse)
+{
+  EXPECT_EQ(Send("").response_.status_, kUnavailable);
+  EXPECT_EQ(Send("").response_.status_, kOk);
+  EXPECT_EQ(Send("").response_.status_, kOk);
+}
+
+INSTANTIATE_TEST_SUITE_P(SecondCopies,
+                         ServerRepeatsARefusal,
+                         testing::Values(SecondCopy::AtOnce,
+                                         SecondCopy::WhileIdle,
+                                         SecondCopy::BeforeNext));
+
+// The same server, and copies in the place of the next response.
+class ServerRepeatsARefusalLate : public ServerRepeatsARefusal
+{};
+
+TEST_P(ServerRepeatsARefusalLate, RequestIsSentAgain_UsesAnotherConnection)
+{
+  Send("q1");
+  Send("q1");
+  Send("q1");
+  ASSERT_EQ(server_.Requests().size(), 3U);
+  EXPECT_EQ(server_.Requests()[0].connection_, 1U);
+  EXPECT_EQ(server_.Requests()[1].connection_, 2U);
+  // The client has only two connections to an address, so it has replaced one of them.
+  EXPECT_EQ(server_.Requests()[2].connection_, 3U);
+}
+
+TEST_P(ServerRepeatsARefusalLate, OtherRequestsFollow_UseTheConnectionAgain)
+{
+  Send("q1");
+  Send("q2");
+  EXPECT_EQ(server_.Requests()[1].connection_, 1U);
+  // That one has carried a response to another request, so it was closed.
+  Send("q3");
+  EXPECT_EQ(server_.Requests()[2].connection_, 2U);
+  Send("q4");
+  EXPECT_EQ(server_.Requests()[3].connection_, 2U);
+}
+
+INSTANTIATE_TEST_SUITE_P(SecondCopies,
+                         ServerRepeatsARefusalLate,
+                         testing::Values(SecondCopy::BeforeNext));
+
+} // namespace
+
+} // namespace latchslip
