LibDaemon: Send each release and each first grant over a connection of its own

The answer to a command names neither the command nor its keys, and the commands to one server shared a connection for 150 ms, so that a second copy of the answer to a grant was taken for the answer to the release behind it.

A release, and a grant that its server has not acknowledged before, now open a connection of their own and close it afterwards, also where another instance relays them: only one answer can arrive there. Renewals still share a connection, since their answers change no owner. A second copy can make a renewal that is left unanswered look acknowledged; its server may then hold the keys up to 12 s longer than the placer counts, which matters only if that server falls silent within the time.

--- a/Libraries/LibDaemon/CommandSender.cpp
+++ b/Libraries/LibDaemon/CommandSender.cpp
@@ -10,7 +10,7 @@
 constexpr Duration kTimeout = milliseconds(1500);
 constexpr Duration kConnectTimeout = milliseconds(300);
 // A connection is reused only within this time, in which servers almost never close it. The
-// commands that renew the leases of one server follow each other within it.
+// renewals of one server's leases follow each other within it.
 constexpr Duration kMaxIdleTime = milliseconds(150);
 // Connections per backend server; covers the commands that the placer sends to one server at once.
 constexpr std::size_t kMaxConnections = 64;
@@ -51,6 +51,9 @@
   relayed.options_.connectTimeout_ = kConnectTimeout;
   relayed.options_.ackTimeout_ = kServerAckTimeout;
   relayed.options_.maxIdleTime_ = kMaxIdleTime;
+  // The answer to a command names neither the command nor its keys. A renewal changes no owner, so
+  // renewals may share a connection.
+  relayed.options_.usesOwnConnection_ = !command.isRenewal_;
   if (!aRunning->path_.Relay().empty()) {
     relays_.Send(aRunning->path_.Relay(),
                  std::move(relayed),
--- a/Libraries/LibKeys/KeyCommand.h
+++ b/Libraries/LibKeys/KeyCommand.h
@@ -31,6 +31,8 @@
   Duration leaseDuration_{ 0 };
   // Incarnation of the server that is addressed, as in KeyServer.
   std::uint64_t incarnation_ = 0;
+  // For grants: the server has acknowledged this grant before.
+  bool isRenewal_ = false;
 
   KeySpan Span() const { return { first_, last_ }; }
 };
--- a/Libraries/LibKeys/OwnershipPlacer.cpp
+++ b/Libraries/LibKeys/OwnershipPlacer.cpp
@@ -439,8 +439,7 @@
   if (!isWaiting && restarted_.contains(aRange.owner_)) {
     return;
   }
-  const bool isRenewal = aState.isGranted_ && aRange.previous_.empty();
-  if (isRenewal && commands_.HasCommandTo(aRange.owner_) &&
+  if (IsRenewal(aRange, aState) && commands_.HasCommandTo(aRange.owner_) &&
       aNow < aState.nextCommandAt_ + kMaxRenewalWait) {
     return;
   }
@@ -491,6 +490,12 @@
   StartCommand(aState, std::move(command));
 }
 
+bool
+OwnershipPlacer::IsRenewal(const KeyRange& aRange, const RangeState& aState)
+{
+  return aState.isGranted_ && aRange.previous_.empty();
+}
+
 void
 OwnershipPlacer::SendGrant(Instant aNow, const KeyRange& aRange, RangeState& aState)
 {
@@ -505,6 +510,7 @@
   auto command = MakeCommand(aRange, aRange.owner_, server->address_);
   command.handover_ = aState.handover_;
   command.leaseDuration_ = settings_.leaseDuration_;
+  command.isRenewal_ = IsRenewal(aRange, aState);
   StartCommand(aState, std::move(command));
 }
 
--- a/Libraries/LibKeys/OwnershipPlacer.h
+++ b/Libraries/LibKeys/OwnershipPlacer.h
@@ -145,6 +145,8 @@
   // hold it.
   const char* ReasonToClear(Instant aNow, const KeyRange& aRange, const RangeState& aState) const;
   void ClearFormerOwner(Instant aNow, const KeyRange& aRange, RangeState& aState);
+  // Whether a grant of the range would only renew one that its owner has acknowledged.
+  static bool IsRenewal(const KeyRange& aRange, const RangeState& aState);
   void SendGrant(Instant aNow, const KeyRange& aRange, RangeState& aState);
   void StartCommand(RangeState& aState, KeyCommand aCommand);
   static void OnReleaseEnded(Instant aNow, RangeState& aState, const CommandOutcome& aOutcome);
--- a/Libraries/LibNet/Generated/Relay.capnp.h
+++ b/Libraries/LibNet/Generated/Relay.capnp.h
@@ -214,6 +214,8 @@
   inline bool hasBody() const;
   inline  ::capnp::Data::Reader getBody() const;
 
+  inline bool getUsesOwnConnection() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -309,6 +311,9 @@
   inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownBody();
 
+  inline bool getUsesOwnConnection();
+  inline void setUsesOwnConnection(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -878,6 +883,20 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline bool RelayRequest::Reader::getUsesOwnConnection() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline bool RelayRequest::Builder::getUsesOwnConnection() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RelayRequest::Builder::setUsesOwnConnection(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::int64_t RelayAnswer::Reader::getClockMicros() const {
   return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -51,7 +51,7 @@
     }
     auto connection = TakeIdle(*pool, aRequest, aOptions);
     if (!connection && pool->open_ >= maxConnections_ && !pool->idle_.empty()) {
-      // All idle connections have carried this request.
+      // None of the idle connections may carry this request.
       pool->idle_.pop_front();
     }
     if (!connection && pool->open_ >= maxConnections_) {
@@ -134,12 +134,15 @@
   }
 
 private:
-  // Removes from the pool, and returns, the connection that was used last among those that have not
-  // carried the request. Null if there is none.
+  // Removes from the pool, and returns, the connection that was used last among those that may carry
+  // the request. Null if there is none.
   static std::shared_ptr<HttpConnection> TakeIdle(HttpPool& aPool,
                                                   const HttpRequest& aRequest,
                                                   const ExchangeOptions& aOptions)
   {
+    if (aOptions.usesOwnConnection_) {
+      return nullptr;
+    }
     const bool namesRequest = !aOptions.echoHeader_.empty();
     const auto echoValue = aRequest.Header(aOptions.echoHeader_);
     for (auto idle = aPool.idle_.end(); idle != aPool.idle_.begin();) {
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -62,6 +62,10 @@
   // value belong to earlier requests and are skipped. A request that is sent again within the
   // timeout of its earlier exchange uses another connection than that one. Empty: not checked.
   std::string echoHeader_;
+  // The exchange opens a connection of its own, which is closed afterwards. For exchanges whose
+  // responses do not name their request: on a connection that others use, too, a second copy of an
+  // earlier response could be taken for the response.
+  bool usesOwnConnection_ = false;
 };
 
 // HTTP client with a pool of keep-alive connections per address. A connection carries one
--- a/Libraries/LibNet/HttpConnection.cpp
+++ b/Libraries/LibNet/HttpConnection.cpp
@@ -94,7 +94,7 @@
   callback_ = std::move(aCallback);
   maxIdleTime_ = aOptions.maxIdleTime_;
   ackTimeout_ = aOptions.ackTimeout_;
-  isReusable_ = true;
+  isReusable_ = !aOptions.usesOwnConnection_;
   echoHeader_ = aOptions.echoHeader_;
   echoValue_ = echoHeader_.empty() ? std::string() : std::string(aRequest.Header(echoHeader_));
   const auto now = MonotonicNow();
--- a/Libraries/LibNet/Relay.capnp
+++ b/Libraries/LibNet/Relay.capnp
@@ -25,6 +25,7 @@
   target @10 :Text;
   headers @11 :List(HttpHeader);
   body @12 :Data;
+  usesOwnConnection @13 :Bool;
 }
 
 struct RelayAnswer {
--- a/Libraries/LibNet/RelayCodec.cpp
+++ b/Libraries/LibNet/RelayCodec.cpp
@@ -85,6 +85,7 @@
   request.options_.ackTimeout_ = Duration(aIn.getAckTimeoutMicros());
   request.options_.maxIdleTime_ = Duration(aIn.getMaxIdleMicros());
   request.options_.echoHeader_ = FromText(aIn.getEchoHeader());
+  request.options_.usesOwnConnection_ = aIn.getUsesOwnConnection();
   request.request_.method_ = FromText(aIn.getMethod());
   request.request_.target_ = FromText(aIn.getTarget());
   request.request_.headers_ = ReadHeaders(aIn.getHeaders());
@@ -134,6 +135,7 @@
   out.setAckTimeoutMicros(aRequest.options_.ackTimeout_.count());
   out.setMaxIdleMicros(aRequest.options_.maxIdleTime_.count());
   out.setEchoHeader(ToText(aRequest.options_.echoHeader_));
+  out.setUsesOwnConnection(aRequest.options_.usesOwnConnection_);
   out.setMethod(ToText(aRequest.request_.method_));
   out.setTarget(ToText(aRequest.request_.target_));
   const auto& headers = aRequest.request_.headers_;
--- a/Tests/LibDaemon/TestRelays.cpp
+++ b/Tests/LibDaemon/TestRelays.cpp
@@ -161,17 +161,33 @@
   }
 
   // Sends a command to a server of that id and address and returns how it ended.
-  CommandStatus SendCommand(const std::string& aServer, const std::string& aAddress)
+  CommandStatus SendCommand(const std::string& aServer,
+                            const std::string& aAddress,
+                            bool aIsRenewal = false)
   {
     KeyCommand command;
     command.server_ = aServer;
     command.address_ = aAddress;
+    command.isRenewal_ = aIsRenewal;
     std::optional<CommandOutcome> outcome;
     commands_.Send(command, [&](const CommandOutcome& aOutcome) { outcome = aOutcome; });
     EXPECT_TRUE(RunUntil([&] { return outcome.has_value(); }));
     return outcome ? outcome->end_ : CommandStatus::Unanswered;
   }
 
+  // Answers the first request, sends that answer a second time in the place of the next one, and
+  // answers no other request.
+  static RepeatingServer::Answer AnswerTwiceThenNever()
+  {
+    return [isFirst = true](const RepeatingServer::Request&) mutable {
+      RepeatingServer::Reply reply;
+      reply.copy_ =
+        isFirst ? RepeatingServer::SecondCopy::BeforeNext : RepeatingServer::SecondCopy::None;
+      reply.isSent_ = std::exchange(isFirst, false);
+      return reply;
+    };
+  }
+
   boost::asio::io_context context_;
   CountingEventSink events_;
   EchoServer echo_;
@@ -406,6 +422,36 @@
   EXPECT_EQ(SendCommand("s1", serverAddress_), CommandStatus::Done);
 }
 
+// Guards against the second copy of the answer to one command being taken for the answer to
+// another: keys would be given on while their former owner is still at work on them.
+TEST_F(InstanceThatRelays, ServerRepeatsTheAnswerToARenewal_ReleaseIsNotDone)
+{
+  RepeatingServer server(context_, AnswerTwiceThenNever());
+  EXPECT_EQ(SendCommand("s2", server.Address(), true), CommandStatus::Done);
+  EXPECT_NE(SendCommand("s2", server.Address()), CommandStatus::Done);
+}
+
+TEST_F(InstanceThatRelays, ServerRepeatsTheAnswerToARelayedCommand_TheNextIsNotDone)
+{
+  RepeatingServer server(context_, AnswerTwiceThenNever());
+  directory_.Put(MonotonicNow(), { "s2", "rates", server.Address(), "hall", 4, false, 1 });
+  for (const auto* id : { "s7", "s8", "s9" }) {
+    paths_.OnEnded(MonotonicNow(), id, "", PathResult::Unreachable);
+  }
+  EXPECT_EQ(SendCommand("s2", server.Address()), CommandStatus::Done);
+  EXPECT_NE(SendCommand("s2", server.Address()), CommandStatus::Done);
+  EXPECT_GE(service_.Relayed(), 2U);
+}
+
+TEST_F(InstanceThatRelays, RenewalsFollowEachOther_ShareAConnection)
+{
+  RepeatingServer server(context_, [](const auto&) { return RepeatingServer::Reply{}; });
+  for (int renewal = 0; renewal < 3; ++renewal) {
+    EXPECT_EQ(SendCommand("s2", server.Address(), true), CommandStatus::Done);
+  }
+  EXPECT_EQ(server.Requests().back().connection_, 1U);
+}
+
 // Guards against keys that are given on while their server lives, because the links of the placer
 // refuse connections.
 TEST_F(InstanceThatRelays, PlacerIsCutOffAndServerIsUnlisted_RefusedConnectionProvesNothing)
--- a/Tests/LibKeys/PlacerWorld.h
+++ b/Tests/LibKeys/PlacerWorld.h
@@ -64,6 +64,7 @@
     {
       if (!aCommand.isRelease_) {
         ++world_.grantsByFence_[aCommand.fence_];
+        world_.firstGrants_ += aCommand.isRenewal_ ? 0 : 1;
       }
       world_.Deliver(*this, aCommand);
     }
@@ -203,6 +204,8 @@
   Instant releasesUnsentUntil_ = Instant::min();
   // Maximum number of events (commands or answers) outstanding at once for one server.
   std::size_t maxOutstanding_ = 0;
+  // Number of grants that were not renewals.
+  std::size_t firstGrants_ = 0;
   std::minstd_rand random_;
 
 private:
--- a/Tests/LibKeys/TestOwnershipPlacer.cpp
+++ b/Tests/LibKeys/TestOwnershipPlacer.cpp
@@ -68,6 +68,18 @@
   ExpectAllServed();
 }
 
+// Guards against the first grant of a range counting as a renewal, whose answer decides less.
+TEST_F(PlacedKeysOfThreeServers, TimePasses_OnlyAcknowledgedGrantsCountAsRenewals)
+{
+  EXPECT_GT(world_.firstGrants_, 0U);
+  world_.firstGrants_ = 0;
+  world_.Pass(seconds(10));
+  EXPECT_EQ(world_.firstGrants_, 0U);
+  world_.servers_.at("s1").isLeaving_ = true;
+  world_.Pass(seconds(1));
+  EXPECT_GT(world_.firstGrants_, 0U);
+}
+
 TEST_F(PlacedKeysOfThreeServers, StoreIsDown_GrantsAreRenewed)
 {
   world_.isStoreDown_ = true;
