LibNet: Refuse TRACE requests with a body, and requests that cannot be sent on

What callers saw: one request ended an instance, and all requests that it was serving with it. Anybody who reaches the front address could send it, to one instance after the other.

Cause: HTTP lets no client send a body with TRACE, and Beast's prepare_payload() throws std::invalid_argument for one. HttpConnection::Prepare passed the exception on through the handler of the client's request, and nothing caught it.

The listener now answers such a request 400 before the handler sees it, as any other that is not valid HTTP. A request that the HTTP library refuses to send for whatever reason, also one that another instance asks to relay, ends as not sent and blames no path to the server. TRACE without a body is passed on as before.

Two tests of HttpOnLoopback failed before: the listener passed the body on, and sending it threw.

--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -61,6 +61,10 @@
     if (!connection) {
       connection = std::make_shared<HttpConnection>(context_, pool, ++lastConnection_);
     }
+    if (const auto problem = connection->Prepare(endpoint.value(), aRequest)) {
+      Fail(id, std::move(aCallback), *problem);
+      return id;
+    }
     running_[id] = connection;
     connection->Start(endpoint.value(),
                       aRequest,
@@ -134,8 +138,8 @@
   }
 
 private:
-  // Removes from the pool, and returns, the connection that was used last among those that may carry
-  // the request. Null if there is none.
+  // Removes from the pool, and returns, the connection that was used last among those that may
+  // carry the request. Null if there is none.
   static std::shared_ptr<HttpConnection> TakeIdle(HttpPool& aPool,
                                                   const HttpRequest& aRequest,
                                                   const ExchangeOptions& aOptions)
--- a/Libraries/LibNet/HttpConnection.cpp
+++ b/Libraries/LibNet/HttpConnection.cpp
@@ -85,6 +85,17 @@
   ++pool_->open_;
 }
 
+std::optional<std::string>
+HttpConnection::Prepare(const tcp::endpoint& aEndpoint, const HttpRequest& aRequest)
+{
+  try {
+    BuildMessage(aEndpoint, aRequest);
+  } catch (const std::exception& aError) {
+    return aError.what();
+  }
+  return std::nullopt;
+}
+
 void
 HttpConnection::Start(const tcp::endpoint& aEndpoint,
                       const HttpRequest& aRequest,
@@ -102,7 +113,6 @@
   if (!echoHeader_.empty()) {
     carried_.Add(now, echoValue_, end_);
   }
-  Prepare(aEndpoint, aRequest);
   if (isConnected_) {
     stream_.expires_after(aOptions.timeout_);
     Write();
@@ -116,7 +126,7 @@
 }
 
 void
-HttpConnection::Prepare(const tcp::endpoint& aEndpoint, const HttpRequest& aRequest)
+HttpConnection::BuildMessage(const tcp::endpoint& aEndpoint, const HttpRequest& aRequest)
 {
   request_.emplace();
   request_->version(11);
--- a/Libraries/LibNet/HttpConnection.h
+++ b/Libraries/LibNet/HttpConnection.h
@@ -37,7 +37,12 @@
   HttpConnection(const HttpConnection&) = delete;
   HttpConnection& operator=(const HttpConnection&) = delete;
 
-  // Starts an exchange, connecting first if necessary.
+  // Prepares the message of the next exchange. Returns the problem if the request is one that the
+  // HTTP library refuses to send; the connection must then not be used any more.
+  std::optional<std::string> Prepare(const boost::asio::ip::tcp::endpoint& aEndpoint,
+                                     const HttpRequest& aRequest);
+
+  // Starts the exchange that was prepared, connecting first if necessary.
   void Start(const boost::asio::ip::tcp::endpoint& aEndpoint,
              const HttpRequest& aRequest,
              const ExchangeOptions& aOptions,
@@ -66,8 +71,8 @@
   bool IsStale();
 
 private:
-  // Builds the request message.
-  void Prepare(const boost::asio::ip::tcp::endpoint& aEndpoint, const HttpRequest& aRequest);
+  // Builds the request message. Throws std::exception for what the HTTP library refuses.
+  void BuildMessage(const boost::asio::ip::tcp::endpoint& aEndpoint, const HttpRequest& aRequest);
   void OnConnected(boost::system::error_code aError);
   // Sets the options of a new connection.
   void Configure();
--- a/Libraries/LibNet/HttpSession.cpp
+++ b/Libraries/LibNet/HttpSession.cpp
@@ -31,14 +31,6 @@
          std::string(aProblem) + "\"}}";
 }
 
-// Error response to bytes that are not a valid request.
-struct RequestProblem
-{
-  unsigned status_;
-  std::string_view field_;
-  std::string_view problem_;
-};
-
 // Returns std::nullopt if the connection has failed, so that no response can be sent.
 std::optional<RequestProblem>
 ProblemOf(error_code aError)
@@ -61,6 +53,17 @@
   return RequestProblem{ 400, "request", "is not valid HTTP/1.1" };
 }
 
+// Returns what is wrong with a request that was read completely; std::nullopt if nothing is.
+std::optional<RequestProblem>
+ProblemOf(const http::request<http::string_body>& aMessage)
+{
+  // A client must not send content with TRACE (RFC 9110, section 9.3.8).
+  if (aMessage.method() == http::verb::trace && !aMessage.body().empty()) {
+    return RequestProblem{ 400, "body", "must not be sent with TRACE" };
+  }
+  return std::nullopt;
+}
+
 // Returns whether pipelined requests of that method may run concurrently (RFC 9112, section
 // 9.3.2).
 bool
@@ -217,10 +220,14 @@
     return;
   }
   if (aError) {
-    RejectMalformed(aError);
+    OnReadFailed(aError);
     return;
   }
   auto message = parser_->release();
+  if (const auto problem = ProblemOf(message)) {
+    Reject(*problem);
+    return;
+  }
   Exchange exchange;
   exchange.id_ = ++listener_->lastId_;
   exchange.isSafe_ = IsSafe(message.method());
@@ -248,17 +255,22 @@
 }
 
 void
-HttpSession::RejectMalformed(error_code aError)
+HttpSession::OnReadFailed(error_code aError)
 {
-  const auto problem = ProblemOf(aError);
-  if (!problem) {
+  if (const auto problem = ProblemOf(aError)) {
+    Reject(*problem);
+  } else {
     Abandon();
-    return;
   }
+}
+
+void
+HttpSession::Reject(const RequestProblem& aProblem)
+{
   hasReadLast_ = true;
   Exchange exchange;
   exchange.answer_ =
-    MakeHttpResponse(problem->status_, ErrorBody(problem->field_, problem->problem_));
+    MakeHttpResponse(aProblem.status_, ErrorBody(aProblem.field_, aProblem.problem_));
   exchange.answer_->headers_.emplace_back("Latchslip-Outcome", "not-run");
   exchanges_.push_back(std::move(exchange));
   WriteNext();
--- a/Libraries/LibNet/HttpSession.h
+++ b/Libraries/LibNet/HttpSession.h
@@ -12,12 +12,21 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace latchslip {
 
 class HttpSession;
 
+// Why a request is answered with an error instead of being passed to the handler.
+struct RequestProblem
+{
+  unsigned status_;
+  std::string_view field_;
+  std::string_view problem_;
+};
+
 // State shared by the sessions of one listener.
 struct HttpListener
 {
@@ -80,8 +89,10 @@
   void OnRead(boost::system::error_code aError);
   // Passes the request to the handler.
   void Begin(Exchange aExchange, HttpRequest aRequest);
-  // Responds to a malformed, too large or late request, unless the connection has failed.
-  void RejectMalformed(boost::system::error_code aError);
+  // Rejects a malformed, too large or late request. Abandons the connection if it has failed.
+  void OnReadFailed(boost::system::error_code aError);
+  // Responds to a request that is not passed to the handler, and reads no other.
+  void Reject(const RequestProblem& aProblem);
   bool HasUnreadBytes();
   bool IsClosedByPeer();
   void Respond(std::uint64_t aId, HttpResponse aResponse);
--- a/Tests/LibNet/TestHttp.cpp
+++ b/Tests/LibNet/TestHttp.cpp
@@ -76,11 +76,12 @@
 
   HttpExchange Send(const std::string& aTarget,
                     std::string aBody,
-                    Duration aMaxIdleTime = Duration::max())
+                    Duration aMaxIdleTime = Duration::max(),
+                    const std::string& aMethod = "POST")
   {
     std::optional<HttpExchange> result;
     HttpRequest request;
-    request.method_ = "POST";
+    request.method_ = aMethod;
     request.target_ = aTarget;
     request.body_ = std::make_shared<const std::string>(std::move(aBody));
     ExchangeOptions options;
@@ -199,6 +200,32 @@
   EXPECT_EQ(handler_.requests_, 0);
 }
 
+// Guards against a request that the HTTP library refuses to send on: its exception ended the
+// process.
+TEST_F(HttpOnLoopback, TraceRequestHasABody_IsRefusedAndNotHandled)
+{
+  const auto answer = SendRaw("TRACE / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody");
+  EXPECT_NE(answer.find(" 400 "), std::string::npos) << answer;
+  EXPECT_NE(answer.find("Latchslip-Outcome: not-run"), std::string::npos) << answer;
+  EXPECT_EQ(handler_.requests_, 0);
+}
+
+TEST_F(HttpOnLoopback, TraceRequestHasNoBody_IsHandled)
+{
+  const auto answer = SendRaw("TRACE / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+  EXPECT_NE(answer.find(" 200 "), std::string::npos) << answer;
+  EXPECT_EQ(handler_.requests_, 1);
+}
+
+TEST_F(HttpOnLoopback, RequestCannotBeSent_NotSentAndNoPathIsBlamed)
+{
+  const auto exchange = Send("/echo", "body", Duration::max(), "TRACE");
+  EXPECT_EQ(exchange.end_, ExchangeEnd::NotSent);
+  EXPECT_TRUE(exchange.isLocal_);
+  EXPECT_EQ(handler_.requests_, 0);
+  EXPECT_EQ(Send("/echo", "body").end_, ExchangeEnd::Complete);
+}
+
 TEST_F(HttpOnLoopback, RequestTimesOut_IsNotHandled)
 {
   const auto answer = SendRaw("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\nfew");
