LibFleet, LibKeys: Count on an earlier placer until its own bound is over

Cause: a placer that hears from its predecessor that it has stopped limited the bounds of all former placers to one lease from then. One before the predecessor that had lost the store may still renew grants for 6 s.

The placers before the predecessor had lost the store when it claimed, and stop 6 s after that at the latest. The claim's row cannot be known before the claim, so a placer now counts 6 s from when the row became known to it, and a lease more; or from the predecessor's report, if that is later. If the row of owners states that all earlier placers have stopped, as under load management, the report alone counts as before. A predecessor that was known for 6 s costs nothing; after one that was not, the keys of lost servers wait up to 6 s longer.

Four tests without a network; three failed before: PlacersLostInARow with two and with four placers, and PlacerWithoutServers. CopyIsUsedAfterOneLease now lets the former placer serve for 6 s first, as its name assumes.

--- a/Libraries/LibFleet/FleetMember.h
+++ b/Libraries/LibFleet/FleetMember.h
@@ -365,6 +365,8 @@
   std::string formerPlacer_;
   // Version of the row by which it became the placer.
   RowVersion formerClaim_ = 0;
+  // When that row became known here.
+  Instant formerClaimSeenAt_ = Instant::min();
   // When it was known to have stopped. The placers of the services may start after that.
   std::optional<Instant> formerPlacerStoppedAt_;
   bool isStoreLost_ = false;
--- a/Libraries/LibFleet/FleetMemberPlacer.cpp
+++ b/Libraries/LibFleet/FleetMemberPlacer.cpp
@@ -56,6 +56,7 @@
   write.transaction_.writes_.push_back({ key, SerializePlacerRow(settings_.self_) });
   formerPlacerStoppedAt_.reset();
   formerClaim_ = view_.PlacerVersion();
+  formerClaimSeenAt_ = view_.PlacerVersionSince();
   formerPlacer_ = election_.Current() ? election_.Current()->instance_ : std::string();
   if (!formerPlacer_.empty() && formerPlacer_ != settings_.self_.instance_) {
     events_.Record(Event::PlacerSilent, "placer=" + election_.Current()->instance_);
@@ -94,9 +95,9 @@
       placer->placer_.BlockUntilLostGrantsExpire(aNow);
     }
     if (formerPlacer_ == settings_.self_.instance_) {
-      placer->placer_.OnFormerPlacerStopped(aNow);
+      placer->placer_.OnFormerPlacerStopped(aNow, formerClaimSeenAt_);
     } else if (formerPlacerStoppedAt_ && UsesLoadManagement()) {
-      placer->placer_.OnFormerPlacerStopped(*formerPlacerStoppedAt_);
+      placer->placer_.OnFormerPlacerStopped(*formerPlacerStoppedAt_, formerClaimSeenAt_);
     }
   }
 }
--- a/Libraries/LibFleet/FleetMemberReports.cpp
+++ b/Libraries/LibFleet/FleetMemberReports.cpp
@@ -150,7 +150,7 @@
   if (aReport.instance_ == formerPlacer_) {
     // An instance that reports here regards this one as the placer, so it has stopped being it.
     for (const auto& [service, placer] : placers_) {
-      placer->placer_.OnFormerPlacerStopped(aNow);
+      placer->placer_.OnFormerPlacerStopped(aNow, formerClaimSeenAt_);
     }
     formerPlacer_.clear();
     formerPlacerStoppedAt_ = aNow;
--- a/Libraries/LibFleet/FleetView.cpp
+++ b/Libraries/LibFleet/FleetView.cpp
@@ -276,6 +276,7 @@
   // Whether this is the same claim, with the version that it has after a restore of the store.
   const bool isSame = placer_ && placer_->value_ == aRow.value_;
   placer_ = aRow;
+  placerVersionSince_ = aNow;
   if (!isSame) {
     listener_.OnPlacer(aNow, row.value());
   }
--- a/Libraries/LibFleet/FleetView.h
+++ b/Libraries/LibFleet/FleetView.h
@@ -122,6 +122,8 @@
   const OwnedService* OwnersOf(const std::string& aService) const;
   // Version of the placer row; 0 if there is none.
   RowVersion PlacerVersion() const { return placer_ ? placer_->version_ : 0; }
+  // When that version of the row became known here, which is after the claim that wrote it.
+  Instant PlacerVersionSince() const { return placerVersionSince_; }
   // The stored size class; no value if there is none.
   std::optional<FleetSize> Size() const;
   // Version of the size row; 0 if there is none.
@@ -157,6 +159,7 @@
   // Key of the last configuration row; empty if that row could not be decoded.
   std::string configurationKey_;
   std::optional<Row> placer_;
+  Instant placerVersionSince_ = Instant::min();
   std::optional<Row> size_;
   std::map<std::string, OwnedService> owners_;
 };
--- a/Libraries/LibKeys/OwnershipPlacer.cpp
+++ b/Libraries/LibKeys/OwnershipPlacer.cpp
@@ -139,13 +139,17 @@
 }
 
 void
-OwnershipPlacer::OnFormerPlacerStopped(Instant aNow)
+OwnershipPlacer::OnFormerPlacerStopped(Instant aStoppedAt, Instant aClaimSeenAt)
 {
-  // A placer before the former one may still renew grants.
   if (usesLoadManagement_ && !isFormerShort_) {
     return;
   }
-  const auto latest = aNow + Scale(settings_.leaseDuration_, settings_.clockDriftFactor_);
+  // A placer before the former one may still renew grants, unless the row states that all of them
+  // have stopped.
+  const auto lastRenewal = isFormerShort_
+                             ? aStoppedAt
+                             : std::max(aStoppedAt, aClaimSeenAt + settings_.isolatedRenewalTime_);
+  const auto latest = lastRenewal + Scale(settings_.leaseDuration_, settings_.clockDriftFactor_);
   leaseBounds_.LimitFormer(latest);
   blockedUntil_ = std::min(blockedUntil_, latest);
 }
--- a/Libraries/LibKeys/OwnershipPlacer.h
+++ b/Libraries/LibKeys/OwnershipPlacer.h
@@ -73,9 +73,10 @@
   // keys under lost writes. No command is sent and nothing is written before all such grants have
   // expired.
   void BlockUntilLostGrantsExpire(Instant aNow);
-  // The former placer is known to send no more commands, so its grants expire within one lease
-  // duration.
-  void OnFormerPlacerStopped(Instant aNow);
+  // The former placer is known to have stopped at aStoppedAt, so its grants expire within one lease
+  // duration. Its claim was known here at aClaimSeenAt: the placers before it had lost the store by
+  // then, and stop after the isolation bound at the latest.
+  void OnFormerPlacerStopped(Instant aStoppedAt, Instant aClaimSeenAt);
   // Sets the listed servers of the service, usable or not. Their incarnations reveal restarts.
   void SetServers(Instant aNow, KeyServers aServers);
   // Adds the requests per key from the load report of one instance.
--- a/Tests/LibFleet/TestFleetMember.cpp
+++ b/Tests/LibFleet/TestFleetMember.cpp
@@ -138,7 +138,7 @@
                 bool aHasShortIsolation = true,
                 RowVersion aOwnershipVersion = 8)
   {
-    decoder_.hasLargeBodies_ = true;
+    decoder_.hasLargeBodies_ = usesLoadManagement_;
     const KeyOwnership ownership{ "rates",
                                   2,
                                   { { 0, 32767, "s1", 1, "" }, { 32768, kLastKey, "s2", 2, "" } },
@@ -175,9 +175,20 @@
     }
   }
 
+  // As Run, while the former placer reports.
+  void RunBesideFormer(Duration aTime)
+  {
+    const auto end = now_ + aTime;
+    while (now_ < end) {
+      member_.OnReport(now_, ReportOf(kFormer, kOther));
+      Run(milliseconds(500));
+    }
+  }
+
   bool AreKeysCleared() const { return events_.CountOf(Event::KeysCleared) > 0; }
 
   RowVersion version_ = 20;
+  bool usesLoadManagement_ = true;
 
 private:
   std::size_t acknowledged_ = 1;
@@ -235,6 +246,20 @@
   EXPECT_TRUE(AreKeysCleared());
 }
 
+// Guards against two owners of a key: the former placer, which has been the placer for some two
+// seconds, reports, and a placer before it may still renew grants.
+TEST_F(PlacerWithoutServers, FormerPlacerReportsWithoutLoadManagement_KeysWaitForTheEarlierOne)
+{
+  usesLoadManagement_ = false;
+  TakeOver(kFormer, kOther, false);
+  ShowServers();
+  Run(milliseconds(300));
+  RunBesideFormer(milliseconds(7500));
+  EXPECT_FALSE(AreKeysCleared());
+  RunBesideFormer(milliseconds(2000));
+  EXPECT_TRUE(AreKeysCleared());
+}
+
 // Guards against counting any report as that of the former placer.
 TEST_F(PlacerWithoutServers, OnlyAnotherInstanceReports_KeysOfALostServerWaitForTheFormerPlacer)
 {
--- a/Tests/LibKeys/PlacerWorld.h
+++ b/Tests/LibKeys/PlacerWorld.h
@@ -89,6 +89,7 @@
     OwnershipPlacer placer_;
     std::optional<KeyOwnership> written_;
     Instant writtenAt_{ 0 };
+    Instant startedAt_{ 0 };
     bool isRunning_ = false;
     // It reaches neither the store nor other instances from then on, and stops after its bound.
     std::optional<Instant> isolatedAt_;
@@ -151,6 +152,13 @@
     std::erase_if(pending_, [&](const Pending& aEntry) { return aEntry.placer_ == &aPlacer; });
   }
 
+  // Tells the newest placer that the one before it has stopped, as that instance's report does.
+  void ReportStopOfFormer()
+  {
+    const auto& former = placers_.at(placers_.size() - 2);
+    placers_.back()->placer_.OnFormerPlacerStopped(now_, former->startedAt_);
+  }
+
   void Pass(Duration aTime)
   {
     const auto end = now_ + aTime;
@@ -214,6 +222,7 @@
     placers_.push_back(std::make_unique<Placer>(*this, settings_));
     auto& placer = *placers_.back();
     placer.isRunning_ = true;
+    placer.startedAt_ = now_;
     named_ = &placer;
     placer.placer_.SetEpoch(epoch_);
     placer.placer_.SetLoadManagement(usesLoadManagement_);
--- a/Tests/LibKeys/TestOwnerRecovery.cpp
+++ b/Tests/LibKeys/TestOwnerRecovery.cpp
@@ -42,7 +42,7 @@
     world_.Pass(milliseconds(50));
     lost.isListed_ = false;
     lost.isPartitioned_ = true;
-    placer_->placer_.OnFormerPlacerStopped(world_.now_);
+    world_.ReportStopOfFormer();
     // Until the keys have a new owner in the row.
     world_.Pass(milliseconds(500));
     ASSERT_LT(world_.ServedKeys(), PlacerWorld::kBlocks);
@@ -360,24 +360,60 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, WalkOfIsolatedPlacers, testing::Range(1U, 13U));
 
-// Guards against two owners of a key: an isolated placer still renews a grant when the placer that
-// replaced it has been replaced, too, and reports that it has stopped.
-TEST_F(OwnerRecovery, SecondPlacerIsReplacedWhileTheFirstIsIsolated_KeysWaitForTheFirst)
+// Guards against two owners of a key: an isolated placer still renews a grant when the placers that
+// replaced it have been replaced, too, and report that they have stopped.
+class PlacersLostInARow : public OwnerRecovery
+{
+protected:
+  // Isolates the placer with s1, and replaces its successor aTimes times, each after aTenure.
+  void LosePlacers(int aTimes, Duration aTenure)
+  {
+    placer_->isolatedAt_ = world_.now_;
+    auto& lost = world_.servers_.at("s1");
+    lost.isWithIsolatedPlacer_ = true;
+    lost.isListed_ = false;
+    auto* successor = &world_.TakeOver();
+    for (int count = 0; count < aTimes; ++count) {
+      world_.Pass(aTenure);
+      world_.Stop(*successor);
+      successor = &world_.TakeOver();
+      world_.ReportStopOfFormer();
+    }
+  }
+};
+
+// PlacerWorld fails a test when a key has two owners.
+TEST_F(PlacersLostInARow, SecondIsReplacedWhileTheFirstIsIsolated_KeysWaitForTheFirst)
 {
   Begin(true);
-  placer_->isolatedAt_ = world_.now_;
-  auto& lost = world_.servers_.at("s1");
-  lost.isWithIsolatedPlacer_ = true;
-  lost.isListed_ = false;
-  auto& second = world_.TakeOver();
-  world_.Pass(seconds(1));
-  world_.Stop(second);
-  auto& third = world_.TakeOver();
-  third.placer_.OnFormerPlacerStopped(world_.now_);
-  // PlacerWorld fails the test when a key has two owners.
+  LosePlacers(1, seconds(1));
   world_.Pass(seconds(12));
 }
 
+TEST_F(PlacersLostInARow, SecondIsReplacedWithoutLoadManagement_KeysWaitForTheFirst)
+{
+  Begin(false);
+  LosePlacers(1, seconds(1));
+  world_.Pass(seconds(12));
+  EXPECT_EQ(world_.ServedKeys(), PlacerWorld::kBlocks);
+}
+
+TEST_F(PlacersLostInARow, ThreeAreReplacedWithoutLoadManagement_KeysWaitForTheFirst)
+{
+  Begin(false);
+  LosePlacers(3, milliseconds(1200));
+  world_.Pass(seconds(14));
+  EXPECT_EQ(world_.ServedKeys(), PlacerWorld::kBlocks);
+}
+
+// Guards against a longer wait than the first placer needs: it has stopped 6 s after its isolation.
+TEST_F(PlacersLostInARow, SecondIsReplacedAfterTheFirstHasStopped_KeysWaitOneLease)
+{
+  Begin(false);
+  LosePlacers(1, milliseconds(6500));
+  EXPECT_LT(TimeUntilServed(), milliseconds(5500));
+}
+
 } // namespace
 
 } // namespace latchslip
--- a/Tests/LibKeys/TestOwnershipPlacer.cpp
+++ b/Tests/LibKeys/TestOwnershipPlacer.cpp
@@ -400,8 +400,8 @@
   lost.isPartitioned_ = true;
   world_.Stop(*placer_);
   world_.Pass(seconds(2));
-  auto& next = world_.TakeOver();
-  next.placer_.OnFormerPlacerStopped(world_.now_);
+  world_.TakeOver();
+  world_.ReportStopOfFormer();
   lost.isListed_ = false;
   world_.Pass(milliseconds(100));
   EXPECT_LT(TimeUntilServed(), seconds(6));
@@ -492,7 +492,8 @@
     }
     world_.Stop(*world_.placers_.back());
     world_.Pass(seconds(2));
-    world_.TakeOver().placer_.OnFormerPlacerStopped(world_.now_);
+    world_.TakeOver();
+    world_.ReportStopOfFormer();
   }
 
   PlacerWorld world_{ GetParam() };
@@ -550,8 +551,10 @@
 
 TEST_F(PlacedKeysOfThreeServers, FormerPlacerHasStopped_CopyIsUsedAfterOneLease)
 {
-  auto& next = TakeOverFromCopy();
-  next.placer_.OnFormerPlacerStopped(world_.now_);
+  // Until no placer before the former one can still renew grants.
+  world_.Pass(seconds(2));
+  TakeOverFromCopy();
+  world_.ReportStopOfFormer();
   world_.Pass(milliseconds(6000));
   EXPECT_EQ(world_.ServedKeys(), PlacerWorld::kBlocks);
 }
