LibNet: Choose an exchange's connection in one function

HttpClient::Send asked three times whether it had a connection yet, and made the pool of an address as Probe does. TakeConnection() and PoolOf() do both once.

--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -45,22 +45,11 @@
       Fail(id, std::move(aCallback), endpoint.error().Describe());
       return id;
     }
-    auto& pool = pools_[aAddress];
-    if (!pool) {
-      pool = std::make_shared<HttpPool>();
-    }
-    auto connection = TakeIdle(*pool, aRequest, aOptions);
-    if (!connection && pool->open_ >= maxConnections_ && !pool->idle_.empty()) {
-      // None of the idle connections may carry this request.
-      pool->idle_.pop_front();
-    }
-    if (!connection && pool->open_ >= maxConnections_) {
+    const auto connection = TakeConnection(PoolOf(aAddress), aRequest, aOptions);
+    if (!connection) {
       Fail(id, std::move(aCallback), "all connections to the address are in use");
       return id;
     }
-    if (!connection) {
-      connection = std::make_shared<HttpConnection>(context_, pool, ++lastConnection_);
-    }
     if (const auto problem = connection->Prepare(endpoint.value(), aRequest)) {
       Fail(id, std::move(aCallback), *problem);
       return id;
@@ -113,11 +102,7 @@
       asio::post(context_, [callback = std::move(aCallback)] { callback(false); });
       return;
     }
-    auto& pool = pools_[aAddress];
-    if (!pool) {
-      pool = std::make_shared<HttpPool>();
-    }
-    std::make_shared<HttpConnection>(context_, pool, ++lastConnection_)
+    std::make_shared<HttpConnection>(context_, PoolOf(aAddress), ++lastConnection_)
       ->Open(endpoint.value(), aOptions, std::move(aCallback));
   }
 
@@ -138,6 +123,34 @@
   }
 
 private:
+  // Returns the pool of the address, which is created if there is none.
+  const std::shared_ptr<HttpPool>& PoolOf(const std::string& aAddress)
+  {
+    auto& pool = pools_[aAddress];
+    if (!pool) {
+      pool = std::make_shared<HttpPool>();
+    }
+    return pool;
+  }
+
+  // Returns an idle connection that may carry the request, or else a new one, for which an idle one
+  // is closed if there may be no more. Null if all connections to the address are in use.
+  std::shared_ptr<HttpConnection> TakeConnection(const std::shared_ptr<HttpPool>& aPool,
+                                                 const HttpRequest& aRequest,
+                                                 const ExchangeOptions& aOptions)
+  {
+    if (auto idle = TakeIdle(*aPool, aRequest, aOptions)) {
+      return idle;
+    }
+    if (aPool->open_ >= maxConnections_ && !aPool->idle_.empty()) {
+      aPool->idle_.pop_front();
+    }
+    if (aPool->open_ >= maxConnections_) {
+      return nullptr;
+    }
+    return std::make_shared<HttpConnection>(context_, aPool, ++lastConnection_);
+  }
+
   // Removes from the pool, and returns, the connection that was used last among those that may
   // carry the request. Null if there is none.
   static std::shared_ptr<HttpConnection> TakeIdle(HttpPool& aPool,
