Tests: Leave out of RepeatingServer what no test uses

Headers of a reply and the target of a request, and a second Send() of the fixture that only the first called.

--- a/Tests/LibNet/RepeatingServer.cpp
+++ b/Tests/LibNet/RepeatingServer.cpp
@@ -22,9 +22,6 @@
 Encode(const RepeatingServer::Request& aRequest, const RepeatingServer::Reply& aReply)
 {
   std::string text = "HTTP/1.1 " + std::to_string(aReply.status_) + " -\r\n";
-  for (const auto& [name, value] : aReply.headers_) {
-    text += name + ": " + value + "\r\n";
-  }
   if (!aRequest.id_.empty()) {
     text += "X-Request-Id: " + aRequest.id_ + "\r\n";
   }
@@ -59,8 +56,7 @@
 private:
   void OnRequest()
   {
-    server_.requests_.push_back(
-      { number_, std::string((*request_)["X-Request-Id"]), std::string(request_->target()) });
+    server_.requests_.push_back({ number_, std::string((*request_)["X-Request-Id"]) });
     const auto reply = server_.answer_(server_.requests_.back());
     const auto response = Encode(server_.requests_.back(), reply);
     auto bytes = std::exchange(copyBeforeNext_, {});
--- a/Tests/LibNet/RepeatingServer.h
+++ b/Tests/LibNet/RepeatingServer.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include "LibNet/Http.h"
-
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -35,14 +33,12 @@
     // Number of the connection, counted from 1 in the order in which they were opened.
     std::size_t connection_ = 0;
     std::string id_;
-    std::string target_;
   };
 
   struct Reply
   {
     unsigned status_ = 200;
     SecondCopy copy_ = SecondCopy::None;
-    std::vector<HttpHeader> headers_{};
     // The response is sent, too. If not set, only the second copies of earlier ones are.
     bool isSent_ = true;
   };
--- a/Tests/LibNet/TestLateResponses.cpp
+++ b/Tests/LibNet/TestLateResponses.cpp
@@ -28,14 +28,17 @@
     return isFirst ? RepeatingServer::Reply{ kUnavailable, GetParam() } : RepeatingServer::Reply{};
   }
 
-  HttpExchange Send(const std::string& aId, ExchangeOptions aOptions)
+  HttpExchange Send(const std::string& aId)
   {
+    ExchangeOptions options;
+    options.timeout_ = seconds(2);
+    options.echoHeader_ = "X-Request-Id";
     HttpRequest request;
     request.method_ = "POST";
     request.target_ = "/";
     request.headers_ = { { "X-Request-Id", aId } };
     std::optional<HttpExchange> result;
-    client_->Send(server_.Address(), request, std::move(aOptions), [&](HttpExchange aExchange) {
+    client_->Send(server_.Address(), request, std::move(options), [&](HttpExchange aExchange) {
       result = std::move(aExchange);
     });
     context_.restart();
@@ -45,14 +48,6 @@
     return *result;
   }
 
-  HttpExchange Send(const std::string& aId)
-  {
-    ExchangeOptions options;
-    options.timeout_ = seconds(2);
-    options.echoHeader_ = "X-Request-Id";
-    return Send(aId, std::move(options));
-  }
-
   // Lets a second copy arrive.
   void Wait()
   {
