LibNet, LibDaemon: Log and count skipped responses to other requests

Callers saw requests that ran twice, and requests that ran after a refusal. One hypothesis is that servers send second copies of answers. Nothing showed whether they do: a response to another request was skipped without a line or a count. Now an exchange tells how many it skipped, whoever performed it (also when it is relayed or a command), E608 OtherResponsesSkipped names the server, the request and the connection, and other_responses_total counts them. The lines have a rate limit of their own, so that they don't crowd out E600 and E601, by which a case is traced.

--- a/Libraries/LibBase/Event.cpp
+++ b/Libraries/LibBase/Event.cpp
@@ -66,6 +66,7 @@
   EventName{ Event::ServerClosedConnection, "ServerClosedConnection" },
   EventName{ Event::ServerLinksCut, "ServerLinksCut" },
   EventName{ Event::ServerLinksRestored, "ServerLinksRestored" },
+  EventName{ Event::OtherResponsesSkipped, "OtherResponsesSkipped" },
   EventName{ Event::RoutesInForce, "RoutesInForce" },
   EventName{ Event::RoutesRejected, "RoutesRejected" },
   EventName{ Event::ServerListed, "ServerListed" },
--- a/Libraries/LibBase/Event.h
+++ b/Libraries/LibBase/Event.h
@@ -68,6 +68,7 @@
   ServerClosedConnection = 605,
   ServerLinksCut = 606,
   ServerLinksRestored = 607,
+  OtherResponsesSkipped = 608,
   RoutesInForce = 610,
   RoutesRejected = 611,
   ServerListed = 612,
--- a/Libraries/LibDaemon/CommandSender.cpp
+++ b/Libraries/LibDaemon/CommandSender.cpp
@@ -20,10 +20,12 @@
 CommandSender::CommandSender(boost::asio::io_context& aContext,
                              const GatewayCodec& aCodec,
                              ServerPaths& aPaths,
-                             RelayClient& aRelays)
+                             RelayClient& aRelays,
+                             ResponseMonitor& aResponses)
   : codec_(aCodec)
   , paths_(aPaths)
   , relays_(aRelays)
+  , responses_(aResponses)
   , client_(HttpClient::Create(aContext, kMaxConnections))
 {
 }
@@ -66,6 +68,7 @@
                 std::move(relayed.request_),
                 std::move(relayed.options_),
                 [this, aRunning](const HttpExchange& aExchange) {
+                  responses_.OnExchangeEnded(aRunning->command_.server_, "", aExchange);
                   OnEnded(aRunning, aExchange, PathResultOf(aExchange));
                 });
 }
--- a/Libraries/LibDaemon/CommandSender.h
+++ b/Libraries/LibDaemon/CommandSender.h
@@ -2,6 +2,7 @@
 
 #include "LibDaemon/GatewayCodec.h"
 #include "LibDaemon/RelayClient.h"
+#include "LibDaemon/ResponseMonitor.h"
 #include "LibGateway/PathSearch.h"
 
 #include <boost/asio/io_context.hpp>
@@ -20,7 +21,8 @@
   CommandSender(boost::asio::io_context& aContext,
                 const GatewayCodec& aCodec,
                 ServerPaths& aPaths,
-                RelayClient& aRelays);
+                RelayClient& aRelays,
+                ResponseMonitor& aResponses);
 
   void Send(const KeyCommand& aCommand, Callback aCallback);
   // The client for exchanges that carry commands.
@@ -42,6 +44,7 @@
   const GatewayCodec& codec_;
   ServerPaths& paths_;
   RelayClient& relays_;
+  ResponseMonitor& responses_;
   std::unique_ptr<HttpClient> client_;
 };
 
--- a/Libraries/LibDaemon/GatewayFrontend.cpp
+++ b/Libraries/LibDaemon/GatewayFrontend.cpp
@@ -26,10 +26,12 @@
                                  RelayClient& aRelays,
                                  EventSink& aEvents,
                                  GatewayMetrics& aMetrics,
+                                 ResponseMonitor& aResponses,
                                  KeyObserver aKeyObserver,
                                  LeavingObserver aLeavingObserver)
   : codec_(aCodec)
   , metrics_(aMetrics)
+  , responses_(aResponses)
   , keyObserver_(std::move(aKeyObserver))
   , leavingObserver_(std::move(aLeavingObserver))
   , paths_(aPaths)
@@ -96,11 +98,25 @@
                                     std::move(relayed.request_),
                                     std::move(options),
                                     [this, attempt, number](HttpExchange aExchange) {
+                                      ObserveResponse(attempt, aExchange);
                                       const auto path = PathResultOf(aExchange);
                                       OnExchangeEnded(attempt, number, std::move(aExchange), path);
                                     });
 }
 
+void
+GatewayFrontend::ObserveResponse(AttemptNumber aAttempt, const HttpExchange& aExchange)
+{
+  const auto attempt = attempts_.find(aAttempt);
+  if (attempt == attempts_.end()) {
+    return;
+  }
+  const auto& command = attempt->second.command_;
+  const auto request = requests_.find(command.request_);
+  responses_.OnExchangeEnded(
+    command.server_, request == requests_.end() ? "" : request->second.routed_.id_, aExchange);
+}
+
 void
 GatewayFrontend::OnExchangeEnded(AttemptNumber aAttempt,
                                  std::uint64_t aExchange,
--- a/Libraries/LibDaemon/GatewayFrontend.h
+++ b/Libraries/LibDaemon/GatewayFrontend.h
@@ -4,6 +4,7 @@
 #include "LibDaemon/GatewayMetrics.h"
 #include "LibDaemon/LeavingObserver.h"
 #include "LibDaemon/RelayClient.h"
+#include "LibDaemon/ResponseMonitor.h"
 #include "LibFleet/FleetMember.h"
 #include "LibGateway/GatewayRouter.h"
 #include "LibNet/DeadlineTimer.h"
@@ -36,6 +37,7 @@
                   RelayClient& aRelays,
                   EventSink& aEvents,
                   GatewayMetrics& aMetrics,
+                  ResponseMonitor& aResponses,
                   KeyObserver aKeyObserver,
                   LeavingObserver aLeavingObserver);
 
@@ -89,6 +91,8 @@
   {
     keyObserver_(aService, aKey);
   }
+  // Reports an exchange that this instance has performed itself to the monitor.
+  void ObserveResponse(AttemptNumber aAttempt, const HttpExchange& aExchange);
   // aExchange is the number of the exchange: an attempt may have several, one after the other.
   void OnExchangeEnded(AttemptNumber aAttempt,
                        std::uint64_t aExchange,
@@ -98,6 +102,7 @@
 
   const GatewayCodec& codec_;
   GatewayMetrics& metrics_;
+  ResponseMonitor& responses_;
   KeyObserver keyObserver_;
   LeavingObserver leavingObserver_;
   ServerPaths& paths_;
--- a/Libraries/LibDaemon/GatewayHost.cpp
+++ b/Libraries/LibDaemon/GatewayHost.cpp
@@ -50,6 +50,7 @@
     , events_(aEvents)
     , loop_(aEvents, ProcessorTimeUsed)
     , member_(settings_.member_, aDecoder, *this, aEvents)
+    , responses_(aEvents)
     , permits_(aContext,
                settings_.peerAddress_,
                settings_.permitPort_,
@@ -68,15 +69,17 @@
         relays_,
         aEvents,
         metrics_,
+        responses_,
         [this](const std::string& aService, KeyNumber aKey) { member_.CountKey(aService, aKey); },
         MakeLeavingObserver())
-    , commands_(aContext, aCodec, paths_, relays_)
+    , commands_(aContext, aCodec, paths_, relays_, responses_)
     , relayService_(
         frontend_.Client(),
         commands_.Client(),
         member_.Directory(),
         paths_,
         [this] { return stop_.HasBegun(); },
+        responses_,
         aEvents)
     , peers_(aContext, member_, relayService_, loop_, [this] { return RenderMetrics(); })
     , timer_(aContext)
@@ -158,6 +161,7 @@
         { "is_cut_off_from_servers", paths_.IsCutOff() ? 1 : 0 },
         { "exchanges_relayed_total", static_cast<double>(relayService_.Relayed()) },
         { "is_ready", IsReady() ? 1 : 0 },
+        { "other_responses_total", static_cast<double>(responses_.OtherResponses()) },
         { "servers_listed", static_cast<double>(member_.Directory().All().size()) } });
   }
 
@@ -419,6 +423,7 @@
   LoopMonitor loop_;
   FleetMember member_;
   GatewayMetrics metrics_;
+  ResponseMonitor responses_;
   PermitLinks permits_;
   std::shared_ptr<const RouteTable> routes_;
   ServerPaths paths_;
--- a/Libraries/LibDaemon/LineLog.cpp
+++ b/Libraries/LibDaemon/LineLog.cpp
@@ -18,6 +18,7 @@
 {
   Success,
   Failure,
+  Response,
   State,
 };
 
@@ -30,6 +31,8 @@
     case Event::GatewayRefusal:
     case Event::GatewayRetry:
       return LineClass::Failure;
+    case Event::OtherResponsesSkipped:
+      return LineClass::Response;
     default:
       return LineClass::State;
   }
--- a/Libraries/LibDaemon/LineLog.h
+++ b/Libraries/LibDaemon/LineLog.h
@@ -23,8 +23,8 @@
 
 // Event sink that writes each event as one line of "name=value" pairs to a file descriptor.
 // It never blocks: lines above the rate limits or the buffer limit are dropped and counted.
-// Successful requests, failed requests and state changes have a rate limit each, so that
-// successes cannot crowd out failures.
+// Successful requests, failed requests, faulty responses of servers and state changes have a rate
+// limit each, so that none crowds out the others.
 class LineLog : public EventSink
 {
 public:
@@ -55,8 +55,8 @@
   int descriptor_;
   std::string instance_;
   LineLogLimits limits_;
-  // Indexed by line class: successful requests, failed requests, state changes.
-  std::array<LineRateLimiter, 3> rateLimiters_;
+  // Indexed by line class: successful requests, failed requests, faulty responses, state changes.
+  std::array<LineRateLimiter, 4> rateLimiters_;
   std::array<std::uint64_t, 1000> counts_{};
   std::string buffer_;
   std::uint64_t dropped_ = 0;
--- a/Libraries/LibDaemon/RelayService.cpp
+++ b/Libraries/LibDaemon/RelayService.cpp
@@ -42,12 +42,14 @@
                            const ServerDirectory& aDirectory,
                            ServerPaths& aPaths,
                            std::function<bool()> aIsStopping,
+                           ResponseMonitor& aResponses,
                            EventSink& aEvents)
   : attempts_(aAttempts)
   , commands_(aCommands)
   , directory_(aDirectory)
   , paths_(aPaths)
   , isStopping_(std::move(aIsStopping))
+  , responses_(aResponses)
   , events_(aEvents)
 {
 }
@@ -94,6 +96,7 @@
   auto& running = running_[aId];
   running.client_ = &client;
   running.server_ = aRequest.server_;
+  running.request_ = std::string(aRequest.request_.Header(aRequest.options_.echoHeader_));
   running.bytes_ = aRequest.request_.body_->size();
   bytes_ += running.bytes_;
   running.exchange_ =
@@ -116,8 +119,10 @@
 void
 RelayService::OnEnded(std::uint64_t aId, HttpExchange aExchange, const HttpResponder& aRespond)
 {
-  const auto server = Remove(aId).server_;
-  const auto path = paths_.OnEndedForAnother(MonotonicNow(), server, PathResultOf(aExchange));
+  const auto ended = Remove(aId);
+  responses_.OnExchangeEnded(ended.server_, ended.request_, aExchange);
+  const auto path =
+    paths_.OnEndedForAnother(MonotonicNow(), ended.server_, PathResultOf(aExchange));
   aRespond(MakeAnswer(path, std::move(aExchange)));
 }
 
--- a/Libraries/LibDaemon/RelayService.h
+++ b/Libraries/LibDaemon/RelayService.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibBase/Event.h"
+#include "LibDaemon/ResponseMonitor.h"
 #include "LibGateway/ServerDirectory.h"
 #include "LibNet/HttpServer.h"
 #include "LibNet/RelayMessages.h"
@@ -22,6 +23,7 @@
                const ServerDirectory& aDirectory,
                ServerPaths& aPaths,
                std::function<bool()> aIsStopping,
+               ResponseMonitor& aResponses,
                EventSink& aEvents);
 
   void OnRequest(std::uint64_t aId, HttpRequest aRequest, HttpResponder aRespond) override;
@@ -38,6 +40,8 @@
     HttpClient* client_ = nullptr;
     ExchangeId exchange_ = 0;
     std::string server_;
+    // Id of the request; empty if it has none.
+    std::string request_;
     // Size of the request's body.
     std::size_t bytes_ = 0;
   };
@@ -56,6 +60,7 @@
   const ServerDirectory& directory_;
   ServerPaths& paths_;
   std::function<bool()> isStopping_;
+  ResponseMonitor& responses_;
   EventSink& events_;
   std::map<std::uint64_t, Running> running_;
   // Sum of the bodies of the requests under way.
--- /dev/null
+++ b/Libraries/LibDaemon/ResponseMonitor.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "LibBase/Event.h"
+#include "LibNet/HttpClient.h"
+
+#include <cstdint>
+#include <string_view>
+
+namespace latchslip {
+
+// Logs and counts what servers send beyond the responses to the requests that they were sent.
+class ResponseMonitor
+{
+public:
+  explicit ResponseMonitor(EventSink& aEvents)
+    : events_(aEvents)
+  {
+  }
+
+  // Call for each exchange with a server that this instance has performed itself. aRequest is the
+  // id of the request; empty if it has none.
+  void OnExchangeEnded(std::string_view aServer,
+                       std::string_view aRequest,
+                       const HttpExchange& aExchange);
+
+  // Number of responses to other requests that were skipped.
+  std::uint64_t OtherResponses() const { return otherResponses_; }
+
+private:
+  EventSink& events_;
+  std::uint64_t otherResponses_ = 0;
+};
+
+} // namespace latchslip
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -38,6 +38,9 @@
   bool isLocal_ = false;
   // Number of the connection, which is unique within one client; 0 if none was used.
   std::uint64_t connection_ = 0;
+  // Number of complete responses to other requests that were skipped, see
+  // ExchangeOptions::echoHeader_.
+  unsigned otherResponses_ = 0;
 };
 
 using HttpCallback = std::function<void(HttpExchange)>;
--- a/Libraries/LibNet/HttpConnection.cpp
+++ b/Libraries/LibNet/HttpConnection.cpp
@@ -108,6 +108,7 @@
   isReusable_ = !aOptions.usesOwnConnection_;
   echoHeader_ = aOptions.echoHeader_;
   echoValue_ = echoHeader_.empty() ? std::string() : std::string(aRequest.Header(echoHeader_));
+  otherResponses_ = 0;
   const auto now = MonotonicNow();
   end_ = now + aOptions.timeout_;
   if (!echoHeader_.empty()) {
@@ -255,6 +256,7 @@
   auto message = parser_->release();
   if (!echoHeader_.empty() && message[echoHeader_] != echoValue_) {
     // A late response to an earlier request; the matching one may still follow.
+    ++otherResponses_;
     isReusable_ = false;
     Read();
     return;
@@ -294,6 +296,7 @@
   body_.reset();
   parser_.reset();
   aExchange.connection_ = number_;
+  aExchange.otherResponses_ = otherResponses_;
   const auto callback = std::exchange(callback_, nullptr);
   if (callback) {
     callback(std::move(aExchange));
--- a/Libraries/LibNet/HttpConnection.h
+++ b/Libraries/LibNet/HttpConnection.h
@@ -95,6 +95,7 @@
   // See ExchangeOptions::echoHeader_, and the value of the current request.
   std::string echoHeader_;
   std::string echoValue_;
+  unsigned otherResponses_ = 0;
   CarriedRequests carried_;
   // Deadline of the exchange.
   Instant end_{ 0 };
--- a/Tests/LibDaemon/TestRelays.cpp
+++ b/Tests/LibDaemon/TestRelays.cpp
@@ -199,8 +199,10 @@
   ServerPaths peerPaths_{ "hall", 1, events_ };
   std::unique_ptr<HttpClient> attempts_ = HttpClient::Create(context_, 4);
   std::unique_ptr<HttpClient> forCommands_ = HttpClient::Create(context_, 4);
+  ResponseMonitor responses_{ events_ };
   RelayService service_{
-    *attempts_, *forCommands_, directory_, peerPaths_, [this] { return isStopping_; }, events_
+    *attempts_, *forCommands_, directory_, peerPaths_, [this] { return isStopping_; },
+    responses_, events_
   };
   std::unique_ptr<HttpServer> server_;
   std::unique_ptr<HttpServer> peer_;
@@ -208,7 +210,7 @@
   ServerPaths paths_{ "hall", 1, events_ };
   RelayClient client_{ context_ };
   CommandCodec codec_;
-  CommandSender commands_{ context_, codec_, paths_, client_ };
+  CommandSender commands_{ context_, codec_, paths_, client_, responses_ };
   std::optional<HttpExchange> exchange_;
   PathResult path_ = PathResult::Unknown;
 };
--- a/Tests/LibNet/TestLateResponses.cpp
+++ b/Tests/LibNet/TestLateResponses.cpp
@@ -124,6 +124,15 @@
   EXPECT_EQ(server_.Requests()[3].connection_, 2U);
 }
 
+// Second copies show in the exchange that skipped them, so that the log can tell whether servers
+// send any.
+TEST_P(ServerRepeatsARefusalLate, AnotherRequestFollows_CountsTheSkippedResponse)
+{
+  EXPECT_EQ(Send("q1").otherResponses_, 0U);
+  EXPECT_EQ(Send("q2").otherResponses_, 1U);
+  EXPECT_EQ(Send("q3").otherResponses_, 0U);
+}
+
 INSTANTIATE_TEST_SUITE_P(SecondCopies,
                          ServerRepeatsARefusalLate,
                          testing::Values(SecondCopy::BeforeNext));
