Tests: Let the soak's servers shed requests, repeat answers and answer without end

The soak drew neither shedding nor second copies of answers, so it could not show the fault that mends. They can also send bytes without end.

The check of a changed configuration counts the bookings that reach the former service in place of all requests: the keyed service also gets reads, which do not move. The other services get nothing but bookings, so the check of these is what it was.

--- a/Tests/Platform/Soak/FaultInjector.cpp
+++ b/Tests/Platform/Soak/FaultInjector.cpp
@@ -42,6 +42,19 @@
 constexpr unsigned kMaxLimit = 6;
 constexpr Duration kMinLimitTime = milliseconds(5000);
 constexpr Duration kMaxLimitTime = milliseconds(12000);
+// One in this many faults comes with servers that shed or repeat answers; as many with servers
+// whose answers never end.
+constexpr unsigned kFaultsPerAnswerFault = 3;
+// Share of the requests that the servers shed at a time.
+constexpr double kMinShedShare = 0.3;
+constexpr double kMaxShedShare = 0.8;
+// Share of its answers that a faulty server disturbs.
+constexpr double kCopyShare = 0.3;
+constexpr double kEndlessShare = 0.1;
+// One in this many servers sends second copies or bytes without end.
+constexpr std::size_t kServersPerFaulty = 3;
+// One in this many endless faults concerns all servers of a service.
+constexpr unsigned kEndlessPerWholeService = 4;
 // Maximum downtime of the store before it is restored.
 constexpr Duration kMaxDowntime = milliseconds(1500);
 // Writes by others that a restore loses: one second of writes to the store of a small fleet.
@@ -66,6 +79,7 @@
   , restoreRandom_(aSeed)
   , announcementRandom_(aSeed)
   , limitRandom_(aSeed)
+  , answerRandom_(aSeed)
   , startedAt_(MonotonicNow())
 {
 }
@@ -90,6 +104,7 @@
     if (extras_.serversNameLimits_ && limitRandom_() % kFaultsPerLimit == 0) {
       SetServerLimit(environment_.Servers()[limitRandom_() % environment_.Servers().size()]);
     }
+    DisturbAnswers();
     environment_.Run(Draw(kMinGap, kMaxGap));
   }
 }
@@ -178,6 +193,12 @@
       return RequestBackoff(server);
     case SoakFault::ServerNamesRateLimit:
       return SetServerLimit(server);
+    case SoakFault::ServersShed:
+      return ShedRequests();
+    case SoakFault::ServersRepeatAnswers:
+      return RepeatAnswers();
+    case SoakFault::ServersAnswerEndlessly:
+      return SendEndlessAnswers();
   }
 }
 
@@ -431,6 +452,85 @@
   environment_.Guarantees().Announcements().OnRateLimitNamed(aServer.backend_->Id(), std::nullopt);
 }
 
+void
+FaultInjector::DisturbAnswers()
+{
+  if (extras_.serversShed_ && answerRandom_() % kFaultsPerAnswerFault == 0) {
+    ShedRequests();
+    if (extras_.serversRepeatAnswers_) {
+      RepeatAnswers();
+    }
+  }
+  if (extras_.serversAnswerEndlessly_ && answerRandom_() % kFaultsPerAnswerFault == 0) {
+    SendEndlessAnswers();
+  }
+}
+
+void
+FaultInjector::ShedRequests()
+{
+  const auto time = DrawFrom(answerRandom_, kMinFaultTime, kMaxFaultTime);
+  const auto share =
+    std::uniform_real_distribution<double>(kMinShedShare, kMaxShedShare)(answerRandom_);
+  LogFault(SoakFault::ServersShed, std::to_string(share), time);
+  for (auto& server : environment_.Servers()) {
+    server.backend_->SetShedShare(share);
+  }
+  environment_.After(time, [this] {
+    for (auto& server : environment_.Servers()) {
+      server.backend_->SetShedShare(0);
+    }
+  });
+}
+
+void
+FaultInjector::RepeatAnswers()
+{
+  const auto time = DrawFrom(answerRandom_, kMinFaultTime, kMaxFaultTime);
+  AnswerFault fault;
+  fault.share_ = kCopyShare;
+  fault.copy_ = static_cast<SecondCopy>(answerRandom_() % kSecondCopyNames.names_.size());
+  LogFault(
+    SoakFault::ServersRepeatAnswers, std::string(kSecondCopyNames.NameOf(*fault.copy_)), time);
+  for (auto index = answerRandom_() % kServersPerFaulty; index < environment_.Servers().size();
+       index += kServersPerFaulty) {
+    SetAnswerFault(environment_.Servers()[index], fault, time);
+  }
+}
+
+void
+FaultInjector::SendEndlessAnswers()
+{
+  const auto time = DrawFrom(answerRandom_, kMinFaultTime, kMaxFaultTime);
+  AnswerFault fault;
+  fault.share_ = kEndlessShare;
+  fault.endless_ = static_cast<EndlessKind>(answerRandom_() % kEndlessKindNames.names_.size());
+  fault.isSlow_ = answerRandom_() % 2 == 0;
+  const auto first = answerRandom_() % environment_.Servers().size();
+  const bool isWholeService = answerRandom_() % kEndlessPerWholeService == 0;
+  const auto service = environment_.Servers()[first].backend_->Service();
+  LogFault(SoakFault::ServersAnswerEndlessly,
+           std::string(kEndlessKindNames.NameOf(*fault.endless_)) +
+             (fault.isSlow_ ? " slow" : " fast") + (isWholeService ? " all of " + service : ""),
+           time);
+  for (std::size_t index = 0; index < environment_.Servers().size(); ++index) {
+    auto& server = environment_.Servers()[index];
+    const bool isThird = index % kServersPerFaulty == first % kServersPerFaulty;
+    if (isWholeService ? server.backend_->Service() == service : isThird) {
+      SetAnswerFault(server, fault, time);
+    }
+  }
+}
+
+void
+FaultInjector::SetAnswerFault(SoakEnvironment::Server& aServer,
+                              const AnswerFault& aFault,
+                              Duration aTime)
+{
+  aServer.link_->SetAnswerFault(aFault);
+  environment_.After(aTime, [&aServer] { aServer.link_->SetAnswerFault({}); });
+}
+
 void
 FaultInjector::RemoveServerRecord(SoakEnvironment::Server& aServer, Duration aTime)
 {
@@ -518,7 +618,9 @@
     environment_.Guarantees().Announcements().SetLinkDisturbed(backend.Id(), false);
     aServer.link_->SetFault(LinkFault::None);
   }
+  aServer.link_->SetAnswerFault({});
   backend.SetBackoff(std::nullopt);
+  backend.SetShedShare(0);
   ClearServerLimit(aServer);
   if (backend.IsUp() && backend.IsLeaving()) {
     // A server never revokes its shutdown announcement.
--- a/Tests/Platform/Soak/FaultInjector.h
+++ b/Tests/Platform/Soak/FaultInjector.h
@@ -33,12 +33,15 @@
   ServerAnnouncesLeaving,
   ServerRequestsBackoff,
   ServerNamesRateLimit,
+  ServersShed,
+  ServersRepeatAnswers,
+  ServersAnswerEndlessly,
 };
 
 // Number of the basic faults.
 inline constexpr std::size_t kDrawnFaults = static_cast<std::size_t>(SoakFault::StoreRestored);
 
-inline constexpr NameTable<SoakFault, 19> kSoakFaultNames{ { "kill-instance",
+inline constexpr NameTable<SoakFault, 22> kSoakFaultNames{ { "kill-instance",
                                                              "stop-instance",
                                                              "pause-instance",
                                                              "settings-signal",
@@ -56,7 +59,10 @@
                                                              "store-returns",
                                                              "server-tells-leaving",
                                                              "server-asks-for-rest",
-                                                             "server-names-rate-limit" } };
+                                                             "server-names-rate-limit",
+                                                             "servers-shed",
+                                                             "servers-repeat-answers",
+                                                             "servers-answer-endlessly" } };
 
 // Fault injection: draws faults from a seed and injects them in succession, overlapping and on any
 // part of the fleet. The same seed draws the same faults, but their timing relative to the
@@ -74,6 +80,12 @@
     bool serversAnnounce_ = false;
     // Servers name rate limits in their answers.
     bool serversNameLimits_ = false;
+    // Servers reject a share of the requests without having run them.
+    bool serversShed_ = false;
+    // A third of the servers send some answers a second time.
+    bool serversRepeatAnswers_ = false;
+    // A third of the servers, or all of one service, send bytes without end in place of answers.
+    bool serversAnswerEndlessly_ = false;
   };
 
   FaultInjector(SoakEnvironment& aEnvironment, std::uint32_t aSeed, Extras aExtras);
@@ -122,6 +134,13 @@
   // The server names a rate limit for a while.
   void SetServerLimit(SoakEnvironment::Server& aServer);
   void ClearServerLimit(SoakEnvironment::Server& aServer);
+  // Injects the faults of answers that are due and asked for.
+  void DisturbAnswers();
+  void ShedRequests();
+  void RepeatAnswers();
+  void SendEndlessAnswers();
+  // Applies a fault to the answers of a server, for a while.
+  void SetAnswerFault(SoakEnvironment::Server& aServer, const AnswerFault& aFault, Duration aTime);
 
   void Kill(SoakEnvironment::Instance& aInstance, Duration aDowntime);
   void Stop(SoakEnvironment::Instance& aInstance);
@@ -141,6 +160,7 @@
   std::minstd_rand restoreRandom_;
   std::minstd_rand announcementRandom_;
   std::minstd_rand limitRandom_;
+  std::minstd_rand answerRandom_;
   Instant startedAt_;
   std::string faultLog_;
 };
--- a/Tests/Platform/Soak/GuaranteeChecker.cpp
+++ b/Tests/Platform/Soak/GuaranteeChecker.cpp
@@ -59,7 +59,9 @@
   if (!requests_.contains(aRequest)) {
     ReportViolation("UNASKED " + aRequest + " at " + aBackend.Id());
   }
-  ++requests_[aRequest].arrivals_;
+  auto& request = requests_[aRequest];
+  ++request.arrivals_;
+  bookingArrivals_[aBackend.Id()] += request.isBooking_ ? 1 : 0;
   if (const auto violation = announcements_.OnArrival(aBackend.Id(), aRequest)) {
     ReportViolation(*violation);
   }
@@ -129,4 +131,11 @@
   return found == arrivals_.end() ? 0 : found->second;
 }
 
+std::size_t
+GuaranteeChecker::BookingArrivalsOf(const std::string& aServer) const
+{
+  const auto found = bookingArrivals_.find(aServer);
+  return found == bookingArrivals_.end() ? 0 : found->second;
+}
+
 } // namespace latchslip::platform
--- a/Tests/Platform/Soak/GuaranteeChecker.h
+++ b/Tests/Platform/Soak/GuaranteeChecker.h
@@ -62,6 +62,8 @@
   // Checks that repeated arrivals of requests stay within the retry budget of aSeconds.
   void CheckRetries(double aSeconds);
   std::size_t ArrivalsOf(const std::string& aServer) const;
+  // As above, bookings only.
+  std::size_t BookingArrivalsOf(const std::string& aServer) const;
   // Whether the request has reached a server.
   bool HasArrived(const std::string& aRequest) const;
 
@@ -77,7 +79,9 @@
   ListServers listServers_;
   std::map<std::string, Request> requests_;
   AnnouncementChecker announcements_;
+  // By server.
   std::map<std::string, std::size_t> arrivals_;
+  std::map<std::string, std::size_t> bookingArrivals_;
   std::vector<std::string> violations_;
 };
 
--- a/Tests/Platform/Soak/LoopbackProxy.h
+++ b/Tests/Platform/Soak/LoopbackProxy.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "AnswerFault.h"
 #include "LibBase/NameTable.h"
 #include "LibBase/Result.h"
 #include "LibBase/Time.h"
@@ -48,6 +49,9 @@
   // aDelay is the delay in each direction and applies to LinkFault::Delayed only.
   void SetFault(LinkFault aFault, Duration aDelay = Duration(0));
   LinkFault Fault() const { return fault_; }
+  // Applies to the answers that the target sends from now on, beside the link's fault.
+  void SetAnswerFault(const AnswerFault& aFault) { answerFault_ = aFault; }
+  const AnswerFault& FaultOfAnswers() const { return answerFault_; }
   Duration Delay() const { return delay_; }
   // Called by a link that has ended.
   void OnLinkEnded(const ProxyLink* aLink);
@@ -63,6 +67,7 @@
   boost::asio::ip::tcp::endpoint target_;
   std::list<std::shared_ptr<ProxyLink>> links_;
   LinkFault fault_ = LinkFault::None;
+  AnswerFault answerFault_;
   Duration delay_{ 0 };
 };
 
--- a/Tests/Platform/Soak/ProxyLink.cpp
+++ b/Tests/Platform/Soak/ProxyLink.cpp
@@ -16,6 +16,19 @@
 
 // Interval at which held-back bytes check whether the fault has ended.
 constexpr Duration kHoldCheckInterval = milliseconds(20);
+// Time after an answer at which its late copy is sent.
+constexpr Duration kLateCopyDelay = milliseconds(8);
+// Bytes without end that come slowly: as many at a time, with pauses between them.
+constexpr std::size_t kSlowBytes = 5;
+constexpr Duration kSlowPause = milliseconds(100);
+
+// Draws the faults of a connection; the connections differ.
+unsigned
+NextSeed()
+{
+  static unsigned seed = 0;
+  return ++seed;
+}
 
 } // namespace
 
@@ -31,6 +44,8 @@
   : proxy_(&aProxy)
   , toTarget_(aContext)
   , toClient_(aContext)
+  , disturber_(NextSeed())
+  , lateTimer_(aContext)
 {
   toTarget_.from_ = std::make_shared<tcp::socket>(std::move(aClient));
   toClient_.from_ = std::make_shared<tcp::socket>(aContext);
@@ -104,6 +119,10 @@
     }
     return;
   }
+  if (aDirection.isToClient_ && proxy_ != nullptr) {
+    WriteAnswer(aDirection);
+    return;
+  }
   asio::async_write(*aDirection.to_,
                     asio::buffer(aDirection.buffer_.data(), aDirection.size_),
                     [self = shared_from_this(), &aDirection](error_code aError, std::size_t) {
@@ -115,6 +134,64 @@
                     });
 }
 
+void
+ProxyLink::WriteAnswer(Direction& aDirection)
+{
+  sent_ = disturber_.Apply(proxy_->FaultOfAnswers(),
+                           std::string_view(aDirection.buffer_.data(), aDirection.size_));
+  if (!sent_.late_.empty()) {
+    lateTimer_.expires_after(kLateCopyDelay);
+    lateTimer_.async_wait(
+      [self = shared_from_this(), copy = std::move(sent_.late_)](error_code aError) {
+        if (!aError) {
+          self->WriteNow(copy);
+        }
+      });
+  }
+  asio::async_write(*aDirection.to_,
+                    asio::buffer(sent_.bytes_),
+                    [self = shared_from_this(), &aDirection](error_code aError, std::size_t) {
+                      if (aError) {
+                        self->End();
+                      } else if (!self->sent_.endless_.empty()) {
+                        self->WriteEndless();
+                      } else {
+                        self->Read(aDirection);
+                      }
+                    });
+}
+
+void
+ProxyLink::WriteEndless()
+{
+  const bool isSlow = proxy_ != nullptr && proxy_->FaultOfAnswers().isSlow_;
+  const auto size = isSlow ? kSlowBytes : sent_.endless_.size();
+  asio::async_write(*toClient_.to_,
+                    asio::buffer(sent_.endless_, size),
+                    [self = shared_from_this(), isSlow, size](error_code aError, std::size_t) {
+                      if (aError || self->proxy_ == nullptr) {
+                        self->End();
+                        return;
+                      }
+                      std::rotate(self->sent_.endless_.begin(),
+                                  self->sent_.endless_.begin() + static_cast<std::ptrdiff_t>(size),
+                                  self->sent_.endless_.end());
+                      self->toClient_.timer_.expires_after(isSlow ? kSlowPause : Duration(0));
+                      self->toClient_.timer_.async_wait([self](error_code aEnd) {
+                        if (!aEnd) {
+                          self->WriteEndless();
+                        }
+                      });
+                    });
+}
+
+void
+ProxyLink::WriteNow(const std::string& aBytes)
+{
+  error_code ignored;
+  asio::write(*toClient_.to_, asio::buffer(aBytes), ignored);
+}
+
 Duration
 ProxyLink::Delay() const
 {
--- a/Tests/Platform/Soak/ProxyLink.h
+++ b/Tests/Platform/Soak/ProxyLink.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "AnswerFault.h"
 #include "LibBase/Time.h"
 
 #include <array>
@@ -54,6 +55,12 @@
   // Writes the bytes read, after aDelay and once no fault holds them back.
   void WriteWhenAllowed(Direction& aDirection, Duration aDelay);
   void Write(Direction& aDirection);
+  // Sends an answer of the target to the client, with the faults of the proxy's answers.
+  void WriteAnswer(Direction& aDirection);
+  // Sends the same bytes without end, until the client closes the connection.
+  void WriteEndless();
+  // Sends bytes that are short enough for the socket's buffer.
+  void WriteNow(const std::string& aBytes);
   Duration Delay() const;
   bool IsHeldBack(const Direction& aDirection) const;
   void ResetBoth();
@@ -64,6 +71,10 @@
   LoopbackProxy* proxy_;
   Direction toTarget_;
   Direction toClient_;
+  AnswerDisturber disturber_;
+  // The answer that is being sent.
+  SentAnswer sent_;
+  boost::asio::steady_timer lateTimer_;
   bool hasClosedOneDirection_ = false;
 };
 
--- a/Tests/Platform/Soak/RecoveryChecks.cpp
+++ b/Tests/Platform/Soak/RecoveryChecks.cpp
@@ -51,9 +51,9 @@
   const auto former = environment_.BookingService();
   environment_.SwitchBookingService();
   environment_.Run(kTimeToTakeEffect);
-  const auto before = ArrivalsAt(former);
+  const auto before = BookingsAt(former);
   environment_.Run(kObservationTime);
-  if (ArrivalsAt(former) != before) {
+  if (BookingsAt(former) != before) {
     environment_.Guarantees().ReportViolation("CONFIG the former service still gets requests");
   }
 }
@@ -116,12 +116,12 @@
 }
 
 std::size_t
-RecoveryChecks::ArrivalsAt(const std::string& aService)
+RecoveryChecks::BookingsAt(const std::string& aService)
 {
   std::size_t arrivals = 0;
   for (auto& server : environment_.Servers()) {
     if (server.backend_->Service() == aService) {
-      arrivals += environment_.Guarantees().ArrivalsOf(server.backend_->Id());
+      arrivals += environment_.Guarantees().BookingArrivalsOf(server.backend_->Id());
     }
   }
   return arrivals;
--- a/Tests/Platform/Soak/RecoveryChecks.h
+++ b/Tests/Platform/Soak/RecoveryChecks.h
@@ -34,8 +34,8 @@
   // retry it.
   void CheckFailedRequest(const SoakEnvironment::BrokenRequest& aRequest);
   void CheckStop(SoakEnvironment::Instance& aInstance);
-  // Number of requests that have reached servers of the service.
-  std::size_t ArrivalsAt(const std::string& aService);
+  // Number of bookings that have reached servers of the service.
+  std::size_t BookingsAt(const std::string& aService);
 
   SoakEnvironment& environment_;
 };
--- a/Tests/Platform/Soak/SoakEnvironment.cpp
+++ b/Tests/Platform/Soak/SoakEnvironment.cpp
@@ -69,6 +69,7 @@
 {
   const auto storeAddress = Loopback(settings_.firstPort_ + kStorePort);
   BOOST_OUTCOME_TRY(store_, StandInStore::Create(context_, storeAddress));
+  bookingService_ = settings_.routesBookingsToKeys_ ? kRates : kBookings;
   PutConfiguration();
   BOOST_OUTCOME_TRY(AddServers());
   for (int number = 0; number < settings_.instances_; ++number) {
@@ -165,7 +166,13 @@
 void
 SoakEnvironment::SwitchBookingService()
 {
-  bookingService_ = bookingService_ == kBookings ? kOthers : kBookings;
+  if (bookingService_ == kBookings) {
+    bookingService_ = kOthers;
+  } else if (bookingService_ == kOthers && settings_.routesBookingsToKeys_) {
+    bookingService_ = kRates;
+  } else {
+    bookingService_ = kBookings;
+  }
   PutConfiguration();
 }
 
--- a/Tests/Platform/Soak/SoakEnvironment.h
+++ b/Tests/Platform/Soak/SoakEnvironment.h
@@ -30,6 +30,8 @@
   int servers_ = 5;
   // Interval between requests.
   Duration requestInterval_ = milliseconds(6);
+  // Bookings are routed to the keyed service first, whose repeats go to the same server.
+  bool routesBookingsToKeys_ = false;
 };
 
 // The environment of the soak test: a fleet of real processes with test doubles of the store and of
@@ -82,7 +84,7 @@
   void KillInstance(Instance& aInstance);
   // Called when a link or a process recovers, because delayed commands arrive then.
   void OnRecovered();
-  // Routes bookings to the other of two services from now on.
+  // Routes bookings to the next of the services that take them from now on.
   void SwitchBookingService();
   // Operators and servers repeat the writes that a restored store may have lost; records of former
   // incarnations are removed.
@@ -147,7 +149,7 @@
   std::vector<Server> servers_;
   std::unique_ptr<HttpClient> client_;
   std::minstd_rand random_{ 1 };
-  std::string bookingService_ = "bookings";
+  std::string bookingService_;
   int configurationVersion_ = 1;
   std::size_t sentCount_ = 0;
   std::size_t endedCount_ = 0;
--- a/Tests/Platform/Soak/main.cpp
+++ b/Tests/Platform/Soak/main.cpp
@@ -25,6 +25,17 @@
           crashes,
           false,
           "Whether clients repeat requests that crash their servers as well.");
+ABSL_FLAG(bool,
+          repeats,
+          false,
+          "Whether servers send second copies of answers beside shedding as well.");
+ABSL_FLAG(bool, sheds, false, "Whether servers shed requests as well, without second copies.");
+ABSL_FLAG(bool,
+          keyed_bookings,
+          false,
+          "Whether bookings go to the keyed service first, and at times later on.");
+ABSL_FLAG(bool, endless, false, "Whether servers send bytes without end as well.");
+ABSL_FLAG(int, interval_us, 6000, "Time between requests, in microseconds.");
 ABSL_FLAG(int, port, 25000, "The first of some thousand ports; below those that the system draws.");
 ABSL_FLAG(std::string, logs, "", "Folder for the logs of the instances; none if empty.");
 
@@ -69,10 +80,14 @@
     std::cout << "seed " << aSeed << " cannot start: " << started.error().Describe() << '\n';
     return false;
   }
-  FaultInjector injector(
-    environment,
-    aSeed,
-    { absl::GetFlag(FLAGS_returns), absl::GetFlag(FLAGS_tells), absl::GetFlag(FLAGS_limits) });
+  FaultInjector injector(environment,
+                         aSeed,
+                         { absl::GetFlag(FLAGS_returns),
+                           absl::GetFlag(FLAGS_tells),
+                           absl::GetFlag(FLAGS_limits),
+                           absl::GetFlag(FLAGS_repeats) || absl::GetFlag(FLAGS_sheds),
+                           absl::GetFlag(FLAGS_repeats),
+                           absl::GetFlag(FLAGS_endless) });
   CrashingClient crashing(environment, aSeed);
   RunFaults(environment, injector, absl::GetFlag(FLAGS_crashes) ? &crashing : nullptr, aTime);
   const auto violations = environment.Guarantees().Violations().size();
@@ -94,6 +109,8 @@
   settings.firstPort_ = absl::GetFlag(FLAGS_port);
   settings.instances_ = absl::GetFlag(FLAGS_instances);
   settings.servers_ = absl::GetFlag(FLAGS_servers);
+  settings.requestInterval_ = microseconds(absl::GetFlag(FLAGS_interval_us));
+  settings.routesBookingsToKeys_ = absl::GetFlag(FLAGS_keyed_bookings);
   return settings;
 }
 
