--- a/Tests/Platform/EntryProcess.cpp
+++ b/Tests/Platform/EntryProcess.cpp
@@ -6,6 +6,7 @@
 #include <fstream>
 #include <iostream>
 #include <spawn.h>
+#include <string_view>
 #include <sys/wait.h>
 #include <unistd.h>
 #include <vector>
@@ -132,4 +133,25 @@
   return status_;
 }
 
+std::size_t
+EntryProcess::PeakMemory() const
+{
+  constexpr std::string_view kName = "VmHWM:";
+  constexpr std::size_t kKilobyte = 1024;
+  std::ifstream status("/proc/" + std::to_string(id_) + "/status");
+  for (std::string line; std::getline(status, line);) {
+    if (line.starts_with(kName)) {
+      return std::stoul(line.substr(kName.size())) * kKilobyte;
+    }
+  }
+  return 0;
+}
+
+void
+EntryProcess::ResetPeakMemory() const
+{
+  // The number is defined in proc(5).
+  std::ofstream("/proc/" + std::to_string(id_) + "/clear_refs") << "5";
+}
+
 } // namespace latchslip::platform
--- a/Tests/Platform/EntryProcess.h
+++ b/Tests/Platform/EntryProcess.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <filesystem>
 #include <string>
 #include <sys/types.h>
@@ -30,7 +31,10 @@
   EntryProcess& operator=(const EntryProcess&) = delete;
 
   void Signal(int aSignal) const;
-  pid_t Id() const { return id_; }
+  // Largest memory of the process so far, in bytes; 0 if it has ended.
+  std::size_t PeakMemory() const;
+  // Lets PeakMemory() begin anew.
+  void ResetPeakMemory() const;
   // Whether the process has exited.
   bool HasEnded();
   // Waits for the process to exit and returns its status in the format of waitpid.
--- a/Tests/Platform/Soak/FaultInjector.cpp
+++ b/Tests/Platform/Soak/FaultInjector.cpp
@@ -106,6 +106,7 @@
     }
     DisturbAnswers();
     environment_.Run(Draw(kMinGap, kMaxGap));
+    environment_.CheckMemory();
   }
 }
 
--- a/Tests/Platform/Soak/SoakEnvironment.cpp
+++ b/Tests/Platform/Soak/SoakEnvironment.cpp
@@ -38,6 +38,8 @@
 // Time limit for the fleet to serve everything after its start.
 constexpr Duration kStartTimeout = seconds(20);
 constexpr std::size_t kMaxConnections = 64;
+// Maximum memory of an instance: what it uses without trouble, at most 16 MB, and 64 MB beyond it.
+constexpr std::size_t kMaxMemory = 80UL * 1024 * 1024;
 constexpr unsigned kOk = 200;
 constexpr unsigned kUnavailable = 503;
 
@@ -273,6 +275,19 @@
   }
 }
 
+void
+SoakEnvironment::CheckMemory()
+{
+  for (const auto& instance : instances_) {
+    const auto peak = instance.shouldRun_ ? instance.process_->PeakMemory() : 0;
+    if (peak > kMaxMemory) {
+      guarantees_.ReportViolation("MEMORY " + instance.name_ + " uses " + std::to_string(peak) +
+                                  " bytes");
+      instance.process_->ResetPeakMemory();
+    }
+  }
+}
+
 void
 SoakEnvironment::SendRequest(Instance& aInstance,
                              bool aIsBooking,
--- a/Tests/Platform/Soak/SoakEnvironment.h
+++ b/Tests/Platform/Soak/SoakEnvironment.h
@@ -84,6 +84,8 @@
   void StartInstance(Instance& aInstance);
   // Kills the process (SIGKILL) and waits for its exit.
   void KillInstance(Instance& aInstance);
+  // Reports instances whose memory has grown beyond its bound.
+  void CheckMemory();
   // Called when a link or a process recovers, because delayed commands arrive then.
   void OnRecovered();
   // Routes bookings to the next of the services that take them from now on.
--- a/Tests/Platform/TestServersWithoutEnd.cpp
+++ b/Tests/Platform/TestServersWithoutEnd.cpp
@@ -9,7 +9,6 @@
 #include "platform/StandIn/StandInBackend.h"
 
 #include <algorithm>
-#include <fstream>
 #include <gtest/gtest.h>
 #include <iostream>
 #include <map>
@@ -30,32 +29,13 @@
 constexpr Duration kCallerTimeout = seconds(2);
 // How long servers send bytes of one kind.
 constexpr Duration kFaultTime = milliseconds(1000);
+constexpr std::size_t kMegabyte = 1024UL * 1024;
 // By how much the memory of an instance may grow.
-constexpr long kMaxGrowthKilobytes = 64L * 1024;
+constexpr std::size_t kMaxMemoryGrowth = 64 * kMegabyte;
 constexpr unsigned kOk = 200;
 constexpr unsigned kBadGateway = 502;
 constexpr unsigned kGatewayTimeout = 504;
 
-// Returns a line of /proc/PID/status, in kilobytes.
-long
-MemoryOf(pid_t aProcess, const std::string& aName)
-{
-  std::ifstream status("/proc/" + std::to_string(aProcess) + "/status");
-  for (std::string line; std::getline(status, line);) {
-    if (line.starts_with(aName + ":")) {
-      return std::stol(line.substr(aName.size() + 1));
-    }
-  }
-  return 0;
-}
-
-// Makes the process's peak of memory start anew.
-void
-ResetPeakMemory(pid_t aProcess)
-{
-  std::ofstream("/proc/" + std::to_string(aProcess) + "/clear_refs") << "5";
-}
-
 // One instance, three servers of bookings behind proxies, one sound server of reads, and callers of
 // both that send one request after the other.
 class InstanceWithFaultyServers : public testing::Test
@@ -157,12 +137,12 @@
   }
 
   // Lets the first aCount booking servers send bytes of that kind without end for a while. Returns
-  // by how much the instance's memory grew at most, in kilobytes, and prints what callers saw.
-  long Disturb(EndlessKind aKind, bool aIsSlow, std::size_t aCount)
+  // by how much the instance's memory grew at most, in bytes, and prints what callers saw.
+  std::size_t Disturb(EndlessKind aKind, bool aIsSlow, std::size_t aCount)
   {
     bookingStatuses_.clear();
     readLatencies_.clear();
-    ResetPeakMemory(process_->Id());
+    process_->ResetPeakMemory();
     for (std::size_t number = 0; number < aCount; ++number) {
       links_[number]->SetAnswerFault({ 1, std::nullopt, aKind, aIsSlow });
     }
@@ -170,13 +150,14 @@
     for (auto& link : links_) {
       link->SetAnswerFault({});
     }
-    const auto growth = MemoryOf(process_->Id(), "VmHWM") - memoryBefore_;
+    const auto peak = process_->PeakMemory();
+    const auto growth = peak - std::min(peak, memoryBefore_);
     std::sort(readLatencies_.begin(), readLatencies_.end());
     const auto p99 =
       readLatencies_.empty() ? Duration(0) : readLatencies_[readLatencies_.size() * 99 / 100];
     std::cout << kEndlessKindNames.NameOf(aKind) << (aIsSlow ? " slow " : " fast ") << aCount
-              << ": memory +" << growth / 1024 << " MB, reads " << readLatencies_.size() << " p99 "
-              << ToSeconds(p99) * 1000 << " ms, bookings";
+              << ": memory +" << growth / kMegabyte << " MB, reads " << readLatencies_.size()
+              << " p99 " << ToSeconds(p99) * 1000 << " ms, bookings";
     for (const auto& [status, count] : bookingStatuses_) {
       std::cout << ' ' << status << ": " << count;
     }
@@ -188,10 +169,11 @@
   // and that reads get no other answer than before.
   void ExpectBounded(bool aIsSlow, std::size_t aCount)
   {
-    memoryBefore_ = MemoryOf(process_->Id(), "VmRSS");
+    process_->ResetPeakMemory();
+    memoryBefore_ = process_->PeakMemory();
     readStatuses_.clear();
     for (std::size_t kind = 0; kind < kEndlessKindNames.names_.size(); ++kind) {
-      EXPECT_LE(Disturb(static_cast<EndlessKind>(kind), aIsSlow, aCount), kMaxGrowthKilobytes)
+      EXPECT_LE(Disturb(static_cast<EndlessKind>(kind), aIsSlow, aCount), kMaxMemoryGrowth)
         << kEndlessKindNames.names_.at(kind);
     }
     EXPECT_EQ(readStatuses_.size(), 1U);
@@ -209,7 +191,7 @@
   bool isOver_ = false;
   std::size_t underWay_ = 0;
   std::size_t sentCount_ = 0;
-  long memoryBefore_ = 0;
+  std::size_t memoryBefore_ = 0;
   std::map<unsigned, int> bookingStatuses_;
   std::map<unsigned, int> readStatuses_;
   std::vector<Duration> readLatencies_;
