LibNet, platform: Bound the memory for the bodies of clients' requests

Where limits.memoryMb is given, a quarter of it is for the bodies that are being read or handled. A body that finds no room is refused with 503 and Retry-After before its bytes are read if its length is stated, else as soon as it passes the room: nothing has been sent then, so "not run" is true. Bodies up to 64 KB are always taken. E107 says once a second how many were refused; request_bytes_held and request_bodies_refused_total are on the metrics page. A refused client's remaining bytes are read for 0.3 s, so that a reset doesn't take the answer from it; the same for a body that is too large (413).

--- a/Libraries/LibBase/Event.cpp
+++ b/Libraries/LibBase/Event.cpp
@@ -15,6 +15,7 @@
   EventName{ Event::SettingsRejected, "SettingsRejected" },
   EventName{ Event::LogLinesDropped, "LogLinesDropped" },
   EventName{ Event::LoopDelayed, "LoopDelayed" },
+  EventName{ Event::RequestBodiesRefused, "RequestBodiesRefused" },
   EventName{ Event::PeerConnected, "PeerConnected" },
   EventName{ Event::PeerDisconnected, "PeerDisconnected" },
   EventName{ Event::PeerSuspected, "PeerSuspected" },
--- a/Libraries/LibBase/Event.h
+++ b/Libraries/LibBase/Event.h
@@ -17,6 +17,7 @@
   SettingsRejected = 104,
   LogLinesDropped = 105,
   LoopDelayed = 106,
+  RequestBodiesRefused = 107,
   PeerConnected = 110,
   PeerDisconnected = 111,
   PeerSuspected = 112,
--- a/Libraries/LibDaemon/GatewayHost.cpp
+++ b/Libraries/LibDaemon/GatewayHost.cpp
@@ -99,6 +99,7 @@
                       HttpServer::Create(aContext, settings_.peerAddress_, {}, peers_));
     HttpLimits limits;
     limits.connections_ = settings_.clientConnections_;
+    limits.heldBodyBytes_ = settings_.requestBodyBytes_;
     BOOST_OUTCOME_TRY(clientServer_,
                       HttpServer::Create(aContext, settings_.clientAddress_, limits, frontend_));
     if (settings_.permitPort_ != 0) {
@@ -164,6 +165,8 @@
         { "is_ready", IsReady() ? 1 : 0 },
         { "response_bytes_held",
           static_cast<double>(frontend_.Client().HeldBytes() + commands_.Client().HeldBytes()) },
+        { "request_bytes_held", static_cast<double>(clientServer_->HeldBodyBytes()) },
+        { "request_bodies_refused_total", static_cast<double>(clientServer_->RefusedBodies()) },
         { "servers_listed", static_cast<double>(member_.Directory().All().size()) } });
   }
 
@@ -194,12 +197,24 @@
       frontend_.Client().PruneIdle();
       commands_.Client().PruneIdle();
       relays_.PruneIdle();
+      ReportRefusedBodies();
     }
     ProbeServer(aNow);
     frontend_.ArmTimer();
     events_.Flush();
   }
 
+  void ReportRefusedBodies()
+  {
+    const auto refused = clientServer_->RefusedBodies();
+    const auto count = refused - std::exchange(reportedRefusedBodies_, refused);
+    if (count > 0) {
+      events_.Record(Event::RequestBodiesRefused,
+                     "count=" + std::to_string(count) +
+                       " held_bytes=" + std::to_string(clientServer_->HeldBodyBytes()));
+    }
+  }
+
   // While the links to all servers are cut, tries from time to time whether they are back.
   void ProbeServer(Instant aNow)
   {
@@ -440,6 +455,8 @@
   std::unique_ptr<HttpServer> peerServer_;
   asio::steady_timer timer_;
   Instant nextPrune_ = Instant::min();
+  // Those that the log has.
+  std::uint64_t reportedRefusedBodies_ = 0;
   // When the periodic timer is due.
   Instant nextTick_ = MonotonicNow();
   StopSequence stop_;
--- a/Libraries/LibDaemon/GatewayHost.h
+++ b/Libraries/LibDaemon/GatewayHost.h
@@ -7,6 +7,7 @@
 #include "LibNet/HttpServer.h"
 
 #include <boost/asio/io_context.hpp>
+#include <limits>
 #include <memory>
 #include <string>
 
@@ -25,6 +26,8 @@
   // Maximum number of open client connections; above it the connection that has been idle
   // longest is closed.
   std::size_t clientConnections_ = 1024;
+  // Maximum size of the bodies of clients' requests together, in bytes.
+  std::size_t requestBodyBytes_ = std::numeric_limits<std::size_t>::max();
   // Time from the start of a planned stop until the process must have ended.
   Duration stopGrace_ = seconds(6);
   GatewayRouterSettings router_;
--- a/Libraries/LibNet/ByteBudget.h
+++ b/Libraries/LibNet/ByteBudget.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <utility>
 
 namespace latchslip {
 
@@ -24,6 +25,8 @@
   class Share
   {
   public:
+    // A share of no budget, which must stay empty.
+    Share() = default;
     explicit Share(std::shared_ptr<ByteBudget> aBudget)
       : budget_(std::move(aBudget))
     {
@@ -31,6 +34,17 @@
     ~Share() { Release(); }
     Share(const Share&) = delete;
     Share& operator=(const Share&) = delete;
+    Share(Share&& aOther) noexcept
+      : budget_(std::move(aOther.budget_))
+      , bytes_(std::exchange(aOther.bytes_, 0))
+    {
+    }
+    Share& operator=(Share&& aOther) noexcept
+    {
+      std::swap(budget_, aOther.budget_);
+      std::swap(bytes_, aOther.bytes_);
+      return *this;
+    }
 
     // Changes the share to aBytes. Returns false, and leaves it as it was, if that would exceed the
     // budget.
@@ -45,7 +59,12 @@
       bytes_ = aBytes;
       return true;
     }
-    void Release() { TryResize(0); }
+    void Release()
+    {
+      if (bytes_ > 0) {
+        TryResize(0);
+      }
+    }
 
   private:
     std::shared_ptr<ByteBudget> budget_;
--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -25,7 +25,7 @@
   BeastHttpServer(tcp::acceptor aAcceptor, HttpLimits aLimits, HttpHandler& aHandler)
     : acceptor_(std::move(aAcceptor))
     , idleTimer_(acceptor_.get_executor())
-    , listener_(std::make_shared<HttpListener>(HttpListener{ aLimits, aHandler, false, {}, {}, 0 }))
+    , listener_(std::make_shared<HttpListener>(aLimits, aHandler))
   {
     Accept();
   }
@@ -46,6 +46,10 @@
 
   std::size_t Connections() const override { return listener_->sessions_.size(); }
 
+  std::size_t HeldBodyBytes() const override { return listener_->bodies_->Used(); }
+
+  std::uint64_t RefusedBodies() const override { return listener_->refusedBodies_; }
+
   void SetLimits(HttpLimits aLimits) override { listener_->limits_ = aLimits; }
 
 private:
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -4,6 +4,8 @@
 #include "LibNet/Http.h"
 
 #include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <limits>
 #include <memory>
 #include <string>
 
@@ -14,6 +16,9 @@
 {
   std::size_t headerBytes_ = 16UL * 1024;
   std::size_t bodyBytes_ = 16UL * 1024 * 1024;
+  // Bodies of all requests that are being read or handled, of the whole listener, in bytes; a body
+  // that exceeds it is refused, but for small ones (see ByteBudget).
+  std::size_t heldBodyBytes_ = std::numeric_limits<std::size_t>::max();
   // Open connections of the whole listener.
   std::size_t connections_ = 1024;
   // Timeout for receiving a request's header and body, and for sending a response.
@@ -55,7 +60,11 @@
   virtual void BeginClose() = 0;
   // Returns the number of open connections.
   virtual std::size_t Connections() const = 0;
-  // Replaces the limits; applies to requests that begin after the call.
+  // Bytes of the bodies of requests that are being read or handled.
+  virtual std::size_t HeldBodyBytes() const = 0;
+  // Number of requests refused since HttpLimits::heldBodyBytes_ was used up.
+  virtual std::uint64_t RefusedBodies() const = 0;
+  // Replaces the limits but heldBodyBytes_; applies to requests that begin after the call.
   virtual void SetLimits(HttpLimits aLimits) = 0;
 };
 
--- a/Libraries/LibNet/HttpSession.cpp
+++ b/Libraries/LibNet/HttpSession.cpp
@@ -24,6 +24,10 @@
 // Time for which unread bytes are read and discarded after the last response.
 constexpr Duration kDiscardTimeout = milliseconds(300);
 
+const RequestProblem kNoMemoryForBody{ 503, "body", "does not fit beside those of others now" };
+// With kNoMemoryForBody; about the time in which requests under way end.
+constexpr std::string_view kNoMemoryRetryAfter = "1";
+
 std::string
 ErrorBody(std::string_view aField, std::string_view aProblem)
 {
@@ -205,13 +209,42 @@
   parser_.emplace();
   parser_->header_limit(static_cast<std::uint32_t>(listener_->limits_.headerBytes_));
   parser_->body_limit(listener_->limits_.bodyBytes_);
+  parser_->eager(true);
+  held_ = ByteBudget::Share(listener_->bodies_);
   stream_.expires_after(listener_->limits_.transfer_);
-  http::async_read(
+  ReadSome();
+}
+
+void
+HttpSession::ReadSome()
+{
+  http::async_read_some(
     stream_, buffer_, *parser_, [self = shared_from_this()](error_code aError, std::size_t) {
-      self->OnRead(aError);
+      self->OnReadSome(aError);
     });
 }
 
+void
+HttpSession::OnReadSome(error_code aError)
+{
+  if (aError || isClosed_) {
+    OnRead(aError);
+    return;
+  }
+  if (!held_.TryResize(parser_->get().body().capacity())) {
+    isReading_ = false;
+    ++listener_->refusedBodies_;
+    hasUnreadBody_ = true;
+    Reject(kNoMemoryForBody);
+    return;
+  }
+  if (parser_->is_done()) {
+    OnRead(aError);
+  } else {
+    ReadSome();
+  }
+}
+
 void
 HttpSession::OnRead(error_code aError)
 {
@@ -232,6 +265,7 @@
   exchange.id_ = ++listener_->lastId_;
   exchange.isSafe_ = IsSafe(message.method());
   exchange.keepsAlive_ = message.keep_alive();
+  exchange.held_ = std::move(held_);
   hasReadLast_ = !exchange.keepsAlive_;
   auto request = TakeRequest(message);
   if (!exchange.isSafe_ && !exchanges_.empty()) {
@@ -258,6 +292,7 @@
 HttpSession::OnReadFailed(error_code aError)
 {
   if (const auto problem = ProblemOf(aError)) {
+    hasUnreadBody_ = aError == http::error::body_limit;
     Reject(*problem);
   } else {
     Abandon();
@@ -272,6 +307,9 @@
   exchange.answer_ =
     MakeHttpResponse(aProblem.status_, ErrorBody(aProblem.field_, aProblem.problem_));
   exchange.answer_->headers_.emplace_back("Latchslip-Outcome", "not-run");
+  if (aProblem.status_ == kNoMemoryForBody.status_) {
+    exchange.answer_->headers_.emplace_back("Retry-After", kNoMemoryRetryAfter);
+  }
   exchanges_.push_back(std::move(exchange));
   WriteNext();
 }
@@ -402,7 +440,7 @@
   isClosed_ = true;
   error_code ignored;
   stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
-  if (!isReading_ && HasUnreadBytes()) {
+  if (!isReading_ && (hasUnreadBody_ || HasUnreadBytes())) {
     stream_.expires_after(kDiscardTimeout);
     DiscardUnread();
     return;
--- a/Libraries/LibNet/HttpSession.h
+++ b/Libraries/LibNet/HttpSession.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibBase/Time.h"
+#include "LibNet/ByteBudget.h"
 #include "LibNet/HttpServer.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -30,6 +31,13 @@
 // State shared by the sessions of one listener.
 struct HttpListener
 {
+  HttpListener(const HttpLimits& aLimits, HttpHandler& aHandler)
+    : limits_(aLimits)
+    , handler_(aHandler)
+    , bodies_(std::make_shared<ByteBudget>(aLimits.heldBodyBytes_))
+  {
+  }
+
   HttpLimits limits_;
   HttpHandler& handler_;
   // Every connection is closed after its next response.
@@ -39,6 +47,8 @@
   // been idle longest is first.
   std::set<std::pair<Instant, HttpSession*>> idle_;
   std::uint64_t lastId_ = 0;
+  std::shared_ptr<ByteBudget> bodies_;
+  std::uint64_t refusedBodies_ = 0;
 };
 
 // Server side of one HTTP connection, with keep-alive and pipelining. Pipelined requests are
@@ -73,6 +83,8 @@
     // Whether the connection stays open after the response.
     bool keepsAlive_ = false;
     std::optional<HttpResponse> answer_;
+    // Of the request's body.
+    ByteBudget::Share held_;
   };
 
   // Marks the connection as idle and starts its idle timeout.
@@ -86,6 +98,9 @@
   void Watch();
   void OnReadable(boost::system::error_code aError);
   void ReadRequest();
+  // Reads some bytes of the request.
+  void ReadSome();
+  void OnReadSome(boost::system::error_code aError);
   void OnRead(boost::system::error_code aError);
   // Passes the request to the handler.
   void Begin(Exchange aExchange, HttpRequest aRequest);
@@ -114,6 +129,8 @@
   std::shared_ptr<HttpListener> listener_;
   std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> parser_;
   std::optional<boost::beast::http::response<boost::beast::http::span_body<const char>>> response_;
+  // Of the body of the request that is being read.
+  ByteBudget::Share held_;
   std::shared_ptr<const std::string> body_;
   // In the order of arrival.
   std::deque<Exchange> exchanges_;
@@ -124,6 +141,8 @@
   bool isWriting_ = false;
   // No further request is read.
   bool hasReadLast_ = false;
+  // The rest of the body of a rejected request is still to come.
+  bool hasUnreadBody_ = false;
   bool isClosed_ = false;
   // No byte of a request has been read since the last response.
   bool isIdle_ = false;
--- a/Tests/LibNet/TestHttp.cpp
+++ b/Tests/LibNet/TestHttp.cpp
@@ -184,6 +184,86 @@
   EXPECT_EQ(handler_.requests_, 0);
 }
 
+// Guards against callers of large bodies who use up the memory of an instance.
+class ListenerWithLittleMemory : public HttpOnLoopback
+{
+protected:
+  static constexpr std::size_t kLarge = 600UL * 1024;
+
+  ListenerWithLittleMemory()
+  {
+    server_.reset();
+    limits_.heldBodyBytes_ = kLarge + kLarge / 2;
+    Listen();
+  }
+
+  // Begins a request with a large body, and lets the server read its head.
+  tcp::socket BeginLarge()
+  {
+    auto socket = Connect();
+    boost::asio::write(socket,
+                       boost::asio::buffer("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+                                           std::to_string(kLarge) + "\r\n\r\nsome"));
+    context_.restart();
+    context_.run_for(std::chrono::milliseconds(30));
+    return socket;
+  }
+};
+
+TEST_F(ListenerWithLittleMemory, LargeBodyFindsNoRoom_IsRefusedBeforeItIsRead)
+{
+  const auto first = BeginLarge();
+  auto second = BeginLarge();
+  const auto answer = ReadToEnd(second);
+  EXPECT_NE(answer.find(" 503 "), std::string::npos) << answer;
+  EXPECT_NE(answer.find("Latchslip-Outcome: not-run"), std::string::npos) << answer;
+  EXPECT_NE(answer.find("Retry-After: "), std::string::npos) << answer;
+  EXPECT_EQ(server_->RefusedBodies(), 1U);
+  EXPECT_EQ(handler_.requests_, 0);
+}
+
+TEST_F(ListenerWithLittleMemory, ChunkedBodyFindsNoRoom_IsRefused)
+{
+  const auto first = BeginLarge();
+  auto second = Connect();
+  boost::asio::write(second,
+                     boost::asio::buffer(std::string(
+                       "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n")));
+  std::string chunks;
+  for (int count = 0; count < 20; ++count) {
+    chunks += "8000\r\n" + std::string(0x8000, 'c') + "\r\n";
+  }
+  boost::asio::async_write(
+    second, boost::asio::buffer(chunks), [](boost::system::error_code, std::size_t) {});
+  const auto answer = ReadToEnd(second);
+  EXPECT_NE(answer.find(" 503 "), std::string::npos) << answer;
+  EXPECT_EQ(handler_.requests_, 0);
+}
+
+TEST_F(ListenerWithLittleMemory, SmallBodyFindsNoRoom_IsServed)
+{
+  const auto first = BeginLarge();
+  const auto second = BeginLarge();
+  EXPECT_EQ(Send("/echo", std::string(1000, 's')).response_.status_, 200U);
+}
+
+TEST_F(ListenerWithLittleMemory, LargeBodiesFollowEachOther_AllAreServed)
+{
+  for (int count = 0; count < 3; ++count) {
+    EXPECT_EQ(Send("/echo", std::string(kLarge, 'p')).response_.status_, 200U);
+  }
+  EXPECT_EQ(server_->HeldBodyBytes(), 0U);
+}
+
+TEST_F(ListenerWithLittleMemory, CallerOfALargeBodyLeaves_ItsRoomIsFree)
+{
+  {
+    const auto first = BeginLarge();
+    EXPECT_GE(server_->HeldBodyBytes(), kLarge);
+  }
+  EXPECT_EQ(Send("/echo", std::string(kLarge, 'p')).response_.status_, 200U);
+}
+
 TEST_F(HttpOnLoopback, HeaderIsLargerThanAllowed_Refused)
 {
   const auto answer =
--- a/Tests/Platform/TestPlatformDocuments.cpp
+++ b/Tests/Platform/TestPlatformDocuments.cpp
@@ -161,7 +161,8 @@
 constexpr std::string_view kSettings = R"({
   "nodeId": "edge-1", "zone": "hall-a", "unknownField": [1],
   "listen": {"front": "10.1.0.15:1", "ready": "10.1.0.15:2", "control": "10.1.0.15:3"},
-  "seeds": ["10.1.0.16:3"], "limits": {"cpuShare": 0.2, "linkMbps": 10.0, "maxFds": 4100},
+  "seeds": ["10.1.0.16:3"], "limits": {"cpuShare": 0.2, "linkMbps": 10.0, "maxFds": 4100,
+    "memoryMb": 260},
   "bounds": ["retryBudgetRatio=0.2", "budgetExtra=62", "budgetWindowS=10", "graceS=6",
              "holdMaxMs=3000", "unknown=true"],
   "platform": {"address": "10.200.1.7:4"}})";
@@ -184,6 +185,7 @@
   EXPECT_EQ(host.member_.processorShare_, 0.2);
   EXPECT_EQ(host.member_.linkMbps_, 10);
   EXPECT_EQ(host.clientConnections_, 2050U);
+  EXPECT_EQ(host.requestBodyBytes_, 65U * 1024 * 1024);
 }
 
 TEST(PlatformSettings, RevocationBound_IsRead)
