LibDaemon: State the length of every answer that has a body

The cut answer looked complete.

Cause: a server may state no length and end its answer with its connection. The instance held the whole body and passed it on without a length all the same; the kernel ends the connections of a killed process with FIN.

Now the length is stated, but for HEAD, 204 and 304. What is lost: a server that is itself cut off by FIN in the midst of such an answer is vouched for, where the caller got the same bytes and FIN before.

--- a/Libraries/LibDaemon/GatewayFrontend.cpp
+++ b/Libraries/LibDaemon/GatewayFrontend.cpp
@@ -15,6 +15,16 @@
 // bounds an exchange that it no longer tracks.
 constexpr Duration kExchangeGrace = milliseconds(100);
 
+// Whether the length of the answer's body can be stated. The body is held whole, so it can unless
+// an answer to the method or with the status has no body.
+bool
+CanStateLength(std::string_view aMethod, unsigned aStatus)
+{
+  constexpr unsigned kNoContent = 204;
+  constexpr unsigned kNotModified = 304;
+  return aMethod != "HEAD" && aStatus != kNoContent && aStatus != kNotModified;
+}
+
 } // namespace
 
 GatewayFrontend::GatewayFrontend(boost::asio::io_context& aContext,
@@ -171,7 +181,16 @@
 void
 GatewayFrontend::Deliver(RequestNumber aRequest, AttemptNumber aAttempt)
 {
-  Respond(aRequest, codec_.EncodeAnswer(std::move(attempts_.at(aAttempt).answer_)));
+  const auto request = requests_.find(aRequest);
+  if (request == requests_.end()) {
+    return;
+  }
+  auto answer = codec_.EncodeAnswer(std::move(attempts_.at(aAttempt).answer_));
+  // Without a length the client could not distinguish an answer that is cut on the way from a whole
+  // one.
+  answer.isFramed_ =
+    answer.isFramed_ || CanStateLength(request->second.request_.method_, answer.status_);
+  Respond(aRequest, std::move(answer));
 }
 
 void
--- a/Tests/Platform/TestEntryProcesses.cpp
+++ b/Tests/Platform/TestEntryProcesses.cpp
@@ -162,6 +162,7 @@
       return;
     }
     ++statuses_[answer.status_];
+    withoutLength_ += answer.isFramed_ ? 0 : 1;
     if (sentRequests_.at(aId).isBooking_) {
       ++bookingStatuses_[answer.status_];
     }
@@ -357,6 +358,8 @@
   std::size_t sentCount_ = 0;
   std::size_t endedCount_ = 0;
   std::size_t broken_ = 0;
+  // Answers without a length.
+  std::size_t withoutLength_ = 0;
   std::map<unsigned, int> statuses_;
   // By request id.
   std::map<std::string, SentRequest> sentRequests_;
@@ -407,6 +410,20 @@
   ExpectNothingRanTwice();
 }
 
+// Guards against an answer that is cut on its way to the client and looks complete.
+TEST_F(FleetOfThreeProcesses, ServersStateNoLength_EveryAnswerStatesItsLength)
+{
+  statuses_.clear();
+  for (auto& [id, backend] : backends_) {
+    backend->SetLengthStated(false);
+  }
+  RunLoad(seconds(1), { 1, 2, 3 });
+  EXPECT_EQ(broken_, 0U);
+  EXPECT_EQ(statuses_.size(), 1U);
+  EXPECT_GT(statuses_[200], 50);
+  EXPECT_EQ(withoutLength_, 0U);
+}
+
 TEST_F(FleetOfThreeProcesses, PlannedStopUnderLoad_CutsNothingAndEndsInTime)
 {
   statuses_.clear();
