--- a/review/standin-2/Harness.cpp
+++ b/review/standin-2/Harness.cpp
@@ -10,7 +10,7 @@
 #include <fcntl.h>
 #include <fstream>
 #include <netinet/tcp.h>
-#include <poll.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -580,6 +580,8 @@
   const int log = open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
   id_ = fork();
   if (id_ == 0) {
+    // The instance must not outlive this program, however that ends.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     dup2(log, STDOUT_FILENO);
     dup2(log, STDERR_FILENO);
     const char* const arguments[] = { kProgram, nullptr };
