platform: Bound the time in which a returned store is noticed

Cause: a long poll that is sent into a silent store is never answered, and was given up only after its wait and 0.4 s: 4.4 s without a placer. All instances begin such polls at the moment when the placer announces the outage, so they end together, up to 4.3 s after the store's return. With all logs the polls begin at 10.9 s, the store is back at 15.8 s, and all seven instances notice at 20.14 s.

The existing test of the poller named the wait that it sees; it now names the new one.

Cost: 2.5 calls a second of an instance without a placer, 1.0 before: 750 of 300 instances, where the store takes 2,000. None while a placer vouches.

--- a/Libraries/LibFleet/FleetMember.cpp
+++ b/Libraries/LibFleet/FleetMember.cpp
@@ -307,8 +307,7 @@
     readerPoller_.OnPlacerUnreliable(aNow);
     return readerPoller_.AreReadersReliable(aNow) ? StorePollMode::Off : StorePollMode::LongWaits;
   }
-  // Other instances rely on a reader: a poll with a long wait would hide for seconds that the store
-  // rejects it.
+  // Other instances rely on a reader, so it must notice an outage sooner.
   return roster_.HasReaders() ? StorePollMode::ShortWaits : StorePollMode::LongWaits;
 }
 
--- a/Libraries/LibFleet/FleetStore.h
+++ b/Libraries/LibFleet/FleetStore.h
@@ -32,9 +32,9 @@
   Off,
   // Only the configuration is polled; the placer sends all other changes.
   ConfigurationOnly,
-  // All tables are polled, with long waits.
+  // All tables are polled, with waits that may be as long as changes after an outage allow.
   LongWaits,
-  // All tables are polled, with short waits so that an outage is detected quickly: other instances
+  // All tables are polled, with shorter waits so that an outage is detected sooner: other instances
   // rely on this one, which is the placer, or a reader while there is no reliable placer.
   ShortWaits,
 };
--- a/Tests/Platform/TestTablePoller.cpp
+++ b/Tests/Platform/TestTablePoller.cpp
@@ -138,7 +138,7 @@
   // The long wait, since the placer's answers name changes that were missed.
   EXPECT_NE(store.targets_.back().find("waitMs=8000"), std::string::npos);
   poller.SetPollMode(StorePollMode::LongWaits, 80);
-  EXPECT_NE(store.targets_.back().find("after=80&waitMs=4000"), std::string::npos);
+  EXPECT_NE(store.targets_.back().find("after=80&waitMs=1000"), std::string::npos);
 }
 
 TEST_F(FollowerOfServers, StoreFailsAndAnotherPollerProbesIt_PausesUntilRecovery)
@@ -154,6 +154,17 @@
   EXPECT_EQ(LastRequestedVersion(), "90");
 }
 
+// Guards against a poll that waits for a change at a store that is back, before it shows that.
+TEST_F(FollowerOfServers, PollFails_NextPollAsksWithoutWaitingAndTheOneAfterItWaits)
+{
+  store_.Answer(503, "");
+  RunUntilRequest();
+  EXPECT_NE(store_.targets_.back().find("waitMs=0"), std::string::npos);
+  store_.Answer(200, R"({"rows":[],"ver":100})");
+  RunUntilRequest();
+  EXPECT_NE(store_.targets_.back().find("waitMs=1000"), std::string::npos);
+}
+
 TEST_F(FollowerOfServers, HistoryIsGone_TableIsReadAgain)
 {
   store_.Answer(410, "");
