LibFleet: Let a placer vouch only for what it has heard of late

A placer that had been suspended answered reports as if it had followed the store all the time, until its first call after that had failed. The others then rely on it and wait up to 8 s for changes of the configuration.

The test failed before.

--- a/Libraries/LibFleet/FleetMemberReports.cpp
+++ b/Libraries/LibFleet/FleetMemberReports.cpp
@@ -135,7 +135,9 @@
 {
   ReportAnswer answer;
   answer.proof_ = freshness_.CurrentProof(aNow);
-  answer.isWorking_ = election_.IsPlacer() && !isStoreLost_;
+  // A placer that has been suspended may not know yet that the store was silent meanwhile.
+  const bool hasHeardStore = !isStoreLost_ && aNow - storeContactAt_ < kStoreContactTime;
+  answer.isWorking_ = election_.IsPlacer() && hasHeardStore;
   if (election_.IsPlacer()) {
     answer.roster_ = roster_.ChangesSince(aReport.rosterDigest_);
   }
--- a/Tests/LibFleet/TestFleetMember.cpp
+++ b/Tests/LibFleet/TestFleetMember.cpp
@@ -476,6 +476,18 @@
   EXPECT_FALSE(member_.OnReport(now_, ReportOf("i2", kOther)).isWorking_);
 }
 
+// Guards against a placer that vouches, after it was suspended, for tables that it last heard of
+// before that.
+TEST_F(FleetMemberTest, PlacerWasSuspended_ItIsNotWorkingBeforeTheStoreAnswers)
+{
+  BecomePlacer();
+  ASSERT_TRUE(member_.OnReport(now_, ReportOf("i2", kOther)).isWorking_);
+  now_ += seconds(4);
+  EXPECT_FALSE(member_.OnReport(now_, ReportOf("i2", kOther)).isWorking_);
+  ShowTables();
+  EXPECT_TRUE(member_.OnReport(now_, ReportOf("i2", kOther)).isWorking_);
+}
+
 TEST_F(FleetMemberTest, AnotherInstanceClaimsTheRole_SendsNoMoreCommands)
 {
   BecomePlacer();
