Tests, LibNet: Cut responses at every byte, and retire ended connections

Reported by other operators: a server stopped in the middle of its response's head and closed; clients got a 200 with an empty or short body, framed as whole.

One thing beside it: a response without a length that ended with its connection left that connection among the idle ones until it was looked at. It was never reused. It is closed at once now; the test of the cuts failed on it before.

--- a/Libraries/LibNet/HttpConnection.cpp
+++ b/Libraries/LibNet/HttpConnection.cpp
@@ -386,6 +386,7 @@
   if (error) {
     OnReadFailed(error);
   } else {
+    isReusable_ = false;
     OnResponse();
   }
 }
--- a/Tests/LibDaemon/TestRelays.cpp
+++ b/Tests/LibDaemon/TestRelays.cpp
@@ -1,6 +1,7 @@
 // Exchanges with servers that another instance relays, over connections on this machine.
 
 #include "../CountingEventSink.h"
+#include "../LibNet/CuttingServer.h"
 #include "../LibNet/RepeatingServer.h"
 #include "LibDaemon/CommandSender.h"
 #include "LibDaemon/RelayService.h"
@@ -160,6 +161,15 @@
     return RunUntil([this] { return exchange_.has_value(); });
   }
 
+  // The same without a limit in time, for exchanges whose number is large.
+  void RunToEnd()
+  {
+    while (!exchange_) {
+      context_.restart();
+      context_.run_one();
+    }
+  }
+
   // Sends a command to a server of that id and address and returns how it ended.
   CommandStatus SendCommand(const std::string& aServer,
                             const std::string& aAddress,
@@ -481,6 +491,54 @@
   EXPECT_EQ(SendCommand("s1", serverAddress_), CommandStatus::Refused);
 }
 
+// Guards against a part of a server's response that another instance passes on as a whole one.
+TEST_F(InstanceThatRelays, ServersResponseIsCutAtAnyByte_ExchangeIsBroken)
+{
+  for (const auto& form : ResponseForms()) {
+    const auto whole = form.make_("q1");
+    const auto headSize = whole.find("\r\n\r\n") + 4;
+    CuttingServer server(context_, form.make_);
+    directory_.Put(MonotonicNow(), { "s1", "rates", server.Address(), "hall", 4, false, 2 });
+    for (const auto& cut : CutsOf(whole.size())) {
+      server.cut_ = cut;
+      auto request = MakeRequest("/");
+      request.address_ = server.Address();
+      exchange_.reset();
+      Send(std::move(request));
+      RunToEnd();
+      const bool isWhole = form.isUnframed_ && !cut.isReset_ && cut.at_ >= headSize;
+      EXPECT_EQ(exchange_->end_, isWhole ? ExchangeEnd::Complete : ExchangeEnd::Broken)
+        << form.name_ << " at " << cut.at_ << " reset " << cut.isReset_;
+    }
+  }
+}
+
+// Guards against a part of a relaying instance's answer that is taken for a whole one.
+TEST_F(InstanceThatRelays, ItsAnswerIsCutAtAnyByte_ExchangeIsBroken)
+{
+  RelayAnswer answer;
+  answer.exchange_.end_ = ExchangeEnd::Complete;
+  answer.exchange_.response_ = MakeHttpResponse(200, "hello, world");
+  answer.path_ = PathResult::Reached;
+  const auto body = EncodeRelayAnswer(answer);
+  const auto whole =
+    "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  CuttingServer instance(context_, [&](const std::string&) { return whole; });
+  peerAddress_ = instance.Address();
+  for (const auto& cut : CutsOf(whole.size())) {
+    instance.cut_ = cut;
+    exchange_.reset();
+    Send(MakeRequest("/"));
+    RunToEnd();
+    EXPECT_EQ(exchange_->end_, ExchangeEnd::Broken) << "at " << cut.at_;
+  }
+  instance.cut_ = { whole.size(), false, false };
+  exchange_.reset();
+  Send(MakeRequest("/"));
+  RunToEnd();
+  EXPECT_EQ(exchange_->end_, ExchangeEnd::Complete);
+}
+
 } // namespace
 
 } // namespace latchslip
--- a/Tests/Platform/TestPlatformStore.cpp
+++ b/Tests/Platform/TestPlatformStore.cpp
@@ -1,3 +1,4 @@
+#include "../LibNet/CuttingServer.h"
 #include "../NullEventSink.h"
 #include "FleetDocuments.h"
 #include "LibNet/MonotonicClock.h"
@@ -7,6 +8,8 @@
 
 #include "LibKeys/KeyOwnership.h"
 
+#include <array>
+#include <cstdio>
 #include <gtest/gtest.h>
 #include <map>
 #include <optional>
@@ -128,11 +131,12 @@
     }
     ++views_;
   }
-  void OnStoreLost() override {}
+  void OnStoreLost() override { ++losses_; }
   void OnStoreRegained() override {}
 
   std::map<std::string, Row> rows_;
   int views_ = 0;
+  int losses_ = 0;
 };
 
 TEST_F(ClientOfAStore, SplitRowShrinks_IsReadCompletely)
@@ -157,6 +161,59 @@
   reader->Stop();
 }
 
+// A page of rows as the store sends it, framed as aFraming says.
+std::string
+MakePage(std::string_view aFraming)
+{
+  const std::string body =
+    R"({"rows":[{"table":"latchslip","part":"","key":"a","value":"YQ==","ver":2}],"truncated":false,"ver":2})";
+  const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n";
+  if (aFraming == "length") {
+    return head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  }
+  if (aFraming == "chunks") {
+    std::array<char, 16> size{};
+    std::snprintf(size.data(), size.size(), "%zx", body.size());
+    return head + "Transfer-Encoding: chunked\r\n\r\n" + size.data() + "\r\n" + body +
+           "\r\n0\r\nX-Sum: 1\r\n\r\n";
+  }
+  return head + "\r\n" + body;
+}
+
+// Guards against an answer of the store that is cut and taken for a table with fewer rows.
+TEST(StoreThatBreaksOff, AnswerIsCutAtAnyByte_NoTableIsRead)
+{
+  for (const std::string_view framing : { "length", "chunks", "none" }) {
+    const auto whole = MakePage(framing);
+    boost::asio::io_context context(1);
+    CuttingServer server(context, [&](const std::string&) { return whole; });
+    NullEventSink events;
+    for (const auto& cut : CutsOf(whole.size())) {
+      server.cut_ = cut;
+      const auto asked = server.Requests();
+      const auto client = CreatePlatformStore(context, server.Address(), events);
+      FleetRows rows;
+      client->Start(rows);
+      while (server.Requests() == asked || (rows.views_ == 0 && rows.losses_ == 0)) {
+        context.restart();
+        context.run_one();
+      }
+      EXPECT_EQ(rows.views_, 0) << framing << " at " << cut.at_ << " reset " << cut.isReset_;
+      client->Stop();
+    }
+    server.cut_ = { whole.size(), false, false };
+    const auto client = CreatePlatformStore(context, server.Address(), events);
+    FleetRows rows;
+    client->Start(rows);
+    while (rows.views_ == 0 && rows.losses_ == 0) {
+      context.restart();
+      context.run_one();
+    }
+    EXPECT_EQ(rows.rows_.size(), 1U) << framing;
+    client->Stop();
+  }
+}
+
 } // namespace
 
 } // namespace latchslip::platform
