LibGateway: Report a former incarnation to the dispatcher as not reached

Cause: after the store came back from an older copy, a former incarnation was listed again at the address of its successor. Each request sent there got 421 with the successor's id. The instance suspended the server for itself, but reported "declined", which counts as an answer of a sound server, so the dispatcher went on to issue permits for it while the others were resting. In the log 174 requests were refused as no-capacity after one send to o0-1, 0.3 ms earlier.

The end is now reported as not reached: the server that was meant was not. The test failed before.

--- a/Libraries/LibGateway/RequestPaths.cpp
+++ b/Libraries/LibGateway/RequestPaths.cpp
@@ -33,7 +33,7 @@
     case AttemptEnd::NotRun:
       return SendResult::Shed;
     case AttemptEnd::WrongServer:
-      return SendResult::Declined;
+      return aOutcome.isOtherIncarnation_ ? SendResult::NotReached : SendResult::Declined;
     case AttemptEnd::NotSent:
       return SendResult::NotReached;
     case AttemptEnd::Broken:
--- a/Libraries/LibGateway/ServerHealth.h
+++ b/Libraries/LibGateway/ServerHealth.h
@@ -21,7 +21,7 @@
   Shed,
   // The server did not run the request for another reason.
   Declined,
-  // No connection could be opened.
+  // No connection could be opened, or another incarnation answered at the server's address.
   NotReached,
   // The connection broke, or no answer arrived in time.
   Broken,
--- a/Tests/LibGateway/TestPermitRequests.cpp
+++ b/Tests/LibGateway/TestPermitRequests.cpp
@@ -175,6 +175,17 @@
   EXPECT_TRUE(permits_.notices_.empty());
 }
 
+// Guards against a dispatcher that goes on issuing permits for a former incarnation, whose record
+// is listed again after the store was restored, while another one answers at its address.
+TEST_F(RouterWithADispatcher, AnotherIncarnationAnswers_ServerIsReportedAsNotReached)
+{
+  Request("/plain/1");
+  Permit("p1");
+  router_.OnAttemptEnded(now_, actions_.sent_[0].number_, { AttemptEnd::WrongServer, 421, true });
+  ASSERT_EQ(permits_.ends_.size(), 1U);
+  EXPECT_EQ(permits_.ends_[0].result_, SendResult::NotReached);
+}
+
 TEST_F(RouterWithADispatcher, KeyHasAnOwner_PermitIsRequestedForTheOwner)
 {
   Request("/keyed/1", 50);
