--- a/Tests/LibNet/TestCutResponses.cpp
+++ b/Tests/LibNet/TestCutResponses.cpp
@@ -1,7 +1,7 @@
 // Servers that break their responses off: no part of a response may be taken for a whole one.
 
 #include "CuttingServer.h"
-#include "LibNet/HttpClient.h"
+#include "SendAndWait.h"
 
 #include <gtest/gtest.h>
 #include <memory>
@@ -23,20 +23,9 @@
   {
     ExchangeOptions options;
     options.timeout_ = seconds(2);
-    options.echoHeader_ = "X-Request-Id";
-    HttpRequest request;
-    request.method_ = "POST";
-    request.target_ = "/";
-    request.headers_ = { { "X-Request-Id", kId } };
-    std::optional<HttpExchange> result;
-    client_->Send(server_.Address(), request, std::move(options), [&](HttpExchange aExchange) {
-      result = std::move(aExchange);
-    });
-    context_.restart();
-    while (!result) {
-      context_.run_one();
-    }
-    return *result;
+    options.echoHeader_ = kRequestIdHeader;
+    return SendAndWait(
+      context_, *client_, server_.Address(), MakeNamedRequest("POST", kId), std::move(options));
   }
 
   // Whether the bytes before the cut are a whole response: one without a length ends with its
@@ -111,17 +100,10 @@
     }
     socket.close();
     acceptor.close();
-    std::optional<HttpExchange> exchange;
-    HttpRequest request;
-    request.method_ = "GET";
-    request.target_ = "/";
-    client->Send(
-      address, request, seconds(1), [&](HttpExchange aExchange) { exchange = aExchange; });
-    context.restart();
-    while (!exchange) {
-      context.run_one();
-    }
-    EXPECT_EQ(exchange->end_, ExchangeEnd::NotSent);
+    options.timeout_ = seconds(1);
+    const auto exchange =
+      SendAndWait(context, *client, address, MakeNamedRequest("GET", kId), options);
+    EXPECT_EQ(exchange.end_, ExchangeEnd::NotSent);
   }
 }
 
--- a/Tests/LibNet/TestHttpSessions.cpp
+++ b/Tests/LibNet/TestHttpSessions.cpp
@@ -1,12 +1,11 @@
 // Sessions of HttpClient: a request that names one reaches only the process with which the session
 // began.
 
-#include "LibNet/HttpClient.h"
 #include "RepeatingServer.h"
+#include "SendAndWait.h"
 
 #include <gtest/gtest.h>
 #include <memory>
-#include <optional>
 
 namespace latchslip {
 
@@ -43,18 +42,8 @@
     options.keepsSession_ = true;
     options.session_ = aSession;
     options.usesOwnConnection_ = aUsesOwnConnection;
-    HttpRequest request;
-    request.method_ = "POST";
-    request.target_ = "/";
-    std::optional<HttpExchange> result;
-    client_->Send(server_->Address(), request, std::move(options), [&](HttpExchange aExchange) {
-      result = std::move(aExchange);
-    });
-    context_.restart();
-    while (!result) {
-      context_.run_one();
-    }
-    return *result;
+    return SendAndWait(
+      context_, *client_, server_->Address(), MakeNamedRequest("POST", "q1"), std::move(options));
   }
 
   void Pass(Duration aTime)
--- a/Tests/LibNet/TestLateResponses.cpp
+++ b/Tests/LibNet/TestLateResponses.cpp
@@ -1,11 +1,10 @@
 // Responses that a server sends a second time: none may be taken for the response to another
 // request, or to a repeat of its own.
 
-#include "LibNet/HttpClient.h"
 #include "RepeatingServer.h"
+#include "SendAndWait.h"
 
 #include <gtest/gtest.h>
-#include <optional>
 
 namespace latchslip {
 
@@ -32,20 +31,9 @@
   {
     ExchangeOptions options;
     options.timeout_ = seconds(2);
-    options.echoHeader_ = "X-Request-Id";
-    HttpRequest request;
-    request.method_ = "POST";
-    request.target_ = "/";
-    request.headers_ = { { "X-Request-Id", aId } };
-    std::optional<HttpExchange> result;
-    client_->Send(server_.Address(), request, std::move(options), [&](HttpExchange aExchange) {
-      result = std::move(aExchange);
-    });
-    context_.restart();
-    while (!result) {
-      context_.run_one();
-    }
-    return *result;
+    options.echoHeader_ = kRequestIdHeader;
+    return SendAndWait(
+      context_, *client_, server_.Address(), MakeNamedRequest("POST", aId), std::move(options));
   }
 
   // Lets a second copy arrive.
--- a/Tests/LibNet/TestResponseBounds.cpp
+++ b/Tests/LibNet/TestResponseBounds.cpp
@@ -2,8 +2,8 @@
 // is closed. Just below each bound the response is delivered.
 
 #include "EndlessAnswer.h"
-#include "LibNet/HttpClient.h"
 #include "LibNet/MonotonicClock.h"
+#include "SendAndWait.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
@@ -11,7 +11,6 @@
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 #include <memory>
-#include <optional>
 #include <string>
 
 namespace latchslip {
@@ -156,21 +155,13 @@
   {
     ExchangeOptions options;
     options.timeout_ = kTimeout;
-    options.echoHeader_ = "X-Request-Id";
+    options.echoHeader_ = kRequestIdHeader;
     options.maxBodyBytes_ = aMaxBodyBytes;
-    HttpRequest request;
-    request.method_ = "GET";
-    request.target_ = "/";
-    request.headers_ = { { "X-Request-Id", kRequestId } };
-    std::optional<HttpExchange> result;
-    client_->Send(server_.Address(), request, std::move(options), [&](HttpExchange aExchange) {
-      result = std::move(aExchange);
-    });
-    context_.restart();
-    while (!result) {
-      context_.run_one();
-    }
-    return *result;
+    return SendAndWait(context_,
+                       *client_,
+                       server_.Address(),
+                       MakeNamedRequest("GET", kRequestId),
+                       std::move(options));
   }
 
   // Sends a request and expects its response to be complete.
