LibKeys: Skip a gap of fences for each lost epoch

Cause: a placer that writes the owners in a later epoch skips 2^22 fences, which covers what a lost epoch can have issued.

Now a gap is skipped for each epoch.

--- a/Libraries/LibKeys/OwnershipPlacer.cpp
+++ b/Libraries/LibKeys/OwnershipPlacer.cpp
@@ -31,7 +31,7 @@
 // Consecutive refused connections that, together with the other signs, prove that a server has
 // left.
 constexpr unsigned kRefusalsToProveLeft = 3;
-// Number of fences skipped when the owners are written again in a later epoch of the store. It
+// Number of fences skipped for each epoch when the owners are written again in a later one. It
 // exceeds the number of fences issued in the seconds by which a copy of the store lags behind: a
 // takeover issues kFencesPerIssue per range, for a few thousand ranges, and takes two seconds.
 constexpr FenceNumber kEpochFenceGap = FenceNumber{ 1 } << 22;
@@ -433,8 +433,9 @@
   auto next = committed_;
   const bool isOfAllRanges = hasFormerFences_ || committed_.epoch_ < epoch_;
   if (next.epoch_ < epoch_) {
+    // Each epoch since then may have issued fences that are lost.
+    next.lastFence_ += (epoch_ - next.epoch_) * kEpochFenceGap;
     next.epoch_ = epoch_;
-    next.lastFence_ += kEpochFenceGap;
   }
   for (std::size_t index = 0; index < next.ranges_.size(); ++index) {
     if (isOfAllRanges || states_[index].needsFence_) {
--- a/Tests/LibKeys/TestOwnershipPlacer.cpp
+++ b/Tests/LibKeys/TestOwnershipPlacer.cpp
@@ -729,6 +729,26 @@
   EXPECT_EQ(world_.ServedKeys(), PlacerWorld::kBlocks);
 }
 
+// Guards against a second return of the store that loses the write which followed the first, so
+// that a placer that knows only the copy issues the same fences again, or lower ones.
+TEST_F(PlacedKeysOfThreeServers, StoreIsRestoredTwiceFromOneCopy_FencesAreAboveThoseOfTheLostWrites)
+{
+  world_.TakeCopy();
+  world_.ReturnFromCopy();
+  world_.Pass(seconds(1));
+  // More fences are issued in the lost seconds than by one takeover.
+  world_.Stop(*placer_);
+  world_.TakeOverRemembering();
+  world_.Pass(seconds(1));
+  const auto lost = world_.stored_->lastFence_;
+  world_.Stop(*world_.placers_.back());
+  world_.ReturnFromCopy();
+  world_.TakeOver();
+  world_.Pass(seconds(13));
+  ExpectAllServed();
+  EXPECT_GT(world_.stored_->ranges_.front().fence_, lost);
+}
+
 // Replaces placers one after the other while moves are in progress, which each successor has to
 // finish. Hot key ranges that change cause the moves, adjacent ranges are merged, and servers take
 // a while to release keys.
