LibNet: End exchanges whose response has no status or a spoiled field name

Callers saw: an answer with status 001, 099, 600, 666 or 999 as the answer to their request; for status 000 a closed connection and nothing else, since 0 stands for "no answer" inside; and an answer whose field with a blank or a tab at its start had been joined to the value of the field before, with a body that was cut otherwise than the server meant when that field was Content-Length or Transfer-Encoding.

Cause: the HTTP library takes any three digits for a status, and any line that begins with a blank for a folded value. Other blanks and control bytes in field names it refuses already.

HttpConnection now checks what the library has just parsed, in the one place where all responses are parsed: those of servers to requests, commands and relayed exchanges, of the store, and of other instances. A status outside 100 to 599 (RFC 9110, section 15), and a line that begins with a blank and then reads as a field, in the head, an interim head or the trailers, end the exchange as Broken: the request may have run, and the connection is closed. Other folded values stay answers, as RFC 9112, section 5.2, allows, and so do the 17 odd but valid forms of OddResponses().

What the store answers was not taken for a table or for a proof before either; the test of it is kept. BytesServer of TestResponseBounds has files of its own now, and keeps the response that it sends when another is prescribed.

--- a/Libraries/LibNet/HttpConnection.cpp
+++ b/Libraries/LibNet/HttpConnection.cpp
@@ -1,6 +1,7 @@
 #include "LibNet/HttpConnection.h"
 
 #include "LibNet/MonotonicClock.h"
+#include "LibNet/ResponseSyntax.h"
 
 #include <algorithm>
 #include <bit>
@@ -412,9 +413,7 @@
     EndByExcess(ResponseExcess::HeldBytes);
     return;
   }
-  error_code error;
-  buffer_.consume(parser_->put(buffer_.data(), error));
-  if (error && error != http::error::need_more) {
+  if (const auto error = ParseBuffer()) {
     OnReadFailed(error);
     return;
   }
@@ -426,6 +425,36 @@
   ReadSome();
 }
 
+error_code
+HttpConnection::ParseBuffer()
+{
+  error_code error;
+  const bool wasInHead = !parser_->is_header_done();
+  const auto count = parser_->put(buffer_.data(), error);
+  const std::string_view parsed(static_cast<const char*>(buffer_.data().data()), count);
+  if (!error || error == http::error::need_more) {
+    error = CheckSyntax(parsed, wasInHead);
+  }
+  buffer_.consume(count);
+  return error;
+}
+
+error_code
+HttpConnection::CheckSyntax(std::string_view aParsed, bool aBeginsInHead) const
+{
+  if (aBeginsInHead && HasFieldAfterBlank(aParsed)) {
+    return http::error::bad_field;
+  }
+  if (parser_->is_header_done() && !IsStatus(parser_->get().result_int())) {
+    return http::error::bad_status;
+  }
+  const bool hasTrailers = parser_->is_done() && parser_->chunked();
+  if (hasTrailers && HasFieldAfterBlank(TrailersOf(aParsed))) {
+    return http::error::bad_field;
+  }
+  return {};
+}
+
 bool
 HttpConnection::ReserveBody()
 {
--- a/Libraries/LibNet/HttpConnection.h
+++ b/Libraries/LibNet/HttpConnection.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace latchslip {
 
@@ -117,6 +118,10 @@
   void OnEndOfStream();
   // Parses the bytes in the buffer, and reads more if the response is not complete.
   void Parse();
+  // Parses them as far as they are complete. Returns why they are no valid response, if so.
+  boost::system::error_code ParseBuffer();
+  // Checks what the HTTP library lets pass, in the bytes that it has just parsed.
+  boost::system::error_code CheckSyntax(std::string_view aParsed, bool aBeginsInHead) const;
   // Makes room for the buffer's bytes in the body. Returns false if the budget does not allow it.
   bool ReserveBody();
   // Limits the time for the rest of a head that has begun.
--- a/Tests/LibDaemon/TestRelays.cpp
+++ b/Tests/LibDaemon/TestRelays.cpp
@@ -1,6 +1,8 @@
 // Exchanges with servers that another instance relays, over connections on this machine.
 
 #include "../CountingEventSink.h"
+#include "../LibNet/BrokenResponses.h"
+#include "../LibNet/BytesServer.h"
 #include "../LibNet/CuttingServer.h"
 #include "../LibNet/RepeatingServer.h"
 #include "LibDaemon/CommandSender.h"
@@ -539,6 +541,38 @@
   EXPECT_EQ(exchange_->end_, ExchangeEnd::Complete);
 }
 
+// Guards against a server's broken response that another instance passes on as an answer.
+TEST_F(InstanceThatRelays, ServersResponseIsBroken_ExchangeIsBroken)
+{
+  BytesServer server(context_);
+  directory_.Put(MonotonicNow(), { "s1", "rates", server.Address(), "hall", 4, false, 2 });
+  for (const auto& response : BrokenResponses("q1")) {
+    server.bytes_ = response.bytes_;
+    auto request = MakeRequest("/");
+    request.address_ = server.Address();
+    request.options_.echoHeader_ = "X-Request-Id";
+    exchange_.reset();
+    Send(std::move(request));
+    RunToEnd();
+    EXPECT_EQ(exchange_->end_, ExchangeEnd::Broken) << response.name_;
+  }
+}
+
+// Guards against a request called not run because of an answer that is none.
+TEST_F(InstanceThatRelays, ItsOwnResponseIsBroken_RequestMayHaveRun)
+{
+  BytesServer instance(context_);
+  peerAddress_ = instance.Address();
+  for (const auto& response : BrokenResponses("q1")) {
+    instance.bytes_ = response.bytes_;
+    exchange_.reset();
+    Send(MakeRequest("/"));
+    RunToEnd();
+    EXPECT_EQ(exchange_->end_, ExchangeEnd::Broken) << response.name_;
+    EXPECT_EQ(path_, PathResult::NotTried) << response.name_;
+  }
+}
+
 } // namespace
 
 } // namespace latchslip
--- a/Tests/LibNet/TestResponseBounds.cpp
+++ b/Tests/LibNet/TestResponseBounds.cpp
@@ -1,14 +1,12 @@
 // Servers that send more than a response may hold: the exchange ends at a bound, and its connection
 // is closed. Just below each bound the response is delivered.
 
+#include "BytesServer.h"
 #include "EndlessAnswer.h"
 #include "LibNet/MonotonicClock.h"
 #include "SendAndWait.h"
 
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/write.hpp>
+#include <boost/asio/io_context.hpp>
 #include <gtest/gtest.h>
 #include <memory>
 #include <string>
@@ -18,136 +16,10 @@
 namespace {
 
 namespace asio = boost::asio;
-using boost::system::error_code;
-using tcp = asio::ip::tcp;
 
 const std::string kRequestId = "q1";
 constexpr Duration kTimeout = seconds(2);
 
-// Sends prescribed bytes for each request, whatever they are.
-class BytesServer
-{
-public:
-  explicit BytesServer(asio::io_context& aContext)
-    : acceptor_(aContext, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
-    , address_("127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()))
-  {
-    Accept();
-  }
-
-  const std::string& Address() const { return address_; }
-  // When the client closed a connection; zero if none was closed.
-  Instant ClosedAt() const { return closedAt_; }
-
-  std::string bytes_;
-  // Sent again and again after bytes_; nothing if empty.
-  std::string endless_;
-  // If not zero, bytes_ is sent one byte at a time with this pause.
-  Duration pause_{ 0 };
-  // The connection is closed after bytes_, which ends a body without a length.
-  bool isClosing_ = false;
-
-private:
-  class Connection : public std::enable_shared_from_this<Connection>
-  {
-  public:
-    Connection(BytesServer& aServer, tcp::socket aSocket)
-      : server_(aServer)
-      , socket_(std::move(aSocket))
-      , timer_(socket_.get_executor())
-    {
-    }
-
-    void Read()
-    {
-      asio::async_read_until(socket_,
-                             asio::dynamic_buffer(request_),
-                             "\r\n\r\n",
-                             [self = shared_from_this()](error_code aError, std::size_t aSize) {
-                               if (aError) {
-                                 self->server_.closedAt_ = MonotonicNow();
-                                 return;
-                               }
-                               self->request_.erase(0, aSize);
-                               self->sent_ = 0;
-                               self->Write();
-                             });
-    }
-
-  private:
-    void Write()
-    {
-      const auto left = server_.bytes_.size() - sent_;
-      if (left == 0) {
-        OnBytesSent();
-        return;
-      }
-      const auto count = server_.pause_ > Duration(0) ? 1 : left;
-      asio::async_write(socket_,
-                        asio::buffer(server_.bytes_.data() + sent_, count),
-                        [self = shared_from_this(), count](error_code aError, std::size_t) {
-                          if (aError) {
-                            self->server_.closedAt_ = MonotonicNow();
-                            return;
-                          }
-                          self->sent_ += count;
-                          self->WriteLater();
-                        });
-    }
-
-    void WriteLater()
-    {
-      timer_.expires_after(server_.pause_);
-      timer_.async_wait([self = shared_from_this()](error_code) { self->Write(); });
-    }
-
-    void OnBytesSent()
-    {
-      if (!server_.endless_.empty()) {
-        WriteEndless();
-      } else if (server_.isClosing_) {
-        error_code ignored;
-        socket_.shutdown(tcp::socket::shutdown_send, ignored);
-      } else {
-        Read();
-      }
-    }
-
-    void WriteEndless()
-    {
-      asio::async_write(socket_,
-                        asio::buffer(server_.endless_),
-                        [self = shared_from_this()](error_code aError, std::size_t) {
-                          if (aError) {
-                            self->server_.closedAt_ = MonotonicNow();
-                          } else {
-                            self->WriteEndless();
-                          }
-                        });
-    }
-
-    BytesServer& server_;
-    tcp::socket socket_;
-    asio::steady_timer timer_;
-    std::string request_;
-    std::size_t sent_ = 0;
-  };
-
-  void Accept()
-  {
-    acceptor_.async_accept([this](error_code aError, tcp::socket aSocket) {
-      if (!aError) {
-        std::make_shared<Connection>(*this, std::move(aSocket))->Read();
-        Accept();
-      }
-    });
-  }
-
-  tcp::acceptor acceptor_;
-  std::string address_;
-  Instant closedAt_{ 0 };
-};
-
 class ServerOfBytes : public testing::Test
 {
 protected:
--- a/Tests/Platform/TestPlatformStore.cpp
+++ b/Tests/Platform/TestPlatformStore.cpp
@@ -1,3 +1,5 @@
+#include "../LibNet/BrokenResponses.h"
+#include "../LibNet/BytesServer.h"
 #include "../LibNet/CuttingServer.h"
 #include "../NullEventSink.h"
 #include "FleetDocuments.h"
@@ -214,6 +216,31 @@
   }
 }
 
+// Guards against a broken answer of the store that is taken for a table, or for the proof that a
+// transaction was not committed.
+TEST(StoreThatAnswersBroken, AnyOfThem_NoTableIsReadAndTheTransactionMayBeCommitted)
+{
+  boost::asio::io_context context(1);
+  BytesServer server(context);
+  NullEventSink events;
+  for (const auto& response : BrokenResponses("q1")) {
+    server.bytes_ = response.bytes_;
+    const auto client = CreatePlatformStore(context, server.Address(), events);
+    FleetRows rows;
+    client->Start(rows);
+    std::optional<StoreReply> reply;
+    client->Transact({ { { "a", 1 } }, { { "a", "1" } } },
+                     [&](const StoreReply& aReply) { reply = aReply; });
+    while (!reply || (rows.views_ == 0 && rows.losses_ == 0)) {
+      context.restart();
+      context.run_one();
+    }
+    EXPECT_EQ(rows.views_, 0) << response.name_;
+    EXPECT_EQ(reply->status_, StoreStatus::Indeterminate) << response.name_;
+    client->Stop();
+  }
+}
+
 } // namespace
 
 } // namespace latchslip::platform
