LibNet: Refuse relayed responses that HTTP does not allow

Cause: a relay answer is no HTTP, so the check of HttpConnection does not see the response inside; DecodeRelayAnswer took any number and any text.

DecodeRelayAnswer now applies the same rules (ResponseSyntax) to the response of a complete exchange. An answer that breaks them is malformed, which RelayClient reports as before: the request may have run, and the server is not blamed.

InstanceThatRelays.ItPassesOnABrokenResponse_ExchangeIsBroken sends eleven such answers.

--- a/Libraries/LibNet/RelayCodec.cpp
+++ b/Libraries/LibNet/RelayCodec.cpp
@@ -2,7 +2,9 @@
 
 #include "LibNet/CapnpMessage.h"
 #include "LibNet/Generated/Relay.capnp.h"
+#include "LibNet/ResponseSyntax.h"
 
+#include <algorithm>
 #include <cstring>
 #include <vector>
 
@@ -93,6 +95,23 @@
   return request;
 }
 
+// Checks the response of a complete exchange as if it had been received from the server.
+FieldResult<void>
+CheckResponse(const HttpResponse& aResponse)
+{
+  if (!IsStatus(aResponse.status_)) {
+    return FieldError{ "status", "is none of HTTP" };
+  }
+  const auto& headers = aResponse.headers_;
+  const bool areValid = std::all_of(headers.begin(), headers.end(), [](const HttpHeader& aHeader) {
+    return IsFieldName(aHeader.first) && IsFieldValue(aHeader.second);
+  });
+  if (!areValid || !IsFieldValue(aResponse.contentType_)) {
+    return FieldError{ "headers", "have a name or a value that HTTP does not allow" };
+  }
+  return outcome::success();
+}
+
 FieldResult<RelayAnswer>
 ReadAnswer(wire::RelayAnswer::Reader aIn)
 {
@@ -116,6 +135,9 @@
   exchange.response_.isFramed_ = aIn.getIsFramed();
   exchange.response_.headers_ = ReadHeaders(aIn.getHeaders());
   exchange.response_.body_ = FromData(aIn.getBody());
+  if (exchange.end_ == ExchangeEnd::Complete) {
+    BOOST_OUTCOME_TRY(CheckResponse(exchange.response_));
+  }
   return answer;
 }
 
--- a/Tests/LibDaemon/TestRelays.cpp
+++ b/Tests/LibDaemon/TestRelays.cpp
@@ -573,6 +573,40 @@
   }
 }
 
+// Guards against a server's broken response in the answer of an instance that does not check it.
+TEST_F(InstanceThatRelays, ItPassesOnABrokenResponse_ExchangeIsBroken)
+{
+  const std::vector<HttpHeader> spoiled{
+    { "X Note", "1" }, { " X-Note", "1" }, { "X-Note\x01", "1" }, { "", "1" }, { "X-Note", "1\n2" }
+  };
+  std::vector<HttpResponse> responses;
+  for (const unsigned status : { 0U, 1U, 99U, 600U, 70000U }) {
+    responses.push_back(MakeHttpResponse(status, "hello"));
+  }
+  for (const auto& header : spoiled) {
+    responses.push_back(MakeHttpResponse(200, "hello"));
+    responses.back().headers_ = { header };
+  }
+  responses.push_back(MakeHttpResponse(200, "hello"));
+  responses.back().contentType_ = "a\r\nb";
+  BytesServer instance(context_);
+  peerAddress_ = instance.Address();
+  for (const auto& response : responses) {
+    RelayAnswer answer;
+    answer.path_ = PathResult::Reached;
+    answer.exchange_.end_ = ExchangeEnd::Complete;
+    answer.exchange_.response_ = response;
+    const auto body = EncodeRelayAnswer(answer);
+    instance.bytes_ =
+      "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    exchange_.reset();
+    Send(MakeRequest("/"));
+    RunToEnd();
+    EXPECT_EQ(exchange_->end_, ExchangeEnd::Broken) << response.status_;
+    EXPECT_EQ(path_, PathResult::NotTried) << response.status_;
+  }
+}
+
 } // namespace
 
 } // namespace latchslip
