LibNet: Take an answer between instances only with a status of HTTP

Callers of latchslipd would see what the holder of their server passed on: a status outside 100 to 599, or a content type with a line end in it, if the holder doesn't check responses itself (an older release).

Cause: PeerCodec took any number for the status of an answer. The link, which carries the answers of many requests, stays.

PeerCodec.ServersResponseIsBroken_OutcomeIsUnknown sends five such answers; it failed before for each of them, as all arrived as answers.

--- a/Libraries/LibNet/PeerCodec.cpp
+++ b/Libraries/LibNet/PeerCodec.cpp
@@ -2,6 +2,7 @@
 
 #include "LibNet/CapnpMessage.h"
 #include "LibNet/Generated/Peer.capnp.h"
+#include "LibNet/ResponseSyntax.h"
 
 namespace latchslip {
 
@@ -230,6 +231,10 @@
   answer.contentType_ = FromText(aIn.getContentType());
   answer.detail_ = FromText(aIn.getDetail());
   answer.body_ = ToBody(aIn.getBody());
+  const bool isResponse = IsStatus(answer.status_) && IsFieldValue(answer.contentType_);
+  if (answer.outcome_ == RequestOutcome::Answered && !isResponse) {
+    answer = MakeUnknown(Reason::ConnectionBroken);
+  }
   return forwarded;
 }
 
--- a/Tests/LibNet/TestCodec.cpp
+++ b/Tests/LibNet/TestCodec.cpp
@@ -64,6 +64,26 @@
   EXPECT_EQ(got.answer_.status_, 503U);
 }
 
+// Guards against a server's broken response in the answer of an instance that does not check it.
+TEST(PeerCodec, ServersResponseIsBroken_OutcomeIsUnknown)
+{
+  ForwardedAnswer sound;
+  sound.answer_.outcome_ = RequestOutcome::Answered;
+  sound.answer_.status_ = 599;
+  sound.answer_.contentType_ = "image/png";
+  EXPECT_EQ(PeerRoundTrip(sound).answer_.status_, 599U);
+  std::vector<ForwardedAnswer> broken(5, sound);
+  broken.at(0).answer_.status_ = 0;
+  broken.at(1).answer_.status_ = 99;
+  broken.at(2).answer_.status_ = 600;
+  broken.at(3).answer_.contentType_ = "a\r\nb";
+  broken.at(4).answer_.contentType_ = std::string("a\0", 2);
+  for (const auto& sent : broken) {
+    const auto got = PeerRoundTrip(sent);
+    EXPECT_EQ(got.answer_.outcome_, RequestOutcome::Unknown) << sent.answer_.status_;
+  }
+}
+
 TEST(PeerCodec, ReportSent_EveryFieldArrives)
 {
   ServerReport sent;
