LibNet: Mark lost responses by a flag instead of the status 0

The test doubles lose answers on purpose, and named that by the status 0, a number that also came from outside: a server's status 000 closed the caller's connection. No other status or text from outside has a second meaning inside: the others that were looked at are 0 for "no status" in CommandOutcome and AttemptOutcome, which only the log reads.

The tests of lost answers (HttpOnLoopback, InstanceThatRelays) pass as before.

--- a/Libraries/LibNet/Http.cpp
+++ b/Libraries/LibNet/Http.cpp
@@ -24,6 +24,14 @@
   return response;
 }
 
+HttpResponse
+MakeLostResponse()
+{
+  HttpResponse response;
+  response.isLost_ = true;
+  return response;
+}
+
 std::string
 DecodeSegment(std::string_view aSegment)
 {
--- a/Libraries/LibNet/Http.h
+++ b/Libraries/LibNet/Http.h
@@ -31,10 +31,6 @@
   std::string_view Header(std::string_view aName) const { return FindHeader(headers_, aName); }
 };
 
-// Status of a response that closes the connection without an answer. Only the test doubles of
-// the platform use it, to inject lost answers.
-inline constexpr unsigned kNoAnswer = 0;
-
 struct HttpResponse
 {
   unsigned status_ = 200;
@@ -45,6 +41,8 @@
   // Whether the message has a length or is chunked. Otherwise the body ends when the connection
   // closes, and a truncated body cannot be distinguished from a complete one.
   bool isFramed_ = true;
+  // The connection is closed in place of a response. Only test doubles use it, to lose answers.
+  bool isLost_ = false;
 
   std::string_view Header(std::string_view aName) const { return FindHeader(headers_, aName); }
 };
@@ -52,6 +50,10 @@
 HttpResponse
 MakeHttpResponse(unsigned aStatus, std::string aBody);
 
+// See HttpResponse::isLost_.
+HttpResponse
+MakeLostResponse();
+
 // Percent-decodes one path segment; empty if an escape is malformed.
 std::string
 DecodeSegment(std::string_view aSegment);
--- a/Libraries/LibNet/HttpSession.cpp
+++ b/Libraries/LibNet/HttpSession.cpp
@@ -344,7 +344,7 @@
   if (isClosed_ || exchange == exchanges_.end() || exchange->answer_) {
     return;
   }
-  if (aResponse.status_ == kNoAnswer) {
+  if (aResponse.isLost_) {
     exchanges_.erase(exchange);
     Abandon();
     return;
--- a/Services/StandInPlatform/main.cpp
+++ b/Services/StandInPlatform/main.cpp
@@ -98,9 +98,7 @@
     const auto reply = table_.Apply(transaction.value());
     if (answersToLose_ > 0) {
       --answersToLose_;
-      HttpResponse lost;
-      lost.status_ = kNoAnswer;
-      aRespond(lost);
+      aRespond(MakeLostResponse());
       return;
     }
     aRespond(MakeHttpResponse(reply.status_ == StoreStatus::Conflict ? 409 : 200,
--- a/Tests/LibDaemon/TestRelays.cpp
+++ b/Tests/LibDaemon/TestRelays.cpp
@@ -49,9 +49,7 @@
 public:
   void OnRequest(std::uint64_t, HttpRequest, HttpResponder aRespond) override
   {
-    HttpResponse none;
-    none.status_ = kNoAnswer;
-    aRespond(none);
+    aRespond(MakeLostResponse());
   }
   void OnClientDisconnected(std::uint64_t) override {}
 };
--- a/Tests/LibNet/TestHttp.cpp
+++ b/Tests/LibNet/TestHttp.cpp
@@ -30,7 +30,7 @@
       return;
     }
     HttpResponse response;
-    response.status_ = aRequest.target_ == "/drop" ? kNoAnswer : 200;
+    response.isLost_ = aRequest.target_ == "/drop";
     response.body_ = aRequest.body_;
     aRespond(std::move(response));
   }
