LibGateway, LibDaemon: Send nothing late that may outlast a planned stop

Callers saw, in a planned stop in calm: a request whose body was complete 3.4 s after SIGTERM was passed on to its server and cut 2.2 s later, at the end of the grace, with no answer and a closed connection; also one that must not run twice.

Cause: from 2.6 s on a stopping instance takes no new connections and no new requests, but what it was already reading it handled as ever, whatever was left of the grace. Requests that waited for a server or a permit were sent as late.

From the moment at which the instance closes, GatewayRouter knows when it ends at the latest (EndBy()). It sends a request only if its time limit, the caller's or the route's, lies before that; then the request has ended by itself, with an answer or by its own time limit. All others are refused at once as not run, with the shortest Retry-After, since the other instances serve, and on a connection that closes, so that the balancer leads the caller to them. What servers are working on stays with them, and its answers are delivered. Before the instance closes, callers are served as before: the balancer still sends them, and most requests take a small part of their limit.

--- a/Libraries/LibDaemon/GatewayHost.cpp
+++ b/Libraries/LibDaemon/GatewayHost.cpp
@@ -239,6 +239,9 @@
       isClosing_ = true;
       clientServer_->BeginClose();
     }
+    if (isClosing_) {
+      frontend_.Router().EndBy(aNow, stop_.EndsBy(settings_.stopGrace_));
+    }
     const bool isIdle = frontend_.Router().InFlight() == 0 && relayService_.InFlight() == 0 &&
                         clientServer_->Connections() == 0;
     if (!stop_.IsComplete(aNow, settings_.stopGrace_, isIdle)) {
--- a/Libraries/LibDaemon/StopSequence.cpp
+++ b/Libraries/LibDaemon/StopSequence.cpp
@@ -38,6 +38,12 @@
   return past < kCloseDelay ? StopStage::Draining : StopStage::Closing;
 }
 
+Instant
+StopSequence::EndsBy(Duration aGrace) const
+{
+  return HasBegun() ? beganAt_ + aGrace - kStopMargin : Instant::max();
+}
+
 bool
 StopSequence::IsComplete(Instant aNow, Duration aGrace, bool aIsIdle) const
 {
@@ -46,7 +52,7 @@
     return false;
   }
   const bool isDone = stage == StopStage::Closing && aIsIdle;
-  return isDone || aNow - beganAt_ >= aGrace - kStopMargin;
+  return isDone || aNow >= EndsBy(aGrace);
 }
 
 } // namespace latchslip
--- a/Libraries/LibDaemon/StopSequence.h
+++ b/Libraries/LibDaemon/StopSequence.h
@@ -28,6 +28,8 @@
   bool HasBegun() const { return beganAt_ != Instant::max(); }
 
   StopStage StageAt(Instant aNow) const;
+  // Time at which the shutdown ends even with requests in flight; Instant::max() before Begin().
+  Instant EndsBy(Duration aGrace) const;
   // Returns whether the shutdown is complete. aGrace is the maximum time from Begin() to the
   // end; aIsIdle means that no request is in flight and no client is connected.
   bool IsComplete(Instant aNow, Duration aGrace, bool aIsIdle) const;
--- a/Libraries/LibGateway/GatewayRouter.cpp
+++ b/Libraries/LibGateway/GatewayRouter.cpp
@@ -33,8 +33,6 @@
 constexpr Duration kAssumedTimeLeft = seconds(1);
 // Reserved for the way back of the answer when a server is sent its time limit.
 constexpr Duration kAnswerTransitTime = milliseconds(2);
-// Grace period for an answer that the server sends at its time limit.
-constexpr Duration kAnswerGrace = milliseconds(20);
 // With less time than this, a send would only waste work of the server.
 constexpr Duration kMinSendTime = milliseconds(5);
 // Sends beyond the attempts of the route, for servers that did not run the request.
@@ -123,6 +121,10 @@
   requestAge.OnRequest(timeLeft);
   aPending.inTimeUntil_ = aPending.arrival_ + route.latencyTarget_ - requestAge.AgeOf(timeLeft);
   aPending.isLate_ = aPending.inTimeUntil_ <= aNow;
+  if (MayOutlastStop(aPending)) {
+    Refuse(aNow, aPending, RefusalReason::Stopping);
+    return;
+  }
   if (IsQuarantined(aNow, aPending)) {
     Refuse(aNow, aPending, RefusalReason::Quarantined);
     return;
@@ -290,7 +292,8 @@
 {
   const auto& route = *aPending.route_;
   const bool isAllowed = (route.isRepeatable_ || !MayHaveRun(aOutcome.end_)) &&
-                         IsApiKeyProven(aNow, aPending) && !IsQuarantined(aNow, aPending);
+                         IsApiKeyProven(aNow, aPending) && !IsQuarantined(aNow, aPending) &&
+                         !MayOutlastStop(aPending);
   const bool hasAttempts =
     aPending.runs_ < route.maxAttempts_ && aPending.sends_ < route.maxAttempts_ + kExtraSends;
   if (!isAllowed || !hasAttempts || aNow + kMinSendTime >= aPending.deadline_) {
@@ -450,6 +453,10 @@
   if (quarantine > Duration(0)) {
     return quarantine;
   }
+  if (MayOutlastStop(aPending)) {
+    // The other instances serve the client.
+    return kMinRetryDelay;
+  }
   if (!aPending.routes_) {
     return Scale(kAssumedTimeLeft, kRetryDelayPerTimeLeft);
   }
--- a/Libraries/LibGateway/GatewayRouter.h
+++ b/Libraries/LibGateway/GatewayRouter.h
@@ -86,6 +86,9 @@
   void SetPaths(ServerPaths& aPaths) { paths_ = &aPaths; }
   // Whether this instance no longer receives updates of key ownership.
   void SetUpdatesStale(bool aAreStale) { areUpdatesStale_ = aAreStale; }
+  // This instance ends at aEnd. From now on it sends only requests that have certainly ended by
+  // then, and refuses all others that no server has.
+  void EndBy(Instant aNow, Instant aEnd);
   // Number of instances that share the servers.
   void SetInstances(std::size_t aInstances) { instances_ = aInstances; }
 
@@ -116,6 +119,8 @@
   bool TryIdentify(Instant aNow, PendingRequest& aPending);
   // Whether the rate limit of its group admits the request; refuses the request if not.
   bool TryAdmitToGroup(Instant aNow, PendingRequest& aPending);
+  // Whether this instance may end before the request does.
+  bool MayOutlastStop(const PendingRequest& aPending) const;
   // Whether the request must not be sent to any server because it crashed others.
   bool IsQuarantined(Instant aNow, const PendingRequest& aPending) const;
   // Refuses a request because of its caller, and counts that for the group.
@@ -319,6 +324,8 @@
   AttemptNumber lastAttempt_ = 0;
   std::size_t instances_ = 0;
   bool areUpdatesStale_ = false;
+  // See EndBy().
+  Instant endsBy_ = Instant::max();
 };
 
 } // namespace latchslip
--- a/Libraries/LibGateway/Messages.h
+++ b/Libraries/LibGateway/Messages.h
@@ -140,9 +140,11 @@
   OutcomeUnknown,
   // The request crashed the servers that ran it.
   Quarantined,
+  // This instance ends before the request may have been answered.
+  Stopping,
 };
 
-inline constexpr NameTable<RefusalReason, 12> kRefusalReasonNames{ { "no-configuration",
+inline constexpr NameTable<RefusalReason, 13> kRefusalReasonNames{ { "no-configuration",
                                                                      "unknown-api-key",
                                                                      "api-keys-unproven",
                                                                      "over-limit",
@@ -153,7 +155,8 @@
                                                                      "no-path",
                                                                      "out-of-time",
                                                                      "outcome-unknown",
-                                                                     "quarantined" } };
+                                                                     "quarantined",
+                                                                     "stopping" } };
 
 // The answer that a client gets when its request is refused.
 struct Refusal
--- a/Libraries/LibGateway/PendingRequest.h
+++ b/Libraries/LibGateway/PendingRequest.h
@@ -12,6 +12,9 @@
 
 namespace latchslip {
 
+// Grace period after a request's deadline for an answer that the server sends at its time limit.
+inline constexpr Duration kAnswerGrace = milliseconds(20);
+
 // A client's request that is queued, waits for a permit or waits for a server's answer.
 struct PendingRequest
 {
--- a/Tests/LibDaemon/TestStopSequence.cpp
+++ b/Tests/LibDaemon/TestStopSequence.cpp
@@ -60,6 +60,12 @@
   EXPECT_TRUE(stop_.IsComplete(kBegin + milliseconds(5600), kGrace, false));
 }
 
+TEST_F(BegunStop, GraceIsGiven_EndIsShortlyBeforeIt)
+{
+  EXPECT_EQ(stop_.EndsBy(kGrace), kBegin + milliseconds(5600));
+  EXPECT_EQ(StopSequence().EndsBy(kGrace), Instant::max());
+}
+
 TEST_F(BegunStop, ShortGrace_DrainsBeforeCompletion)
 {
   EXPECT_FALSE(stop_.IsComplete(kBegin + milliseconds(1199), seconds(1), true));
