--- a/Tests/LibNet/TestResponseBounds.cpp
+++ b/Tests/LibNet/TestResponseBounds.cpp
@@ -243,6 +243,62 @@
   EXPECT_EQ(client_->OpenConnections(), 0U);
 }
 
+// Guards against bytes without end that are no HTTP at all, or that go on behind what has ended the
+// exchange.
+TEST_F(ServerOfBytes, BytesWithoutEndAreNoResponse_EndTheExchangeWithinItsBoundInBytes)
+{
+  const std::vector<std::string> units{
+    std::string(4096, 'x'), std::string(4096, '\0'), std::string(4096, '\n'), Repeat("\r\n", 2048)
+  };
+  // An empty line completes it.
+  const auto lastChunk = Chunked("1\r\nc\r\n0\r\n");
+  const std::vector<std::string> prefixes{
+    "",
+    "HTTP",
+    "HTTP/1.1 ",
+    "HTTP/1.1 200 ",
+    "HTTP/1.1 200 OK\r\n",
+    "HTTP/1.1 000 OK\r\n\r\n",
+    "HTTP/1.1 999 OK\r\nTransfer-Encoding: chunked\r\n\r\nffff\r\n",
+    "HTTP/1.1 100 Continue\r\nX Note: ",
+    Head("X-Note\x01: 1\r\n"),
+    Head(" X-Note: 1\r\n"),
+    Chunked(""),
+    Chunked("1\r\n"),
+    lastChunk,
+    Chunked("1\r\nc\r\n0\r\nX Note: "),
+  };
+  for (const auto& prefix : prefixes) {
+    for (const auto& unit : units) {
+      server_.bytes_ = prefix;
+      server_.endless_ = unit;
+      const auto exchange = Send();
+      const bool isCompleted = prefix == lastChunk && unit.front() == '\r';
+      EXPECT_EQ(exchange.end_, isCompleted ? ExchangeEnd::Complete : ExchangeEnd::Broken) << prefix;
+      EXPECT_FALSE(exchange.isTimeout_) << prefix << " and " << unit.substr(0, 2);
+      EXPECT_LE(exchange.receivedBytes_, kMaxResponseBytes + kMaxChunkMetadataBytes);
+      client_->PruneIdle();
+      EXPECT_EQ(client_->OpenConnections(), 0U) << prefix << " and " << unit.substr(0, 2);
+      EXPECT_EQ(client_->HeldBytes(), 0U);
+    }
+  }
+}
+
+// The next exchange must not read what the server sends unasked on the connection of the last one.
+TEST_F(ServerOfBytes, BytesWithoutEndFollowAResponse_ItIsDeliveredAndItsConnectionNotUsedAgain)
+{
+  server_.bytes_ = empty_;
+  server_.endless_ = std::string(4096, 'x');
+  for (std::size_t count = 1; count < 4; ++count) {
+    ExpectDelivered(0);
+    context_.restart();
+    context_.run_for(milliseconds(20));
+    EXPECT_EQ(server_.Connections(), count);
+  }
+  client_->PruneIdle();
+  EXPECT_EQ(client_->OpenConnections(), 0U);
+}
+
 INSTANTIATE_TEST_SUITE_P(Kinds,
                          ServerWithoutEnd,
                          testing::Values(EndlessKind::Head,
