--- a/Tests/LibGateway/TestPlannedStop.cpp
+++ b/Tests/LibGateway/TestPlannedStop.cpp
@@ -121,6 +121,45 @@
   EXPECT_TRUE(IsRefusedAsNotRun(request));
 }
 
+// The path to the server is cut, and there is another one.
+class RouterOfAnEndingInstanceWithRelay : public RouterOfAnEndingInstance
+{
+protected:
+  RouterOfAnEndingInstanceWithRelay()
+  {
+    paths_.SetPeers({ { "peer:1", { "hall", 1 } } });
+    router_.SetPaths(paths_);
+    request_ = SendRequest("/write/");
+  }
+
+  void EndUnsent()
+  {
+    AttemptOutcome outcome;
+    outcome.end_ = AttemptEnd::NotSent;
+    outcome.path_ = PathResult::Unreachable;
+    router_.OnAttemptEnded(now_, actions_.sent_.back().number_, outcome);
+  }
+
+  ServerPaths paths_{ "hall", 1, events_ };
+  RequestNumber request_ = 0;
+};
+
+TEST_F(RouterOfAnEndingInstanceWithRelay, RequestEndsBeforeIt_IsSentOnTheOtherPath)
+{
+  router_.EndBy(now_, now_ + kEnough);
+  EndUnsent();
+  ASSERT_EQ(Sends(), 2U);
+  EXPECT_EQ(actions_.sent_.back().relay_, "peer:1");
+}
+
+TEST_F(RouterOfAnEndingInstanceWithRelay, RequestMayOutlastIt_IsNotSentOnTheOtherPath)
+{
+  router_.EndBy(now_, now_ + milliseconds(900));
+  EndUnsent();
+  EXPECT_EQ(Sends(), 1U);
+  EXPECT_TRUE(IsRefusedAsNotRun(request_));
+}
+
 TEST_F(RouterOfAnEndingInstance, AnswerComes_IsDelivered)
 {
   const auto request = SendRequest("/write/");
