LibGateway: One refusal of waiting requests, one gate for late sends

Nothing changes for callers. A planned stop, a quarantine and revoked API keys each collected the waiting requests that they concern and refused them, in the same two loops; RefuseAllWaiting() serves all three.

That no request is sent which may outlast a planned stop was asked in TryAnotherPath() by itself, since that send had been missed at first. Every send asks SendTimeLimit() for the time that a server is given, so the question stands there now, and a further way to send cannot miss it. RouteRequest() and TryTakeRetry() still ask beforehand, so that such a request is refused at once with its reason.

--- a/Libraries/LibGateway/CallerChecks.cpp
+++ b/Libraries/LibGateway/CallerChecks.cpp
@@ -78,23 +78,16 @@
 void
 GatewayRouter::RefuseRevoked(Instant aNow)
 {
-  std::vector<RequestNumber> revoked;
   for (auto& [number, pending] : pending_) {
     const bool needsKey =
       pending.group_ != nullptr && NeedsApiKey(*pending.routes_, pending.route_);
-    if (!needsKey || routes_->FindGroup(pending.request_.apiKey_) != nullptr) {
-      continue;
+    if (needsKey && routes_->FindGroup(pending.request_.apiKey_) == nullptr) {
+      pending.isRevoked_ = true;
     }
-    pending.isRevoked_ = true;
-    if (pending.attempt_ == 0) {
-      revoked.push_back(number);
-    }
-  }
-  for (const auto number : revoked) {
-    auto& pending = pending_.at(number);
-    pending.blockReason_ = RefusalReason::UnknownApiKey;
-    RefuseWaiting(aNow, pending);
   }
+  RefuseAllWaiting(aNow, RefusalReason::UnknownApiKey, [](const PendingRequest& aPending) {
+    return aPending.isRevoked_;
+  });
 }
 
 } // namespace latchslip
--- a/Libraries/LibGateway/GatewayRouter.cpp
+++ b/Libraries/LibGateway/GatewayRouter.cpp
@@ -317,18 +317,9 @@
 void
 GatewayRouter::OnQuarantine(Instant aNow, RequestFingerprint aFingerprint)
 {
-  std::vector<RequestNumber> waiting;
-  for (const auto& [number, pending] : pending_) {
-    if (pending.request_.fingerprint_ == aFingerprint && pending.attempt_ == 0 &&
-        pending.service_ != nullptr) {
-      waiting.push_back(number);
-    }
-  }
-  for (const auto number : waiting) {
-    auto& pending = pending_.at(number);
-    pending.blockReason_ = RefusalReason::Quarantined;
-    RefuseWaiting(aNow, pending);
-  }
+  RefuseAllWaiting(aNow, RefusalReason::Quarantined, [&](const PendingRequest& aPending) {
+    return aPending.request_.fingerprint_ == aFingerprint && aPending.service_ != nullptr;
+  });
 }
 
 void
@@ -422,6 +413,24 @@
     aNow, aPending, aPending.runs_ > 0 ? RefusalReason::OutcomeUnknown : aPending.blockReason_);
 }
 
+void
+GatewayRouter::RefuseAllWaiting(Instant aNow,
+                                RefusalReason aReason,
+                                const std::function<bool(const PendingRequest&)>& aIsRefused)
+{
+  std::vector<RequestNumber> refused;
+  for (const auto& [number, pending] : pending_) {
+    if (pending.attempt_ == 0 && aIsRefused(pending)) {
+      refused.push_back(number);
+    }
+  }
+  for (const auto number : refused) {
+    auto& pending = pending_.at(number);
+    pending.blockReason_ = aReason;
+    RefuseWaiting(aNow, pending);
+  }
+}
+
 void
 GatewayRouter::Refuse(Instant aNow, PendingRequest& aPending, RefusalReason aReason)
 {
@@ -537,10 +546,11 @@
 }
 
 std::optional<Duration>
-GatewayRouter::SendTimeLimit(Instant aNow, const PendingRequest& aPending)
+GatewayRouter::SendTimeLimit(Instant aNow, const PendingRequest& aPending) const
 {
   const Duration left = aPending.deadline_ - aNow - kAnswerTransitTime;
-  return left < kMinSendTime ? std::nullopt : std::optional(left);
+  const bool isTooLate = left < kMinSendTime || MayOutlastStop(aPending);
+  return isTooLate ? std::nullopt : std::optional(left);
 }
 
 RefusalReason
--- a/Libraries/LibGateway/GatewayRouter.h
+++ b/Libraries/LibGateway/GatewayRouter.h
@@ -170,8 +170,9 @@
   SendEnd UnusedPermitReport(Instant aNow, AttemptNumber aNumber, const std::string& aServer) const;
   // A permit request timed out.
   void OnPermitRequestTimeout(Instant aNow, PendingRequest& aPending);
-  // Time limit to send to a server; no value if too little time is left for a send.
-  static std::optional<Duration> SendTimeLimit(Instant aNow, const PendingRequest& aPending);
+  // Time limit to send to a server; no value if too little time is left for a send. Every send
+  // asks for it.
+  std::optional<Duration> SendTimeLimit(Instant aNow, const PendingRequest& aPending) const;
   void SendTo(Instant aNow,
               PendingRequest& aPending,
               const ServerCandidate& aServer,
@@ -263,6 +264,10 @@
   // Whether the request may be retried; if so, takes the retry from the budget.
   bool TryTakeRetry(Instant aNow, PendingRequest& aPending, const AttemptOutcome& aOutcome);
   void RefuseWaiting(Instant aNow, PendingRequest& aPending);
+  // Refuses those of the requests that no server has for which aIsRefused holds.
+  void RefuseAllWaiting(Instant aNow,
+                        RefusalReason aReason,
+                        const std::function<bool(const PendingRequest&)>& aIsRefused);
   // Ends a request that reached its time limit while an attempt is in flight.
   void TimeOut(Instant aNow, PendingRequest& aPending);
   void Refuse(Instant aNow, PendingRequest& aPending, RefusalReason aReason);
--- a/Libraries/LibGateway/PlannedStop.cpp
+++ b/Libraries/LibGateway/PlannedStop.cpp
@@ -11,17 +11,9 @@
     return;
   }
   endsBy_ = aEnd;
-  std::vector<RequestNumber> waiting;
-  for (const auto& [number, pending] : pending_) {
-    if (pending.attempt_ == 0 && MayOutlastStop(pending)) {
-      waiting.push_back(number);
-    }
-  }
-  for (const auto number : waiting) {
-    auto& pending = pending_.at(number);
-    pending.blockReason_ = RefusalReason::Stopping;
-    RefuseWaiting(aNow, pending);
-  }
+  RefuseAllWaiting(aNow, RefusalReason::Stopping, [this](const PendingRequest& aPending) {
+    return MayOutlastStop(aPending);
+  });
 }
 
 bool
--- a/Libraries/LibGateway/RequestPaths.cpp
+++ b/Libraries/LibGateway/RequestPaths.cpp
@@ -51,7 +51,7 @@
 {
   const auto timeLeft = SendTimeLimit(aNow, aPending);
   const bool isUnsent = aOutcome.end_ == AttemptEnd::NotSent;
-  const auto server = isUnsent && timeLeft && !aPending.isClientGone_ && !MayOutlastStop(aPending)
+  const auto server = isUnsent && timeLeft && !aPending.isClientGone_
                         ? PermittedServer(aNow, aPending, aPending.server_)
                         : std::nullopt;
   if (!aPending.path_.TryNext(
