LibNet: Walk back over trailers without special cases

TrailersOf() took the first line and the end of the search for a line end as cases of their own. It now shortens the text line by line. The 177 broken, 17 odd and 3 misleading responses of its tests end as before.

--- a/Libraries/LibNet/ResponseSyntax.cpp
+++ b/Libraries/LibNet/ResponseSyntax.cpp
@@ -86,18 +86,18 @@
 std::string_view
 TrailersOf(std::string_view aEnd)
 {
-  // The empty line that ends the response.
-  auto begin = aEnd.size() - std::min(aEnd.size(), kLineEnd.size());
-  while (begin >= kLineEnd.size()) {
-    const auto lineEnd = begin - kLineEnd.size();
-    const auto before = lineEnd == 0 ? std::string_view::npos : aEnd.rfind(kLineEnd, lineEnd - 1);
-    const auto lineBegin = before == std::string_view::npos ? 0 : before + kLineEnd.size();
-    if (IsLastChunk(aEnd.substr(lineBegin, lineEnd - lineBegin))) {
+  // Goes back from the empty line that ends the response, line by line.
+  auto lines = aEnd.substr(0, aEnd.size() - std::min(aEnd.size(), kLineEnd.size()));
+  while (lines.size() >= kLineEnd.size()) {
+    const auto text = lines.substr(0, lines.size() - kLineEnd.size());
+    const auto before = text.rfind(kLineEnd);
+    const auto begin = before == std::string_view::npos ? 0 : before + kLineEnd.size();
+    if (IsLastChunk(text.substr(begin))) {
       break;
     }
-    begin = lineBegin;
+    lines = lines.substr(0, begin);
   }
-  return aEnd.substr(begin);
+  return aEnd.substr(lines.size());
 }
 
 } // namespace latchslip
